--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+GO ?= go
+BIN := bin
+RUN := run
+
+.PHONY: build demo test
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Builds, starts all processes, serves a few hundred mixed requests, checks
+# every answer, and stops the processes. The last line is a JSON summary.
+demo: build
+	@scripts/demo.sh $(RUN) $(BIN)
+
+test: build
+	$(GO) test ./...
--- /dev/null
+++ b/cmd/stress/main.go
@@ -0,0 +1,23 @@
+// Command stress lays out fleets of processes on loopback addresses, drives
+// load against them, brings about failures, and checks every answer. Its last
+// line is a one-line JSON summary; it exits non-zero on a broken promise.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	root := &cobra.Command{Use: "stress", Short: "Drive load and failures against a fleet of processes", SilenceUsage: true}
+	root.AddCommand(newPlan(), newRun())
+	if err := root.ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/stress/plan.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"umberladder/internal/load/plan"
+)
+
+// fleetFlags are the flags that say which fleet is meant.
+type fleetFlags struct {
+	dir       string
+	profile   string
+	vms       int
+	net       int
+	placement string
+	reserve   float64
+	verbose   bool
+}
+
+func (f *fleetFlags) add(c *cobra.Command) {
+	c.Flags().StringVar(&f.dir, "dir", "run", "folder of the fleet's files")
+	c.Flags().StringVar(&f.profile, "profile", "demo", "deployment: demo, cistern-row or liinirike")
+	c.Flags().IntVar(&f.vms, "vms", 7, "entry VMs")
+	c.Flags().IntVar(&f.net, "net", 10, "loopback network 127.NET.0.0")
+	c.Flags().StringVar(&f.placement, "placement", "predicted", "how VMs place generations")
+	c.Flags().Float64Var(&f.reserve, "reserve", 0.1, "share of engine memory kept for urgent calls")
+	c.Flags().BoolVar(&f.verbose, "verbose", false, "VMs log every request")
+}
+
+func (f *fleetFlags) fleet() (*plan.Fleet, error) {
+	p, err := plan.FindProfile(f.profile)
+	if err != nil {
+		return nil, err
+	}
+	fl, err := plan.New(f.dir, p, f.vms, f.net)
+	if err != nil {
+		return nil, err
+	}
+	fl.Placement = f.placement
+	fl.Reserve = f.reserve
+	fl.Verbose = f.verbose
+	return fl, nil
+}
+
+func newPlan() *cobra.Command {
+	var flags fleetFlags
+	c := &cobra.Command{
+		Use:     "plan",
+		Short:   "Write the settings and process list of a fleet",
+		Example: "  stress plan --dir run && scripts/fleet.sh start run bin",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			f, err := flags.fleet()
+			if err != nil {
+				return err
+			}
+			return f.Write()
+		},
+	}
+	flags.add(c)
+	return c
+}
--- /dev/null
+++ b/internal/core/refuse/code.go
@@ -0,0 +1,65 @@
+package refuse
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	pb "google.golang.org/protobuf/proto"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/seal"
+	"umberladder/internal/peer/proto"
+)
+
+const purpose = "refusal"
+
+// Code returns the refusal's self-contained code.
+func Code(ring *seal.Ring, r *Refusal) string {
+	data, err := pb.Marshal(&proto.RefusalCode{
+		Reason:       uint32(r.Reason),
+		Ran:          uint32(r.Ran),
+		Request:      string(r.Request),
+		Workspace:    string(r.Workspace),
+		Vm:           string(r.VM),
+		AtMs:         r.At.UnixMilli(),
+		Path:         r.Rule.Path,
+		Version:      r.Rule.Version,
+		Limit:        r.Rule.Limit,
+		Observed:     r.Rule.Observed,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+		Detail:       r.Detail,
+	})
+	if err != nil {
+		// Only text that is not UTF-8 fails to encode; drop it.
+		return Code(ring, &Refusal{Reason: r.Reason, Ran: r.Ran, At: r.At, VM: r.VM})
+	}
+	return ring.Token(purpose, data)
+}
+
+// Decode returns the refusal behind a code, or seal.ErrForged.
+func Decode(ring *seal.Ring, code string) (*Refusal, error) {
+	data, err := ring.OpenToken(purpose, code)
+	if err != nil {
+		return nil, trace.Wrap(err, "the refusal code can't be explained")
+	}
+	var m proto.RefusalCode
+	if err := pb.Unmarshal(data, &m); err != nil {
+		return nil, trace.Wrap(err, "the refusal code can't be read")
+	}
+	return &Refusal{
+		Reason:    Reason(m.GetReason()),
+		Ran:       Ran(m.GetRan()),
+		Request:   ident.Request(m.GetRequest()),
+		Workspace: ident.Workspace(m.GetWorkspace()),
+		VM:        ident.VM(m.GetVm()),
+		At:        time.UnixMilli(m.GetAtMs()),
+		Rule: Rule{
+			Path:     m.GetPath(),
+			Version:  m.GetVersion(),
+			Limit:    m.GetLimit(),
+			Observed: m.GetObserved(),
+		},
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		Detail:     m.GetDetail(),
+	}, nil
+}
--- /dev/null
+++ b/internal/fake/store/server.go
@@ -0,0 +1,265 @@
+package store
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+	"golang.org/x/time/rate"
+)
+
+const (
+	writesPerSecond = 400
+	readsPerSecond  = 2000
+	maxValue        = 1 << 20
+	maxWatch        = 30 * time.Second
+	hangUp          = 3 * time.Second
+)
+
+// Faults are what a test switches on.
+type Faults struct {
+	Down        bool          // every call gets 503
+	Hang        bool          // every call waits and is then cut
+	Slow        time.Duration // every call takes this much longer
+	LoseReplies float64       // share of writes whose reply is lost
+}
+
+// Server speaks the store's protocol over a Table.
+type Server struct {
+	table  *Table
+	faults atomic.Pointer[Faults]
+	writes *rate.Limiter
+	reads  *rate.Limiter
+
+	mu    sync.Mutex
+	calls map[string]int
+	rng   *rand.Rand
+}
+
+// New makes a server whose lost replies follow from seed.
+func New(table *Table, seed uint64) *Server {
+	s := &Server{
+		table:  table,
+		writes: rate.NewLimiter(writesPerSecond, writesPerSecond),
+		reads:  rate.NewLimiter(readsPerSecond, readsPerSecond),
+		calls:  map[string]int{},
+		rng:    rand.New(rand.NewPCG(seed, 0)),
+	}
+	s.faults.Store(&Faults{})
+	return s
+}
+
+// Fault replaces the faults in force.
+func (s *Server) Fault(f Faults) { s.faults.Store(&f) }
+
+// Calls returns the calls counted so far, by caller.
+func (s *Server) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.calls))
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+// Serve answers on ln until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	h := &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * maxValue, Name: "store", NoDefaultDate: true}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	err := h.Serve(ln)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch path {
+	case "/faults":
+		s.setFaults(ctx)
+		return
+	case "/calls":
+		s.showCalls(ctx)
+		return
+	}
+	if !s.count(ctx) || !s.healthy(ctx) {
+		return
+	}
+	switch {
+	case strings.HasPrefix(path, "/kv/"):
+		s.value(ctx, strings.TrimPrefix(path, "/kv"))
+	case path == "/list":
+		items, rev := s.table.List(query(ctx, "prefix"), number(ctx, "after"), time.Now())
+		writeItems(ctx, items, rev)
+	case path == "/watch":
+		wait := min(time.Duration(number(ctx, "wait_ms"))*time.Millisecond, maxWatch)
+		items, rev := s.table.Watch(query(ctx, "prefix"), number(ctx, "after"), wait, ctx.Done())
+		if s.healthy(ctx) {
+			writeItems(ctx, items, rev)
+		}
+	case strings.HasPrefix(path, "/leases"):
+		s.lease(ctx, strings.TrimPrefix(path, "/leases"))
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+	s.loseReply(ctx)
+}
+
+func (s *Server) count(ctx *fasthttp.RequestCtx) bool {
+	s.mu.Lock()
+	s.calls[string(ctx.Request.Header.Peek("Caller"))]++
+	s.mu.Unlock()
+	limit := s.reads
+	if !ctx.IsGet() {
+		limit = s.writes
+	}
+	if limit.Allow() {
+		return true
+	}
+	ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+	return false
+}
+
+func (s *Server) healthy(ctx *fasthttp.RequestCtx) bool {
+	f := s.faults.Load()
+	if f.Slow > 0 {
+		time.Sleep(f.Slow)
+	}
+	if f.Hang {
+		time.Sleep(hangUp)
+		_ = ctx.Conn().Close()
+		return false
+	}
+	if f.Down {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// loseReply cuts the connection after a write took effect.
+func (s *Server) loseReply(ctx *fasthttp.RequestCtx) {
+	p := s.faults.Load().LoseReplies
+	if p <= 0 || ctx.IsGet() {
+		return
+	}
+	s.mu.Lock()
+	lose := s.rng.Float64() < p
+	s.mu.Unlock()
+	if lose {
+		_ = ctx.Conn().Close()
+	}
+}
+
+func (s *Server) value(ctx *fasthttp.RequestCtx, path string) {
+	now := time.Now()
+	switch {
+	case ctx.IsGet():
+		it, ok := s.table.Get(path, now)
+		if !ok {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		ctx.Response.Header.Set("Revision", strconv.FormatUint(it.Revision, 10))
+		ctx.SetBody(it.Value)
+	case ctx.IsPut():
+		if len(ctx.PostBody()) > maxValue {
+			ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+			return
+		}
+		body := append([]byte(nil), ctx.PostBody()...)
+		rev, ok := s.table.Put(path, body, number(ctx, "if"), number(ctx, "lease"), now)
+		if !ok {
+			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+			return
+		}
+		ctx.Response.Header.Set("Revision", strconv.FormatUint(rev, 10))
+	case ctx.IsDelete():
+		if !s.table.Delete(path, number(ctx, "if"), now) {
+			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+		}
+	}
+}
+
+func (s *Server) lease(ctx *fasthttp.RequestCtx, rest string) {
+	now := time.Now()
+	id, _ := strconv.ParseUint(strings.TrimPrefix(rest, "/"), 10, 64)
+	switch {
+	case rest == "" && ctx.IsPost():
+		id = s.table.Grant(time.Duration(number(ctx, "ttl_ms"))*time.Millisecond, now)
+	case ctx.IsPost():
+		if !s.table.Renew(id, now) {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+	case ctx.IsDelete():
+		s.table.Revoke(id, now)
+	}
+	fmt.Fprintf(ctx, `{"lease":%d,"now_ms":%d}`, id, now.UnixMilli())
+}
+
+func (s *Server) showCalls(ctx *fasthttp.RequestCtx) {
+	var a fastjson.Arena
+	o := a.NewObject()
+	for name, n := range s.Calls() {
+		o.Set(name, a.NewNumberInt(n))
+	}
+	ctx.SetBody(o.MarshalTo(nil))
+}
+
+func (s *Server) setFaults(ctx *fasthttp.RequestCtx) {
+	v, err := fastjson.ParseBytes(ctx.PostBody())
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.Fault(Faults{
+		Down:        v.GetBool("down"),
+		Hang:        v.GetBool("hang"),
+		Slow:        time.Duration(v.GetInt("slow_ms")) * time.Millisecond,
+		LoseReplies: v.GetFloat64("lose_replies"),
+	})
+}
+
+func writeItems(ctx *fasthttp.RequestCtx, items []Item, rev uint64) {
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("revision", a.NewNumberString(strconv.FormatUint(rev, 10)))
+	list := a.NewArray()
+	for i, it := range items {
+		v := a.NewObject()
+		v.Set("path", a.NewString(it.Path))
+		v.Set("revision", a.NewNumberString(strconv.FormatUint(it.Revision, 10)))
+		if it.Deleted {
+			v.Set("deleted", a.NewTrue())
+		} else {
+			v.Set("value", a.NewString(base64.StdEncoding.EncodeToString(it.Value)))
+		}
+		list.SetArrayItem(i, v)
+	}
+	o.Set("items", list)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(o.MarshalTo(nil))
+}
+
+func query(ctx *fasthttp.RequestCtx, name string) string {
+	return string(ctx.QueryArgs().Peek(name))
+}
+
+func number(ctx *fasthttp.RequestCtx, name string) uint64 {
+	n, _ := strconv.ParseUint(query(ctx, name), 10, 64)
+	return n
+}
--- /dev/null
+++ b/internal/load/drive/run.go
@@ -0,0 +1,192 @@
+package drive
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/load/plan"
+)
+
+const (
+	histogramTop  = int64(10 * time.Minute / time.Microsecond)
+	histogramSigs = 3
+	maxExamples   = 5
+)
+
+// Histogram is a histogram of durations, for several goroutines.
+type Histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram {
+	return &Histogram{h: hdrhistogram.New(1, histogramTop, histogramSigs)}
+}
+
+// Add notes a duration.
+func (h *Histogram) Add(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.h.RecordValue(min(max(d.Microseconds(), 1), histogramTop))
+}
+
+// At returns the q-th percentile.
+func (h *Histogram) At(q float64) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(h.h.ValueAtPercentile(q)) * time.Microsecond
+}
+
+// Run holds the results of one run.
+type Run struct {
+	Results []Result
+	Gaps    *Histogram
+	First   *Histogram // time to the first token of long generations
+	Urgent  *Histogram // total time of urgent requests
+	Took    time.Duration
+}
+
+// Send sends the orders at their times and waits for every outcome.
+func Send(ctx context.Context, vms []plan.Node, orders []Order, seed uint64) *Run {
+	r := &Run{Results: make([]Result, len(orders)), Gaps: NewHistogram(), First: NewHistogram(), Urgent: NewHistogram()}
+	c := NewClient(vms, seed, r.Gaps.Add)
+	defer c.Close()
+	start := time.Now()
+	var g errgroup.Group
+	for i, o := range orders {
+		select {
+		case <-time.After(time.Until(start.Add(o.At))):
+		case <-ctx.Done():
+		}
+		g.Go(func() error {
+			r.Results[i] = c.Do(ctx, o)
+			r.time(&r.Results[i])
+			return nil
+		})
+	}
+	_ = g.Wait()
+	r.Took = time.Since(start)
+	return r
+}
+
+func (r *Run) time(res *Result) {
+	if res.Outcome != Complete {
+		return
+	}
+	if res.Order.Urgent || res.Order.Plain {
+		r.Urgent.Add(res.Total)
+		return
+	}
+	if res.Order.Stream {
+		r.First.Add(res.First)
+	}
+}
+
+// Summary is the one-line result of a run.
+type Summary struct {
+	Requests    int            `json:"requests"`
+	Complete    int            `json:"complete"`
+	Refused     map[string]int `json:"refused"`
+	Maybe       int            `json:"maybe"`
+	Partial     int            `json:"partial"`
+	Broken      int            `json:"broken"`
+	Lost        int            `json:"lost"`
+	Doubled     int            `json:"doubled"`
+	Wrong       int            `json:"wrong"`
+	FalseNotRun int            `json:"false-not-run"`
+	Resumes     int            `json:"resumes"`
+	Tokens      int            `json:"tokens"`
+	GapP50      float64        `json:"token-gap-p50-ms"`
+	GapP99      float64        `json:"token-gap-p99-ms"`
+	FirstP99    float64        `json:"first-token-p99-ms"`
+	UrgentP99   float64        `json:"urgent-p99-ms"`
+	Seconds     float64        `json:"seconds"`
+	Examples    []string       `json:"examples,omitempty"`
+}
+
+// Summarise holds the results against what the backend servers ran.
+func (r *Run) Summarise(runs map[string]int) Summary {
+	s := Summary{
+		Requests:  len(r.Results),
+		Refused:   map[string]int{},
+		GapP50:    millis(r.Gaps.At(50)),
+		GapP99:    millis(r.Gaps.At(99)),
+		FirstP99:  millis(r.First.At(99)),
+		UrgentP99: millis(r.Urgent.At(99)),
+		Seconds:   r.Took.Seconds(),
+	}
+	for i := range r.Results {
+		s.add(&r.Results[i], runs)
+	}
+	return s
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func (s *Summary) add(res *Result, runs map[string]int) {
+	s.Resumes += res.Resumes
+	s.Tokens += res.Tokens
+	ran := runs[res.Order.Want.Tag]
+	switch res.Outcome {
+	case Complete:
+		s.Complete++
+		if ran == 0 {
+			s.wrong(res, "complete, but no server ran it")
+		}
+	case Refused:
+		s.refused(res, ran)
+	case Wrong:
+		s.wrong(res, res.Detail)
+	case Lost:
+		s.Lost++
+		s.example(res, "lost", res.Detail)
+	case Broken:
+		s.Broken++
+	}
+	if res.Order.AtMostOnce && ran > 1 {
+		s.Doubled++
+		s.example(res, "doubled", fmt.Sprintf("%d runs", ran))
+	}
+}
+
+func (s *Summary) wrong(res *Result, detail string) {
+	s.Wrong++
+	s.example(res, "wrong", detail)
+}
+
+// refused counts a refusal. Its word that the request never ran is checked
+// where one request was sent: of several, an earlier one may have run.
+func (s *Summary) refused(res *Result, ran int) {
+	s.Refused[res.Reason]++
+	switch res.Ran {
+	case "maybe":
+		s.Maybe++
+	case "partial":
+		s.Partial++
+	case "no":
+		if ran > 0 && res.Sends == 1 {
+			s.FalseNotRun++
+			s.example(res, "false not-run", res.Reason)
+		}
+	default:
+		s.wrong(res, "a refusal that does not say whether the request ran")
+	}
+}
+
+func (s *Summary) example(res *Result, what, detail string) {
+	if len(s.Examples) < maxExamples {
+		s.Examples = append(s.Examples, fmt.Sprintf("%s %s/%s at %s: %s: %s",
+			res.Order.Want.Tag, res.Order.Workspace, res.Order.Service, res.VM, what, detail))
+	}
+}
+
+// Held reports whether no promise was broken.
+func (s *Summary) Held() bool {
+	return s.Lost == 0 && s.Doubled == 0 && s.Wrong == 0 && s.FalseNotRun == 0
+}
--- /dev/null
+++ b/internal/peer/caller/parse.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"math"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+)
+
+const (
+	bearer         = "Bearer "
+	headerClass    = "Umberladder-Class"
+	headerKey      = "Idempotency-Key"
+	headerLast     = "Last-Event-ID"
+	headerRequest  = "Umberladder-Request"
+	headerResume   = "Umberladder-Resume"
+	maxIdemKey     = 255
+	maxTokensLimit = 1_000_000
+)
+
+func bad(format string, args ...any) *refuse.Refusal {
+	return refuse.New(refuse.BadInput, format, args...)
+}
+
+func bearerKey(ctx *fasthttp.RequestCtx) string {
+	v := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	key, ok := strings.CutPrefix(v, bearer)
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+// parseGeneration reads a body of the completions or chat interface.
+func parseGeneration(ctx *fasthttp.RequestCtx, chat bool) (Generation, *refuse.Refusal) {
+	g := Generation{Key: bearerKey(ctx), Chat: chat}
+	v, err := fastjson.ParseBytes(ctx.PostBody())
+	if err != nil {
+		return g, bad("the body is not valid JSON: %.120s", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return g, bad("the body must be a JSON object")
+	}
+	var r *refuse.Refusal
+	if g.IdempotencyKey, r = idempotencyKey(ctx); r != nil {
+		return g, r
+	}
+	class := string(ctx.Request.Header.Peek(headerClass))
+	if class != "" && ident.CheckName(class) != nil {
+		return g, bad("the header %s must be a class name", headerClass)
+	}
+	g.Class = ident.Class(class)
+	return g, g.fill(v)
+}
+
+func (g *Generation) fill(v *fastjson.Value) *refuse.Refusal {
+	model := v.Get("model")
+	if model == nil || model.Type() != fastjson.TypeString || ident.CheckName(string(model.GetStringBytes())) != nil {
+		return bad("model: want the name of a service, as a string")
+	}
+	g.Service = ident.Service(model.GetStringBytes())
+	if r := g.fillPrompt(v); r != nil {
+		return r
+	}
+	if r := g.fillTokens(v); r != nil {
+		return r
+	}
+	if s := v.Get("stream"); s != nil && s.Type() != fastjson.TypeNull {
+		b, err := s.Bool()
+		if err != nil {
+			return bad("stream: want true or false")
+		}
+		g.Stream = b
+	}
+	if n := v.Get("n"); n != nil && n.Type() != fastjson.TypeNull {
+		if k, err := n.Int(); err != nil || k != 1 {
+			return bad("n: only 1 is served")
+		}
+	}
+	return nil
+}
+
+func (g *Generation) fillTokens(v *fastjson.Value) *refuse.Refusal {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		m := v.Get(name)
+		if m == nil || m.Type() == fastjson.TypeNull {
+			continue
+		}
+		f, err := m.Float64()
+		if err != nil || f != math.Trunc(f) || f < 1 || f > maxTokensLimit {
+			return bad("%s: want a whole number from 1 to %d", name, maxTokensLimit)
+		}
+		g.MaxTokens = int(f)
+	}
+	return nil
+}
+
+func (g *Generation) fillPrompt(v *fastjson.Value) *refuse.Refusal {
+	if g.Chat {
+		return g.fillMessages(v.Get("messages"))
+	}
+	p := v.Get("prompt")
+	if p != nil && p.Type() == fastjson.TypeArray && len(p.GetArray()) == 1 {
+		p = p.GetArray()[0]
+	}
+	if p == nil || p.Type() != fastjson.TypeString {
+		return bad("prompt: want one string")
+	}
+	g.Prompt = string(p.GetStringBytes())
+	return nil
+}
+
+func (g *Generation) fillMessages(m *fastjson.Value) *refuse.Refusal {
+	if m == nil || m.Type() != fastjson.TypeArray || len(m.GetArray()) == 0 {
+		return bad("messages: want a list of at least one message")
+	}
+	var b strings.Builder
+	for i, msg := range m.GetArray() {
+		role := msg.GetStringBytes("role")
+		if len(role) == 0 {
+			return bad("messages/%d/role: want a string", i)
+		}
+		text, ok := content(msg.Get("content"))
+		if !ok {
+			return bad("messages/%d/content: want a string or a list of text parts", i)
+		}
+		b.Write(role)
+		b.WriteString(": ")
+		b.WriteString(text)
+		b.WriteByte('\n')
+	}
+	g.Prompt = b.String()
+	return nil
+}
+
+func content(v *fastjson.Value) (string, bool) {
+	switch {
+	case v == nil:
+		return "", false
+	case v.Type() == fastjson.TypeString:
+		return string(v.GetStringBytes()), true
+	case v.Type() != fastjson.TypeArray:
+		return "", false
+	}
+	var b strings.Builder
+	for _, part := range v.GetArray() {
+		if string(part.GetStringBytes("type")) != "text" || !part.Exists("text") {
+			return "", false
+		}
+		b.Write(part.GetStringBytes("text"))
+	}
+	return b.String(), true
+}
+
+func idempotencyKey(ctx *fasthttp.RequestCtx) (string, *refuse.Refusal) {
+	key := string(ctx.Request.Header.Peek(headerKey))
+	if len(key) > maxIdemKey {
+		return "", bad("the header %s is longer than %d bytes", headerKey, maxIdemKey)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/internal/peer/caller/server.go
@@ -0,0 +1,295 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+)
+
+const (
+	pathChat     = "/v1/chat/completions"
+	pathComplete = "/v1/completions"
+	pathModels   = "/v1/models"
+	pathServices = "/v1/services/"
+	pathResume   = "/v1/resume/"
+	pathRefusals = "/v1/refusals/"
+	pathHealth   = "/healthz"
+	pathReady    = "/readyz"
+	pathMetrics  = "/metrics"
+)
+
+// Config bounds what callers may cost.
+type Config struct {
+	Body       int           // largest request body, in bytes
+	Header     int           // largest request line and header section, in bytes
+	Read       time.Duration // longest time to send one request
+	Idle       time.Duration // longest time between two requests
+	Stall      time.Duration // longest time a caller may not read
+	MaxConns   int           // open connections
+	DrainDelay time.Duration // from not ready to closing the listener
+}
+
+// Server serves callers over a handler.
+type Server struct {
+	cfg     Config
+	handler Handler
+	metrics func(*fasthttp.RequestCtx)
+	http    *fasthttp.Server
+	base    context.Context
+	closing atomic.Bool
+}
+
+// New makes a server. Requests end when base does; metrics answers /metrics.
+func New(base context.Context, cfg Config, handler Handler, metrics func(*fasthttp.RequestCtx)) *Server {
+	s := &Server{cfg: cfg, handler: handler, metrics: metrics, base: base}
+	s.http = &fasthttp.Server{
+		Handler:            s.handle,
+		ErrorHandler:       s.unreadable,
+		Name:               "umberladder",
+		ReadTimeout:        cfg.Read,
+		IdleTimeout:        cfg.Idle,
+		ReadBufferSize:     cfg.Header,
+		MaxRequestBodySize: cfg.Body,
+		Concurrency:        cfg.MaxConns,
+		CloseOnShutdown:    true,
+		NoDefaultDate:      true,
+	}
+	return s
+}
+
+// Serve answers on ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return trace.Wrap(s.http.Serve(&listener{Listener: ln, stall: s.cfg.Stall}))
+}
+
+// Shutdown stops taking connections, after a time in which the balancer sees
+// that the VM is not ready, and returns when every request has ended, however
+// long that takes, or ctx is done.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	select {
+	case <-time.After(s.cfg.DrainDelay):
+	case <-ctx.Done():
+	}
+	return trace.Wrap(s.http.ShutdownWithContext(ctx))
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.closing.Load() {
+		ctx.SetConnectionClose()
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == pathChat:
+		s.generate(ctx, true)
+	case path == pathComplete:
+		s.generate(ctx, false)
+	case path == pathModels:
+		s.models(ctx)
+	case strings.HasPrefix(path, pathServices):
+		s.plain(ctx, strings.TrimPrefix(path, pathServices))
+	case strings.HasPrefix(path, pathResume):
+		s.resume(ctx, strings.TrimPrefix(path, pathResume))
+	case strings.HasPrefix(path, pathRefusals):
+		s.explain(ctx, strings.TrimPrefix(path, pathRefusals))
+	case path == pathHealth:
+		ctx.SetBodyString("ok\n")
+	case path == pathReady:
+		s.ready(ctx)
+	case path == pathMetrics:
+		s.metrics(ctx)
+	default:
+		s.reject(ctx, refuse.New(refuse.NotFound, "there is nothing at %.100s", path))
+	}
+}
+
+// reject answers with a refusal made before the handler saw the request.
+func (s *Server) reject(ctx *fasthttp.RequestCtx, r *refuse.Refusal) {
+	s.refuse(ctx, s.handler.Refuse(r))
+}
+
+func (s *Server) generate(ctx *fasthttp.RequestCtx, chat bool) {
+	if !ctx.IsPost() {
+		ctx.Response.Header.Set(fasthttp.HeaderAllow, fasthttp.MethodPost)
+		s.reject(ctx, bad("%s takes POST, not %s", ctx.Path(), ctx.Method()))
+		return
+	}
+	g, refusal := parseGeneration(ctx, chat)
+	if refusal != nil {
+		s.reject(ctx, refusal)
+		return
+	}
+	if !g.Stream {
+		s.whole(ctx, g)
+		return
+	}
+	st, refusal := s.handler.Stream(s.base, g)
+	if refusal != nil {
+		s.refuse(ctx, refusal)
+		return
+	}
+	s.stream(ctx, st)
+}
+
+func (s *Server) whole(ctx *fasthttp.RequestCtx, g Generation) {
+	w, refusal := s.handler.Whole(s.base, g)
+	if refusal != nil {
+		s.refuse(ctx, refusal)
+		return
+	}
+	ctx.Response.Header.Set(headerRequest, string(w.Request))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encodeWhole(w, g))
+}
+
+func encodeWhole(w Whole, g Generation) []byte {
+	var a fastjson.Arena
+	o, choice, usage := a.NewObject(), a.NewObject(), a.NewObject()
+	choice.Set("index", a.NewNumberInt(0))
+	choice.Set("finish_reason", a.NewString(w.Finish))
+	if g.Chat {
+		m := a.NewObject()
+		m.Set("role", a.NewString("assistant"))
+		m.Set("content", a.NewString(w.Text))
+		choice.Set("message", m)
+		o.Set("id", a.NewString("chatcmpl-"+string(w.Request)))
+		o.Set("object", a.NewString("chat.completion"))
+	} else {
+		choice.Set("text", a.NewString(w.Text))
+		choice.Set("logprobs", a.NewNull())
+		o.Set("id", a.NewString("cmpl-"+string(w.Request)))
+		o.Set("object", a.NewString("text_completion"))
+	}
+	o.Set("created", a.NewNumberString(strconv.FormatInt(time.Now().Unix(), 10)))
+	o.Set("model", a.NewString(string(g.Service)))
+	list := a.NewArray()
+	list.SetArrayItem(0, choice)
+	o.Set("choices", list)
+	usage.Set("prompt_tokens", a.NewNumberInt(w.PromptTokens))
+	usage.Set("completion_tokens", a.NewNumberInt(w.Tokens))
+	usage.Set("total_tokens", a.NewNumberInt(w.PromptTokens+w.Tokens))
+	o.Set("usage", usage)
+	return o.MarshalTo(nil)
+}
+
+func (s *Server) resume(ctx *fasthttp.RequestCtx, handle string) {
+	next := uint64(0)
+	if last := string(ctx.Request.Header.Peek(headerLast)); last != "" {
+		n, err := strconv.ParseUint(last, 10, 63)
+		if err != nil {
+			s.reject(ctx, bad("the header %s must be the index of the last token held", headerLast))
+			return
+		}
+		next = n + 1
+	}
+	st, refusal := s.handler.Resume(s.base, Resume{Key: bearerKey(ctx), Handle: handle, Next: next})
+	if refusal != nil {
+		s.refuse(ctx, refusal)
+		return
+	}
+	s.stream(ctx, st)
+}
+
+func (s *Server) plain(ctx *fasthttp.RequestCtx, rest string) {
+	name, _, _ := strings.Cut(rest, "/")
+	if err := ident.CheckName(name); err != nil {
+		s.reject(ctx, bad("service: %s", trace.UserMessage(err)))
+		return
+	}
+	key, refusal := idempotencyKey(ctx)
+	if refusal != nil {
+		s.reject(ctx, refusal)
+		return
+	}
+	uri := strings.TrimPrefix(string(ctx.RequestURI()), pathServices+name)
+	if !strings.HasPrefix(uri, "/") {
+		uri = "/" + uri
+	}
+	answer, refusal := s.handler.Plain(s.base, Plain{
+		Key:            bearerKey(ctx),
+		Service:        ident.Service(name),
+		Method:         string(ctx.Method()),
+		Path:           uri,
+		ContentType:    string(ctx.Request.Header.ContentType()),
+		Body:           append([]byte(nil), ctx.PostBody()...),
+		IdempotencyKey: key,
+	})
+	if refusal != nil {
+		s.refuse(ctx, refusal)
+		return
+	}
+	ctx.Response.Header.Set(headerRequest, string(answer.Request))
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.ContentType)
+	ctx.SetBody(answer.Body)
+}
+
+func (s *Server) models(ctx *fasthttp.RequestCtx) {
+	names, refusal := s.handler.Services(bearerKey(ctx))
+	if refusal != nil {
+		s.refuse(ctx, refusal)
+		return
+	}
+	var a fastjson.Arena
+	o, list := a.NewObject(), a.NewArray()
+	for i, name := range names {
+		m := a.NewObject()
+		m.Set("id", a.NewString(string(name)))
+		m.Set("object", a.NewString("model"))
+		m.Set("owned_by", a.NewString("umberladder"))
+		list.SetArrayItem(i, m)
+	}
+	o.Set("object", a.NewString("list"))
+	o.Set("data", list)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(o.MarshalTo(nil))
+}
+
+func (s *Server) explain(ctx *fasthttp.RequestCtx, code string) {
+	r, err := s.handler.Explain(code)
+	if err != nil {
+		s.reject(ctx, refuse.New(refuse.NotFound, "%s", trace.UserMessage(err)))
+		return
+	}
+	var a fastjson.Arena
+	o := problem(&a, r, "")
+	o.Set("explanation", a.NewString(r.Explain()))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(o.MarshalTo(nil))
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if s.closing.Load() || !s.handler.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// unreadable answers a request that could not be read.
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		s.reject(ctx, refuse.New(refuse.HeaderTooLarge, "the header section is over %d bytes", s.cfg.Header))
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		s.reject(ctx, refuse.New(refuse.TooLarge, "the body is over %d bytes", s.cfg.Body))
+	case errors.As(err, &timeout) && timeout.Timeout():
+		s.reject(ctx, refuse.New(refuse.CallerStalled, "the request was not sent whole within %s", s.cfg.Read))
+	default:
+		s.reject(ctx, bad("the request is not valid HTTP"))
+	}
+}
--- /dev/null
+++ b/internal/peer/store/client.go
@@ -0,0 +1,247 @@
+package store
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+	"golang.org/x/time/rate"
+
+	"umberladder/internal/peer/link"
+)
+
+const (
+	maxReply   = 64 << 20
+	watchSlack = 5 * time.Second
+)
+
+// Fault says how a call failed.
+type Fault uint8
+
+// The faults.
+const (
+	Down     Fault = iota // no effect: not sent, refused, or down
+	Conflict              // the compare-and-swap found another revision
+	Missing               // no such value or lease
+	Unknown               // a write was sent and its reply lost
+	Budget                // this VM's own call budget is used up
+)
+
+func (f Fault) String() string {
+	return [...]string{"down", "conflict", "missing", "unknown", "budget"}[f]
+}
+
+// Error is a failed call.
+type Error struct {
+	Fault Fault
+	Err   error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("store %s: %v", e.Fault, e.Err) }
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Is reports whether err is a store error with the fault.
+func Is(err error, f Fault) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Fault == f
+}
+
+// Item is one value. A deleted one has no Value.
+type Item struct {
+	Path     string
+	Revision uint64
+	Value    []byte
+	Deleted  bool
+}
+
+// Lease is a granted lease. Now is the store's clock at the grant.
+type Lease struct {
+	ID  uint64
+	Now time.Time
+}
+
+// Client calls the store. It is safe for use by several goroutines.
+type Client struct {
+	dialer *link.Dialer
+	addr   netip.AddrPort
+	name   string
+	budget *rate.Limiter
+	calls  atomic.Uint64
+}
+
+// New makes a client for the store at addr that spends at most perSecond
+// calls a second, in bursts of burst. The name is told to the store.
+func New(dialer *link.Dialer, addr netip.AddrPort, name string, perSecond float64, burst int) *Client {
+	return &Client{
+		dialer: dialer,
+		addr:   addr,
+		name:   name,
+		budget: rate.NewLimiter(rate.Limit(perSecond), burst),
+	}
+}
+
+// Calls returns how many calls were sent so far.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Get returns the value at path.
+func (c *Client) Get(ctx context.Context, path string) (Item, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.do(ctx, fasthttp.MethodGet, "/kv"+path, nil, resp, 0); err != nil {
+		return Item{}, trace.Wrap(err)
+	}
+	rev, err := revision(resp)
+	return Item{Path: path, Revision: rev, Value: clone(resp.Body())}, trace.Wrap(err)
+}
+
+// List returns the values under prefix that changed after the revision, and
+// the store's revision.
+func (c *Client) List(ctx context.Context, prefix string, after uint64) ([]Item, uint64, error) {
+	return c.items(ctx, "/list?prefix="+url.QueryEscape(prefix)+"&after="+strconv.FormatUint(after, 10), 0)
+}
+
+// Watch is List that waits up to wait for a change.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	uri := fmt.Sprintf("/watch?prefix=%s&after=%d&wait_ms=%d", url.QueryEscape(prefix), after, wait.Milliseconds())
+	return c.items(ctx, uri, wait+watchSlack)
+}
+
+func (c *Client) items(ctx context.Context, uri string, idle time.Duration) ([]Item, uint64, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.do(ctx, fasthttp.MethodGet, uri, nil, resp, idle); err != nil {
+		return nil, 0, trace.Wrap(err)
+	}
+	v, err := fastjson.ParseBytes(resp.Body())
+	if err != nil {
+		return nil, 0, trace.Wrap(&Error{Fault: Down, Err: err})
+	}
+	var out []Item
+	for _, it := range v.GetArray("items") {
+		value, err := base64.StdEncoding.DecodeString(string(it.GetStringBytes("value")))
+		if err != nil {
+			return nil, 0, trace.Wrap(&Error{Fault: Down, Err: err})
+		}
+		out = append(out, Item{
+			Path:     string(it.GetStringBytes("path")),
+			Revision: it.GetUint64("revision"),
+			Value:    value,
+			Deleted:  it.GetBool("deleted"),
+		})
+	}
+	return out, v.GetUint64("revision"), nil
+}
+
+// Put writes the value at path if its revision still is want (0: absent),
+// under the lease if that is not 0, and returns the new revision.
+func (c *Client) Put(ctx context.Context, path string, value []byte, want, lease uint64) (uint64, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	uri := fmt.Sprintf("/kv%s?if=%d&lease=%d", path, want, lease)
+	if err := c.do(ctx, fasthttp.MethodPut, uri, value, resp, 0); err != nil {
+		return 0, trace.Wrap(err)
+	}
+	rev, err := revision(resp)
+	return rev, trace.Wrap(err)
+}
+
+// Delete removes the value at path if its revision still is want.
+func (c *Client) Delete(ctx context.Context, path string, want uint64) error {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	return trace.Wrap(c.do(ctx, fasthttp.MethodDelete, fmt.Sprintf("/kv%s?if=%d", path, want), nil, resp, 0))
+}
+
+// Grant makes a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	return c.lease(ctx, fmt.Sprintf("/leases?ttl_ms=%d", ttl.Milliseconds()))
+}
+
+// Renew prolongs a lease; Missing says that it has lapsed.
+func (c *Client) Renew(ctx context.Context, id uint64) (Lease, error) {
+	return c.lease(ctx, fmt.Sprintf("/leases/%d", id))
+}
+
+// Revoke ends a lease, and with it every value written under it.
+func (c *Client) Revoke(ctx context.Context, id uint64) error {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	return trace.Wrap(c.do(ctx, fasthttp.MethodDelete, fmt.Sprintf("/leases/%d", id), nil, resp, 0))
+}
+
+func (c *Client) lease(ctx context.Context, uri string) (Lease, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.do(ctx, fasthttp.MethodPost, uri, nil, resp, 0); err != nil {
+		return Lease{}, trace.Wrap(err)
+	}
+	v, err := fastjson.ParseBytes(resp.Body())
+	if err != nil {
+		return Lease{}, trace.Wrap(&Error{Fault: Unknown, Err: err})
+	}
+	return Lease{ID: v.GetUint64("lease"), Now: time.UnixMilli(v.GetInt64("now_ms"))}, nil
+}
+
+func (c *Client) do(ctx context.Context, method, uri string, body []byte, resp *fasthttp.Response, idle time.Duration) error {
+	if !c.budget.Allow() {
+		return &Error{Fault: Budget, Err: trace.LimitExceeded("the store's call budget of %g/s is used up", c.budget.Limit())}
+	}
+	c.calls.Add(1)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.Header.Set("Caller", c.name)
+	req.SetBodyRaw(body)
+	read := method == fasthttp.MethodGet
+	err := c.dialer.Do(ctx, c.addr, req, resp, link.Options{Fresh: !read, Body: maxReply, Idle: idle})
+	if err != nil {
+		return lost(err, read)
+	}
+	return byStatus(resp.StatusCode(), read)
+}
+
+// lost classifies a call without a reply.
+func lost(err error, read bool) *Error {
+	var le *link.Error
+	if read || errors.As(err, &le) && le.Unsent() {
+		return &Error{Fault: Down, Err: err}
+	}
+	return &Error{Fault: Unknown, Err: err}
+}
+
+func byStatus(status int, read bool) error {
+	err := trace.Errorf("status %d", status)
+	switch {
+	case status == fasthttp.StatusOK:
+		return nil
+	case status == fasthttp.StatusNotFound:
+		return &Error{Fault: Missing, Err: err}
+	case status == fasthttp.StatusPreconditionFailed:
+		return &Error{Fault: Conflict, Err: err}
+	case status == fasthttp.StatusTooManyRequests, status == fasthttp.StatusServiceUnavailable, read:
+		return &Error{Fault: Down, Err: err}
+	default:
+		return &Error{Fault: Unknown, Err: err}
+	}
+}
+
+func revision(resp *fasthttp.Response) (uint64, error) {
+	n, err := strconv.ParseUint(string(resp.Header.Peek("Revision")), 10, 64)
+	if err != nil {
+		return 0, &Error{Fault: Unknown, Err: trace.BadParameter("the reply has no revision")}
+	}
+	return n, nil
+}
+
+func clone(b []byte) []byte { return append([]byte(nil), b...) }
--- /dev/null
+++ b/internal/policy/place/baseline.go
@@ -0,0 +1,84 @@
+package place
+
+import "math/rand/v2"
+
+// RoundRobin takes the engines in turn. Its zero value is ready for use by
+// one goroutine.
+type RoundRobin struct {
+	next int
+}
+
+// Choose implements Chooser.
+func (r *RoundRobin) Choose(_ *Ask, engines []Engine, _ *rand.Rand) int {
+	for range engines {
+		i := r.next % len(engines)
+		r.next++
+		if !engines[i].Skip {
+			return i
+		}
+	}
+	return -1
+}
+
+// LeastLoad takes the engine that reported the least memory in use.
+type LeastLoad struct{}
+
+// Choose implements Chooser.
+func (LeastLoad) Choose(_ *Ask, engines []Engine, rng *rand.Rand) int {
+	best, ties := -1, 0
+	for i := range engines {
+		e := &engines[i]
+		switch {
+		case e.Skip:
+		case best < 0 || e.Reported < engines[best].Reported:
+			best, ties = i, 1
+		case e.Reported == engines[best].Reported:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// TwoChoices draws two engines and takes the one with fewer streams of this
+// VM (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing,
+// 2001).
+type TwoChoices struct{}
+
+// Choose implements Chooser.
+func (TwoChoices) Choose(_ *Ask, engines []Engine, rng *rand.Rand) int {
+	var open []int
+	for i := range engines {
+		if !engines[i].Skip {
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		return -1
+	}
+	a := open[rng.IntN(len(open))]
+	b := open[rng.IntN(len(open))]
+	if engines[b].Own < engines[a].Own {
+		return b
+	}
+	return a
+}
+
+// New returns the chooser of a name, or nil: "predicted", "round-robin",
+// "least-load" or "two-choices".
+func New(name string) Chooser {
+	switch name {
+	case "predicted":
+		return Predicted{}
+	case "round-robin":
+		return &RoundRobin{}
+	case "least-load":
+		return LeastLoad{}
+	case "two-choices":
+		return TwoChoices{}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/policy/queue/queue.go
@@ -0,0 +1,109 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Entry is a waiting value. It belongs to at most one queue.
+type Entry[T any] struct {
+	Value    T
+	Rank     int
+	Arrival  time.Time
+	Deadline time.Time // of the wait
+	seq      uint64
+	at       int // position in the heap, -1 when not queued
+}
+
+// Queue is a priority queue of entries. It is not safe for use by several
+// goroutines.
+type Queue[T any] struct {
+	heap entries[T]
+	seq  uint64
+}
+
+// New returns an empty queue.
+func New[T any]() *Queue[T] { return &Queue[T]{} }
+
+// Len returns how many entries wait.
+func (q *Queue[T]) Len() int { return len(q.heap) }
+
+// Push adds an entry for v and returns it.
+func (q *Queue[T]) Push(v T, rank int, arrival time.Time, bound time.Duration) *Entry[T] {
+	q.seq++
+	e := &Entry[T]{Value: v, Rank: rank, Arrival: arrival, Deadline: arrival.Add(bound), seq: q.seq}
+	heap.Push(&q.heap, e)
+	return e
+}
+
+// Peek returns the entry that goes next, or nil.
+func (q *Queue[T]) Peek() *Entry[T] {
+	if len(q.heap) == 0 {
+		return nil
+	}
+	return q.heap[0]
+}
+
+// Remove takes an entry out, wherever it stands; false if it is not queued.
+func (q *Queue[T]) Remove(e *Entry[T]) bool {
+	if e.at < 0 {
+		return false
+	}
+	heap.Remove(&q.heap, e.at)
+	return true
+}
+
+// Ahead returns how many entries would go before a new one.
+func (q *Queue[T]) Ahead(rank int, arrival time.Time, bound time.Duration) int {
+	probe := &Entry[T]{Rank: rank, Arrival: arrival, Deadline: arrival.Add(bound), seq: q.seq + 1}
+	n := 0
+	for _, e := range q.heap {
+		if e.before(probe) {
+			n++
+		}
+	}
+	return n
+}
+
+// Each calls f with every entry, in no order.
+func (q *Queue[T]) Each(f func(*Entry[T])) {
+	for _, e := range q.heap {
+		f(e)
+	}
+}
+
+func (e *Entry[T]) before(o *Entry[T]) bool {
+	if (e.Rank == 0) != (o.Rank == 0) {
+		return e.Rank == 0
+	}
+	if e.Rank != 0 && !e.Deadline.Equal(o.Deadline) {
+		return e.Deadline.Before(o.Deadline)
+	}
+	return e.seq < o.seq
+}
+
+type entries[T any] []*Entry[T]
+
+func (h entries[T]) Len() int           { return len(h) }
+func (h entries[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+
+func (h entries[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+func (h *entries[T]) Push(x any) {
+	e := x.(*Entry[T])
+	e.at = len(*h)
+	*h = append(*h, e)
+}
+
+func (h *entries[T]) Pop() any {
+	old := *h
+	n := len(old) - 1
+	e := old[n]
+	old[n] = nil
+	*h = old[:n]
+	e.at = -1
+	return e
+}
--- /dev/null
+++ b/internal/route/loads/loads.go
@@ -0,0 +1,170 @@
+// Package loads keeps the pools of all models in step with the settings and
+// their engines' load reports fresh.
+package loads
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/invar"
+	"umberladder/internal/peer/engine"
+	"umberladder/internal/policy/place"
+	"umberladder/internal/route/pool"
+	"umberladder/internal/state/config"
+)
+
+// Reader reads an engine's load report.
+type Reader interface {
+	Load(ctx context.Context, addr netip.AddrPort) (engine.Load, error)
+}
+
+// Loads holds a pool for each model. It is safe for use by several
+// goroutines.
+type Loads struct {
+	reader   Reader
+	interval time.Duration
+	chooser  func() place.Chooser
+	vms      func() int
+	book     *invar.Book
+	seed     uint64
+
+	mu      sync.Mutex
+	pools   map[ident.Model]*pool.Pool
+	pollers map[netip.AddrPort]context.CancelFunc
+	wanted  map[netip.AddrPort]target
+	changed chan struct{}
+}
+
+type target struct {
+	pool *pool.Pool
+	name ident.Server
+}
+
+// New makes the pools' keeper. Each engine's report is read every interval.
+func New(reader Reader, interval time.Duration, chooser func() place.Chooser, vms func() int, book *invar.Book, seed uint64) *Loads {
+	return &Loads{
+		reader:   reader,
+		interval: interval,
+		chooser:  chooser,
+		vms:      vms,
+		book:     book,
+		seed:     seed,
+		pools:    map[ident.Model]*pool.Pool{},
+		pollers:  map[netip.AddrPort]context.CancelFunc{},
+		wanted:   map[netip.AddrPort]target{},
+		changed:  make(chan struct{}, 1),
+	}
+}
+
+// Pool returns a model's pool, or nil.
+func (l *Loads) Pool(m ident.Model) *pool.Pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pools[m]
+}
+
+// Pools returns every pool.
+func (l *Loads) Pools() []*pool.Pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*pool.Pool, 0, len(l.pools))
+	for _, p := range l.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Update sets the models and engines that the settings name.
+func (l *Loads) Update(s *config.Snapshot) {
+	if s.System == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted = map[netip.AddrPort]target{}
+	for _, m := range s.System.Models {
+		p := l.pools[m.Name]
+		if p == nil {
+			l.seed++
+			p = pool.New(m.Name, l.chooser(), l.vms, l.book, rand.New(rand.NewPCG(l.seed, 0)))
+			l.pools[m.Name] = p
+		}
+		p.Update(m.Servers)
+		for _, server := range m.Servers {
+			l.wanted[server.Address] = target{pool: p, name: server.Name}
+		}
+	}
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Group starts goroutines.
+type Group interface {
+	Go(f func() error)
+}
+
+// Run polls the engines until ctx ends.
+func (l *Loads) Run(ctx context.Context, g Group) error {
+	for {
+		l.reconcile(ctx, g)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.changed:
+		}
+	}
+}
+
+// reconcile starts a poller for each wanted engine and stops the others.
+func (l *Loads) reconcile(ctx context.Context, g Group) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for addr, cancel := range l.pollers {
+		if _, ok := l.wanted[addr]; !ok {
+			cancel()
+			delete(l.pollers, addr)
+		}
+	}
+	for addr, t := range l.wanted {
+		if l.pollers[addr] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		l.pollers[addr] = cancel
+		l.seed++
+		rng := rand.New(rand.NewPCG(l.seed, 1))
+		g.Go(func() error {
+			l.poll(ctx, addr, t, rng)
+			return nil
+		})
+	}
+}
+
+// poll reads one engine's reports, at times that differ from VM to VM.
+func (l *Loads) poll(ctx context.Context, addr netip.AddrPort, t target, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		l.read(ctx, addr, t)
+		wait := l.interval/2 + time.Duration(rng.Int64N(int64(l.interval)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (l *Loads) read(ctx context.Context, addr netip.AddrPort, t target) {
+	ctx, cancel := context.WithTimeout(ctx, max(2*l.interval, time.Second))
+	defer cancel()
+	report, err := l.reader.Load(ctx, addr)
+	if err != nil {
+		t.pool.Silence(t.name, time.Now())
+		return
+	}
+	t.pool.Report(t.name, report, time.Now())
+}
