Join the VMs: membership, spread settings, claims, operators, burn report

Cause: the thin path had one VM's view of everything: each VM watched the store itself, claims cost a store write each, limits were not shared out.

Change: SWIM membership over sealed datagrams joined with the platform's list; two watchers a failure domain, pushes and a revision on every datagram for settings; claims on UUIDv7 keys in shards leased to one VM, handed over on leaving; operators' HTTP with If-Match, dry run, history and change ids; report on service-level burn, merged over VMs; the command line.

Ruled out: a watch on every VM (a waiting watch counts as a call: 380 against 28), and a store write for every keyed call (past the store's writes at size).

--- a/internal/core/seal/ring.go
+++ b/internal/core/seal/ring.go
@@ -18,7 +18,9 @@
 	// MaxSecrets is the most secrets a ring holds.
 	MaxSecrets = 2
 	macSize    = 16
-	keySize    = 32
+	// Overhead is how much longer a packet is than its data, in bytes.
+	Overhead = 1 + macSize
+	keySize  = 32
 )
 
 // ErrForged is returned for a seal that no secret of the ring made.
--- a/internal/load/plan/files.go
+++ b/internal/load/plan/files.go
@@ -70,6 +70,7 @@
 		"store-address":     f.Store.String(),
 		"vm-list-address":   f.VMList.String(),
 		"key-ring":          []object{{"id": 1, "secret": ringKey}},
+		"operator-keys":     []string{hashOf(OperatorKey("system"))},
 		"log-level":         level,
 		"placement":         f.Placement,
 		"limits":            object{"drain-delay": "1s"},
--- /dev/null
+++ b/internal/peer/nodes/server.go
@@ -0,0 +1,156 @@
+package nodes
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/proto"
+	"umberladder/internal/state/claim"
+	"umberladder/internal/state/config"
+	"umberladder/internal/state/member"
+)
+
+// Claimer keeps claims for other VMs.
+type Claimer interface {
+	Claim(shard int, key string, minted time.Time, sum [32]byte, r ident.Request) (claim.Verdict, *proto.Answer)
+	Finish(shard int, key string, r ident.Request, ran bool, answer *proto.Answer)
+	Accept(ctx context.Context, shard int, revision uint64, start time.Time, claims []*proto.Claim) (bool, error)
+}
+
+// Documents gives other VMs the settings they lack.
+type Documents interface {
+	Newer(after uint64) []config.Document
+	Revision() uint64
+}
+
+// Reporter gives other VMs this VM's report on service-level burn.
+type Reporter interface {
+	Report() []byte
+}
+
+// Server answers other VMs' calls. It implements proto.Nodes.
+type Server struct {
+	docs   Documents
+	claims Claimer
+	report Reporter
+}
+
+// NewServer makes a server over this VM's parts.
+func NewServer(d Documents, c Claimer, r Reporter) *Server {
+	return &Server{docs: d, claims: c, report: r}
+}
+
+// Pull implements proto.Nodes.
+func (s *Server) Pull(_ context.Context, r *proto.PullRequest) (*proto.PullReply, error) {
+	reply := &proto.PullReply{Revision: s.docs.Revision()}
+	for _, d := range s.docs.Newer(r.GetRevision()) {
+		reply.Documents = append(reply.Documents, &proto.Document{Path: d.Path, Version: d.Version, Body: d.Body})
+	}
+	return reply, nil
+}
+
+// Claim implements proto.Nodes.
+func (s *Server) Claim(_ context.Context, r *proto.ClaimRequest) (*proto.ClaimReply, error) {
+	at := strings.LastIndexByte(r.GetKey(), '/')
+	minted, ok := ident.Minted(r.GetKey()[at+1:])
+	if !ok || r.GetShard() >= claim.Shards || len(r.GetFingerprint()) != 32 {
+		return nil, twirp.NewError(twirp.InvalidArgument, "not a claim")
+	}
+	v, answer := s.claims.Claim(int(r.GetShard()), r.GetKey(), minted, [32]byte(r.GetFingerprint()), ident.Request(r.GetRequest()))
+	return &proto.ClaimReply{Verdict: uint32(v), Answer: answer}, nil
+}
+
+// Finish implements proto.Nodes.
+func (s *Server) Finish(_ context.Context, r *proto.FinishRequest) (*proto.FinishReply, error) {
+	s.claims.Finish(int(r.GetShard()), r.GetKey(), ident.Request(r.GetRequest()), r.GetRan(), r.GetAnswer())
+	return &proto.FinishReply{}, nil
+}
+
+// Handover implements proto.Nodes.
+func (s *Server) Handover(ctx context.Context, r *proto.HandoverRequest) (*proto.HandoverReply, error) {
+	taken, err := s.claims.Accept(ctx, int(r.GetShard()), r.GetRevision(), time.UnixMilli(r.GetTermStartMs()), r.GetClaims())
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "the shard is not taken")
+	}
+	return &proto.HandoverReply{Taken: taken}, nil
+}
+
+// Burn implements proto.Nodes.
+func (s *Server) Burn(context.Context, *proto.BurnRequest) (*proto.BurnReply, error) {
+	return &proto.BurnReply{Report: s.report.Report()}, nil
+}
+
+// Peers calls other VMs.
+type Peers struct {
+	clients *Clients
+}
+
+// NewPeers makes the caller's side.
+func NewPeers(c *Clients) *Peers { return &Peers{clients: c} }
+
+// Pull fetches the documents that another VM has and that are newer than a
+// revision.
+func (p *Peers) Pull(ctx context.Context, from member.Member, after uint64) ([]config.Document, error) {
+	reply, err := p.clients.To(from.Address).Pull(ctx, &proto.PullRequest{Revision: after})
+	if err != nil {
+		return nil, failed(from, err)
+	}
+	out := make([]config.Document, 0, len(reply.GetDocuments()))
+	for _, d := range reply.GetDocuments() {
+		out = append(out, config.Document{Path: d.GetPath(), Version: d.GetVersion(), Body: d.GetBody()})
+	}
+	return out, nil
+}
+
+// Claim asks the holder of a shard.
+func (p *Peers) Claim(ctx context.Context, to member.Member, shard int, key string, sum [32]byte, r ident.Request) (claim.Verdict, *proto.Answer, error) {
+	reply, err := p.clients.To(to.Address).Claim(ctx, &proto.ClaimRequest{
+		Shard:       uint32(shard),
+		Key:         key,
+		Fingerprint: sum[:],
+		Request:     string(r),
+	})
+	if err != nil {
+		return claim.NotHolder, nil, failed(to, err)
+	}
+	return claim.Verdict(reply.GetVerdict()), reply.GetAnswer(), nil
+}
+
+// Finish tells the holder of a shard the end of a request.
+func (p *Peers) Finish(ctx context.Context, to member.Member, shard int, key string, r ident.Request, ran bool, answer *proto.Answer) error {
+	_, err := p.clients.To(to.Address).Finish(ctx, &proto.FinishRequest{
+		Shard:   uint32(shard),
+		Key:     key,
+		Request: string(r),
+		Ran:     ran,
+		Answer:  answer,
+	})
+	return failed(to, err)
+}
+
+// Handover hands a shard's term to its next holder.
+func (p *Peers) Handover(ctx context.Context, to member.Member, shard int, revision uint64, start time.Time, claims []*proto.Claim) (bool, error) {
+	reply, err := p.clients.To(to.Address).Handover(ctx, &proto.HandoverRequest{
+		Shard:       uint32(shard),
+		Revision:    revision,
+		TermStartMs: start.UnixMilli(),
+		Claims:      claims,
+	})
+	if err != nil {
+		return false, failed(to, err)
+	}
+	return reply.GetTaken(), nil
+}
+
+// Burn fetches another VM's report on service-level burn.
+func (p *Peers) Burn(ctx context.Context, from member.Member) ([]byte, error) {
+	reply, err := p.clients.To(from.Address).Burn(ctx, &proto.BurnRequest{})
+	if err != nil {
+		return nil, failed(from, err)
+	}
+	return reply.GetReport(), nil
+}
--- a/internal/peer/vmlist/client.go
+++ b/internal/peer/vmlist/client.go
@@ -13,6 +13,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/link"
+	"umberladder/internal/state/member"
 )
 
 const maxList = 4 << 20
@@ -36,6 +37,21 @@
 	return &Client{dialer: dialer, addr: addr}
 }
 
+// Members returns the VMs on the list that are not leaving.
+func (c *Client) Members(ctx context.Context) ([]member.Member, error) {
+	list, err := c.List(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var out []member.Member
+	for _, vm := range list {
+		if !vm.Leaving {
+			out = append(out, member.Member{Name: vm.Name, Address: vm.Address, Domain: vm.Domain})
+		}
+	}
+	return out, nil
+}
+
 // List returns the list as the platform shows it now.
 func (c *Client) List(ctx context.Context) ([]VM, error) {
 	req := fasthttp.AcquireRequest()
--- /dev/null
+++ b/internal/proc/burn/meter.go
@@ -0,0 +1,105 @@
+package burn
+
+import (
+	"sync"
+	"time"
+
+	"umberladder/internal/core/final"
+	"umberladder/internal/core/ident"
+)
+
+// Objective is one of the measures of the brief.
+type Objective uint8
+
+// The objectives.
+const (
+	Stall   Objective = iota // requests that made no progress for at most StallBound in all
+	Preempt                  // streams that were never preempted
+	Tail                     // tokens that came within the expected gap
+	objectives
+)
+
+func (o Objective) String() string {
+	return [...]string{"stall-time", "preemptions", "token-tail"}[o]
+}
+
+// StallBound is the stall that a good request may have.
+const StallBound = time.Second
+
+// Target returns the share of events that must be good.
+func (o Objective) Target() float64 {
+	return [...]float64{0.99, 0.98, 0.99}[o]
+}
+
+// key names one row of counts.
+type key struct {
+	workspace ident.Workspace
+	service   ident.Service
+	class     ident.Class
+}
+
+// Meter counts finished requests on one VM. It is safe for use by several
+// goroutines.
+type Meter struct {
+	vm ident.VM
+
+	mu   sync.Mutex
+	rows map[key]*[objectives]series
+}
+
+// New makes the meter of a VM.
+func New(vm ident.VM) *Meter {
+	return &Meter{vm: vm, rows: map[key]*[objectives]series{}}
+}
+
+// Gap implements final.Recorder; late tokens are counted with their request.
+func (m *Meter) Gap(time.Duration) {}
+
+// Done implements final.Recorder.
+func (m *Meter) Done(r *final.Record) {
+	if r.Workspace == "" || r.Service == "" {
+		return
+	}
+	m.note(r, time.Now())
+}
+
+func (m *Meter) note(r *final.Record, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := key{r.Workspace, r.Service, r.Class}
+	row := m.rows[k]
+	if row == nil {
+		row = &[objectives]series{}
+		m.rows[k] = row
+	}
+	row[Stall].add(one(r.Stall > StallBound), now)
+	if r.Tokens > 0 {
+		row[Preempt].add(one(r.Preemptions > 0), now)
+		row[Tail].add(Count{Bad: uint64(r.Slow), Total: uint64(r.Tokens)}, now)
+	}
+}
+
+func one(bad bool) Count {
+	if bad {
+		return Count{Bad: 1, Total: 1}
+	}
+	return Count{Total: 1}
+}
+
+// Snapshot returns this VM's counts.
+func (m *Meter) Snapshot(now time.Time) *Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rep := &Report{At: now, VMs: []ident.VM{m.vm}}
+	for k, row := range m.rows {
+		for o := range objectives {
+			r := Row{Workspace: k.workspace, Service: k.service, Class: k.class, Objective: o}
+			for i, w := range Windows {
+				r.Counts[i] = row[o][i].sum(now, w)
+			}
+			rep.Rows = append(rep.Rows, r)
+		}
+	}
+	rep.sort()
+	return rep
+}
--- /dev/null
+++ b/internal/proc/cmds/node.go
@@ -0,0 +1,165 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/core/seal"
+	"umberladder/internal/proc/burn"
+	"umberladder/internal/proc/conf"
+)
+
+func newStatus() *cobra.Command {
+	var r remote
+	var o output
+	c := &cobra.Command{
+		Use:     "status",
+		Short:   "Print the state of a VM and the VMs it knows",
+		Example: "  umberladder status --server 127.0.0.1:8081",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.check(formTable, formJSON); err != nil {
+				return err
+			}
+			a, err := r.get("/v1/status")
+			if err != nil {
+				return err
+			}
+			if o.form == formJSON {
+				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.body)
+				return nil
+			}
+			return printStatus(c.OutOrStdout(), a)
+		},
+	}
+	r.flags(c)
+	o.flags(c, "table or json")
+	return c
+}
+
+func printStatus(w io.Writer, a *answer) error {
+	v := a.value()
+	fmt.Fprintf(w, "VM %s in %s, ready: %t, settings revision %d, %d claim shards with %d claims\n",
+		v.GetStringBytes("vm"), v.GetStringBytes("failure-domain"), v.GetBool("ready"),
+		v.GetUint64("settings-revision"), v.GetInt("claim-shards"), v.GetInt("claims"))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "VM\tSTATE\tFAILURE DOMAIN")
+	for _, m := range v.GetArray("members") {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", m.GetStringBytes("name"), m.GetStringBytes("state"), m.GetStringBytes("failure-domain"))
+	}
+	return trace.Wrap(t.Flush())
+}
+
+func newDrain() *cobra.Command {
+	var r remote
+	c := &cobra.Command{
+		Use:     "drain",
+		Short:   "Make a VM leave gracefully: it ends once every request has ended",
+		Example: "  umberladder drain --server 127.0.0.1:8081",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			a, err := r.call(fasthttp.MethodPost, "/v1/drain", nil)
+			if err != nil {
+				return err
+			}
+			if a.status != fasthttp.StatusAccepted {
+				return a.failed()
+			}
+			fmt.Fprintln(c.OutOrStdout(), "leaving")
+			return nil
+		},
+	}
+	r.flags(c)
+	return c
+}
+
+func newReport() *cobra.Command {
+	c := &cobra.Command{Use: "report", Short: "Print reports"}
+	c.AddCommand(newBurn())
+	return c
+}
+
+func newBurn() *cobra.Command {
+	var r remote
+	var o output
+	var one bool
+	c := &cobra.Command{
+		Use:   "burn",
+		Short: "Print how fast services use up their error budgets",
+		Example: "  umberladder report burn --server 127.0.0.1:8081\n" +
+			"  umberladder report burn --output page >burn.html",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.check(formTable, formJSON, formPage); err != nil {
+				return err
+			}
+			path := "/v1/burn?merged=true"
+			if one {
+				path = "/v1/burn"
+			}
+			a, err := r.get(path)
+			if err != nil {
+				return err
+			}
+			return printBurn(c.OutOrStdout(), a, o.form)
+		},
+	}
+	r.flags(c)
+	o.flags(c, "table, json or page")
+	c.Flags().BoolVar(&one, "one", false, "only this VM's counts, not all VMs'")
+	return c
+}
+
+func printBurn(w io.Writer, a *answer, form string) error {
+	if form == formJSON {
+		fmt.Fprintf(w, "%s\n", a.body)
+		return nil
+	}
+	rep, err := burn.Decode(a.body)
+	if err != nil {
+		return exit(ExitFailure, err)
+	}
+	if form == formPage {
+		return exit(ExitFailure, rep.WritePage(w))
+	}
+	return exit(ExitFailure, rep.WriteTable(w))
+}
+
+func newExplain() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "explain CODE --config FILE",
+		Short: "Explain a refusal from its code, with nothing else stored",
+		Long: "Explain a refusal from its code, with nothing else stored. The key ring of any\n" +
+			"node's settings opens it; so does GET /v1/refusals/CODE on any VM.\n" +
+			"Exit code 6: the code was not made by this system, or was altered.",
+		Example: "  umberladder explain AQc3… --config vm-1.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			cfg, err := conf.Read(file)
+			if err != nil {
+				return exit(ExitInvalid, err)
+			}
+			ring, err := seal.New(cfg.Secrets)
+			if err != nil {
+				return exit(ExitInvalid, err)
+			}
+			r, err := refuse.Decode(ring, args[0])
+			if err != nil {
+				return exit(ExitForged, err)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "Request %s of workspace %s was refused by VM %s at %s (%s).\n%s\n",
+				r.Request, r.Workspace, r.VM, r.At.UTC().Format("2006-01-02 15:04:05.000 UTC"), r.Reason, r.Explain())
+			return nil
+		},
+	}
+	c.Flags().StringVar(&file, "config", "", "node settings whose key ring opens the code")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
--- a/internal/proc/cmds/root.go
+++ b/internal/proc/cmds/root.go
@@ -63,6 +63,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newVersion())
+	root.AddCommand(newServe(), newSettings(), newStatus(), newExplain(), newReport(), newDrain(), newVersion())
 	return root
 }
--- /dev/null
+++ b/internal/proc/cmds/settings.go
@@ -0,0 +1,253 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"umberladder/internal/proc/conf"
+	"umberladder/internal/state/config"
+)
+
+func newSettings() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "settings",
+		Short: "Check, read and change settings",
+	}
+	c.AddCommand(newCheck(), newGet(), newPut(), newHistory())
+	return c
+}
+
+func newCheck() *cobra.Command {
+	var as string
+	c := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check settings files offline",
+		Long: "Check settings files offline: a node's own settings, the system's document or a\n" +
+			"workspace's. The kind is told by --as, or else by the members of the file.",
+		Example: "  umberladder settings check vm-1.json system.json\n" +
+			"  umberladder settings check --as workspace installers.json",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			var first error
+			for _, file := range files {
+				kind, err := checkFile(file, as)
+				if err != nil {
+					fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", file, trace.UserMessage(err))
+					if first == nil {
+						first = fmt.Errorf("%s is not valid", file)
+					}
+					continue
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: valid %s settings\n", file, kind)
+			}
+			return exit(ExitInvalid, first)
+		},
+	}
+	c.Flags().StringVar(&as, "as", "", "kind of the files: node, system or workspace")
+	return c
+}
+
+// checkFile checks one file and returns its kind.
+func checkFile(file, kind string) (string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	if kind == "" {
+		kind = kindOf(data)
+	}
+	switch kind {
+	case "node":
+		_, err = conf.Parse(data)
+	case "system":
+		_, err = config.ParseSystem(data, 0)
+	case "workspace":
+		_, err = config.ParseWorkspace("check", data, 0)
+	default:
+		err = trace.BadParameter("--as: want node, system or workspace, got %q", kind)
+	}
+	return kind, err
+}
+
+// kindOf guesses a document's kind from a member that only it has.
+func kindOf(data []byte) string {
+	switch {
+	case strings.Contains(string(data), `"callers-address"`):
+		return "node"
+	case strings.Contains(string(data), `"classes"`):
+		return "system"
+	default:
+		return "workspace"
+	}
+}
+
+func newGet() *cobra.Command {
+	var r remote
+	var o output
+	c := &cobra.Command{
+		Use:   "get [PATH]",
+		Short: "Print the document in force at a path, or list the paths",
+		Example: "  umberladder settings get --server 127.0.0.1:8081\n" +
+			"  umberladder settings get /workspaces/installers",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := o.check(formTable, formJSON); err != nil {
+				return err
+			}
+			if len(args) == 0 {
+				return listSettings(c.OutOrStdout(), &r, &o)
+			}
+			a, err := r.get("/v1/settings" + args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.ErrOrStderr(), "version %s\n", strings.Trim(a.etag, `"`))
+			fmt.Fprintf(c.OutOrStdout(), "%s\n", a.body)
+			return nil
+		},
+	}
+	r.flags(c)
+	o.flags(c, "table or json")
+	return c
+}
+
+func listSettings(w io.Writer, r *remote, o *output) error {
+	a, err := r.get("/v1/settings")
+	if err != nil {
+		return err
+	}
+	if o.form == formJSON {
+		fmt.Fprintf(w, "%s\n", a.body)
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "PATH\tVERSION")
+	for _, v := range a.value().GetArray() {
+		fmt.Fprintf(t, "%s\t%d\n", v.GetStringBytes("path"), v.GetUint64("version"))
+	}
+	return trace.Wrap(t.Flush())
+}
+
+// putFlags are the flags of a change.
+type putFlags struct {
+	from   int64
+	change string
+	by     string
+	dry    bool
+}
+
+func newPut() *cobra.Command {
+	var r remote
+	var p putFlags
+	c := &cobra.Command{
+		Use:   "put PATH FILE",
+		Short: "Replace the document at a path, if nobody changed it since it was read",
+		Long: "Replace the document at a path, if nobody changed it since it was read.\n" +
+			"Exit codes: 0 in force or accepted, 3 not valid, 4 another change came first,\n" +
+			"5 not known: run the same command again with the same --change.",
+		Example: "  umberladder settings put /workspaces/installers installers.json --from 12\n" +
+			"  umberladder settings put /system system.json --from 3 --dry-run",
+		Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			body, err := os.ReadFile(args[1])
+			if err != nil {
+				return exit(ExitInvalid, trace.ConvertSystemError(err))
+			}
+			return p.send(c.OutOrStdout(), &r, args[0], body)
+		},
+	}
+	r.flags(c)
+	c.Flags().Int64Var(&p.from, "from", -1, "the version that was read; 0 for a new document")
+	c.Flags().StringVar(&p.change, "change", "", "id of the change; the same id is applied once")
+	c.Flags().StringVar(&p.by, "by", "", "who makes the change, for the history")
+	c.Flags().BoolVar(&p.dry, "dry-run", false, "say what would change, and change nothing")
+	_ = c.MarkFlagRequired("from")
+	return c
+}
+
+func (p *putFlags) send(w io.Writer, r *remote, path string, body []byte) error {
+	if p.from < 0 {
+		return exit(ExitUsage, errors.New("--from: want the version that was read, or 0 for a new document"))
+	}
+	headers := []string{fasthttp.HeaderIfMatch, fmt.Sprintf(`"%d"`, p.from)}
+	if p.change != "" {
+		headers = append(headers, "Umberladder-Change", p.change)
+	}
+	if p.by != "" {
+		headers = append(headers, "Umberladder-Operator", p.by)
+	}
+	uri := "/v1/settings" + path
+	if p.dry {
+		uri += "?dry-run=true"
+	}
+	a, err := r.call(fasthttp.MethodPut, uri, body, headers...)
+	if err != nil {
+		return err
+	}
+	if a.status != fasthttp.StatusOK {
+		return a.failed()
+	}
+	v := a.value()
+	word := "accepted"
+	if p.dry {
+		word = "would be accepted"
+	}
+	fmt.Fprintf(w, "%s: %s, version %d, change %s\n", path, word, v.GetUint64("version"), v.GetStringBytes("change"))
+	for _, d := range v.GetArray("diff") {
+		fmt.Fprintf(w, "  %s\n", d.GetStringBytes())
+	}
+	for _, d := range v.GetArray("warnings") {
+		fmt.Fprintf(w, "  warning: %s\n", d.GetStringBytes())
+	}
+	return nil
+}
+
+func newHistory() *cobra.Command {
+	var r remote
+	var o output
+	c := &cobra.Command{
+		Use:     "history PATH",
+		Short:   "Print who changed a document, what and when",
+		Example: "  umberladder settings history /workspaces/installers",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := o.check(formTable, formJSON); err != nil {
+				return err
+			}
+			a, err := r.get("/v1/history" + args[0])
+			if err != nil {
+				return err
+			}
+			if o.form == formJSON {
+				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.body)
+				return nil
+			}
+			return printHistory(c.OutOrStdout(), a)
+		},
+	}
+	r.flags(c)
+	o.flags(c, "table or json")
+	return c
+}
+
+func printHistory(w io.Writer, a *answer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "AT\tBY\tCHANGE\tWHAT")
+	for _, v := range a.value().GetArray("changes") {
+		var what []string
+		for _, d := range v.GetArray("diff") {
+			what = append(what, string(d.GetStringBytes()))
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", v.GetStringBytes("at"), v.GetStringBytes("by"),
+			v.GetStringBytes("change"), strings.Join(what, ", "))
+	}
+	return trace.Wrap(t.Flush())
+}
--- a/internal/proc/conf/node.go
+++ b/internal/proc/conf/node.go
@@ -23,6 +23,8 @@
 	Store     netip.AddrPort
 	VMList    netip.AddrPort
 	Secrets   []seal.Secret
+	OperKeys  []config.KeyHash // of operators who open everything
+	ClaimTTL  time.Duration    // of the lease on idempotency keys
 	LogLevel  string
 	Placement string
 	Limits    Limits
--- a/internal/proc/conf/wire.go
+++ b/internal/proc/conf/wire.go
@@ -28,6 +28,7 @@
 	DefaultEngineIdle   = 2 * time.Second
 	DefaultLoadInterval = 250 * time.Millisecond
 	DefaultDrainDelay   = 5 * time.Second
+	DefaultClaimTTL     = 15 * time.Second
 	DefaultCalls        = 20.0
 	DefaultBurst        = 40
 )
@@ -81,6 +82,8 @@
 	Store     string       `json:"store-address"`
 	VMList    string       `json:"vm-list-address"`
 	Secrets   []secretWire `json:"key-ring"`
+	Operator  []string     `json:"operator-keys,omitzero"`
+	ClaimTTL  *string      `json:"claim-lease,omitzero"`
 	LogLevel  *string      `json:"log-level,omitzero"`
 	Placement *string      `json:"placement,omitzero"`
 	Limits    limitsWire   `json:"limits,omitzero"`
@@ -98,6 +101,8 @@
 		Store:     f.Address("/store-address", w.Store),
 		VMList:    f.Address("/vm-list-address", w.VMList),
 		Secrets:   w.secrets(f),
+		OperKeys:  f.Hashes("/operator-keys", w.Operator),
+		ClaimTTL:  f.Duration("/claim-lease", w.ClaimTTL, DefaultClaimTTL, 2*time.Second, 10*time.Minute),
 		LogLevel:  oneOf(f, "/log-level", w.LogLevel, DefaultLogLevel, logLevels),
 		Placement: oneOf(f, "/placement", w.Placement, DefaultPlacement, placements),
 		Limits:    w.Limits.limits(f),
--- /dev/null
+++ b/internal/proc/serve/status.go
@@ -0,0 +1,147 @@
+package serve
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/invar"
+	"umberladder/internal/proc/burn"
+	"umberladder/internal/state/member"
+)
+
+// gauges exports what the VM counts anyway.
+func (v *VM) gauges() {
+	for name, f := range map[string]func() float64{
+		"umberladder_store_calls_total":              func() float64 { return float64(v.store.Calls()) },
+		"umberladder_peer_sent_bytes_total":          func() float64 { return float64(v.traffic.Sent.Load()) },
+		"umberladder_peer_received_bytes_total":      func() float64 { return float64(v.traffic.Received.Load()) },
+		"umberladder_peer_sent_packets_total":        func() float64 { return float64(v.traffic.SentCount.Load()) },
+		"umberladder_peer_received_packets_total":    func() float64 { return float64(v.traffic.ReceivedCount.Load()) },
+		"umberladder_peer_forged_total":              func() float64 { return float64(v.traffic.Forged.Load()) },
+		"umberladder_live_vms":                       func() float64 { return float64(len(v.fleet.View().Live)) },
+		"umberladder_settings_revision":              func() float64 { return float64(v.settings.Load().Revision) },
+		"umberladder_claim_shards":                   func() float64 { shards, _ := v.keeper.Held(); return float64(shards) },
+		"umberladder_claims":                         func() float64 { _, claims := v.keeper.Held(); return float64(claims) },
+		"umberladder_invariant_violations_sum_total": func() float64 { return float64(v.book.Total()) },
+	} {
+		v.set.NewGauge(name, f)
+	}
+}
+
+func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
+	v.set.WritePrometheus(ctx)
+	metrics.WriteProcessMetrics(ctx)
+}
+
+// Status implements oper.Node.
+func (v *VM) Status(a *fastjson.Arena) *fastjson.Value {
+	o := a.NewObject()
+	o.Set("vm", a.NewString(string(v.cfg.Name)))
+	o.Set("failure-domain", a.NewString(string(v.cfg.Domain)))
+	o.Set("ready", flag(a, v.entry.Ready()))
+	o.Set("settings-revision", a.NewNumberString(strconv.FormatUint(v.settings.Load().Revision, 10)))
+	shards, claims := v.keeper.Held()
+	o.Set("claim-shards", a.NewNumberInt(shards))
+	o.Set("claims", a.NewNumberInt(claims))
+	o.Set("invariant-violations", violations(a, v.book))
+	o.Set("members", members(a, v.fleet.All()))
+	pools := a.NewObject()
+	for _, p := range v.loads.Pools() {
+		m := a.NewObject()
+		m.Set("engines", a.NewNumberInt(len(p.Servers())))
+		m.Set("waiting", a.NewNumberInt(p.Depth()))
+		pools.Set(string(p.Model()), m)
+	}
+	o.Set("models", pools)
+	return o
+}
+
+func flag(a *fastjson.Arena, b bool) *fastjson.Value {
+	if b {
+		return a.NewTrue()
+	}
+	return a.NewFalse()
+}
+
+func violations(a *fastjson.Arena, b *invar.Book) *fastjson.Value {
+	o := a.NewObject()
+	for _, n := range invar.All() {
+		o.Set(n.String(), a.NewNumberInt(int(b.Count(n))))
+	}
+	return o
+}
+
+func members(a *fastjson.Arena, list []member.Member) *fastjson.Value {
+	out := a.NewArray()
+	for i, m := range list {
+		o := a.NewObject()
+		o.Set("name", a.NewString(string(m.Name)))
+		o.Set("state", a.NewString(m.State.String()))
+		o.Set("failure-domain", a.NewString(string(m.Domain)))
+		o.Set("incarnation", a.NewNumberString(strconv.FormatUint(m.Incarnation, 10)))
+		out.SetArrayItem(i, o)
+	}
+	return out
+}
+
+// Drain implements oper.Node.
+func (v *VM) Drain() { v.drainOnce.Do(func() { close(v.drain) }) }
+
+// Report implements nodes.Reporter.
+func (v *VM) Report() []byte {
+	data, err := v.meter.Snapshot(time.Now()).Encode()
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// Burn implements oper.Node.
+func (v *VM) Burn(ctx context.Context, merged bool, only ident.Workspace) ([]byte, error) {
+	rep := v.meter.Snapshot(time.Now())
+	if merged {
+		v.mergeBurn(ctx, rep)
+	}
+	if only != "" {
+		rep.Only(only)
+	}
+	data, err := rep.Encode()
+	return data, trace.Wrap(err)
+}
+
+// mergeBurn adds the other VMs' counts, and names those that do not answer,
+// suspects among them.
+func (v *VM) mergeBurn(ctx context.Context, rep *burn.Report) {
+	var mu sync.Mutex
+	var g errgroup.Group
+	for _, m := range v.fleet.All() {
+		if m.Name == v.cfg.Name || m.State == member.Left {
+			continue
+		}
+		g.Go(func() error {
+			data, err := v.peers.Burn(ctx, m)
+			var one *burn.Report
+			if err == nil {
+				one, err = burn.Decode(data)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				rep.Silent = append(rep.Silent, m.Name)
+				return nil
+			}
+			rep.Merge(one)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
-	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -19,10 +16,14 @@
 	"umberladder/internal/peer/caller"
 	"umberladder/internal/peer/engine"
 	"umberladder/internal/peer/link"
+	"umberladder/internal/peer/nodes"
+	"umberladder/internal/peer/oper"
 	peerplain "umberladder/internal/peer/plain"
 	"umberladder/internal/peer/store"
+	"umberladder/internal/peer/vmlist"
 	"umberladder/internal/policy/place"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/proc/burn"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/tally"
 	"umberladder/internal/route/entry"
@@ -30,13 +31,19 @@
 	"umberladder/internal/route/gener"
 	"umberladder/internal/route/loads"
 	"umberladder/internal/route/plain"
+	"umberladder/internal/state/amend"
 	"umberladder/internal/state/claim"
-	"umberladder/internal/state/config"
+	"umberladder/internal/state/fleet"
+	"umberladder/internal/state/member"
 	"umberladder/internal/state/spread"
 )
 
-// keptConns is how many spare connections a VM keeps to each server.
-const keptConns = 16
+const (
+	// keptConns is how many spare connections a VM keeps to each server.
+	keptConns = 16
+	// peerTime bounds a call to another VM.
+	peerTime = 3 * time.Second
+)
 
 // VM is one entry VM.
 type VM struct {
@@ -45,15 +52,28 @@
 	set    *metrics.Set
 	book   *invar.Book
 	ring   *seal.Ring
+	rng    *rand.Rand
 	group  *errgroup.Group
 	ctx    context.Context // of everything that runs until the last request ended
 	cancel context.CancelFunc
+	drain  chan struct{}
+
+	drainOnce sync.Once
 
 	settings *spread.Book
 	store    *store.Client
+	peers    *nodes.Peers
+	clients  *nodes.Clients
+	socket   *nodes.Socket
+	traffic  nodes.Traffic
+	fleet    *fleet.Fleet
+	follower *spread.Follower
+	keeper   *claim.Keeper
+	meter    *burn.Meter
 	loads    *loads.Loads
 	entry    *entry.Entry
 	callers  *caller.Server
+	oper     *oper.Server
 }
 
 // New makes a VM from its settings.
@@ -62,37 +82,76 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	v := &VM{cfg: cfg, log: log, set: metrics.NewSet(), ring: ring}
+	v := &VM{
+		cfg:   cfg,
+		log:   log,
+		set:   metrics.NewSet(),
+		ring:  ring,
+		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		drain: make(chan struct{}),
+		meter: burn.New(cfg.Name),
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.group, v.ctx = errgroup.WithContext(ctx)
 	v.cancel = cancel
 	v.book = &invar.Book{Report: func(n invar.Name, detail string) {
 		log.Error("invariant violated", zap.Stringer("invariant", n), zap.String("detail", detail))
 	}}
-	v.build()
+	if v.socket, err = nodes.Listen(cfg.Peers, ring, &v.traffic); err != nil {
+		cancel()
+		return nil, trace.Wrap(err, "/peers-address")
+	}
+	v.buildState()
+	v.buildRoute()
+	v.gauges()
 	return v, nil
 }
 
-func (v *VM) build() {
+// fork returns a source of random numbers of its own.
+func (v *VM) fork() *rand.Rand { return rand.New(rand.NewPCG(v.rng.Uint64(), v.rng.Uint64())) }
+
+// buildState makes what the VMs share.
+func (v *VM) buildState() {
 	cfg := v.cfg
-	seed := rand.Uint64()
-	short := link.New(cfg.Limits.Connect, cfg.Limits.EngineIdle, keptConns)
+	dialer := link.New(cfg.Limits.Connect, peerTime, keptConns)
 	v.settings = spread.NewBook(v.book)
-	v.store = store.New(short, cfg.Store, string(cfg.Name), cfg.Budget.PerSecond, cfg.Budget.Burst)
-	rec := tally.New(v.log, v.set, v.book, nil)
-	engines := engine.New(short)
+	v.store = store.New(dialer, cfg.Store, string(cfg.Name), cfg.Budget.PerSecond, cfg.Budget.Burst)
+	v.clients = nodes.NewClients(v.ring, peerTime)
+	v.peers = nodes.NewPeers(v.clients)
+	v.follower = spread.NewFollower(v.settings, v.store, v.peers, v.group, v.log, v.fork())
+	self := member.Member{
+		Name:        cfg.Name,
+		Address:     cfg.Peers,
+		Domain:      cfg.Domain,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	table := member.New(member.DefaultConfig(), self, v.fork())
+	v.fleet = fleet.New(table, v.socket, vmlist.New(dialer, cfg.VMList), v.follower.Revision, v.follower.Heard)
+	v.follower.Start(v.fleet)
+	v.keeper = claim.NewKeeper(cfg.Name, cfg.ClaimTTL, v.store, v.fleet, v.peers, v.log)
+}
+
+// buildRoute makes the path of requests.
+func (v *VM) buildRoute() {
+	cfg := v.cfg
+	dialer := link.New(cfg.Limits.Connect, cfg.Limits.EngineIdle, keptConns)
+	rec := tally.New(v.log, v.set, v.book, v.meter)
+	engines := engine.New(dialer)
 	budget := retry.NewBudget()
-	vms := func() int { _, n := v.Rank(); return n }
-	v.loads = loads.New(engines, cfg.Limits.LoadInterval, v.chooser, vms, v.book, seed)
+	vms := func() int {
+		_, n := v.fleet.Rank()
+		return n
+	}
+	v.loads = loads.New(engines, cfg.Limits.LoadInterval, v.chooser, vms, v.book, v.rng.Uint64())
 	v.settings.Watch(v.loads.Update)
 	v.entry = entry.New(entry.Parts{
 		VM:       cfg.Name,
 		Settings: v.settings,
-		Gate:     gate.New(v),
-		Claims:   claim.New(claim.NewDirect(v.store)),
+		Gate:     gate.New(v.fleet),
+		Claims:   claim.New(cfg.Name, v.fleet, v.keeper, claim.NewDirect(v.store), v.peers),
 		Loads:    v.loads,
-		Runner:   gener.New(cfg.Generate, engines, budget, v.book, rec, v.group, rand.New(rand.NewPCG(seed, 2))),
-		Plain:    plain.New(peerplain.New(short, cfg.Limits.Answer), budget, rand.New(rand.NewPCG(seed, 3))),
+		Runner:   gener.New(cfg.Generate, engines, budget, v.book, rec, v.group, v.fork()),
+		Plain:    plain.New(peerplain.New(dialer, cfg.Limits.Answer), budget, v.fork()),
 		Ring:     v.ring,
 		Book:     v.book,
 		Recorder: rec,
@@ -106,74 +165,7 @@
 		MaxConns:   cfg.Limits.Connections,
 		DrainDelay: cfg.Limits.DrainDelay,
 	}, v.entry, v.writeMetrics)
+	v.oper = oper.New(v.settings, amend.New(v.store, v.follower), v, cfg.OperKeys)
 }
 
-// Rank implements gate.Fleet.
-func (v *VM) Rank() (int, int) { return 0, 1 }
-
 func (v *VM) chooser() place.Chooser { return place.New(v.cfg.Placement) }
-
-func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
-	v.set.WritePrometheus(ctx)
-	metrics.WriteProcessMetrics(ctx)
-}
-
-// Run serves until stop is done, and then until every request has ended.
-func (v *VM) Run(stop context.Context) error {
-	defer v.cancel()
-	ln, err := listen(v.cfg.Callers)
-	if err != nil {
-		return trace.Wrap(err, "/callers-address")
-	}
-	v.group.Go(func() error { return v.follow(v.ctx) })
-	v.group.Go(func() error { return v.loads.Run(v.ctx, v.group) })
-	v.group.Go(func() error { return v.callers.Serve(ln) })
-	v.log.Info("serving", zap.String("vm", string(v.cfg.Name)), zap.Stringer("callers", v.cfg.Callers))
-	select {
-	case <-stop.Done():
-	case <-v.ctx.Done():
-	}
-	err = v.shutdown()
-	v.cancel()
-	if werr := v.group.Wait(); err == nil && !errors.Is(werr, context.Canceled) {
-		err = werr
-	}
-	return trace.Wrap(err)
-}
-
-func (v *VM) shutdown() error {
-	v.log.Info("leaving")
-	v.entry.Drain()
-	err := v.callers.Shutdown(v.ctx)
-	v.log.Info("left")
-	return err
-}
-
-// follow keeps the settings current.
-func (v *VM) follow(ctx context.Context) error {
-	var after uint64
-	for ctx.Err() == nil {
-		items, _, err := v.store.Watch(ctx, "/settings", after, 10*time.Second)
-		if err != nil {
-			v.log.Warn("the store can't be read", zap.Error(err))
-			time.Sleep(200 * time.Millisecond)
-			continue
-		}
-		for _, it := range items {
-			after = max(after, it.Revision)
-			doc, err := spread.Decode(it)
-			if err == nil {
-				_, err = v.settings.Apply([]config.Document{doc})
-			}
-			if err != nil {
-				v.log.Error("settings not applied", zap.String("path", it.Path), zap.Error(err))
-			}
-		}
-	}
-	return nil
-}
-
-func listen(addr netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	return ln, trace.Wrap(err)
-}
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -48,6 +48,7 @@
 	ring     *seal.Ring
 	book     *invar.Book
 	rec      final.Recorder
+	joined   atomic.Bool
 	draining atomic.Bool
 }
 
@@ -81,12 +82,15 @@
 	}
 }
 
+// Join makes the VM ready for callers, once it has settings.
+func (e *Entry) Join() { e.joined.Store(true) }
+
 // Drain makes the VM not ready for new callers.
 func (e *Entry) Drain() { e.draining.Store(true) }
 
 // Ready implements caller.Handler.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && e.settings.Load().System != nil
+	return e.joined.Load() && !e.draining.Load() && e.settings.Load().System != nil
 }
 
 // target is what a request is for, all from one snapshot.
--- a/internal/state/config/field.go
+++ b/internal/state/config/field.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -139,3 +140,19 @@
 	}
 	return a
 }
+
+// Hashes reads a list of key hashes.
+func (f *Fields) Hashes(path string, list []string) []KeyHash {
+	out := make([]KeyHash, 0, len(list))
+	for i, s := range list {
+		var h KeyHash
+		raw, err := hex.DecodeString(s)
+		if err != nil || len(raw) != len(h) {
+			f.Fault(fmt.Sprintf("%s/%d", path, i), "want the SHA-256 of a key as 64 hexadecimal digits")
+			continue
+		}
+		copy(h[:], raw)
+		out = append(out, h)
+	}
+	return out
+}
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -121,6 +121,15 @@
 // Workspaces returns how many workspaces there are.
 func (s *Snapshot) Workspaces() int { return len(s.workspaces) }
 
+// All returns every workspace, in no order.
+func (s *Snapshot) All() []*Workspace {
+	out := make([]*Workspace, 0, len(s.workspaces))
+	for _, w := range s.workspaces {
+		out = append(out, w)
+	}
+	return out
+}
+
 // Caller returns the workspace that a caller's bearer key opens, or nil. The
 // look-up goes by the key's hash, so its time tells nothing of other keys.
 func (s *Snapshot) Caller(key string) *Workspace {
--- a/internal/state/config/wire.go
+++ b/internal/state/config/wire.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -80,7 +79,7 @@
 		return nil, trace.Wrap(err)
 	}
 	f := &Fields{}
-	s := &System{Version: version, Operators: f.hashes("/operator-keys", w.Operators)}
+	s := &System{Version: version, Operators: f.Hashes("/operator-keys", w.Operators)}
 	for i, c := range w.Classes {
 		s.Classes = append(s.Classes, f.class(fmt.Sprintf("/classes/%d", i), c))
 	}
@@ -109,8 +108,8 @@
 	ws := &Workspace{
 		Name:      name,
 		Version:   version,
-		Keys:      f.hashes("/caller-keys", w.Keys),
-		Operators: f.hashes("/operator-keys", w.Operators),
+		Keys:      f.Hashes("/caller-keys", w.Keys),
+		Operators: f.Hashes("/operator-keys", w.Operators),
 		Limits: Limits{
 			Concurrency:     f.Int("/limits/concurrency", w.Limits.Concurrency, DefaultConcurrency, 1, MaxConcurrency),
 			TokensPerSecond: f.Int("/limits/tokens-per-second", w.Limits.TokensPerSecond, 0, 0, MaxTokenRate),
@@ -126,21 +125,6 @@
 	return ws, f.Err()
 }
 
-func (f *Fields) hashes(path string, list []string) []KeyHash {
-	out := make([]KeyHash, 0, len(list))
-	for i, s := range list {
-		var h KeyHash
-		raw, err := hex.DecodeString(s)
-		if err != nil || len(raw) != len(h) {
-			f.Fault(fmt.Sprintf("%s/%d", path, i), "want the SHA-256 of a key as 64 hexadecimal digits")
-			continue
-		}
-		copy(h[:], raw)
-		out = append(out, h)
-	}
-	return out
-}
-
 func (f *Fields) class(path string, w classWire) Class {
 	if w.Rank == nil {
 		f.Fault(path+"/rank", "missing; want a whole number from 0 to %d", MaxRank)
--- a/internal/state/spread/value.go
+++ b/internal/state/spread/value.go
@@ -24,6 +24,7 @@
 	By     string
 	At     time.Time
 	Delete bool
+	Diff   []string // members that changed, as JSON pointers
 }
 
 // Value is what the store holds under one path: the document, and its last
@@ -34,10 +35,11 @@
 }
 
 type changeWire struct {
-	ID     string `json:"id"`
-	By     string `json:"by"`
-	At     string `json:"at"`
-	Delete bool   `json:"delete,omitzero"`
+	ID     string   `json:"id"`
+	By     string   `json:"by"`
+	At     string   `json:"at"`
+	Delete bool     `json:"delete,omitzero"`
+	Diff   []string `json:"diff,omitzero"`
 }
 
 type valueWire struct {
@@ -49,7 +51,7 @@
 func (v *Value) Encode() ([]byte, error) {
 	w := valueWire{Body: v.Body}
 	for _, c := range v.Changes {
-		w.Changes = append(w.Changes, changeWire{ID: c.ID, By: c.By, At: c.At.UTC().Format(time.RFC3339Nano), Delete: c.Delete})
+		w.Changes = append(w.Changes, changeWire{ID: c.ID, By: c.By, At: c.At.UTC().Format(time.RFC3339Nano), Delete: c.Delete, Diff: c.Diff})
 	}
 	out, err := json.Marshal(w)
 	return out, trace.Wrap(err)
@@ -67,7 +69,7 @@
 		if err != nil {
 			return nil, trace.BadParameter("the stored value has the time %q", c.At)
 		}
-		v.Changes = append(v.Changes, Change{ID: c.ID, By: c.By, At: at, Delete: c.Delete})
+		v.Changes = append(v.Changes, Change{ID: c.ID, By: c.By, At: at, Delete: c.Delete, Diff: c.Diff})
 	}
 	return v, nil
 }
