Split packages that had grown past a few hundred lines

Change: the OpenAI bodies are peer/openai, claims by store writes are state/direct, calls to the operators' interface are proc/remote.

--- a/internal/peer/caller/handler.go
+++ b/internal/peer/caller/handler.go
@@ -5,17 +5,14 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/peer/openai"
 )
 
 // Generation is a caller's request for a generation.
 type Generation struct {
-	Key            string // bearer key
-	Service        ident.Service
+	openai.Generation
+	Key            string      // bearer key
 	Class          ident.Class // empty: the service's
-	Prompt         string
-	MaxTokens      int // zero: not bounded by the caller
-	Stream         bool
-	Chat           bool
 	IdempotencyKey string
 }
 
@@ -45,22 +42,6 @@
 	Body        []byte
 }
 
-// Whole is a whole generation.
-type Whole struct {
-	Request      ident.Request
-	Text         string
-	Finish       string
-	PromptTokens int
-	Tokens       int
-}
-
-// Token is one token of a stream, or its end.
-type Token struct {
-	Index  uint64
-	Text   string
-	Finish string // set at the end
-}
-
 // Stream is a generation that is under way. Close is called once, with
 // whether the caller has the whole answer or is known to have left.
 type Stream interface {
@@ -68,7 +49,7 @@
 	Service() ident.Service
 	Chat() bool
 	Handle() string
-	Next() (Token, *refuse.Refusal)
+	Next() (openai.Token, *refuse.Refusal)
 	Close(left bool, bytes int)
 }
 
@@ -76,7 +57,7 @@
 // request and time.
 type Handler interface {
 	Stream(ctx context.Context, g Generation) (Stream, *refuse.Refusal)
-	Whole(ctx context.Context, g Generation) (Whole, *refuse.Refusal)
+	Whole(ctx context.Context, g Generation) (openai.Whole, *refuse.Refusal)
 	Resume(ctx context.Context, r Resume) (Stream, *refuse.Refusal)
 	Plain(ctx context.Context, p Plain) (Answer, *refuse.Refusal)
 	Services(key string) ([]ident.Service, *refuse.Refusal)
--- /dev/null
+++ b/internal/peer/caller/request.go
@@ -0,0 +1,58 @@
+package caller
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/peer/openai"
+)
+
+const (
+	bearer        = "Bearer "
+	headerClass   = "Umberladder-Class"
+	headerKey     = "Idempotency-Key"
+	headerLast    = "Last-Event-ID"
+	headerRequest = "Umberladder-Request"
+	headerResume  = "Umberladder-Resume"
+	maxIdemKey    = 255
+)
+
+func bad(format string, args ...any) *refuse.Refusal {
+	return refuse.New(refuse.BadInput, format, args...)
+}
+
+func bearerKey(ctx *fasthttp.RequestCtx) string {
+	v := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	key, ok := strings.CutPrefix(v, bearer)
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+// parseGeneration reads a request of the completions or chat interface.
+func parseGeneration(ctx *fasthttp.RequestCtx, chat bool) (Generation, *refuse.Refusal) {
+	g := Generation{Key: bearerKey(ctx)}
+	class := string(ctx.Request.Header.Peek(headerClass))
+	if class != "" && ident.CheckName(class) != nil {
+		return g, bad("the header %s must be a class name", headerClass)
+	}
+	g.Class = ident.Class(class)
+	var r *refuse.Refusal
+	if g.IdempotencyKey, r = idempotencyKey(ctx); r != nil {
+		return g, r
+	}
+	g.Generation, r = openai.Parse(ctx.PostBody(), chat)
+	return g, r
+}
+
+func idempotencyKey(ctx *fasthttp.RequestCtx) (string, *refuse.Refusal) {
+	key := string(ctx.Request.Header.Peek(headerKey))
+	if len(key) > maxIdemKey {
+		return "", bad("the header %s is longer than %d bytes", headerKey, maxIdemKey)
+	}
+	return key, nil
+}
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -15,6 +15,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/peer/openai"
 )
 
 const (
@@ -150,37 +151,7 @@
 	}
 	ctx.Response.Header.Set(headerRequest, string(w.Request))
 	ctx.SetContentType("application/json")
-	ctx.SetBody(encodeWhole(w, g))
-}
-
-func encodeWhole(w Whole, g Generation) []byte {
-	var a fastjson.Arena
-	o, choice, usage := a.NewObject(), a.NewObject(), a.NewObject()
-	choice.Set("index", a.NewNumberInt(0))
-	choice.Set("finish_reason", a.NewString(w.Finish))
-	if g.Chat {
-		m := a.NewObject()
-		m.Set("role", a.NewString("assistant"))
-		m.Set("content", a.NewString(w.Text))
-		choice.Set("message", m)
-		o.Set("id", a.NewString("chatcmpl-"+string(w.Request)))
-		o.Set("object", a.NewString("chat.completion"))
-	} else {
-		choice.Set("text", a.NewString(w.Text))
-		choice.Set("logprobs", a.NewNull())
-		o.Set("id", a.NewString("cmpl-"+string(w.Request)))
-		o.Set("object", a.NewString("text_completion"))
-	}
-	o.Set("created", a.NewNumberString(strconv.FormatInt(time.Now().Unix(), 10)))
-	o.Set("model", a.NewString(string(g.Service)))
-	list := a.NewArray()
-	list.SetArrayItem(0, choice)
-	o.Set("choices", list)
-	usage.Set("prompt_tokens", a.NewNumberInt(w.PromptTokens))
-	usage.Set("completion_tokens", a.NewNumberInt(w.Tokens))
-	usage.Set("total_tokens", a.NewNumberInt(w.PromptTokens+w.Tokens))
-	o.Set("usage", usage)
-	return o.MarshalTo(nil)
+	ctx.SetBody(w.Encode(&g.Generation, time.Now()))
 }
 
 func (s *Server) resume(ctx *fasthttp.RequestCtx, handle string) {
@@ -241,19 +212,8 @@
 		s.refuse(ctx, refusal)
 		return
 	}
-	var a fastjson.Arena
-	o, list := a.NewObject(), a.NewArray()
-	for i, name := range names {
-		m := a.NewObject()
-		m.Set("id", a.NewString(string(name)))
-		m.Set("object", a.NewString("model"))
-		m.Set("owned_by", a.NewString("umberladder"))
-		list.SetArrayItem(i, m)
-	}
-	o.Set("object", a.NewString("list"))
-	o.Set("data", list)
 	ctx.SetContentType("application/json")
-	ctx.SetBody(o.MarshalTo(nil))
+	ctx.SetBody(openai.EncodeModels(names))
 }
 
 func (s *Server) explain(ctx *fasthttp.RequestCtx, code string) {
--- a/internal/peer/caller/parse.go
+++ b/internal/peer/openai/parse.go
@@ -1,59 +1,42 @@
-package caller
+package openai
 
 import (
 	"math"
 	"strings"
 
-	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 )
 
-const (
-	bearer         = "Bearer "
-	headerClass    = "Umberladder-Class"
-	headerKey      = "Idempotency-Key"
-	headerLast     = "Last-Event-ID"
-	headerRequest  = "Umberladder-Request"
-	headerResume   = "Umberladder-Resume"
-	maxIdemKey     = 255
-	maxTokensLimit = 1_000_000
-)
+// MaxTokens is the largest bound on its tokens that a caller may give.
+const MaxTokens = 1_000_000
 
-func bad(format string, args ...any) *refuse.Refusal {
-	return refuse.New(refuse.BadInput, format, args...)
+// Generation is a caller's request for a generation.
+type Generation struct {
+	Service   ident.Service // the member "model"
+	Prompt    string
+	MaxTokens int // zero: not bounded by the caller
+	Stream    bool
+	Chat      bool
 }
 
-func bearerKey(ctx *fasthttp.RequestCtx) string {
-	v := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
-	key, ok := strings.CutPrefix(v, bearer)
-	if !ok {
-		return ""
-	}
-	return key
+func bad(format string, args ...any) *refuse.Refusal {
+	return refuse.New(refuse.BadInput, format, args...)
 }
 
-// parseGeneration reads a body of the completions or chat interface.
-func parseGeneration(ctx *fasthttp.RequestCtx, chat bool) (Generation, *refuse.Refusal) {
-	g := Generation{Key: bearerKey(ctx), Chat: chat}
-	v, err := fastjson.ParseBytes(ctx.PostBody())
+// Parse reads the body of a request for a completion or, with chat, for a
+// chat completion. A refusal names the member at fault.
+func Parse(body []byte, chat bool) (Generation, *refuse.Refusal) {
+	g := Generation{Chat: chat}
+	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		return g, bad("the body is not valid JSON: %.120s", err)
 	}
 	if v.Type() != fastjson.TypeObject {
 		return g, bad("the body must be a JSON object")
 	}
-	var r *refuse.Refusal
-	if g.IdempotencyKey, r = idempotencyKey(ctx); r != nil {
-		return g, r
-	}
-	class := string(ctx.Request.Header.Peek(headerClass))
-	if class != "" && ident.CheckName(class) != nil {
-		return g, bad("the header %s must be a class name", headerClass)
-	}
-	g.Class = ident.Class(class)
 	return g, g.fill(v)
 }
 
@@ -91,8 +74,8 @@
 			continue
 		}
 		f, err := m.Float64()
-		if err != nil || f != math.Trunc(f) || f < 1 || f > maxTokensLimit {
-			return bad("%s: want a whole number from 1 to %d", name, maxTokensLimit)
+		if err != nil || f != math.Trunc(f) || f < 1 || f > MaxTokens {
+			return bad("%s: want a whole number from 1 to %d", name, MaxTokens)
 		}
 		g.MaxTokens = int(f)
 	}
@@ -155,11 +138,3 @@
 	}
 	return b.String(), true
 }
-
-func idempotencyKey(ctx *fasthttp.RequestCtx) (string, *refuse.Refusal) {
-	key := string(ctx.Request.Header.Peek(headerKey))
-	if len(key) > maxIdemKey {
-		return "", bad("the header %s is longer than %d bytes", headerKey, maxIdemKey)
-	}
-	return key, nil
-}
--- a/internal/proc/cmds/node.go
+++ b/internal/proc/cmds/node.go
@@ -13,10 +13,11 @@
 	"umberladder/internal/core/seal"
 	"umberladder/internal/proc/burn"
 	"umberladder/internal/proc/conf"
+	"umberladder/internal/proc/remote"
 )
 
 func newStatus() *cobra.Command {
-	var r remote
+	var vm remote.VM
 	var o output
 	c := &cobra.Command{
 		Use:     "status",
@@ -27,24 +28,24 @@
 			if err := o.check(formTable, formJSON); err != nil {
 				return err
 			}
-			a, err := r.get("/v1/status")
+			a, err := vm.Get("/v1/status")
 			if err != nil {
-				return err
+				return failed(err)
 			}
 			if o.form == formJSON {
-				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.body)
+				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.Body)
 				return nil
 			}
 			return printStatus(c.OutOrStdout(), a)
 		},
 	}
-	r.flags(c)
+	remoteFlags(c, &vm)
 	o.flags(c, "table or json")
 	return c
 }
 
-func printStatus(w io.Writer, a *answer) error {
-	v := a.value()
+func printStatus(w io.Writer, a *remote.Answer) error {
+	v := a.Value()
 	fmt.Fprintf(w, "VM %s in %s, ready: %t, settings revision %d, %d claim shards with %d claims\n",
 		v.GetStringBytes("vm"), v.GetStringBytes("failure-domain"), v.GetBool("ready"),
 		v.GetUint64("settings-revision"), v.GetInt("claim-shards"), v.GetInt("claims"))
@@ -57,25 +58,25 @@
 }
 
 func newDrain() *cobra.Command {
-	var r remote
+	var vm remote.VM
 	c := &cobra.Command{
 		Use:     "drain",
 		Short:   "Make a VM leave gracefully: it ends once every request has ended",
 		Example: "  umberladder drain --server 127.0.0.1:8081",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			a, err := r.call(fasthttp.MethodPost, "/v1/drain", nil)
+			a, err := vm.Call(fasthttp.MethodPost, "/v1/drain", nil)
 			if err != nil {
-				return err
+				return failed(err)
 			}
-			if a.status != fasthttp.StatusAccepted {
-				return a.failed()
+			if err := a.Err(fasthttp.StatusAccepted); err != nil {
+				return failed(err)
 			}
 			fmt.Fprintln(c.OutOrStdout(), "leaving")
 			return nil
 		},
 	}
-	r.flags(c)
+	remoteFlags(c, &vm)
 	return c
 }
 
@@ -86,7 +87,7 @@
 }
 
 func newBurn() *cobra.Command {
-	var r remote
+	var vm remote.VM
 	var o output
 	var one bool
 	c := &cobra.Command{
@@ -103,25 +104,25 @@
 			if one {
 				path = "/v1/burn"
 			}
-			a, err := r.get(path)
+			a, err := vm.Get(path)
 			if err != nil {
-				return err
+				return failed(err)
 			}
 			return printBurn(c.OutOrStdout(), a, o.form)
 		},
 	}
-	r.flags(c)
+	remoteFlags(c, &vm)
 	o.flags(c, "table, json or page")
 	c.Flags().BoolVar(&one, "one", false, "only this VM's counts, not all VMs'")
 	return c
 }
 
-func printBurn(w io.Writer, a *answer, form string) error {
+func printBurn(w io.Writer, a *remote.Answer, form string) error {
 	if form == formJSON {
-		fmt.Fprintf(w, "%s\n", a.body)
+		fmt.Fprintf(w, "%s\n", a.Body)
 		return nil
 	}
-	rep, err := burn.Decode(a.body)
+	rep, err := burn.Decode(a.Body)
 	if err != nil {
 		return exit(ExitFailure, err)
 	}
--- a/internal/proc/cmds/settings.go
+++ b/internal/proc/cmds/settings.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"umberladder/internal/proc/conf"
+	"umberladder/internal/proc/remote"
 	"umberladder/internal/state/config"
 )
 
@@ -90,7 +91,7 @@
 }
 
 func newGet() *cobra.Command {
-	var r remote
+	var vm remote.VM
 	var o output
 	c := &cobra.Command{
 		Use:   "get [PATH]",
@@ -103,34 +104,34 @@
 				return err
 			}
 			if len(args) == 0 {
-				return listSettings(c.OutOrStdout(), &r, &o)
+				return listSettings(c.OutOrStdout(), &vm, &o)
 			}
-			a, err := r.get("/v1/settings" + args[0])
+			a, err := vm.Get("/v1/settings" + args[0])
 			if err != nil {
-				return err
+				return failed(err)
 			}
-			fmt.Fprintf(c.ErrOrStderr(), "version %s\n", strings.Trim(a.etag, `"`))
-			fmt.Fprintf(c.OutOrStdout(), "%s\n", a.body)
+			fmt.Fprintf(c.ErrOrStderr(), "version %s\n", strings.Trim(a.ETag, `"`))
+			fmt.Fprintf(c.OutOrStdout(), "%s\n", a.Body)
 			return nil
 		},
 	}
-	r.flags(c)
+	remoteFlags(c, &vm)
 	o.flags(c, "table or json")
 	return c
 }
 
-func listSettings(w io.Writer, r *remote, o *output) error {
-	a, err := r.get("/v1/settings")
+func listSettings(w io.Writer, vm *remote.VM, o *output) error {
+	a, err := vm.Get("/v1/settings")
 	if err != nil {
-		return err
+		return failed(err)
 	}
 	if o.form == formJSON {
-		fmt.Fprintf(w, "%s\n", a.body)
+		fmt.Fprintf(w, "%s\n", a.Body)
 		return nil
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "PATH\tVERSION")
-	for _, v := range a.value().GetArray() {
+	for _, v := range a.Value().GetArray() {
 		fmt.Fprintf(t, "%s\t%d\n", v.GetStringBytes("path"), v.GetUint64("version"))
 	}
 	return trace.Wrap(t.Flush())
@@ -145,7 +146,7 @@
 }
 
 func newPut() *cobra.Command {
-	var r remote
+	var vm remote.VM
 	var p putFlags
 	c := &cobra.Command{
 		Use:   "put PATH FILE",
@@ -161,10 +162,10 @@
 			if err != nil {
 				return exit(ExitInvalid, trace.ConvertSystemError(err))
 			}
-			return p.send(c.OutOrStdout(), &r, args[0], body)
+			return p.send(c.OutOrStdout(), &vm, args[0], body)
 		},
 	}
-	r.flags(c)
+	remoteFlags(c, &vm)
 	c.Flags().Int64Var(&p.from, "from", -1, "the version that was read; 0 for a new document")
 	c.Flags().StringVar(&p.change, "change", "", "id of the change; the same id is applied once")
 	c.Flags().StringVar(&p.by, "by", "", "who makes the change, for the history")
@@ -173,7 +174,7 @@
 	return c
 }
 
-func (p *putFlags) send(w io.Writer, r *remote, path string, body []byte) error {
+func (p *putFlags) send(w io.Writer, vm *remote.VM, path string, body []byte) error {
 	if p.from < 0 {
 		return exit(ExitUsage, errors.New("--from: want the version that was read, or 0 for a new document"))
 	}
@@ -188,14 +189,14 @@
 	if p.dry {
 		uri += "?dry-run=true"
 	}
-	a, err := r.call(fasthttp.MethodPut, uri, body, headers...)
+	a, err := vm.Call(fasthttp.MethodPut, uri, body, headers...)
 	if err != nil {
-		return err
+		return failed(err)
 	}
-	if a.status != fasthttp.StatusOK {
-		return a.failed()
+	if err := a.Err(fasthttp.StatusOK); err != nil {
+		return failed(err)
 	}
-	v := a.value()
+	v := a.Value()
 	word := "accepted"
 	if p.dry {
 		word = "would be accepted"
@@ -211,7 +212,7 @@
 }
 
 func newHistory() *cobra.Command {
-	var r remote
+	var vm remote.VM
 	var o output
 	c := &cobra.Command{
 		Use:     "history PATH",
@@ -222,26 +223,26 @@
 			if err := o.check(formTable, formJSON); err != nil {
 				return err
 			}
-			a, err := r.get("/v1/history" + args[0])
+			a, err := vm.Get("/v1/history" + args[0])
 			if err != nil {
-				return err
+				return failed(err)
 			}
 			if o.form == formJSON {
-				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.body)
+				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.Body)
 				return nil
 			}
 			return printHistory(c.OutOrStdout(), a)
 		},
 	}
-	r.flags(c)
+	remoteFlags(c, &vm)
 	o.flags(c, "table or json")
 	return c
 }
 
-func printHistory(w io.Writer, a *answer) error {
+func printHistory(w io.Writer, a *remote.Answer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "AT\tBY\tCHANGE\tWHAT")
-	for _, v := range a.value().GetArray("changes") {
+	for _, v := range a.Value().GetArray("changes") {
 		var what []string
 		for _, d := range v.GetArray("diff") {
 			what = append(what, string(d.GetStringBytes()))
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -33,6 +33,7 @@
 	"umberladder/internal/route/plain"
 	"umberladder/internal/state/amend"
 	"umberladder/internal/state/claim"
+	"umberladder/internal/state/direct"
 	"umberladder/internal/state/fleet"
 	"umberladder/internal/state/member"
 	"umberladder/internal/state/spread"
@@ -148,7 +149,7 @@
 		VM:       cfg.Name,
 		Settings: v.settings,
 		Gate:     gate.New(v.fleet),
-		Claims:   claim.New(cfg.Name, v.fleet, v.keeper, claim.NewDirect(v.store), v.peers),
+		Claims:   claim.New(cfg.Name, v.fleet, v.keeper, direct.New(v.store), v.peers),
 		Loads:    v.loads,
 		Runner:   gener.New(cfg.Generate, engines, budget, v.book, rec, v.group, v.fork()),
 		Plain:    plain.New(peerplain.New(dialer, cfg.Limits.Answer), budget, v.fork()),
--- a/internal/route/entry/generate.go
+++ b/internal/route/entry/generate.go
@@ -12,6 +12,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/peer/caller"
+	"umberladder/internal/peer/openai"
 	"umberladder/internal/peer/proto"
 	"umberladder/internal/route/gate"
 	"umberladder/internal/route/gener"
@@ -30,19 +31,19 @@
 }
 
 // Whole implements caller.Handler.
-func (e *Entry) Whole(ctx context.Context, g caller.Generation) (caller.Whole, *refuse.Refusal) {
+func (e *Entry) Whole(ctx context.Context, g caller.Generation) (openai.Whole, *refuse.Refusal) {
 	s, refusal := e.open(ctx, g)
 	if refusal != nil {
-		return caller.Whole{}, refusal
+		return openai.Whole{}, refusal
 	}
-	w := caller.Whole{Request: s.target.request, PromptTokens: promptTokens(g.Prompt)}
+	w := openai.Whole{Request: s.target.request, PromptTokens: promptTokens(g.Prompt)}
 	if old := s.claim.replay; old != nil {
 		w.Text, w.Finish = string(old.GetBody()), old.GetContentType()
 		s.complete(len(w.Text))
 		return w, nil
 	}
 	if w.Text, w.Finish, refusal = s.flight.Whole(); refusal != nil {
-		return caller.Whole{}, s.refuse(refusal)
+		return openai.Whole{}, s.refuse(refusal)
 	}
 	s.answer = wholeAnswer(w.Text, w.Finish)
 	w.Tokens = s.flight.Record.Tokens
@@ -176,28 +177,28 @@
 }
 
 // Next implements caller.Stream.
-func (s *stream) Next() (caller.Token, *refuse.Refusal) {
+func (s *stream) Next() (openai.Token, *refuse.Refusal) {
 	if s.claim.replaying() {
 		return s.replay(), nil
 	}
 	t, refusal := s.flight.Next()
 	if refusal != nil {
-		return caller.Token{}, s.refuse(refusal)
+		return openai.Token{}, s.refuse(refusal)
 	}
 	s.ended = t.End()
 	s.keep(t)
-	return caller.Token{Index: t.Index, Text: t.Text, Finish: t.Finish}, nil
+	return openai.Token{Index: t.Index, Text: t.Text, Finish: t.Finish}, nil
 }
 
 // replay yields a kept answer: its text as one token, then its end.
-func (s *stream) replay() caller.Token {
+func (s *stream) replay() openai.Token {
 	old := s.claim.replay
 	if s.text == nil && len(old.GetBody()) > 0 {
 		s.text = old.GetBody()
-		return caller.Token{Text: string(s.text)}
+		return openai.Token{Text: string(s.text)}
 	}
 	s.ended = true
-	return caller.Token{Index: 1, Finish: old.GetContentType()}
+	return openai.Token{Index: 1, Finish: old.GetContentType()}
 }
 
 // keep gathers the text of a keyed stream, and its answer at the end.
--- a/internal/state/amend/amend.go
+++ b/internal/state/amend/amend.go
@@ -170,7 +170,7 @@
 	v, version, readErr := a.Read(ctx, c.Path)
 	switch {
 	case readErr != nil:
-		return 0, false, nil
+		return 0, false, nil //nolint:nilerr // a failed read settles nothing
 	case v.Has(c.ID):
 		return version, true, nil
 	case version != c.Want:
--- a/internal/state/claim/claims.go
+++ b/internal/state/claim/claims.go
@@ -9,6 +9,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/peer/proto"
+	"umberladder/internal/state/direct"
 	"umberladder/internal/state/member"
 )
 
@@ -30,12 +31,12 @@
 	vm     ident.VM
 	fleet  Fleet
 	keeper *Keeper
-	direct *Direct
+	direct *direct.Claims
 	asker  Asker
 }
 
 // New makes the claims of a VM.
-func New(vm ident.VM, f Fleet, k *Keeper, d *Direct, a Asker) *Claims {
+func New(vm ident.VM, f Fleet, k *Keeper, d *direct.Claims, a Asker) *Claims {
 	return &Claims{vm: vm, fleet: f, keeper: k, direct: d, asker: a}
 }
 
@@ -61,7 +62,7 @@
 			return judge(v, answer)
 		}
 	}
-	return nil, claimsDown("the VM that keeps the key does not answer")
+	return nil, direct.Down("the VM that keeps the key does not answer")
 }
 
 // ask asks the shard's home. Asking again is safe: a holder knows a request
@@ -86,7 +87,7 @@
 		return answer, nil
 	case Running:
 		return nil, refuse.New(refuse.InProgress, "an earlier call with this key has not ended").
-			With(refuse.RanMaybe).After(comeAgain)
+			With(refuse.RanMaybe).After(direct.ComeAgain)
 	case Mismatch:
 		return nil, refuse.New(refuse.KeyReused, "this key came with another method, path, service or body")
 	case Early:
--- a/internal/state/claim/keeper.go
+++ b/internal/state/claim/keeper.go
@@ -30,6 +30,16 @@
 	handTime  = 3 * time.Second
 )
 
+// Store is what the keeper needs of the platform's key-value service.
+type Store interface {
+	Get(ctx context.Context, path string) (store.Item, error)
+	Put(ctx context.Context, path string, value []byte, want, lease uint64) (uint64, error)
+	Delete(ctx context.Context, path string, want uint64) error
+	Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
+	Renew(ctx context.Context, id uint64) (store.Lease, error)
+	Revoke(ctx context.Context, id uint64) error
+}
+
 // Fleet tells the membership.
 type Fleet interface {
 	View() *fleet.View
--- a/internal/state/claim/direct.go
+++ b/internal/state/direct/direct.go
@@ -1,4 +1,4 @@
-package claim
+package direct
 
 import (
 	"context"
@@ -20,22 +20,21 @@
 	directKept = 24 * time.Hour
 	// directRoll is how long new keys share one lease.
 	directRoll = time.Hour
-	comeAgain  = time.Second
+	// ComeAgain is when a caller whose key can't be decided should come back.
+	ComeAgain = time.Second
 )
 
-// Store is what claims need of the platform's key-value service.
+// Store is what the claims need of the platform's key-value service.
 type Store interface {
 	Get(ctx context.Context, path string) (store.Item, error)
 	Put(ctx context.Context, path string, value []byte, want, lease uint64) (uint64, error)
 	Delete(ctx context.Context, path string, want uint64) error
 	Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
-	Renew(ctx context.Context, id uint64) (store.Lease, error)
-	Revoke(ctx context.Context, id uint64) error
 }
 
-// Direct claims keys by a write to the store each. It serves keys that say
+// Claims claims keys by a write to the store each. It serves keys that say
 // nothing of their age. It is safe for use by several goroutines.
-type Direct struct {
+type Claims struct {
 	store Store
 
 	mu     sync.Mutex
@@ -43,14 +42,14 @@
 	opened time.Time
 }
 
-// NewDirect makes a claimer over the store.
-func NewDirect(s Store) *Direct { return &Direct{store: s} }
+// New makes a claimer over the store.
+func New(s Store) *Claims { return &Claims{store: s} }
 
 // Claim lets the request run the key if no request has claimed it before.
-func (d *Direct) Claim(ctx context.Context, w ident.Workspace, key string, r ident.Request) *refuse.Refusal {
+func (d *Claims) Claim(ctx context.Context, w ident.Workspace, key string, r ident.Request) *refuse.Refusal {
 	lease, err := d.current(ctx)
 	if err != nil {
-		return claimsDown("the store that keeps the key can't be reached")
+		return Down("the store that keeps the key can't be reached")
 	}
 	path := directPath(w, key)
 	_, err = d.store.Put(ctx, path, []byte(r), 0, lease)
@@ -63,13 +62,13 @@
 		// The write may have taken effect: only a read can tell.
 		return d.taken(ctx, path, r)
 	default:
-		return claimsDown("the store that keeps the key can't be reached")
+		return Down("the store that keeps the key can't be reached")
 	}
 }
 
 // taken reads who has the key: this request itself, if the reply to its write
 // was lost.
-func (d *Direct) taken(ctx context.Context, path string, r ident.Request) *refuse.Refusal {
+func (d *Claims) taken(ctx context.Context, path string, r ident.Request) *refuse.Refusal {
 	it, err := d.store.Get(ctx, path)
 	switch {
 	case err == nil && string(it.Value) == string(r):
@@ -79,12 +78,12 @@
 	default:
 		// Not written, or written and not to be read now: either way this
 		// request is not run, and the key may be left behind unused.
-		return claimsDown("the store that keeps the key does not answer")
+		return Down("the store that keeps the key does not answer")
 	}
 }
 
 // Release gives back the key of a request that provably never ran.
-func (d *Direct) Release(ctx context.Context, w ident.Workspace, key string, r ident.Request) error {
+func (d *Claims) Release(ctx context.Context, w ident.Workspace, key string, r ident.Request) error {
 	path := directPath(w, key)
 	it, err := d.store.Get(ctx, path)
 	if err != nil {
@@ -98,7 +97,7 @@
 
 // current returns the lease that new keys are written under. It is never
 // renewed, so its keys go some time after the last of them.
-func (d *Direct) current(ctx context.Context) (uint64, error) {
+func (d *Claims) current(ctx context.Context) (uint64, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lease != 0 && time.Since(d.opened) < directRoll {
@@ -117,6 +116,7 @@
 	return directPrefix + string(w) + "/" + hex.EncodeToString(sum[:16])
 }
 
-func claimsDown(detail string) *refuse.Refusal {
-	return refuse.New(refuse.ClaimsDown, "%s", detail).After(comeAgain)
+// Down returns the refusal of a key that can't be decided now.
+func Down(detail string) *refuse.Refusal {
+	return refuse.New(refuse.ClaimsDown, "%s", detail).After(ComeAgain)
 }
