--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -241,7 +241,7 @@
 // unreadable answers a request that could not be read.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &small):
 		s.reject(ctx, refuse.New(refuse.HeaderTooLarge, "the header section is over %d bytes", s.cfg.Header))
--- a/internal/peer/link/dialer.go
+++ b/internal/peer/link/dialer.go
@@ -158,7 +158,8 @@
 
 // Timeout reports whether err came from a deadline.
 func Timeout(err error) bool {
-	var n net.Error
+	// The codec has an error of its own for it, which is no net.Error.
+	var n interface{ Timeout() bool }
 	return errors.As(err, &n) && n.Timeout()
 }
 
--- /dev/null
+++ b/internal/peer/link/link_test.go
@@ -0,0 +1,180 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+)
+
+// serve runs f on each connection to a new listener, numbered from 0.
+func serve(t *testing.T, f func(n int, c net.Conn, r *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	g, ctx := errgroup.WithContext(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
+	g.Go(func() error {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return nil
+			}
+			context.AfterFunc(ctx, func() { _ = c.Close() })
+			g.Go(func() error {
+				f(n, c, bufio.NewReader(c))
+				return c.Close()
+			})
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = ln.Close()
+		_ = g.Wait()
+	})
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// readRequest reads one request and returns its path.
+func readRequest(r *bufio.Reader) (string, error) {
+	var req fasthttp.Request
+	err := req.Read(r)
+	return string(req.URI().Path()), err
+}
+
+func answer(c net.Conn, body string) {
+	var resp fasthttp.Response
+	resp.SetBodyString(body)
+	w := bufio.NewWriter(c)
+	_ = resp.Write(w)
+	_ = w.Flush()
+}
+
+func do(d *Dialer, addr netip.AddrPort, path string, o Options) (string, error) {
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI(path)
+	o.Body = 1 << 20
+	err := d.Do(context.Background(), addr, &req, &resp, o)
+	return string(resp.Body()), err
+}
+
+func newDialer() *Dialer { return New(time.Second, 300*time.Millisecond, 4) }
+
+// TestLateAnswer lets a call time out and then answers it: the next call must
+// get its own answer, not the late one.
+func TestLateAnswer(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			path, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if path == "/slow" {
+				time.Sleep(400 * time.Millisecond)
+			}
+			answer(c, path)
+		}
+	})
+	d := newDialer()
+	for range 3 {
+		_, err := do(d, addr, "/slow", Options{})
+		assert.Assert(t, Timeout(err), "%v", err)
+		time.Sleep(150 * time.Millisecond)
+		body, err := do(d, addr, "/fast", Options{})
+		assert.NilError(t, err)
+		assert.Equal(t, body, "/fast")
+	}
+}
+
+// TestDoubledAnswer has a server that sends every answer twice: the copy must
+// not be taken for the answer to the next call.
+func TestDoubledAnswer(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			path, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, path)
+			time.Sleep(20 * time.Millisecond)
+			answer(c, path)
+		}
+	})
+	d := newDialer()
+	for _, path := range []string{"/a", "/b", "/c"} {
+		body, err := do(d, addr, path, Options{})
+		assert.NilError(t, err)
+		assert.Equal(t, body, path)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func TestReuse(t *testing.T) {
+	conns := make(chan int, 10)
+	addr := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		conns <- n
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			answer(c, "ok")
+		}
+	})
+	d := newDialer()
+	for range 3 {
+		_, err := do(d, addr, "/", Options{})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(conns), 1, "a kept connection is used again")
+	_, err := do(d, addr, "/", Options{Fresh: true})
+	assert.NilError(t, err)
+	assert.Equal(t, len(conns), 2, "a fresh one is not")
+}
+
+func TestErrors(t *testing.T) {
+	var le *Error
+	t.Run("no connection", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addr := ln.Addr().(*net.TCPAddr).AddrPort()
+		_ = ln.Close()
+		_, err = do(newDialer(), addr, "/", Options{})
+		assert.Assert(t, errors.As(err, &le))
+		assert.Assert(t, le.Unsent() && le.Stage == Connect)
+	})
+	t.Run("closed without a word", func(t *testing.T) {
+		addr := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = readRequest(r) })
+		_, err := do(newDialer(), addr, "/", Options{})
+		assert.Assert(t, errors.As(err, &le))
+		assert.Assert(t, !le.Unsent() && le.Stage == Read && le.Written > 0)
+	})
+	t.Run("cut in the body", func(t *testing.T) {
+		addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"))
+		})
+		_, err := do(newDialer(), addr, "/", Options{})
+		assert.Assert(t, errors.As(err, &le))
+		assert.Equal(t, le.Stage, Read)
+	})
+	t.Run("the caller's context ends", func(t *testing.T) {
+		addr := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			time.Sleep(200 * time.Millisecond)
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		err := newDialer().Do(ctx, addr, &req, &resp, Options{Body: 10})
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	})
+}
--- /dev/null
+++ b/internal/policy/limit/limit_test.go
@@ -0,0 +1,54 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "umberladder/internal/test/check" // fixes the seed of rapid
+)
+
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(0, 10000).Draw(t, "limit")
+		n := rapid.IntRange(1, 400).Draw(t, "vms")
+		sum := 0
+		for i := range n {
+			sum += Share(bound, i, n)
+		}
+		assert.Equal(t, sum, bound)
+	})
+}
+
+// TestBucketNeverBeatsTheRate takes and waits at random: what is taken over a
+// time is at most the rate, the first second's store, and one last take.
+func TestBucketNeverBeatsTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(1, 1000).Draw(t, "rate"))
+		now := time.Unix(0, 0)
+		b := NewBucket(rate, now)
+		taken, last := 0, 0
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if b.Wait(now) > 0 {
+				continue
+			}
+			last = rapid.IntRange(0, 500).Draw(t, "tokens")
+			b.Take(last, now)
+			taken += last
+		}
+		allowed := rate*(1+now.Sub(time.Unix(0, 0)).Seconds()) + float64(last)
+		assert.Assert(t, float64(taken) <= allowed+1e-6, "%d taken, %g allowed", taken, allowed)
+	})
+}
+
+func TestWaitIsHonest(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBucket(100, now)
+	b.Take(350, now)
+	wait := b.Wait(now)
+	assert.Equal(t, wait, 2500*time.Millisecond)
+	assert.Equal(t, b.Wait(now.Add(wait)), time.Duration(0))
+}
--- /dev/null
+++ b/internal/policy/place/place_test.go
@@ -0,0 +1,93 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/policy/length"
+)
+
+func engines(n int, used float64) []Engine {
+	out := make([]Engine, n)
+	for i := range out {
+		out[i] = Engine{Size: 1000, Weight: 1, Affinity: uint64(i)}
+		for j := range out[i].Predicted.Mean {
+			out[i].Predicted.Mean[j] = used
+		}
+	}
+	return out
+}
+
+func ask() *Ask {
+	a := &Ask{Z: length.Z(0.05), Room: 1}
+	for j := range a.Share.Mean {
+		a.Share.Mean[j], a.Share.Var[j] = 50, 2500
+	}
+	return a
+}
+
+func TestPredicted(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	p := Predicted{}
+	t.Run("takes the engine with the prefix", func(t *testing.T) {
+		assert.Equal(t, p.Choose(ask(), engines(4, 300), rng), 3)
+	})
+	t.Run("unless it is much fuller", func(t *testing.T) {
+		e := engines(4, 300)
+		e[3].Predicted.Mean[0] = 600
+		assert.Assert(t, p.Choose(ask(), e, rng) != 3)
+	})
+	t.Run("never one that would overflow", func(t *testing.T) {
+		e := engines(4, 990)
+		e[1].Predicted = length.Share{}
+		for range 50 {
+			assert.Equal(t, p.Choose(ask(), e, rng), 1)
+		}
+	})
+	t.Run("none if all would", func(t *testing.T) {
+		assert.Equal(t, p.Choose(ask(), engines(4, 990), rng), -1)
+	})
+	t.Run("leaves the reserve free", func(t *testing.T) {
+		a := ask()
+		a.Room = 0.5
+		assert.Equal(t, p.Choose(a, engines(4, 450), rng), -1)
+	})
+	t.Run("skips what may not be chosen", func(t *testing.T) {
+		e := engines(2, 0)
+		e[1].Skip = true
+		assert.Equal(t, p.Choose(ask(), e, rng), 0)
+	})
+}
+
+func TestBaselinesSkip(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, name := range []string{"predicted", "round-robin", "least-load", "two-choices"} {
+		t.Run(name, func(t *testing.T) {
+			c := New(name)
+			e := engines(3, 0)
+			e[0].Skip, e[2].Skip = true, true
+			for range 10 {
+				assert.Equal(t, c.Choose(ask(), e, rng), 1)
+			}
+			e[1].Skip = true
+			assert.Equal(t, c.Choose(ask(), e, rng), -1)
+		})
+	}
+	assert.Assert(t, New("other") == nil)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{16, 128, 2048} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			e, a := engines(n, 300), ask()
+			b.ReportAllocs()
+			for b.Loop() {
+				Predicted{}.Choose(a, e, rng)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/test/check/check.go
@@ -0,0 +1,54 @@
+// Package check holds the assertions that tests share.
+package check
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/invar"
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/state/config"
+)
+
+// Invariants fails the test if any invariant was violated.
+func Invariants(t testing.TB, b *invar.Book) {
+	t.Helper()
+	for _, n := range invar.All() {
+		assert.Equal(t, b.Count(n), uint64(0), "violations of %s", n)
+	}
+}
+
+// Refusal fails the test unless r has the reason and the truth about its run,
+// and says when to come back if and only if it should.
+func Refusal(t testing.TB, r *refuse.Refusal, reason refuse.Reason, ran refuse.Ran) {
+	t.Helper()
+	assert.Assert(t, r != nil, "no refusal")
+	assert.Equal(t, r.Reason.String(), reason.String(), r.Detail)
+	assert.Equal(t, r.Ran.String(), ran.String(), r.Detail)
+}
+
+// Field fails the test unless err names the path and says what is wanted.
+func Field(t testing.TB, err error, path, want string) {
+	t.Helper()
+	var f *config.FieldError
+	assert.Assert(t, errors.As(err, &f), "%v names no field", err)
+	assert.Equal(t, f.Path, path, f.Want)
+	assert.Assert(t, strings.Contains(f.Want, want), "%q does not say %q", f.Want, want)
+}
+
+// Within fails the test unless ok becomes true in time.
+func Within(t testing.TB, d time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(d); ; time.Sleep(d / 200) {
+		if ok() {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", d, what)
+		}
+	}
+}
