Bring about failures, singly and in pairs, and race operators

Cause: the promises have to be proved under failure against the real processes.

Every answer is checked against the order, refusals and doubles against records that outlive the stand-ins, invariants against the VMs' logs, and operators' answers against the documents' histories.

Before: the calm run alone.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Builds, starts all processes, serves a few hundred mixed requests, checks
 # every answer, and stops the processes. The last line is a JSON summary.
 demo: build
-	@scripts/demo.sh $(RUN) $(BIN)
+	@scripts/demo.sh $(RUN)/demo $(BIN) 10 calm --requests 300 --duration 1m
 
 test: build
 	$(GO) test ./...
--- a/cmd/stress/run.go
+++ b/cmd/stress/run.go
@@ -1,51 +1,67 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
-	"umberladder/internal/fake/record"
 	"umberladder/internal/load/drive"
+	"umberladder/internal/load/scene"
 )
 
 var errBroken = errors.New("a promise was broken")
 
+func newList() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the scenes",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			for _, s := range scene.All() {
+				fmt.Fprintf(t, "%s\t%s\n", s.Name, s.About)
+			}
+			return t.Flush()
+		},
+	}
+}
+
 func newRun() *cobra.Command {
 	var flags fleetFlags
 	var seed uint64
 	mix := drive.DefaultMix()
 	c := &cobra.Command{
-		Use:   "run",
-		Short: "Send a mixture of requests to a running fleet and check every answer",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			f, err := flags.fleet()
+		Use:     "run SCENE",
+		Short:   "Put a running fleet through a scene and check every answer",
+		Example: "  stress run calm --requests 300\n  stress run pairs --seed 7 --duration 10m",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := scene.Find(args[0])
 			if err != nil {
 				return err
 			}
-			run := drive.Send(c.Context(), f.VMs, mix.Orders(seed), seed)
-			runs, err := record.Read(f.Records())
+			f, err := flags.fleet()
 			if err != nil {
 				return err
 			}
-			s := run.Summarise(runs)
-			line, err := json.Marshal(s)
+			res, err := s.Run(c.Context(), f, mix, seed)
 			if err != nil {
 				return err
 			}
-			fmt.Fprintln(c.OutOrStdout(), string(line))
-			if !s.Held() {
+			fmt.Fprintln(c.OutOrStdout(), res.Line())
+			if !res.Held {
 				return errBroken
 			}
 			return nil
 		},
 	}
 	flags.add(c)
-	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the requests")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the requests and failures")
 	c.Flags().Float64Var(&mix.Rate, "rate", mix.Rate, "requests a second")
-	c.Flags().IntVar(&mix.Requests, "requests", mix.Requests, "how many requests")
+	c.Flags().IntVar(&mix.Requests, "requests", 0, "how many requests; 0: until the duration is over")
+	c.Flags().DurationVar(&mix.Duration, "duration", 30*time.Second, "how long requests are sent and failures brought about")
 	return c
 }
--- a/internal/core/token/cursor_test.go
+++ b/internal/core/token/cursor_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestCursor offers tokens in any order, repeated and from other generations,
-// and holds the accepted ones against the only right answer: 0, 1, 2, …
+// and holds the accepted ones against the only right answer, 0, 1, 2 and so on.
 func TestCursor(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := New("g", 0)
--- a/internal/load/drive/client.go
+++ b/internal/load/drive/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+	"golang.org/x/sync/errgroup"
 
 	"umberladder/internal/load/plan"
 )
@@ -24,11 +26,17 @@
 	maxSends    = 8
 	maxResumes  = 20
 	resendPause = 150 * time.Millisecond
+	probeEvery  = 200 * time.Millisecond
+	probeTime   = time.Second
 	deadline    = 120 * time.Second
 )
 
-// errBroken is a connection that ended without a word or in mid-stream.
-var errBroken = errors.New("the connection broke")
+var (
+	// errBroken is a connection that ended without a word or in mid-stream.
+	errBroken = errors.New("the connection broke")
+	// errUnsent is a connection that was never made.
+	errUnsent = errors.New("no connection")
+)
 
 // Client sends orders to VMs. It is safe for use by several goroutines.
 type Client struct {
@@ -36,15 +44,16 @@
 	vms  []plan.Node
 	gap  func(time.Duration)
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu    sync.Mutex
+	rng   *rand.Rand
+	ready []plan.Node // the VMs that said so when last asked
 }
 
 // NewClient makes a client that spreads requests over the VMs as a balancer
 // would; gap is told the time between two tokens.
 func NewClient(vms []plan.Node, seed uint64, gap func(time.Duration)) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
-	return &Client{http: &http.Client{Transport: t}, vms: vms, gap: gap, rng: rand.New(rand.NewPCG(seed, 11))}
+	return &Client{http: &http.Client{Transport: t}, vms: vms, ready: vms, gap: gap, rng: rand.New(rand.NewPCG(seed, 11))}
 }
 
 // Close drops the kept connections.
@@ -53,7 +62,54 @@
 func (c *Client) pick() plan.Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.vms[c.rng.IntN(len(c.vms))]
+	if len(c.ready) == 0 {
+		return c.vms[c.rng.IntN(len(c.vms))]
+	}
+	return c.ready[c.rng.IntN(len(c.ready))]
+}
+
+// Balance asks every VM whether it is ready until ctx ends, as the platform's
+// balancer does.
+func (c *Client) Balance(ctx context.Context) error {
+	probe := &http.Client{Timeout: probeTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		up := make([]bool, len(c.vms))
+		var g errgroup.Group
+		for i, vm := range c.vms {
+			g.Go(func() error {
+				up[i] = isReady(ctx, probe, vm)
+				return nil
+			})
+		}
+		_ = g.Wait()
+		var ready []plan.Node
+		for i, vm := range c.vms {
+			if up[i] {
+				ready = append(ready, vm)
+			}
+		}
+		c.mu.Lock()
+		c.ready = ready
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(probeEvery):
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, probe *http.Client, vm plan.Node) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Address.String()+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := probe.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // attempt is one order on its way.
@@ -96,6 +152,7 @@
 		case a.handle != "" || ctx.Err() != nil:
 			a.end(Lost, err.Error())
 			return
+		case errors.Is(err, errUnsent):
 		case a.order.AtMostOnce && !a.order.Keyed:
 			a.end(Broken, err.Error())
 			return
@@ -155,6 +212,10 @@
 	req.Header.Set("Authorization", "Bearer "+plan.CallerKey(a.order.Workspace))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := a.client.http.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w: %w", errBroken, errUnsent, err)
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", errBroken, err)
 	}
--- a/internal/load/drive/run.go
+++ b/internal/load/drive/run.go
@@ -57,6 +57,13 @@
 	r := &Run{Results: make([]Result, len(orders)), Gaps: NewHistogram(), First: NewHistogram(), Urgent: NewHistogram()}
 	c := NewClient(vms, seed, r.Gaps.Add)
 	defer c.Close()
+	poll, stop := context.WithCancel(ctx)
+	var balancer errgroup.Group
+	balancer.Go(func() error { return c.Balance(poll) })
+	defer func() {
+		stop()
+		_ = balancer.Wait()
+	}()
 	start := time.Now()
 	var g errgroup.Group
 	for i, o := range orders {
@@ -88,6 +95,17 @@
 	}
 }
 
+// CutOff returns how many requests saw a connection break.
+func (r *Run) CutOff() int {
+	n := 0
+	for i := range r.Results {
+		if res := &r.Results[i]; res.Sends > 1 || res.Resumes > 0 || res.Outcome == Broken {
+			n++
+		}
+	}
+	return n
+}
+
 // Summary is the one-line result of a run.
 type Summary struct {
 	Requests    int            `json:"requests"`
--- /dev/null
+++ b/internal/load/scene/scene.go
@@ -0,0 +1,222 @@
+// Package scene names the trials that a fleet is put through: a load, the
+// failures that strike meanwhile, and what must hold at the end.
+package scene
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/fake/record"
+	"umberladder/internal/load/drive"
+	"umberladder/internal/load/fault"
+	"umberladder/internal/load/plan"
+	"umberladder/internal/load/rivals"
+)
+
+// Scene is one trial.
+type Scene struct {
+	Name  string
+	About string
+	// Graceful says that no VM dies: then no caller may see a connection
+	// break.
+	Graceful bool
+	Race     bool // operators race meanwhile
+	Faults   func(ctx context.Context, w *fault.World) error
+}
+
+// All lists the scenes: without failures, each kind of failure alone, all in
+// pairs, a rolling restart, and racing operators.
+func All() []Scene {
+	out := []Scene{
+		{Name: "calm", About: "no failures", Graceful: true, Faults: none},
+		{Name: "pairs", About: "failures of all kinds, two at a time, drawn from the seed", Race: true, Faults: pairs},
+		{Name: "rolling", About: "every VM is stopped gracefully in turn", Graceful: true, Faults: rolling},
+		{Name: "settings-race", About: "operators race on one team and on two", Graceful: true, Race: true, Faults: none},
+		{Name: "store-outage", About: "operators race while the store is down, slow, or loses replies", Graceful: true, Race: true, Faults: storeOutage},
+	}
+	for _, k := range fault.Kinds() {
+		out = append(out, Scene{
+			Name:     k.Name,
+			About:    "this failure alone, again and again",
+			Graceful: !k.HitsVM,
+			Faults:   only(k),
+		})
+	}
+	return out
+}
+
+// Find returns the scene of a name.
+func Find(name string) (Scene, error) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Scene{}, trace.NotFound("there is no scene %q; see stress list", name)
+}
+
+func none(ctx context.Context, _ *fault.World) error {
+	<-ctx.Done()
+	return nil
+}
+
+const (
+	restLeast = 500 * time.Millisecond
+	restMost  = 3 * time.Second
+	rollEvery = 2500 * time.Millisecond
+)
+
+// strike brings one failure about, waits its time, and ends it.
+func strike(ctx context.Context, w *fault.World, k fault.Kind) error {
+	end, err := k.Start(w)
+	if err != nil {
+		return nil //nolint:nilerr // the process is just being started again
+	}
+	sleep(ctx, end.After)
+	for range 20 {
+		if end.Do() == nil {
+			return nil
+		}
+		time.Sleep(restLeast)
+	}
+	return trace.Errorf("the failure %s could not be ended", k.Name)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func rest(ctx context.Context, w *fault.World) {
+	sleep(ctx, restLeast+time.Duration(w.Rand.Int64N(int64(restMost-restLeast))))
+}
+
+func only(k fault.Kind) func(context.Context, *fault.World) error {
+	return func(ctx context.Context, w *fault.World) error {
+		for ctx.Err() == nil {
+			rest(ctx, w)
+			if err := strike(ctx, w, k); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func pairs(ctx context.Context, w *fault.World) error {
+	kinds := fault.Kinds()
+	for ctx.Err() == nil {
+		rest(ctx, w)
+		var g errgroup.Group
+		for range 2 {
+			k := kinds[w.Rand.IntN(len(kinds))]
+			one := fault.New(w.Fleet, rand.New(rand.NewPCG(w.Rand.Uint64(), 0)))
+			g.Go(func() error { return strike(ctx, one, k) })
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func rolling(ctx context.Context, w *fault.World) error {
+	for ctx.Err() == nil {
+		for _, vm := range w.Fleet.VMs {
+			if err := w.Drain(vm); err != nil {
+				return err
+			}
+			sleep(ctx, rollEvery)
+		}
+	}
+	return nil
+}
+
+func storeOutage(ctx context.Context, w *fault.World) error {
+	names := []string{"store-down", "store-slow", "store-loses-replies", "store-hang"}
+	for ctx.Err() == nil {
+		k, _ := fault.Find(names[w.Rand.IntN(len(names))])
+		rest(ctx, w)
+		if err := strike(ctx, w, k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Result is the one-line result of a trial.
+type Result struct {
+	Scene string `json:"scene"`
+	Seed  uint64 `json:"seed"`
+	drive.Summary
+	CutOff int `json:"cut-off"` // connections that broke though no VM died
+	// Violations counts the invariants that the VMs' logs say were violated.
+	Violations int            `json:"violations"`
+	Race       *rivals.Report `json:"race,omitempty"`
+	Held       bool           `json:"held"`
+}
+
+// violations counts them in the VMs' logs, which outlive the processes.
+func violations(f *plan.Fleet) (int, error) {
+	n := 0
+	for _, vm := range f.VMs {
+		data, err := os.ReadFile(filepath.Join(f.Dir, plan.LogDir, vm.Name+".log"))
+		if err != nil {
+			return 0, trace.ConvertSystemError(err)
+		}
+		n += strings.Count(string(data), "invariant violated")
+	}
+	return n, nil
+}
+
+// Line returns the result as one line of JSON.
+func (r *Result) Line() string {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+// Run puts a running fleet through the scene.
+func (s *Scene) Run(ctx context.Context, f *plan.Fleet, mix drive.Mix, seed uint64) (*Result, error) {
+	faults, cancel := context.WithTimeout(ctx, mix.Duration)
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error { return s.Faults(faults, fault.New(f, rand.New(rand.NewPCG(seed, 20)))) })
+	res := &Result{Scene: s.Name, Seed: seed}
+	if s.Race {
+		g.Go(func() error {
+			res.Race = rivals.New(f, seed).Run(faults)
+			return nil
+		})
+	}
+	run := drive.Send(ctx, f.VMs, mix.Orders(seed), seed)
+	cancel()
+	if err := g.Wait(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	runs, err := record.Read(f.Records())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	res.Summary = run.Summarise(runs)
+	if s.Graceful {
+		res.CutOff = run.CutOff()
+	}
+	if res.Violations, err = violations(f); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	res.Held = res.Summary.Held() && res.CutOff == 0 && res.Violations == 0 && (res.Race == nil || res.Race.Held())
+	return res, nil
+}
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -25,7 +25,7 @@
 		for n := 0; ; n++ {
 			c, err := ln.Accept()
 			if err != nil {
-				return nil
+				return nil //nolint:nilerr // the listener was closed
 			}
 			context.AfterFunc(ctx, func() { _ = c.Close() })
 			g.Go(func() error {
