--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -13,6 +13,8 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
+
+	"umberladder/internal/fake/quiet"
 )
 
 const (
@@ -23,7 +25,7 @@
 
 // Serve answers on ln until ctx ends.
 func (e *Engine) Serve(ctx context.Context, ln net.Listener) error {
-	s := &fasthttp.Server{Handler: e.handle, CloseOnShutdown: true, Name: "engine", NoDefaultDate: true}
+	s := &fasthttp.Server{Handler: e.handle, CloseOnShutdown: true, Name: "engine", NoDefaultDate: true, Logger: quiet.Log{}}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	err := s.Serve(ln)
--- a/internal/fake/plain/plain.go
+++ b/internal/fake/plain/plain.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"umberladder/internal/fake/quiet"
 	"umberladder/internal/fake/record"
 )
 
@@ -46,7 +47,7 @@
 
 // Serve answers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	h := &fasthttp.Server{Handler: s.handle, Name: s.name, NoDefaultDate: true}
+	h := &fasthttp.Server{Handler: s.handle, Name: s.name, NoDefaultDate: true, Logger: quiet.Log{}}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	err := h.Serve(ln)
--- a/internal/fake/store/server.go
+++ b/internal/fake/store/server.go
@@ -16,6 +16,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 	"golang.org/x/time/rate"
+
+	"umberladder/internal/fake/quiet"
 )
 
 const (
@@ -75,7 +77,7 @@
 
 // Serve answers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	h := &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * maxValue, Name: "store", NoDefaultDate: true}
+	h := &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * maxValue, Name: "store", NoDefaultDate: true, Logger: quiet.Log{}}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	err := h.Serve(ln)
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -39,6 +39,7 @@
 	Stall      time.Duration // longest time a caller may not read
 	MaxConns   int           // open connections
 	DrainDelay time.Duration // from not ready to closing the listener
+	Log        fasthttp.Logger
 }
 
 // Server serves callers over a handler.
@@ -65,6 +66,7 @@
 		Concurrency:        cfg.MaxConns,
 		CloseOnShutdown:    true,
 		NoDefaultDate:      true,
+		Logger:             cfg.Log,
 	}
 	return s
 }
--- a/internal/peer/engine/client.go
+++ b/internal/peer/engine/client.go
@@ -128,7 +128,7 @@
 		return nil, fromLink(err)
 	}
 	if resp.StatusCode() == fasthttp.StatusOK {
-		return &Stream{body: body}, nil
+		return NewStream(body), nil
 	}
 	defer func() { _ = body.Close() }()
 	return nil, refusal(resp)
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -38,6 +38,9 @@
 	parser fastjson.Parser
 }
 
+// NewStream returns the stream of events that body holds.
+func NewStream(body io.ReadCloser) *Stream { return &Stream{body: body} }
+
 // Close ends the link. The generation goes on for its detach time.
 func (s *Stream) Close() { _ = s.body.Close() }
 
--- a/internal/peer/oper/server.go
+++ b/internal/peer/oper/server.go
@@ -62,7 +62,7 @@
 
 // New makes a server. The keys in operators open everything, also before any
 // settings are there.
-func New(s Settings, a Amender, n Node, operators []config.KeyHash) *Server {
+func New(s Settings, a Amender, n Node, operators []config.KeyHash, log fasthttp.Logger) *Server {
 	o := &Server{settings: s, amender: a, node: n, operators: operators}
 	o.http = &fasthttp.Server{
 		Handler:            o.handle,
@@ -70,6 +70,7 @@
 		ReadTimeout:        readTime,
 		MaxRequestBodySize: maxBody,
 		NoDefaultDate:      true,
+		Logger:             log,
 	}
 	return o
 }
--- /dev/null
+++ b/internal/proc/serve/serve_test.go
@@ -0,0 +1,487 @@
+package serve_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/fake/engine"
+	"umberladder/internal/fake/plain"
+	"umberladder/internal/fake/store"
+	"umberladder/internal/load/plan"
+	"umberladder/internal/proc/conf"
+	"umberladder/internal/test/check"
+	"umberladder/internal/test/stand"
+)
+
+const (
+	completions = "/v1/completions"
+	book        = "/v1/services/" + plan.Bookings + "/do?tag="
+)
+
+// problem is the part of a problem document that these tests read.
+type problem struct {
+	Reason string
+	Ran    string
+	Detail string
+	Code   string
+	Limit  struct{ Path string }
+}
+
+func parse(t testing.TB, body string) problem {
+	t.Helper()
+	var p problem
+	assert.NilError(t, json.Unmarshal([]byte(body), &p), body)
+	return p
+}
+
+func order(tokens int, tag string) engine.Order {
+	return engine.Order{Tokens: tokens, Seed: 7, Tag: tag}
+}
+
+func generation(o engine.Order, more string) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q%s}`, plan.Proposals, o.Prompt(), more)
+}
+
+func key() string { return uuid.Must(uuid.NewV7()).String() }
+
+func small(c *conf.Node) {
+	c.Limits.Body = 4 << 10
+	c.Limits.Header = 2 << 10
+	c.Limits.Read = 400 * time.Millisecond
+	c.Limits.CallerStall = 300 * time.Millisecond
+}
+
+func TestCallers(t *testing.T) {
+	s := stand.New(t, 101, 2, small)
+	t.Run("bad input", func(t *testing.T) { badInput(t, s) })
+	t.Run("who may ask", func(t *testing.T) { whoMayAsk(t, s) })
+	t.Run("whole, chat and models", func(t *testing.T) { answers(t, s) })
+	t.Run("a slow sender is cut off", func(t *testing.T) { slowSender(t, s) })
+	t.Run("a caller that stops reading", func(t *testing.T) { stalledReader(t, s) })
+	t.Run("a refusal explains itself", func(t *testing.T) { explained(t, s) })
+	t.Run("resumed through another VM", func(t *testing.T) { resumed(t, s) })
+	t.Run("metrics", func(t *testing.T) {
+		code, body := s.Get(0, "/metrics", "")
+		assert.Equal(t, code, 200)
+		assert.Assert(t, strings.Contains(body, `umberladder_requests_total{workspace="installers"`))
+		assert.Assert(t, strings.Contains(body, `umberladder_invariant_violations_sum_total 0`), body)
+	})
+}
+
+func badInput(t *testing.T, s *stand.Stand) {
+	long := strings.Repeat("x", 5<<10)
+	for name, c := range map[string]struct {
+		path, body, reason, says string
+		code                     int
+	}{
+		"broken JSON":       {completions, `{"model":`, "bad-input", "not valid JSON", 400},
+		"not an object":     {completions, `[]`, "bad-input", "JSON object", 400},
+		"no model":          {completions, `{"prompt":"x"}`, "bad-input", "model:", 400},
+		"no prompt":         {completions, `{"model":"proposals"}`, "bad-input", "prompt:", 400},
+		"unknown model":     {completions, `{"model":"nothing","prompt":"x"}`, "not-found", "no such service", 404},
+		"negative tokens":   {completions, `{"model":"proposals","prompt":"x","max_tokens":-1}`, "bad-input", "max_tokens:", 400},
+		"absurd tokens":     {completions, `{"model":"proposals","prompt":"x","max_tokens":1e12}`, "bad-input", "max_tokens:", 400},
+		"several answers":   {completions, `{"model":"proposals","prompt":"x","n":3}`, "bad-input", "n:", 400},
+		"stream is no bool": {completions, `{"model":"proposals","prompt":"x","stream":"yes"}`, "bad-input", "stream:", 400},
+		"no messages":       {"/v1/chat/completions", `{"model":"proposals"}`, "bad-input", "messages:", 400},
+		"an image":          {"/v1/chat/completions", `{"model":"proposals","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, "bad-input", "messages/0/content", 400},
+		"a large body":      {completions, `{"model":"` + long + `"}`, "too-large", "4096 bytes", 413},
+		"nothing there":     {"/v2", ``, "not-found", "/v2", 404},
+		"a bad handle":      {"/v1/resume/AAAA", ``, "not-found", "seal", 404},
+		"a bad service":     {"/v1/services/../x", ``, "not-found", "", 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, body, _ := s.Call(0, http.MethodPost, c.path, plan.Installers, c.body)
+			assert.Equal(t, code, c.code, body)
+			p := parse(t, body)
+			assert.Equal(t, p.Reason, c.reason)
+			assert.Equal(t, p.Ran, "no")
+			assert.Assert(t, strings.Contains(p.Detail, c.says), "%q does not say %q", p.Detail, c.says)
+		})
+	}
+	t.Run("a large header", func(t *testing.T) {
+		code, body, _ := s.Call(0, http.MethodGet, "/v1/models", plan.Installers, "", "X-Large", long)
+		assert.Equal(t, code, 431, body)
+		assert.Equal(t, parse(t, body).Reason, "header-too-large")
+	})
+	t.Run("a class that is not there", func(t *testing.T) {
+		code, body, _ := s.Call(0, http.MethodPost, completions, plan.Installers, generation(order(1, "c"), ""), "Umberladder-Class", "first")
+		assert.Equal(t, code, 400, body)
+	})
+}
+
+func whoMayAsk(t *testing.T, s *stand.Stand) {
+	code, body, _ := s.Call(0, http.MethodPost, completions, "nobody", generation(order(1, "w"), ""))
+	assert.Equal(t, code, 401)
+	assert.Equal(t, parse(t, body).Reason, "wrong-key")
+	triage := fmt.Sprintf(`{"model":%q,"prompt":"x"}`, plan.Triage)
+	code, _, _ = s.Call(0, http.MethodPost, completions, plan.Installers, triage)
+	assert.Equal(t, code, 404, "another team's service")
+	code, _, _ = s.Call(0, http.MethodPost, completions, plan.Faultdesk, triage)
+	assert.Equal(t, code, 200)
+}
+
+func answers(t *testing.T, s *stand.Stand) {
+	o := order(5, "whole")
+	code, body, _ := s.Call(1, http.MethodPost, completions, plan.Installers, generation(o, ""))
+	assert.Equal(t, code, 200, body)
+	var c struct {
+		Choices []struct {
+			Text    string
+			Message struct{ Content string }
+		}
+		Usage struct {
+			Completion int `json:"completion_tokens"`
+		}
+	}
+	assert.NilError(t, json.Unmarshal([]byte(body), &c))
+	assert.NilError(t, o.CheckText(c.Choices[0].Text))
+	assert.Equal(t, c.Usage.Completion, 5)
+
+	chat := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"max_completion_tokens":3}`, plan.Proposals, o.Prompt())
+	code, body, _ = s.Call(1, http.MethodPost, "/v1/chat/completions", plan.Installers, chat)
+	assert.Equal(t, code, 200, body)
+	assert.NilError(t, json.Unmarshal([]byte(body), &c))
+	assert.Equal(t, len(strings.Fields(c.Choices[0].Message.Content)), 3)
+
+	code, body = s.Get(0, "/v1/models", plan.Installers)
+	assert.Equal(t, code, 200)
+	assert.Assert(t, strings.Contains(body, plan.Proposals) && !strings.Contains(body, plan.Triage) && !strings.Contains(body, plan.Bookings))
+}
+
+// slowSender sends a byte now and then, as a slow-loris does.
+func slowSender(t *testing.T, s *stand.Stand) {
+	c, err := net.Dial("tcp", s.Fleet.VMs[0].Address.String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	start := time.Now()
+	for time.Since(start) < 5*time.Second {
+		if _, err := c.Write([]byte("P")); err != nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Assert(t, time.Since(start) < 3*time.Second, "still connected after %s", time.Since(start))
+}
+
+// stalledReader asks for a long stream and does not read it: it costs one
+// connection for a bounded time, and the VM goes on serving.
+func stalledReader(t *testing.T, s *stand.Stand) {
+	before := openOf(t, s)
+	c, err := net.Dial("tcp", s.Fleet.VMs[0].Address.String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(1<<10))
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"prompt":%q}`, plan.Proposals, order(1500, "stalled").Prompt())
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		completions, plan.CallerKey(plan.Installers), len(body), body)
+	assert.NilError(t, err)
+	code, _, _ := s.Call(0, http.MethodPost, completions, plan.Installers, generation(order(3, "beside"), ""))
+	assert.Equal(t, code, 200)
+	check.Within(t, 15*time.Second, "the stalled stream ends", func() bool { return openOf(t, s) <= before })
+}
+
+// openOf returns how many requests VM 0 has ended as left or complete.
+func openOf(t *testing.T, s *stand.Stand) int {
+	t.Helper()
+	_, body := s.Get(0, "/metrics", "")
+	ended := 0
+	for _, line := range strings.Split(body, "\n") {
+		if strings.HasPrefix(line, "umberladder_requests_total") && strings.Contains(line, `outcome="left"`) {
+			ended++
+		}
+	}
+	return -ended
+}
+
+func explained(t *testing.T, s *stand.Stand) {
+	_, body, _ := s.Call(0, http.MethodPost, completions, plan.Installers, `{"model":"nothing","prompt":"x"}`)
+	p := parse(t, body)
+	assert.Assert(t, p.Code != "")
+	code, body := s.Get(1, "/v1/refusals/"+p.Code, "")
+	assert.Equal(t, code, 200, "any VM explains it")
+	assert.Assert(t, strings.Contains(body, "The request never ran."), body)
+	code, _ = s.Get(1, "/v1/refusals/"+p.Code[:len(p.Code)-4]+"AAAA", "")
+	assert.Equal(t, code, 404, "a forged code")
+}
+
+// resumed breaks a stream off after some tokens and goes on through another
+// VM.
+func resumed(t *testing.T, s *stand.Stand) {
+	o := order(60, "resumed")
+	var words []string
+	handle, last := readSome(t, s.URL(0, completions), plan.CallerKey(plan.Installers), generation(o, `,"stream":true`), 20, &words)
+	assert.Equal(t, last, "19")
+	code, body, _ := s.Call(1, http.MethodGet, "/v1/resume/"+handle, plan.Installers, "", "Last-Event-ID", last)
+	assert.Equal(t, code, 200, body)
+	words = append(words, texts(t, body)...)
+	assert.NilError(t, o.CheckText(strings.Join(words, "")))
+	assert.Equal(t, s.Engines[0].Runs("resumed")+s.Engines[1].Runs("resumed"), 1)
+	t.Run("by its own workspace only", func(t *testing.T) {
+		code, _, _ := s.Call(1, http.MethodGet, "/v1/resume/"+handle, plan.Faultdesk, "", "Last-Event-ID", last)
+		assert.Equal(t, code, 404)
+	})
+}
+
+// readSome starts a stream, reads n tokens, and drops the connection.
+func readSome(t *testing.T, url, key, body string, n int, words *[]string) (string, string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, 200)
+	r := bufio.NewReader(resp.Body)
+	last := ""
+	for len(*words) < n {
+		line, err := r.ReadString('\n')
+		assert.NilError(t, err)
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			last = strings.TrimSpace(id)
+		}
+		*words = append(*words, texts(t, line)...)
+	}
+	return resp.Header.Get("Umberladder-Resume"), last
+}
+
+// texts returns the tokens in the events of a stream.
+func texts(t *testing.T, body string) []string {
+	t.Helper()
+	var out []string
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: {")
+		if !ok {
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Text   string
+				Finish *string `json:"finish_reason"`
+			}
+		}
+		assert.NilError(t, json.Unmarshal([]byte("{"+data), &chunk), line)
+		if len(chunk.Choices) == 1 && chunk.Choices[0].Finish == nil {
+			out = append(out, chunk.Choices[0].Text)
+		}
+	}
+	return out
+}
+
+func TestIdempotency(t *testing.T) {
+	s := stand.New(t, 102, 3, nil)
+	runs := func(tag string) int { return s.Plain[0].Runs(tag) + s.Plain[1].Runs(tag) }
+	for name, k := range map[string]func() string{
+		"UUIDv7":      key,
+		"another key": func() string { return "booking-" + uuid.NewString() },
+	} {
+		t.Run(name+" sent again through every VM", func(t *testing.T) {
+			tag, k := "again-"+strings.ReplaceAll(name, " ", "-"), k()
+			done := make(chan string, 3)
+			for i := range 3 {
+				g := i
+				t.Run("at once", func(t *testing.T) {
+					code, body, _ := s.Call(g, http.MethodPost, book+tag, plan.Installers, "", "Idempotency-Key", k)
+					if code == 200 {
+						done <- body
+						return
+					}
+					assert.Equal(t, code, 409, body)
+					assert.Equal(t, parse(t, body).Ran, "maybe")
+				})
+			}
+			assert.Assert(t, len(done) >= 1)
+			assert.Equal(t, runs(tag), 1)
+		})
+	}
+	t.Run("another body with the key", func(t *testing.T) {
+		k := key()
+		s.Call(0, http.MethodPost, book+"first", plan.Installers, "a", "Idempotency-Key", k)
+		code, body, _ := s.Call(1, http.MethodPost, book+"first", plan.Installers, "b", "Idempotency-Key", k)
+		assert.Equal(t, code, 422, body)
+	})
+	t.Run("the answer is lost: it may have run, and is not run again", func(t *testing.T) {
+		for _, p := range s.Plain {
+			p.Fault(plain.Faults{Cut: true})
+		}
+		k := key()
+		code, body, _ := s.Call(0, http.MethodPost, book+"cut", plan.Installers, "", "Idempotency-Key", k)
+		assert.Equal(t, code, 502, body)
+		assert.Equal(t, parse(t, body).Ran, "maybe")
+		for _, p := range s.Plain {
+			p.Fault(plain.Faults{})
+		}
+		code, body, _ = s.Call(1, http.MethodPost, book+"cut", plan.Installers, "", "Idempotency-Key", k)
+		assert.Equal(t, code, 409, body)
+		assert.Equal(t, runs("cut"), 1)
+	})
+	t.Run("a keyed generation is answered again", func(t *testing.T) {
+		o, k := order(8, "keyed"), key()
+		_, first, _ := s.Call(0, http.MethodPost, completions, plan.Installers, generation(o, ""), "Idempotency-Key", k)
+		code, again, _ := s.Call(2, http.MethodPost, completions, plan.Installers, generation(o, ""), "Idempotency-Key", k)
+		assert.Equal(t, code, 200, again)
+		assert.Equal(t, s.Engines[0].Runs("keyed")+s.Engines[1].Runs("keyed"), 1)
+		assert.Equal(t, textOf(t, first), textOf(t, again))
+	})
+	t.Run("handed on by a VM that leaves", func(t *testing.T) {
+		k := key()
+		s.Call(0, http.MethodPost, book+"handed", plan.Installers, "", "Idempotency-Key", k)
+		s.Stop(1)
+		s.Stop(2)
+		code, body, _ := s.Call(0, http.MethodPost, book+"handed", plan.Installers, "", "Idempotency-Key", k)
+		assert.Assert(t, code == 200 || code == 503, body)
+		check.Within(t, 5*time.Second, "answered again", func() bool {
+			code, _, _ := s.Call(0, http.MethodPost, book+"handed", plan.Installers, "", "Idempotency-Key", k)
+			return code == 200
+		})
+		assert.Equal(t, runs("handed"), 1)
+	})
+}
+
+func textOf(t *testing.T, body string) string {
+	t.Helper()
+	var c struct{ Choices []struct{ Text string } }
+	assert.NilError(t, json.Unmarshal([]byte(body), &c), body)
+	return c.Choices[0].Text
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	s := stand.New(t, 103, 2, nil)
+	o := order(400, "long")
+	body := make(chan string, 1)
+	go1(t, func() {
+		_, b, _ := s.Call(0, http.MethodPost, completions, plan.Installers, generation(o, `,"stream":true`))
+		body <- b
+	})
+	check.Within(t, 5*time.Second, "the stream runs", func() bool {
+		return s.Engines[0].Runs("long")+s.Engines[1].Runs("long") == 1
+	})
+	s.Leave(0)
+	check.Within(t, 5*time.Second, "not ready", func() bool {
+		code, _ := s.Get(0, "/readyz", "")
+		return code != 200
+	})
+	got := <-body
+	assert.NilError(t, o.CheckText(strings.Join(texts(t, got), "")))
+	assert.Assert(t, strings.Contains(got, "[DONE]"))
+	select {
+	case <-s.Ended(0):
+	case <-time.After(10 * time.Second):
+		t.Fatal("the VM did not end after its last request")
+	}
+}
+
+// go1 runs f beside the test, which waits for it at its end.
+func go1(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	timer := time.AfterFunc(0, func() {
+		defer close(done)
+		f()
+	})
+	t.Cleanup(func() {
+		if !timer.Stop() {
+			<-done
+		}
+	})
+}
+
+func TestSettings(t *testing.T) {
+	s := stand.New(t, 104, 3, nil)
+	path := "/v1/settings/workspaces/" + plan.Installers
+	read := func(i int) (string, string) {
+		code, body, h := s.Operate(i, http.MethodGet, path, plan.Installers, "")
+		assert.Equal(t, code, 200, body)
+		return body, h.Get("ETag")
+	}
+	doc, tag := read(0)
+	t.Run("a team's key opens its own subtree alone", func(t *testing.T) {
+		for _, other := range []string{"/v1/settings/system", "/v1/settings/workspaces/" + plan.Faultdesk, "/v1/history/system"} {
+			code, _, _ := s.Operate(0, http.MethodGet, other, plan.Installers, "")
+			assert.Equal(t, code, 404, other)
+		}
+		code, _, _ := s.Operate(0, http.MethodGet, path, "nobody", "")
+		assert.Equal(t, code, 401)
+		code, _, _ = s.Operate(0, http.MethodPost, "/v1/drain", plan.Installers, "")
+		assert.Equal(t, code, 403)
+	})
+	t.Run("a change needs the version it was made from", func(t *testing.T) {
+		code, _, _ := s.Operate(0, http.MethodPut, path, plan.Installers, doc)
+		assert.Equal(t, code, 428)
+	})
+	t.Run("a bad document names its member", func(t *testing.T) {
+		bad := strings.Replace(doc, `"concurrency":4000`, `"concurrency":-1`, 1)
+		code, body, _ := s.Operate(0, http.MethodPut, path, plan.Installers, bad, "If-Match", tag)
+		assert.Equal(t, code, 422, body)
+		assert.Assert(t, strings.Contains(body, `/limits/concurrency`), body)
+	})
+	t.Run("in force everywhere in time", func(t *testing.T) {
+		next := strings.Replace(doc, `"concurrency":4000`, `"concurrency":9`, 1)
+		code, body, _ := s.Operate(1, http.MethodPut, path, plan.Installers, next, "If-Match", tag)
+		assert.Equal(t, code, 200, body)
+		for i := range 3 {
+			check.Within(t, 3*time.Second, "in force", func() bool {
+				got, _ := read(i)
+				return strings.Contains(got, `"concurrency":9`)
+			})
+		}
+		code, body, _ = s.Operate(2, http.MethodPut, path, plan.Installers, doc, "If-Match", tag)
+		assert.Equal(t, code, 412, body)
+		_, body, _ = s.Operate(2, http.MethodGet, "/v1/history/workspaces/"+plan.Installers, plan.Installers, "")
+		assert.Assert(t, strings.Contains(body, "/limits/concurrency changed") && strings.Contains(body, "operator-of-installers"), body)
+	})
+	t.Run("booting while the store is down", func(t *testing.T) {
+		s.Stop(2)
+		s.Store.Fault(store.Faults{Down: true})
+		defer s.Store.Fault(store.Faults{})
+		s.Start(2)
+		s.Ready(2)
+		got, _ := read(2)
+		assert.Assert(t, strings.Contains(got, `"concurrency":9`), "the snapshot comes from peers")
+		code, body, _ := s.Operate(2, http.MethodPut, path, plan.Installers, doc, "If-Match", `"1"`)
+		assert.Equal(t, code, 503, body)
+	})
+}
+
+func TestBurn(t *testing.T) {
+	s := stand.New(t, 105, 2, nil)
+	for _, e := range s.Engines {
+		e.Fault(engine.Faults{Stall: 700 * time.Millisecond})
+	}
+	for i := range 2 {
+		code, body, _ := s.Call(i, http.MethodPost, completions, plan.Installers, generation(order(6, "slow"), ""))
+		assert.Equal(t, code, 200, body)
+	}
+	_, body, _ := s.Operate(0, http.MethodGet, "/v1/burn?merged=true", "system", "")
+	var r struct {
+		VMs    []string `json:"vms"`
+		Silent []string `json:"silent-vms"`
+		Rows   []struct {
+			Objective string
+			Alert     string
+			Windows   []struct{ Bad, Total int }
+		}
+	}
+	assert.NilError(t, json.Unmarshal([]byte(body), &r), body)
+	assert.Equal(t, len(r.VMs), 2)
+	assert.Equal(t, r.Rows[0].Objective, "stall-time")
+	assert.Equal(t, r.Rows[0].Windows[0].Bad, 2, "both VMs' stalls")
+	assert.Equal(t, r.Rows[0].Alert, "page")
+	s.Stop(1)
+	_, body, _ = s.Operate(0, http.MethodGet, "/v1/burn?merged=true", plan.Faultdesk, "")
+	assert.NilError(t, json.Unmarshal([]byte(body), &r), body)
+	assert.Equal(t, len(r.Rows), 0, "a team sees its own rows alone")
+}
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -165,8 +166,17 @@
 		Stall:      cfg.Limits.CallerStall,
 		MaxConns:   cfg.Limits.Connections,
 		DrainDelay: cfg.Limits.DrainDelay,
+		Log:        httpLog{v.log},
 	}, v.entry, v.writeMetrics)
-	v.oper = oper.New(v.settings, amend.New(v.store, v.follower), v, cfg.OperKeys)
+	v.oper = oper.New(v.settings, amend.New(v.store, v.follower), v, cfg.OperKeys, httpLog{v.log})
+}
+
+// httpLog takes the HTTP library's lines, which tell of callers' broken
+// connections: of use only when looking for a fault.
+type httpLog struct{ log *zap.Logger }
+
+func (l httpLog) Printf(format string, args ...any) {
+	l.log.Debug("http", zap.String("line", fmt.Sprintf(format, args...)))
 }
 
 func (v *VM) chooser() place.Chooser { return place.New(v.cfg.Placement) }
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -173,9 +173,10 @@
 func (p *Pool) enter(ask *Ask, now time.Time) (*waiter, *queue.Entry[*waiter], *Seat, *refuse.Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.anyUsable(now) {
+	if !p.anyUsable(now, ask.Exclude) {
 		return nil, nil, nil, refuse.New(refuse.NoServer,
-			"none of the %d engines of model %s takes new work now", len(p.nodes), p.model).After(time.Second)
+			"of the %d engines of model %s, %d failed this request and no other takes new work now",
+			len(p.nodes), p.model, len(ask.Exclude)).After(time.Second)
 	}
 	ahead := p.queue.Ahead(ask.Class.Rank, now, ask.Class.MaxWait)
 	if ahead == 0 {
@@ -215,8 +216,13 @@
 		Under(rule).After(after)
 }
 
-func (p *Pool) anyUsable(now time.Time) bool {
-	return slices.ContainsFunc(p.nodes, func(n *node) bool { return n.usable(now) })
+// anyUsable reports whether some engine takes new work and has not failed this
+// request: if none does, waiting is of no use.
+func (p *Pool) anyUsable(now time.Time, failed map[ident.Server]struct{}) bool {
+	return slices.ContainsFunc(p.nodes, func(n *node) bool {
+		_, bad := failed[n.server.Name]
+		return !bad && n.usable(now)
+	})
 }
 
 // place seats ask on the engine that the chooser picks, or returns nil.
--- /dev/null
+++ b/internal/state/claim/keeper_test.go
@@ -0,0 +1,240 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+	table "umberladder/internal/fake/store"
+	"umberladder/internal/peer/proto"
+	"umberladder/internal/peer/store"
+	"umberladder/internal/state/fleet"
+	"umberladder/internal/state/member"
+)
+
+// memory is a store in memory whose calls fail as a test says.
+type memory struct {
+	table *table.Table
+	fail  func(call string) store.Fault
+}
+
+const fine = store.Fault(255)
+
+func (m *memory) failed(call string) error {
+	if f := m.fail(call); f != fine {
+		return &store.Error{Fault: f, Err: errors.New(call)}
+	}
+	return nil
+}
+
+func (m *memory) Get(_ context.Context, path string) (store.Item, error) {
+	it, ok := m.table.Get(path, time.Now())
+	if !ok {
+		return store.Item{}, &store.Error{Fault: store.Missing, Err: errors.New(path)}
+	}
+	return store.Item{Path: path, Revision: it.Revision, Value: it.Value}, m.failed("get")
+}
+
+func (m *memory) Put(_ context.Context, path string, value []byte, want, lease uint64) (uint64, error) {
+	if m.fail("put") == store.Down {
+		return 0, m.failed("put")
+	}
+	rev, ok := m.table.Put(path, value, want, lease, time.Now())
+	if !ok {
+		return 0, &store.Error{Fault: store.Conflict, Err: errors.New(path)}
+	}
+	return rev, m.failed("put")
+}
+
+func (m *memory) Delete(_ context.Context, path string, want uint64) error {
+	if err := m.failed("delete"); err != nil {
+		return err
+	}
+	if !m.table.Delete(path, want, time.Now()) {
+		return &store.Error{Fault: store.Conflict, Err: errors.New(path)}
+	}
+	return nil
+}
+
+func (m *memory) Grant(_ context.Context, ttl time.Duration) (store.Lease, error) {
+	return store.Lease{ID: m.table.Grant(ttl, time.Now()), Now: time.Now()}, m.failed("grant")
+}
+
+func (m *memory) Renew(_ context.Context, id uint64) (store.Lease, error) {
+	if err := m.failed("renew"); err != nil {
+		return store.Lease{}, err
+	}
+	if !m.table.Renew(id, time.Now()) {
+		return store.Lease{}, &store.Error{Fault: store.Missing, Err: errors.New("lapsed")}
+	}
+	return store.Lease{ID: id, Now: time.Now()}, nil
+}
+
+func (m *memory) Revoke(_ context.Context, id uint64) error {
+	m.table.Revoke(id, time.Now())
+	return nil
+}
+
+// town is the membership of all keepers in a test, and carries handovers.
+type town struct {
+	live    []member.Member
+	keepers map[ident.VM]*Keeper
+	broken  bool // handovers fail
+}
+
+func (t *town) View() *fleet.View { return &fleet.View{Live: t.live} }
+
+func (t *town) Handover(ctx context.Context, to member.Member, shard int, rev uint64, start time.Time, claims []*proto.Claim) (bool, error) {
+	if t.broken {
+		return false, errors.New("no answer")
+	}
+	return t.keepers[to.Name].Accept(ctx, shard, rev, start, claims)
+}
+
+func newTown(m *memory, n int) *town {
+	t := &town{keepers: map[ident.VM]*Keeper{}}
+	for i := range n {
+		t.add(m, i)
+	}
+	return t
+}
+
+func (t *town) add(m *memory, i int) *Keeper {
+	name := ident.VM(fmt.Sprintf("vm-%d", i))
+	t.live = append(t.live, member.Member{Name: name, Address: netip.MustParseAddrPort("127.0.0.1:1")})
+	t.keepers[name] = NewKeeper(name, 10*time.Second, m, t, t, zap.NewNop())
+	return t.keepers[name]
+}
+
+func (t *town) rounds(n int) {
+	for range n {
+		for _, m := range t.live {
+			t.keepers[m.Name].round(context.Background())
+		}
+		time.Sleep(keepEvery)
+	}
+}
+
+// held fails unless every shard has one holder.
+func (t *town) held(tt *testing.T) {
+	tt.Helper()
+	sum := 0
+	for _, k := range t.keepers {
+		n, _ := k.Held()
+		sum += n
+	}
+	assert.Equal(tt, sum, Shards)
+}
+
+func newMemory() *memory {
+	return &memory{table: table.NewTable(), fail: func(string) store.Fault { return fine }}
+}
+
+func TestKeepers(t *testing.T) {
+	t.Run("share the shards out", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			town := newTown(newMemory(), 3)
+			town.rounds(3)
+			town.held(t)
+		})
+	})
+	t.Run("hand on to a VM that joins, with the claims", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemory()
+			town := newTown(m, 1)
+			town.rounds(4)
+			old := town.keepers["vm-0"]
+			minted := time.Now()
+			for s := range Shards {
+				v, _ := old.Claim(s, "k", minted, [32]byte{}, "r1")
+				assert.Equal(t, v, Run)
+			}
+			joined := town.add(m, 1)
+			joined.round(context.Background())
+			town.rounds(3)
+			town.held(t)
+			n, claims := joined.Held()
+			assert.Assert(t, n > Shards/4 && claims == n, "%d shards, %d claims", n, claims)
+			for s := range Shards {
+				for _, k := range town.keepers {
+					if v, _ := k.Claim(s, "k", minted, [32]byte{}, "r2"); v != NotHolder {
+						assert.Equal(t, v, Running)
+					}
+				}
+			}
+		})
+	})
+	t.Run("free a shard whose handover failed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemory()
+			town := newTown(m, 1)
+			town.rounds(4)
+			town.add(m, 1)
+			town.broken = true
+			m.fail = func(call string) store.Fault {
+				if call == "delete" {
+					return store.Down
+				}
+				return fine
+			}
+			town.rounds(3)
+			m.fail = func(string) store.Fault { return fine }
+			town.rounds(8)
+			town.held(t)
+		})
+	})
+	t.Run("keep a shard whose taking lost its reply", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemory()
+			m.fail = func(call string) store.Fault {
+				if call == "put" {
+					return store.Unknown
+				}
+				return fine
+			}
+			town := newTown(m, 2)
+			town.rounds(8)
+			town.held(t)
+		})
+	})
+	t.Run("let no key run once the lease may have lapsed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemory()
+			town := newTown(m, 1)
+			town.rounds(4)
+			k := town.keepers["vm-0"]
+			m.fail = func(string) store.Fault { return store.Down }
+			time.Sleep(7 * time.Second)
+			v, _ := k.Claim(0, "before", time.Now(), [32]byte{}, "r")
+			assert.Equal(t, v, Run, "an outage shorter than the lease stops nothing")
+			time.Sleep(4 * time.Second)
+			v, _ = k.Claim(0, "after", time.Now(), [32]byte{}, "r")
+			assert.Equal(t, v, NotHolder)
+			m.fail = func(string) store.Fault { return fine }
+			town.rounds(8)
+			town.held(t)
+			v, _ = k.Claim(0, "before", time.Now(), [32]byte{}, "r2")
+			assert.Equal(t, v, Run, "minted in the new term")
+		})
+	})
+	t.Run("a VM that leaves hands everything on", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			town := newTown(newMemory(), 3)
+			town.rounds(4)
+			leaver := town.keepers["vm-1"]
+			town.live = append(town.live[:1:1], town.live[2:]...)
+			leaver.Leave(context.Background())
+			n, _ := leaver.Held()
+			assert.Equal(t, n, 0)
+			town.held(t)
+		})
+	})
+}
