Admit by what others hold, two draws, nearer horizons; measure costs

Cause: first tokens took seconds on nearly idle engines.

The bound's default now follows the service's objective.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,6 +19,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"umberladder/internal/fake/copier"
 	"umberladder/internal/fake/engine"
 	"umberladder/internal/fake/plain"
 	"umberladder/internal/fake/record"
@@ -31,7 +32,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	root := &cobra.Command{Use: "standin", Short: "Run a stand-in of what others own", SilenceUsage: true}
-	root.AddCommand(newPlatform(), newEngine(), newPlain())
+	root.AddCommand(newPlatform(), newEngine(), newPlain(), newCopy())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -214,6 +215,30 @@
 	return r, trace.Wrap(err)
 }
 
+// newCopy copies engines' streams and does nothing else, for measurements.
+func newCopy() *cobra.Command {
+	var addr, to string
+	c := &cobra.Command{
+		Use:   "copy",
+		Short: "A bare copy of one engine's answers, to measure against",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			engineAt, err := netip.ParseAddrPort(to)
+			if err != nil {
+				return trace.BadParameter("--engine: want an IP address with a port, got %q", to)
+			}
+			g, ctx := errgroup.WithContext(c.Context())
+			if err := serveOn(ctx, g, addr, copier.New(engineAt)); err != nil {
+				return err
+			}
+			return g.Wait()
+		},
+	}
+	c.Flags().StringVar(&addr, "at", "", "address to listen on")
+	c.Flags().StringVar(&to, "engine", "", "address of the engine")
+	return c
+}
+
 func split(at string) (string, string, error) {
 	name, addr, ok := strings.Cut(at, "=")
 	if !ok || name == "" {
--- a/cmd/stress/plan.go
+++ b/cmd/stress/plan.go
@@ -15,6 +15,8 @@
 	placement string
 	reserve   float64
 	verbose   bool
+	engines   int
+	withCopy  bool
 }
 
 func (f *fleetFlags) add(c *cobra.Command) {
@@ -24,6 +26,8 @@
 	c.Flags().IntVar(&f.net, "net", 10, "loopback network 127.NET.0.0")
 	c.Flags().StringVar(&f.placement, "placement", "predicted", "how VMs place generations")
 	c.Flags().Float64Var(&f.reserve, "reserve", 0.1, "share of engine memory kept for urgent calls")
+	c.Flags().IntVar(&f.engines, "engines", 0, "engines, in place of the deployment's number")
+	c.Flags().BoolVar(&f.withCopy, "copy", false, "add a bare copy of engine 1's streams")
 	c.Flags().BoolVar(&f.verbose, "verbose", false, "VMs log every request")
 }
 
@@ -32,6 +36,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.engines > 0 {
+		p.Engines = f.engines
+	}
 	fl, err := plan.New(f.dir, p, f.vms, f.net)
 	if err != nil {
 		return nil, err
@@ -39,6 +46,9 @@
 	fl.Placement = f.placement
 	fl.Reserve = f.reserve
 	fl.Verbose = f.verbose
+	if f.withCopy {
+		fl.WithCopy()
+	}
 	return fl, nil
 }
 
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -36,7 +36,7 @@
 	return Config{
 		Name:       name,
 		Memory:     6000,
-		Batch:      32,
+		Batch:      64,
 		StepBase:   4 * time.Millisecond,
 		StepStream: 100 * time.Microsecond,
 		Prefill:    20 * time.Microsecond,
@@ -116,6 +116,9 @@
 	return e
 }
 
+// Name returns the engine's name.
+func (e *Engine) Name() string { return e.cfg.Name }
+
 // Fault replaces the faults in force.
 func (e *Engine) Fault(f Faults) {
 	if f.Leaving && !e.faults.Load().Leaving {
@@ -271,6 +274,41 @@
 	}
 }
 
+// Report returns the load report that the engine shows now, which lags.
+func (e *Engine) Report() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.reports) == 0 {
+		return Load{MemorySize: e.cfg.Memory, At: time.Now()}
+	}
+	return e.reports[0]
+}
+
+// Follow runs a generation without a network: token is called with the number
+// of tokens produced, each time there are more. It returns how often the
+// generation was preempted.
+func (e *Engine) Follow(id, prompt string, priority int, token func(n int)) int {
+	g := makeGeneration(id, prompt, priority)
+	if status, _ := e.begin(g); status != 0 {
+		return 0
+	}
+	preempted, paused, next := 0, false, 0
+	for {
+		upTo, done, _, pause := e.await(g, next, paused)
+		if pause && !paused {
+			preempted++
+		}
+		paused = pause
+		if upTo > next {
+			next = upTo
+			token(next)
+		}
+		if done {
+			return preempted
+		}
+	}
+}
+
 // Runs returns how often the order with the tag was started.
 func (e *Engine) Runs(tag string) int { return e.record.Runs(tag) }
 
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -80,44 +80,52 @@
 		return
 	}
 	g := newGeneration(v)
+	if status, why := e.begin(g); status != 0 {
+		refuseStart(ctx, status, status == fasthttp.StatusConflict, why)
+		return
+	}
+	e.stream(ctx, g, 0)
+}
+
+// begin takes a generation in, or returns the status of its refusal.
+func (e *Engine) begin(g *generation) (int, string) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.gens[g.id] != nil {
-		e.mu.Unlock()
-		refuseStart(ctx, fasthttp.StatusConflict, true, "the generation has started before")
-		return
+		return fasthttp.StatusConflict, "the generation has started before"
 	}
 	if err := e.record.Add(g.order.Tag); err != nil {
-		e.mu.Unlock()
-		refuseStart(ctx, fasthttp.StatusInternalServerError, false, err.Error())
-		return
+		return fasthttp.StatusInternalServerError, err.Error()
 	}
 	e.gens[g.id] = g
 	e.counts.Starts++
 	e.wait(g)
 	g.readers++
-	e.mu.Unlock()
-	e.stream(ctx, g, 0)
+	return 0, ""
 }
 
 func newGeneration(v *fastjson.Value) *generation {
-	prompt := string(v.GetStringBytes("prompt"))
+	g := makeGeneration(string(v.GetStringBytes("id")), string(v.GetStringBytes("prompt")), v.GetInt("priority"))
+	g.detach = time.Duration(v.GetInt("detach_ms")) * time.Millisecond
+	if n := v.GetInt("max_tokens"); n > 0 {
+		g.limit = min(g.limit, n)
+	}
+	return g
+}
+
+func makeGeneration(id, prompt string, priority int) *generation {
 	o := ParseOrder(prompt)
 	now := time.Now()
-	g := &generation{
-		id:       string(v.GetStringBytes("id")),
+	return &generation{
+		id:       id,
 		order:    o,
 		run:      strconv.FormatInt(now.UnixNano()&0xffffffff, 36),
-		priority: v.GetInt("priority"),
+		priority: priority,
 		prompt:   len(prompt)/4 + 1,
 		limit:    o.Tokens,
 		started:  now,
 		left:     now,
-		detach:   time.Duration(v.GetInt("detach_ms")) * time.Millisecond,
-	}
-	if n := v.GetInt("max_tokens"); n > 0 {
-		g.limit = min(g.limit, n)
 	}
-	return g
 }
 
 // noteLate counts work offered after the time in which callers must have
@@ -173,12 +181,7 @@
 func (e *Engine) write(w *bufio.Writer, g *generation, next int) error {
 	sent, paused := 0, false
 	for {
-		e.mu.Lock()
-		for g.produced <= next && !g.done && g.paused == paused {
-			e.changed.Wait()
-		}
-		upTo, done, finish, pause := g.produced, g.done, g.finish, g.paused
-		e.mu.Unlock()
+		upTo, done, finish, pause := e.await(g, next, paused)
 		if pause != paused {
 			paused = pause
 			writePause(w, g.id, paused)
@@ -200,6 +203,17 @@
 	}
 }
 
+// await waits until the generation has more than next tokens, ends, or is no
+// longer paused or running as it was.
+func (e *Engine) await(g *generation, next int, paused bool) (int, bool, string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for g.produced <= next && !g.done && g.paused == paused {
+		e.changed.Wait()
+	}
+	return g.produced, g.done, g.finish, g.paused
+}
+
 func writePause(w *bufio.Writer, id string, paused bool) {
 	kind := "resumed"
 	if paused {
@@ -229,12 +243,7 @@
 }
 
 func (e *Engine) load(ctx *fasthttp.RequestCtx) {
-	e.mu.Lock()
-	l := Load{MemorySize: e.cfg.Memory, At: time.Now()}
-	if len(e.reports) > 0 {
-		l = e.reports[0]
-	}
-	e.mu.Unlock()
+	l := e.Report()
 	ctx.SetContentType("application/json")
 	fmt.Fprintf(ctx, `{"running":%d,"waiting":%d,"memory_used":%d,"memory_size":%d,"leaving":%t,"age_ms":%d}`,
 		l.Running, l.Waiting, l.MemoryUsed, l.MemorySize, l.Leaving, time.Since(l.At).Milliseconds())
--- /dev/null
+++ b/internal/load/gauge/proc.go
@@ -0,0 +1,78 @@
+// Package gauge measures what processes of a running fleet use: processor time
+// and memory from the system, messages and store calls from the VMs' metrics.
+package gauge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"umberladder/internal/load/plan"
+)
+
+// ticks is the kernel's unit of processor time for processes (USER_HZ).
+const ticks = 100
+
+// Processor returns the processor time that a process of the fleet has used.
+func Processor(f *plan.Fleet, name string) (time.Duration, error) {
+	pid, err := os.ReadFile(filepath.Join(f.Dir, plan.PIDDir, name))
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	data, err := os.ReadFile(filepath.Join("/proc", strings.TrimSpace(string(pid)), "stat"))
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	// After the name in parentheses come the state and then numbers; utime and
+	// stime are fields 14 and 15 of all (proc(5)).
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	if len(fields) < 13 {
+		return 0, trace.BadParameter("the statistics of %s can't be read", name)
+	}
+	sum := 0.0
+	for _, s := range fields[11:13] {
+		n, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		sum += n
+	}
+	return time.Duration(sum / ticks * float64(time.Second)), nil
+}
+
+// Metrics are a VM's metrics without labels.
+type Metrics map[string]float64
+
+// Scrape reads a VM's metrics.
+func Scrape(ctx context.Context, vm plan.Node) (Metrics, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/metrics", vm.Address), http.NoBody)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	m := Metrics{}
+	s := bufio.NewScanner(resp.Body)
+	for s.Scan() {
+		name, value, ok := strings.Cut(s.Text(), " ")
+		if !ok || strings.ContainsAny(name, "{#") {
+			continue
+		}
+		if x, err := strconv.ParseFloat(value, 64); err == nil {
+			m[name] = x
+		}
+	}
+	return m, trace.Wrap(s.Err())
+}
--- a/internal/load/plan/files.go
+++ b/internal/load/plan/files.go
@@ -117,7 +117,7 @@
 
 func (f *Fleet) faultdesk() []object {
 	return []object{
-		{"name": Proposals, "kind": "model", "model": "drafter", "class": "standard", "objective": "preemptions", "overflow-chance": 0.01},
+		{"name": Proposals, "kind": "model", "model": "drafter", "class": "standard", "objective": "preemptions"},
 		{"name": Questions, "kind": "model", "model": "drafter", "class": "urgent", "objective": "preemptions"},
 		{"name": Triage, "kind": "model", "model": "drafter", "class": "batch", "at-most-once": true},
 		{"name": Bookings, "kind": "plain", "servers": servers(f.Plain), "class": "urgent", "at-most-once": true, "timeout": "5s"},
@@ -125,6 +125,15 @@
 	}
 }
 
+// perProcess returns how many engines share a process: one each, unless there
+// are so many that they are there only to be known.
+func (f *Fleet) perProcess() int {
+	if len(f.Engines) <= 20 {
+		return 1
+	}
+	return 64
+}
+
 // processes lists the commands, those that others need first.
 func (f *Fleet) processes() string {
 	var b strings.Builder
@@ -138,9 +147,17 @@
 	line("platform", "standin platform --store %s --vm-list %s --settings /system=%s --settings /workspaces/%s=%s --settings /workspaces/%s=%s%s",
 		f.Store, f.VMList, f.path("system.json"),
 		Installers, f.path(Installers+".json"), Faultdesk, f.path(Faultdesk+".json"), vms)
-	for _, e := range f.Engines {
-		line(e.Name, "standin engine --at %s=%s --memory %d --batch %d --step %s --records %s",
-			e.Name, e.Address, f.Profile.Memory, f.Profile.Batch, f.Profile.Step, f.path(RecordDir))
+	for i := 0; i < len(f.Engines); i += f.perProcess() {
+		at := ""
+		group := f.Engines[i:min(i+f.perProcess(), len(f.Engines))]
+		for _, e := range group {
+			at += fmt.Sprintf(" --at %s=%s", e.Name, e.Address)
+		}
+		line(group[0].Name, "standin engine%s --memory %d --batch %d --step %s --records %s",
+			at, f.Profile.Memory, f.Profile.Batch, f.Profile.Step, f.path(RecordDir))
+	}
+	if f.Copy.IsValid() {
+		line("copy", "standin copy --at %s --engine %s", f.Copy, f.Engines[0].Address)
 	}
 	for _, p := range f.Plain {
 		line(p.Name, "standin plain --at %s=%s --records %s", p.Name, p.Address, f.path(RecordDir))
--- a/internal/load/plan/fleet.go
+++ b/internal/load/plan/fleet.go
@@ -18,6 +18,7 @@
 	listPort      = 7001
 	enginePort    = 9000
 	plainPort     = 9100
+	copyPort      = 7002
 	maxNodes      = 250
 )
 
@@ -37,9 +38,9 @@
 // engines made small, and a smaller one for demonstrations.
 func Profiles() []Profile {
 	return []Profile{
-		{Name: "demo", Domains: 3, Engines: 4, Plain: 2, Memory: 6000, Batch: 32, Step: 4 * time.Millisecond},
-		{Name: "cistern-row", Domains: 4, Engines: 12, Plain: 4, Memory: 6000, Batch: 32, Step: 4 * time.Millisecond},
-		{Name: "liinirike", Domains: 3, Engines: 14, Plain: 3, Memory: 6000, Batch: 32, Step: 4 * time.Millisecond},
+		{Name: "demo", Domains: 3, Engines: 4, Plain: 2, Memory: 6000, Batch: 64, Step: 4 * time.Millisecond},
+		{Name: "cistern-row", Domains: 4, Engines: 12, Plain: 4, Memory: 6000, Batch: 64, Step: 4 * time.Millisecond},
+		{Name: "liinirike", Domains: 3, Engines: 14, Plain: 3, Memory: 6000, Batch: 64, Step: 4 * time.Millisecond},
 	}
 }
 
@@ -71,6 +72,7 @@
 	Plain     []Node
 	Store     netip.AddrPort
 	VMList    netip.AddrPort
+	Copy      netip.AddrPort // of a bare copy of engine 1's streams, if wanted
 	Placement string
 	Reserve   float64
 	Verbose   bool
@@ -95,16 +97,26 @@
 		f.Peers = append(f.Peers, Node{Name: name, Domain: domain, Address: at(1, i+1, peersPort)})
 	}
 	for i := range p.Engines {
-		f.Engines = append(f.Engines, Node{Name: fmt.Sprintf("engine-%d", i+1), Domain: domainOf(i, p.Domains), Address: at(3, i+1, enginePort)})
+		f.Engines = append(f.Engines, Node{
+			Name:    fmt.Sprintf("engine-%d", i+1),
+			Domain:  domainOf(i, p.Domains),
+			Address: at(3+i/maxNodes, 1+i%maxNodes, enginePort),
+		})
 	}
 	for i := range p.Plain {
-		f.Plain = append(f.Plain, Node{Name: fmt.Sprintf("plain-%d", i+1), Domain: domainOf(i, p.Domains), Address: at(4, i+1, plainPort)})
+		f.Plain = append(f.Plain, Node{Name: fmt.Sprintf("plain-%d", i+1), Domain: domainOf(i, p.Domains), Address: at(200, i+1, plainPort)})
 	}
 	return f, nil
 }
 
 func domainOf(i, domains int) string { return fmt.Sprintf("fd-%c", 'a'+i%domains) }
 
+// WithCopy adds a process that copies engine 1's streams and does nothing
+// else, to measure against.
+func (f *Fleet) WithCopy() {
+	f.Copy = netip.AddrPortFrom(f.Store.Addr().Next(), copyPort)
+}
+
 // Workspaces and services of every fleet.
 const (
 	Installers = "installers" // a workspace of installers
--- a/internal/load/rivals/rivals.go
+++ b/internal/load/rivals/rivals.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -123,18 +124,16 @@
 			continue
 		}
 		id := fmt.Sprintf("c%d-%d-%d", r.seed, who, n)
-		changed := strings.Replace(string(body), limitOf(body), strconv.Itoa(3000+rng.IntN(1000)), 1)
+		changed := withLimit(body, 3000+rng.IntN(1000))
 		r.write(vm, path, key, id, version, changed, rng)
 	}
 }
 
-// limitOf returns the text of the concurrency limit in a document.
-func limitOf(body []byte) string {
-	var d struct {
-		Limits struct{ Concurrency json.Number }
-	}
-	_ = json.Unmarshal(body, &d)
-	return d.Limits.Concurrency.String()
+// concurrency matches the member that operators change.
+var concurrency = regexp.MustCompile(`"concurrency":\s*\d+`)
+
+func withLimit(body []byte, n int) string {
+	return string(concurrency.ReplaceAll(body, []byte(`"concurrency":`+strconv.Itoa(n))))
 }
 
 // reply is an operators' interface's answer.
--- a/internal/policy/length/curve.go
+++ b/internal/policy/length/curve.go
@@ -6,7 +6,7 @@
 const Horizons = 6
 
 // ahead lists the horizons in decode steps, a token a step for each stream.
-var ahead = [Horizons]int{8, 32, 128, 512, 2048, 8192}
+var ahead = [Horizons]int{8, 16, 32, 64, 128, 256}
 
 // Ahead returns horizon j in decode steps.
 func Ahead(j int) int { return ahead[j] }
@@ -16,6 +16,8 @@
 type Curve struct {
 	survive [Buckets + 1]float64
 	alive   [Buckets][Horizons]float64
+	running Share   // of one stream met at a random moment of its run
+	held    float64 // its memory at that moment, without its prompt, in tokens
 }
 
 // Survival returns S(n), linear inside a bucket.
@@ -71,6 +73,40 @@
 	}
 }
 
+// tabulateRunning averages over the ages at which a running stream is met: an
+// age in proportion to the chance of reaching it.
+func (c *Curve) tabulateRunning() {
+	sum := 0.0
+	for k := range Buckets {
+		middle := (bounds[k] + bounds[k+1]) / 2
+		w := float64(bounds[k+1]-bounds[k]) * (c.survive[k] + c.survive[k+1]) / 2
+		s := c.Share(middle, 0)
+		c.running.Add(&s, w)
+		c.held += w * float64(middle)
+		sum += w
+	}
+	c.held /= sum
+	for j := range Horizons {
+		c.running.Mean[j] /= sum
+		c.running.Var[j] /= sum
+	}
+}
+
+// Running predicts n streams met at random moments of their runs that hold
+// the given memory together, in tokens.
+func (c *Curve) Running(n int, memory float64) Share {
+	var s Share
+	if n <= 0 || memory <= 0 {
+		return s
+	}
+	scale := memory / (float64(n) * c.held)
+	for j := range Horizons {
+		s.Mean[j] = float64(n) * scale * c.running.Mean[j]
+		s.Var[j] = float64(n) * scale * scale * c.running.Var[j]
+	}
+	return s
+}
+
 // Share is what streams are predicted to hold of an engine's memory at each
 // horizon, as the mean and the variance of a sum of independent streams, in
 // tokens and tokens squared.
--- a/internal/policy/length/estimator.go
+++ b/internal/policy/length/estimator.go
@@ -8,8 +8,8 @@
 const (
 	// The prior: the hazard of a bucket before anything was seen, and how
 	// many observations it weighs.
-	priorHazard = 0.08
-	priorWeight = 4.0
+	priorHazard = 0.12
+	priorWeight = 1.0
 	// maxRisk is the count at which a bucket's counts are halved.
 	maxRisk = 4000.0
 	// rebuildEvery is how many observations pass between two curves.
@@ -74,5 +74,6 @@
 		c.survive[k+1] = c.survive[k] * (1 - h)
 	}
 	c.tabulate()
+	c.tabulateRunning()
 	return c
 }
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -23,6 +23,9 @@
 	Share length.Share // memory predicted for it
 	Z     float64      // bound on the chance of overflow, as a normal quantile
 	Room  float64      // share of each engine's memory it may use, 0 to 1
+	// Prompt is the length of the prompt, in tokens: what an engine that has
+	// its prefix need not compute.
+	Prompt int
 }
 
 // Chooser picks an engine. It returns -1 if none may take the generation now.
@@ -30,54 +33,56 @@
 	Choose(ask *Ask, engines []Engine, rng *rand.Rand) int
 }
 
-// affinitySlack is how much fuller, as a share of its memory, the engine with
-// the prompt's prefix may be than the emptiest one.
-const affinitySlack = 0.15
+const (
+	// affinityMost is how much fuller, as a share of its memory, the engine
+	// with the prompt's prefix may be than the emptiest one.
+	affinityMost = 0.1
+	// affinityGain is how much fuller it may be for each token of the prompt,
+	// in tokens: a short prompt is not worth an uneven load.
+	affinityGain = 2.0
+)
 
 // Predicted is the system's own way.
 type Predicted struct{}
 
-// Choose implements Chooser.
+// Choose implements Chooser. Of two engines drawn from those that fit, it
+// takes the emptier (Mitzenmacher 2001): always taking the emptiest of all
+// would send every VM that has the same late reports to the same engine.
 func (Predicted) Choose(ask *Ask, engines []Engine, rng *rand.Rand) int {
-	best, second, near := -1, -1, -1
+	first, second, near, fit := -1, -1, -1, 0
 	for i := range engines {
 		e := &engines[i]
-		if e.Skip || !e.fits(ask) {
-			continue
-		}
-		if rng.Float64() > e.Weight {
+		if e.Skip || !e.fits(ask) || rng.Float64() > e.Weight {
 			continue
 		}
-		switch {
-		case best < 0 || e.fill() < engines[best].fill():
-			best, second = i, best
-		case second < 0 || e.fill() < engines[second].fill():
+		// Two places of a reservoir: each pair is as likely as any other.
+		fit++
+		switch at := rng.IntN(fit); {
+		case fit <= 2 && first < 0:
+			first = i
+		case fit <= 2:
+			second = i
+		case at == 0:
+			first = i
+		case at == 1:
 			second = i
 		}
 		if near < 0 || e.Affinity > engines[near].Affinity {
 			near = i
 		}
 	}
-	if best < 0 {
+	if first < 0 {
 		return -1
 	}
-	if engines[near].fill() <= engines[best].fill()+affinitySlack {
-		return near
+	best := first
+	if second >= 0 && engines[second].fill() < engines[first].fill() {
+		best = second
 	}
-	return spread(engines, best, second, rng)
-}
-
-// spread draws between the two emptiest engines, the emptier one more often,
-// so that VMs with the same reports do not all choose the same.
-func spread(engines []Engine, best, second int, rng *rand.Rand) int {
-	if second < 0 {
-		return best
-	}
-	free, other := 1-engines[best].fill(), 1-engines[second].fill()
-	if free <= 0 || rng.Float64()*(free+max(other, 0)) < free {
-		return best
+	slack := min(affinityMost, affinityGain*float64(ask.Prompt)/engines[best].Size)
+	if engines[near].fill() <= engines[best].fill()+slack {
+		return near
 	}
-	return second
+	return best
 }
 
 func (e *Engine) fits(ask *Ask) bool {
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -22,7 +22,7 @@
 }
 
 func ask() *Ask {
-	a := &Ask{Z: length.Z(0.05), Room: 1}
+	a := &Ask{Z: length.Z(0.05), Room: 1, Prompt: 50}
 	for j := range a.Share.Mean {
 		a.Share.Mean[j], a.Share.Var[j] = 50, 2500
 	}
--- a/internal/route/pool/engine.go
+++ b/internal/route/pool/engine.go
@@ -31,15 +31,16 @@
 	own      int       // this VM's streams
 	memory   int       // their memory, in tokens
 	share    length.Share
-	placed   []placement // this VM's since the report
+	since    []change // of this VM's streams since the report
 	breaker  retry.Breaker
 	inferred length.Share // of other VMs' streams
 }
 
-// placement is one own stream placed after the last report.
-type placement struct {
-	at    time.Time
-	share length.Share
+// change is one own stream that came or went after the last report.
+type change struct {
+	at      time.Time
+	streams int // +1 or -1
+	memory  int // likewise, in tokens
 }
 
 func newNode(s config.Server) *node {
@@ -52,8 +53,8 @@
 }
 
 // learn takes a report and infers what other VMs hold: the report less this
-// VM's own streams, as streams of their mean age.
-func (n *node) learn(l engine.Load, c *length.Curve, now time.Time) {
+// VM's own streams at that time, as streams met at random moments.
+func (n *node) learn(l engine.Load, curve *length.Curve, now time.Time) {
 	if n.known && l.At.Before(n.report.At) {
 		return
 	}
@@ -66,32 +67,29 @@
 	n.report = l
 	n.known = true
 	n.forget(l.At)
-	others := l.Running + l.Waiting - (n.own - len(n.placed))
-	held := l.MemoryUsed - n.memory
-	n.inferred = length.Share{}
-	if others <= 0 {
-		return
+	streams, memory := l.Running+l.Waiting-n.own, l.MemoryUsed-n.memory
+	for _, c := range n.since {
+		streams += c.streams
+		memory += c.memory
 	}
-	mean := max(held, 0) / others
-	s := c.Share(mean, 0)
-	n.inferred.Add(&s, float64(others))
+	n.inferred = curve.Running(streams, float64(memory))
 }
 
-// forget drops the placements that a report made at t has seen.
+// forget drops the changes that a report made at t has seen.
 func (n *node) forget(t time.Time) {
-	keep := n.placed[:0]
-	for _, p := range n.placed {
-		if p.at.After(t) {
-			keep = append(keep, p)
+	keep := n.since[:0]
+	for _, c := range n.since {
+		if c.at.After(t) {
+			keep = append(keep, c)
 		}
 	}
-	n.placed = keep
+	n.since = keep
 }
 
-// view is what the policy sees of the engine. Each of this VM's placements
-// that no report has seen stands for one more by each of the other VMs, since
-// the balancer spreads callers evenly.
-func (n *node) view(now time.Time, vms int, prefix uint64) place.Engine {
+// view is what the policy sees of the engine. Other VMs place streams that no
+// report has shown yet: about unseen a second, since the balancer spreads
+// callers evenly.
+func (n *node) view(now time.Time, unseen float64, fresh *length.Share, prefix uint64) place.Engine {
 	e := place.Engine{
 		Size:      float64(n.report.MemorySize),
 		Reported:  float64(n.report.MemoryUsed),
@@ -103,9 +101,7 @@
 		Skip:      !n.usable(now),
 	}
 	e.Predicted.Add(&n.inferred, 1)
-	for i := range n.placed {
-		e.Predicted.Add(&n.placed[i].share, float64(vms-1))
-	}
+	e.Predicted.Add(fresh, unseen*now.Sub(n.report.At).Seconds())
 	return e
 }
 
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -42,6 +42,7 @@
 	nodes   []*node
 	queue   *queue.Queue[*waiter]
 	drain   drain
+	placing pace
 	lengths map[lengthKey]*length.Estimator
 	views   []place.Engine
 }
@@ -230,15 +231,16 @@
 	est := p.estimator(lengthKey{ask.Learn, ask.Service.Name, ask.Class.Name})
 	share := est.Curve().Share(0, ask.Prompt)
 	p.views = p.views[:0]
-	vms := p.vms()
+	unseen := p.placing.rate(now) * float64(p.vms()-1) / float64(len(p.nodes))
+	fresh := p.typical().Share(0, ask.Prompt)
 	for _, n := range p.nodes {
-		v := n.view(now, vms, ask.Prefix)
+		v := n.view(now, unseen, &fresh, ask.Prefix)
 		if _, failed := ask.Exclude[n.server.Name]; failed {
 			v.Skip = true
 		}
 		p.views = append(p.views, v)
 	}
-	want := place.Ask{Share: share, Z: length.Z(ask.Service.OverflowChance), Room: 1 - ask.Reserve}
+	want := place.Ask{Share: share, Z: length.Z(ask.Service.OverflowChance), Room: 1 - ask.Reserve, Prompt: ask.Prompt}
 	i := p.chooser.Choose(&want, p.views, p.rng)
 	if i < 0 {
 		return nil
@@ -252,7 +254,8 @@
 	n.own++
 	n.memory += ask.Prompt
 	n.share.Add(&share, 1)
-	n.placed = append(n.placed, placement{at: now, share: share})
+	n.since = append(n.since, change{at: now, streams: 1, memory: ask.Prompt})
+	p.placing.note(now)
 	return &Seat{
 		Server:  n.server,
 		pool:    p,
--- a/internal/route/pool/seat.go
+++ b/internal/route/pool/seat.go
@@ -79,6 +79,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.node.own--
+	s.node.since = append(s.node.since, change{at: now, streams: -1, memory: -s.counted})
 	s.node.memory -= s.counted
 	s.node.share.Add(&s.share, -1)
 	if s.node.own == 0 {
--- a/internal/state/config/wire.go
+++ b/internal/state/config/wire.go
@@ -12,15 +12,18 @@
 
 // Bounds and defaults of the documents; docs/SETTINGS.md lists them.
 const (
-	DefaultMaxWait     = 30 * time.Second
-	MaxMaxWait         = time.Hour
-	DefaultOverflow    = 0.05
-	DefaultConcurrency = 64
-	MaxConcurrency     = 1_000_000
-	MaxTokenRate       = 100_000_000
-	DefaultTimeout     = 30 * time.Second
-	MaxTimeout         = 10 * time.Minute
-	MaxRank            = 15
+	DefaultMaxWait = 30 * time.Second
+	MaxMaxWait     = time.Hour
+	// A service that cares for short stalls lets more in than one that cares
+	// for few preemptions; docs/design/05-admission.md has the figures.
+	DefaultOverflowStall   = 0.3
+	DefaultOverflowPreempt = 0.05
+	DefaultConcurrency     = 64
+	MaxConcurrency         = 1_000_000
+	MaxTokenRate           = 100_000_000
+	DefaultTimeout         = 30 * time.Second
+	MaxTimeout             = 10 * time.Minute
+	MaxRank                = 15
 )
 
 type serverWire struct {
@@ -154,20 +157,22 @@
 
 func (f *Fields) service(path string, w serviceWire) Service {
 	s := Service{
-		Name:           ident.Service(f.Name(path+"/name", w.Name)),
-		Class:          ident.Class(f.Name(path+"/class", w.Class)),
-		OverflowChance: f.Float(path+"/overflow-chance", w.Overflow, DefaultOverflow, 1e-6, 0.5),
-		AtMostOnce:     w.AtMostOnce,
-		Timeout:        f.Duration(path+"/timeout", w.Timeout, DefaultTimeout, time.Millisecond, MaxTimeout),
+		Name:       ident.Service(f.Name(path+"/name", w.Name)),
+		Class:      ident.Class(f.Name(path+"/class", w.Class)),
+		AtMostOnce: w.AtMostOnce,
+		Timeout:    f.Duration(path+"/timeout", w.Timeout, DefaultTimeout, time.Millisecond, MaxTimeout),
 	}
+	overflow := DefaultOverflowStall
 	switch w.Objective {
 	case "", "stall-time":
 		s.Objective = StallTime
 	case "preemptions":
 		s.Objective = Preemptions
+		overflow = DefaultOverflowPreempt
 	default:
 		f.Fault(path+"/objective", "want \"stall-time\" or \"preemptions\", got %q", w.Objective)
 	}
+	s.OverflowChance = f.Float(path+"/overflow-chance", w.Overflow, overflow, 1e-6, 0.5)
 	f.backing(path, w, &s)
 	return s
 }
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Measures the slopes of docs/CAPACITY.md: capacity.sh DIR PROGRAMS
+# Prints a line of JSON for each size. Takes about five minutes.
+set -u
+dir=$1 programs=$2
+
+with_fleet() { # NET PLAN-FLAGS COMMAND...
+  local net=$1 flags=$2
+  shift 2
+  rm -rf "$dir"
+  # The flags are words of their own.
+  "$programs/stress" plan --dir "$dir" --net "$net" $flags || return 1
+  scripts/fleet.sh start "$dir" "$programs" && sleep 3 &&
+    "$programs/stress" "$@" --dir "$dir" --net "$net" $flags
+  scripts/fleet.sh stop "$dir"
+}
+
+for vms in 7 14 28 56; do
+  with_fleet 41 "--vms $vms --engines 4" control --duration 20s
+done
+for engines in 16 64 256; do
+  with_fleet 42 "--vms 7 --engines $engines" control --duration 20s
+done
+for vms in 7 28; do
+  with_fleet 43 "--vms $vms --engines 4" run settings-race --duration 30s --rate 10
+done
+with_fleet 44 "--vms 1 --engines 1 --copy" cost
