Keep a stream whose links break off; send the final answer without a last wait

And the check for too many tries came after the delay before the next, so a request that was given up on waited up to 1 s more for its refusal.

Ruled out: more tries for all (a dead engine must be given up on soon). Change: links that the engine answered are counted apart, bound only by the patience; the check comes before the delay.

Before: TestLinkFaults 'cut before any token' refused, partial. After: whole.

--- a/internal/route/gener/flight.go
+++ b/internal/route/gener/flight.go
@@ -38,7 +38,8 @@
 
 	started   bool // some engine was given the generation and may have run it
 	delivered bool // some token has reached the caller
-	resumes   int  // failed resumes in a row
+	resumes   int  // in a row that the engine did not answer, or answered wrongly
+	cuts      int  // in a row of links that broke off before a token
 	refusals  int  // engines that did not start it
 	kept      *Token
 	last      time.Time     // when the last token came, or the flight began
@@ -180,7 +181,7 @@
 	}
 	f.last = now
 	f.pace = f.runner.cfg.TokenPace
-	f.resumes = 0
+	f.resumes, f.cuts = 0, 0
 	f.Record.Tokens++
 	if f.seat != nil {
 		f.seat.Progress(int(f.cursor.Next()))
@@ -192,12 +193,12 @@
 	if f.cursor == nil {
 		return f.start()
 	}
-	if f.resumes > 0 && !f.sleep(f.runner.delay(f.resumes)) {
-		return f.lost(refuse.CallerStalled, "the request was cut off")
-	}
 	if f.resumes > f.runner.cfg.ResumeTry {
 		return f.lost(refuse.ServerDied, "the engine could not be reached again")
 	}
+	if n := max(f.resumes, f.cuts); n > 0 && !f.sleep(f.runner.delay(n)) {
+		return f.lost(refuse.CallerStalled, "the request was cut off")
+	}
 	if time.Since(f.last) > f.runner.cfg.Patience {
 		return f.lost(refuse.ServerSilent, "the engine produced no token for "+f.runner.cfg.Patience.String())
 	}
@@ -232,12 +233,15 @@
 	if errors.As(err, &e) && e.Fault == engine.Unknown {
 		return f.lost(refuse.ServerDied, "the engine no longer knows the generation")
 	}
-	if live && e != nil && e.Fault == engine.Silent {
+	switch {
+	case live && e != nil && e.Fault == engine.Silent:
 		// The engine answered this link; a quiet stream may just be waiting
 		// for memory. Whether the engine lives shows when the link is resumed.
-		return nil
+	case live:
+		f.cuts++
+	default:
+		f.resumes++
 	}
-	f.resumes++
 	return nil
 }
 
@@ -248,7 +252,7 @@
 		f.exclude[f.Record.Server] = struct{}{}
 		f.runner.abandon(f.addr, f.cursor.Generation())
 		f.cursor = nil
-		f.resumes = 0
+		f.resumes, f.cuts = 0, 0
 		f.Record.Reruns++
 		f.Record.Tokens = 0
 		return nil
--- a/internal/route/gener/flight_test.go
+++ b/internal/route/gener/flight_test.go
@@ -203,6 +203,7 @@
 		"silence":               {{to: 3, end: "silent"}, {from: 3, to: 3, end: "silent"}, {from: 3, to: length, end: "done"}},
 		"a link that is slow":   {{to: 3, end: "cut"}, {err: errDown}, {err: errDown}, {from: 3, to: length, end: "done"}},
 		"an end on its own":     {{to: length, end: "cut"}, {from: length, to: length, end: "done"}},
+		"cut before any token":  append(repeat(act{from: 2, to: 2, end: "cut"}, 12, act{to: 2, end: "cut"}), act{from: 2, to: length, end: "done"}),
 		"cut after every token": {{to: 1, end: "cut"}, {from: 1, to: 2, end: "cut"}, {from: 2, to: 3, end: "cut"}, {from: 3, to: length, end: "done"}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -219,6 +220,15 @@
 	}
 }
 
+// repeat returns first and then n times a.
+func repeat(a act, n int, first act) []act {
+	out := []act{first}
+	for range n {
+		out = append(out, a)
+	}
+	return out
+}
+
 // firstDies makes the engine of the first start die after n tokens; every
 // other engine works.
 func firstDies(n uint64) func(string, netip.AddrPort, uint64) act {
