Let a model's home place generations for all VMs; document

Cause: seven VMs that decide at once can't fill engines' memory without filling it over.

Change: the home of a model, by rendezvous hashing, places, queues and refuses for every VM; the others ask by ticket, tell how their streams come along twice a second and endings at once, and decide alone if the home does not answer.

The overflow test held the horizon with index 2, which nearer horizons moved; it now holds the one that binds.

--- a/cmd/stress/control.go
+++ b/cmd/stress/control.go
@@ -15,8 +15,8 @@
 	"umberladder/internal/load/plan"
 )
 
-// controlRow is what control costs a VM of an idle fleet, on average.
-type controlRow struct {
+// controlWire is what control costs a VM of an idle fleet, on average.
+type controlWire struct {
 	VMs           int     `json:"vms"`
 	Engines       int     `json:"engines"`
 	CPUPercent    float64 `json:"cpu-percent-of-a-core"`
@@ -80,8 +80,8 @@
 	return out, nil
 }
 
-func measure(ctx context.Context, f *plan.Fleet, d time.Duration) (*controlRow, error) {
-	row := &controlRow{VMs: len(f.VMs), Engines: len(f.Engines)}
+func measure(ctx context.Context, f *plan.Fleet, d time.Duration) (*controlWire, error) {
+	row := &controlWire{VMs: len(f.VMs), Engines: len(f.Engines)}
 	before, err := sampleAll(ctx, f)
 	if err != nil {
 		return nil, err
--- a/cmd/stress/cost.go
+++ b/cmd/stress/cost.go
@@ -18,8 +18,8 @@
 	"umberladder/internal/load/plan"
 )
 
-// costRow is what relaying costs a process.
-type costRow struct {
+// costWire is what relaying costs a process.
+type costWire struct {
 	Process         string  `json:"process"`
 	Tokens          int     `json:"tokens"`
 	Bytes           int64   `json:"bytes"`
@@ -84,8 +84,8 @@
 	}}
 }
 
-func (r *relay) run(ctx context.Context, f *plan.Fleet, streams, tokens int) (*costRow, error) {
-	row := &costRow{Process: r.name, Tokens: streams * tokens}
+func (r *relay) run(ctx context.Context, f *plan.Fleet, streams, tokens int) (*costWire, error) {
+	row := &costWire{Process: r.name, Tokens: streams * tokens}
 	before, err := gauge.Processor(f, r.name)
 	if err != nil {
 		return nil, err
--- a/internal/core/refuse/code.go
+++ b/internal/core/refuse/code.go
@@ -15,20 +15,7 @@
 
 // Code returns the refusal's self-contained code.
 func Code(ring *seal.Ring, r *Refusal) string {
-	data, err := pb.Marshal(&proto.RefusalCode{
-		Reason:       uint32(r.Reason),
-		Ran:          uint32(r.Ran),
-		Request:      string(r.Request),
-		Workspace:    string(r.Workspace),
-		Vm:           string(r.VM),
-		AtMs:         r.At.UnixMilli(),
-		Path:         r.Rule.Path,
-		Version:      r.Rule.Version,
-		Limit:        r.Rule.Limit,
-		Observed:     r.Rule.Observed,
-		RetryAfterMs: r.RetryAfter.Milliseconds(),
-		Detail:       r.Detail,
-	})
+	data, err := pb.Marshal(Encode(r))
 	if err != nil {
 		// Only text that is not UTF-8 fails to encode; drop it.
 		return Code(ring, &Refusal{Reason: r.Reason, Ran: r.Ran, At: r.At, VM: r.VM})
@@ -46,6 +33,29 @@
 	if err := pb.Unmarshal(data, &m); err != nil {
 		return nil, trace.Wrap(err, "the refusal code can't be read")
 	}
+	return FromWire(&m), nil
+}
+
+// Encode returns the wire form of a refusal.
+func Encode(r *Refusal) *proto.RefusalCode {
+	return &proto.RefusalCode{
+		Reason:       uint32(r.Reason),
+		Ran:          uint32(r.Ran),
+		Request:      string(r.Request),
+		Workspace:    string(r.Workspace),
+		Vm:           string(r.VM),
+		AtMs:         r.At.UnixMilli(),
+		Path:         r.Rule.Path,
+		Version:      r.Rule.Version,
+		Limit:        r.Rule.Limit,
+		Observed:     r.Rule.Observed,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+		Detail:       r.Detail,
+	}
+}
+
+// FromWire returns the refusal of a wire form.
+func FromWire(m *proto.RefusalCode) *Refusal {
 	return &Refusal{
 		Reason:    Reason(m.GetReason()),
 		Ran:       Ran(m.GetRan()),
@@ -61,5 +71,5 @@
 		},
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 		Detail:     m.GetDetail(),
-	}, nil
+	}
 }
--- a/internal/load/gauge/proc.go
+++ b/internal/load/gauge/proc.go
@@ -49,7 +49,7 @@
 	return time.Duration(sum / ticks * float64(time.Second)), nil
 }
 
-// Metrics are a VM's metrics without labels.
+// Metrics are a VM's metrics, each added up over its labels.
 type Metrics map[string]float64
 
 // Scrape reads a VM's metrics.
@@ -66,12 +66,13 @@
 	m := Metrics{}
 	s := bufio.NewScanner(resp.Body)
 	for s.Scan() {
-		name, value, ok := strings.Cut(s.Text(), " ")
-		if !ok || strings.ContainsAny(name, "{#") {
+		at := strings.LastIndexByte(s.Text(), ' ')
+		if at < 0 || strings.HasPrefix(s.Text(), "#") {
 			continue
 		}
-		if x, err := strconv.ParseFloat(value, 64); err == nil {
-			m[name] = x
+		name, _, _ := strings.Cut(s.Text()[:at], "{")
+		if x, err := strconv.ParseFloat(s.Text()[at+1:], 64); err == nil {
+			m[name] += x
 		}
 	}
 	return m, trace.Wrap(s.Err())
--- a/internal/load/scene/scene.go
+++ b/internal/load/scene/scene.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -17,6 +18,7 @@
 	"umberladder/internal/fake/record"
 	"umberladder/internal/load/drive"
 	"umberladder/internal/load/fault"
+	"umberladder/internal/load/gauge"
 	"umberladder/internal/load/plan"
 	"umberladder/internal/load/rivals"
 )
@@ -160,12 +162,30 @@
 	Seed  uint64 `json:"seed"`
 	drive.Summary
 	CutOff int `json:"cut-off"` // connections that broke though no VM died
+	// StallMS and Preempted are of the VMs and requests that are still there:
+	// a killed VM's metrics are gone.
+	StallMS   float64 `json:"stall-ms-per-request"`
+	Preempted float64 `json:"preempted-per-1000"`
 	// Violations counts the invariants that the VMs' logs say were violated.
 	Violations int            `json:"violations"`
 	Race       *rivals.Report `json:"race,omitempty"`
 	Held       bool           `json:"held"`
 }
 
+// measure reads the users' own measures off the VMs.
+func (r *Result) measure(ctx context.Context, f *plan.Fleet) {
+	for _, vm := range f.VMs {
+		m, err := gauge.Scrape(ctx, vm)
+		if err != nil {
+			continue // it is just being started again
+		}
+		r.StallMS += 1000 * m["umberladder_stall_seconds_total"]
+		r.Preempted += 1000 * m["umberladder_preemptions_total"]
+	}
+	r.StallMS /= math.Max(1, float64(r.Requests))
+	r.Preempted /= math.Max(1, float64(r.Requests))
+}
+
 // violations counts them in the VMs' logs, which outlive the processes.
 func violations(f *plan.Fleet) (int, error) {
 	n := 0
@@ -214,6 +234,7 @@
 	if s.Graceful {
 		res.CutOff = run.CutOff()
 	}
+	res.measure(ctx, f)
 	if res.Violations, err = violations(f); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/load/trial/trial_test.go
+++ b/internal/load/trial/trial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,14 +57,14 @@
 	if !*rounds {
 		t.Skip("a table for people; run with -rounds")
 	}
-	fmt.Println(header)
+	fmt.Fprintln(os.Stdout, header)
 	for _, load := range []float64{0.7, 1.0, 1.3} {
 		for _, p := range placements {
-			t.Run(fmt.Sprintf("%s-%.1f", p, load), func(t *testing.T) { fmt.Println(row(try(t, base(p, load, 7)))) })
+			t.Run(fmt.Sprintf("%s-%.1f", p, load), func(t *testing.T) { fmt.Fprintln(os.Stdout, row(try(t, base(p, load, 7)))) })
 		}
 	}
 	for _, vms := range []int{1, 3, 14, 28} {
-		t.Run(fmt.Sprintf("vms-%d", vms), func(t *testing.T) { fmt.Println(row(try(t, base("predicted", 1.0, vms)))) })
+		t.Run(fmt.Sprintf("vms-%d", vms), func(t *testing.T) { fmt.Fprintln(os.Stdout, row(try(t, base("predicted", 1.0, vms)))) })
 	}
 }
 
--- a/internal/peer/nodes/server.go
+++ b/internal/peer/nodes/server.go
@@ -27,6 +27,12 @@
 	Revision() uint64
 }
 
+// Seater finds and keeps places on engines for other VMs.
+type Seater interface {
+	Seat(ctx context.Context, ask *proto.SeatAsk) *proto.SeatReply
+	News(news *proto.SeatNews)
+}
+
 // Reporter gives other VMs this VM's report on service-level burn.
 type Reporter interface {
 	Report() []byte
@@ -36,12 +42,13 @@
 type Server struct {
 	docs   Documents
 	claims Claimer
+	seats  Seater
 	report Reporter
 }
 
 // NewServer makes a server over this VM's parts.
-func NewServer(d Documents, c Claimer, r Reporter) *Server {
-	return &Server{docs: d, claims: c, report: r}
+func NewServer(d Documents, c Claimer, s Seater, r Reporter) *Server {
+	return &Server{docs: d, claims: c, seats: s, report: r}
 }
 
 // Pull implements proto.Nodes.
@@ -84,6 +91,17 @@
 	return &proto.BurnReply{Report: s.report.Report()}, nil
 }
 
+// Seat implements proto.Nodes.
+func (s *Server) Seat(ctx context.Context, r *proto.SeatAsk) (*proto.SeatReply, error) {
+	return s.seats.Seat(ctx, r), nil
+}
+
+// News implements proto.Nodes.
+func (s *Server) News(_ context.Context, r *proto.SeatNews) (*proto.SeatNewsReply, error) {
+	s.seats.News(r)
+	return &proto.SeatNewsReply{}, nil
+}
+
 // Peers calls other VMs.
 type Peers struct {
 	clients *Clients
@@ -154,3 +172,15 @@
 	}
 	return reply.GetReport(), nil
 }
+
+// Seat asks a model's home for a place.
+func (p *Peers) Seat(ctx context.Context, to member.Member, ask *proto.SeatAsk) (*proto.SeatReply, error) {
+	reply, err := p.clients.To(to.Address).Seat(ctx, ask)
+	return reply, failed(to, err)
+}
+
+// News tells a model's home how seated generations are.
+func (p *Peers) News(ctx context.Context, to member.Member, news *proto.SeatNews) error {
+	_, err := p.clients.To(to.Address).News(ctx, news)
+	return failed(to, err)
+}
--- a/internal/policy/length/curve_test.go
+++ b/internal/policy/length/curve_test.go
@@ -99,10 +99,16 @@
 		run(e, lognormal(rng))
 	}
 	c := e.Curve()
-	const streams, prompt, j = 40, 30, 2
+	const streams, prompt = 40, 30
 	var sum Share
 	one := c.Share(0, prompt)
 	sum.Add(&one, streams)
+	j := 0 // the horizon that binds
+	for i := range sum.Mean {
+		if sum.Mean[i]+1.5*math.Sqrt(sum.Var[i]) > sum.Mean[j]+1.5*math.Sqrt(sum.Var[j]) {
+			j = i
+		}
+	}
 	size := sum.Mean[j] + 1.5*math.Sqrt(sum.Var[j])
 	over := 0
 	const runs = 5000
--- a/internal/proc/cmds/version.go
+++ b/internal/proc/cmds/version.go
@@ -5,6 +5,8 @@
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
+
+	"umberladder/internal/core/ident"
 )
 
 func newVersion() *cobra.Command {
@@ -18,6 +20,17 @@
 	}
 }
 
+func newKey() *cobra.Command {
+	return &cobra.Command{
+		Use:   "key",
+		Short: "Print a new idempotency key, a UUID of version 7, to be used at once",
+		Args:  cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			fmt.Fprintln(c.OutOrStdout(), ident.NewRequest())
+		},
+	}
+}
+
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- a/internal/proc/serve/run.go
+++ b/internal/proc/serve/run.go
@@ -80,10 +80,12 @@
 		func() error { return v.keeper.Run(v.ctx) },
 		v.join,
 		func() error { return v.loads.Run(v.ctx, v.group) },
+		func() error { return v.home.Run(v.ctx) },
+		func() error { return v.desk.Run(v.ctx) },
 		func() error { return v.callers.Serve(l.callers) },
 		func() error { return v.oper.Serve(v.ctx, l.operators) },
 		func() error {
-			return nodes.Serve(v.ctx, l.peers, v.ring, &v.traffic, nodes.NewServer(v.follower, v.keeper, v))
+			return nodes.Serve(v.ctx, l.peers, v.ring, &v.traffic, nodes.NewServer(v.follower, v.keeper, v.home, v))
 		},
 	}
 	for _, f := range loops {
--- a/internal/proc/serve/status.go
+++ b/internal/proc/serve/status.go
@@ -30,6 +30,7 @@
 		"umberladder_live_vms":                       func() float64 { return float64(len(v.fleet.View().Live)) },
 		"umberladder_settings_revision":              func() float64 { return float64(v.settings.Load().Revision) },
 		"umberladder_claim_shards":                   func() float64 { shards, _ := v.keeper.Held(); return float64(shards) },
+		"umberladder_home_tickets":                   func() float64 { return float64(v.home.Tickets()) },
 		"umberladder_claims":                         func() float64 { _, claims := v.keeper.Held(); return float64(claims) },
 		"umberladder_invariant_violations_sum_total": func() float64 { return float64(v.book.Total()) },
 	} {
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/core/invar"
 	"umberladder/internal/core/seal"
 	"umberladder/internal/peer/caller"
@@ -27,11 +28,13 @@
 	"umberladder/internal/proc/burn"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/tally"
+	"umberladder/internal/route/cell"
 	"umberladder/internal/route/entry"
 	"umberladder/internal/route/gate"
 	"umberladder/internal/route/gener"
 	"umberladder/internal/route/loads"
 	"umberladder/internal/route/plain"
+	"umberladder/internal/route/pool"
 	"umberladder/internal/state/amend"
 	"umberladder/internal/state/claim"
 	"umberladder/internal/state/direct"
@@ -43,6 +46,9 @@
 const (
 	// keptConns is how many spare connections a VM keeps to each server.
 	keptConns = 16
+	// awayFactor is how much less often a VM reads the load of engines whose
+	// home is another.
+	awayFactor = 3
 	// peerTime bounds a call to another VM.
 	peerTime = 3 * time.Second
 )
@@ -73,6 +79,8 @@
 	keeper   *claim.Keeper
 	meter    *burn.Meter
 	loads    *loads.Loads
+	home     *cell.Home
+	desk     *cell.Desk
 	entry    *entry.Entry
 	callers  *caller.Server
 	oper     *oper.Server
@@ -140,18 +148,16 @@
 	rec := tally.New(v.log, v.set, v.book, v.meter)
 	engines := engine.New(dialer)
 	budget := retry.NewBudget()
-	vms := func() int {
-		_, n := v.fleet.Rank()
-		return n
-	}
-	v.loads = loads.New(engines, cfg.Limits.LoadInterval, v.chooser, vms, v.book, v.rng.Uint64())
+	v.loads = loads.New(engines, v.loadInterval, v.chooser, v.deciders, v.book, v.rng.Uint64())
 	v.settings.Watch(v.loads.Update)
+	v.home = cell.NewHome(cfg.Name, v.fleet, v.settings, v.loads.Pool, pool.NewAsk, v.group)
+	v.desk = cell.NewDesk(cfg.Name, v.fleet, v.settings, v.loads.Pool, v.peers)
 	v.entry = entry.New(entry.Parts{
 		VM:       cfg.Name,
 		Settings: v.settings,
 		Gate:     gate.New(v.fleet),
 		Claims:   claim.New(cfg.Name, v.fleet, v.keeper, direct.New(v.store), v.peers),
-		Loads:    v.loads,
+		Placers:  v.desk.Placer,
 		Runner:   gener.New(cfg.Generate, engines, budget, v.book, rec, v.group, v.fork()),
 		Plain:    plain.New(peerplain.New(dialer, cfg.Limits.Answer), budget, v.fork()),
 		Ring:     v.ring,
@@ -179,4 +185,26 @@
 	l.log.Debug("http", zap.String("line", fmt.Sprintf(format, args...)))
 }
 
+// deciders returns how many VMs place generations of a model, as this VM
+// should reckon: its home is alone; any other VM decides when the home does
+// not answer, and then so do all.
+func (v *VM) deciders(m ident.Model) int {
+	home, ok := cell.HomeOf(m, v.fleet.View().Live)
+	if ok && home.Name == v.cfg.Name {
+		return 1
+	}
+	_, n := v.fleet.Rank()
+	return n
+}
+
+// loadInterval is how often the engines of a model are asked for their load:
+// its home decides for all, so the others need little.
+func (v *VM) loadInterval(m ident.Model) time.Duration {
+	home, ok := cell.HomeOf(m, v.fleet.View().Live)
+	if ok && home.Name != v.cfg.Name {
+		return awayFactor * v.cfg.Limits.LoadInterval
+	}
+	return v.cfg.Limits.LoadInterval
+}
+
 func (v *VM) chooser() place.Chooser { return place.New(v.cfg.Placement) }
--- a/internal/proc/tally/tally.go
+++ b/internal/proc/tally/tally.go
@@ -96,6 +96,7 @@
 func refusal(r *refuse.Refusal) []zap.Field {
 	return []zap.Field{
 		zap.Stringer("reason", r.Reason),
+		zap.String("detail", r.Detail),
 		zap.Stringer("ran", r.Ran),
 		zap.String("limit-path", r.Rule.Path),
 		zap.Uint64("limit-version", r.Rule.Version),
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -16,7 +16,6 @@
 	"umberladder/internal/peer/caller"
 	"umberladder/internal/route/gate"
 	"umberladder/internal/route/gener"
-	"umberladder/internal/route/loads"
 	"umberladder/internal/route/plain"
 	"umberladder/internal/route/pool"
 	"umberladder/internal/state/config"
@@ -42,7 +41,7 @@
 	settings Settings
 	gate     *gate.Gate
 	claims   Claims
-	loads    *loads.Loads
+	placers  func(ident.Model) (gener.Placer, bool)
 	runner   *gener.Runner
 	plain    *plain.Router
 	ring     *seal.Ring
@@ -58,7 +57,7 @@
 	Settings Settings
 	Gate     *gate.Gate
 	Claims   Claims
-	Loads    *loads.Loads
+	Placers  func(ident.Model) (gener.Placer, bool)
 	Runner   *gener.Runner
 	Plain    *plain.Router
 	Ring     *seal.Ring
@@ -73,7 +72,7 @@
 		settings: p.Settings,
 		gate:     p.Gate,
 		claims:   p.Claims,
-		loads:    p.Loads,
+		placers:  p.Placers,
 		runner:   p.Runner,
 		plain:    p.Plain,
 		ring:     p.Ring,
@@ -133,31 +132,10 @@
 
 // ask describes the generation to the pool.
 func (t *target) ask(prompt string) pool.Ask {
-	head := prompt[:min(len(prompt), prefixHead)]
-	return pool.Ask{
-		Service: t.service,
-		Class:   t.class,
-		Rule: refuse.Rule{
-			Path:    config.SystemPath + "/classes/" + string(t.class.Name) + "/max-wait",
-			Version: t.system.Version,
-			Limit:   t.class.MaxWait.Seconds(),
-		},
-		Reserve: t.reserve(),
-		Prompt:  len(prompt)/bytesPerToken + 1,
-		Prefix:  xxhash.Sum64String(head),
-		Learn:   t.workspace.Name,
-	}
-}
-
-// reserve is the share of memory that classes before this one keep free.
-func (t *target) reserve() float64 {
-	sum := 0.0
-	for _, c := range t.system.Classes {
-		if c.Rank < t.class.Rank {
-			sum += c.Reserve
-		}
-	}
-	return min(sum, 0.9)
+	ask := pool.NewAsk(t.workspace, t.service, t.class, t.system)
+	ask.Prompt = promptTokens(prompt)
+	ask.Prefix = xxhash.Sum64String(prompt[:min(len(prompt), prefixHead)])
+	return ask
 }
 
 // Services implements caller.Handler.
--- a/internal/route/entry/generate.go
+++ b/internal/route/entry/generate.go
@@ -71,11 +71,11 @@
 	if s.claim.replay != nil {
 		return s, nil
 	}
-	pool := e.loads.Pool(t.service.Model)
-	if pool == nil {
+	placer, ok := e.placers(t.service.Model)
+	if !ok {
 		return nil, s.refuse(refuse.New(refuse.NoServer, "the settings name no engine for model %s", t.service.Model).After(time.Second))
 	}
-	s.flight, refusal = e.runner.Open(ctx, pool, gener.Call{
+	s.flight, refusal = e.runner.Open(ctx, placer, gener.Call{
 		Request:    t.request,
 		Workspace:  t.workspace.Name,
 		Service:    t.service,
--- a/internal/route/gener/flight.go
+++ b/internal/route/gener/flight.go
@@ -23,13 +23,13 @@
 	Record final.Record
 
 	runner  *Runner
-	pool    *pool.Pool
+	placer  Placer
 	call    Call
 	ctx     context.Context
 	cancel  context.CancelFunc
 	exclude map[ident.Server]struct{}
 
-	seat   *pool.Seat
+	seat   Seat
 	addr   netip.AddrPort
 	cursor *token.Cursor // nil: no generation is running
 	link   *engine.Stream
--- a/internal/route/gener/flight_test.go
+++ b/internal/route/gener/flight_test.go
@@ -103,6 +103,17 @@
 	return b.String()
 }
 
+// alone places with one pool.
+type alone struct{ *pool.Pool }
+
+func (a alone) Acquire(ctx context.Context, ask *pool.Ask) (Seat, *refuse.Refusal) {
+	s, refusal := a.Pool.Acquire(ctx, ask)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return s, nil
+}
+
 type silent struct{}
 
 func (silent) Done(*final.Record) {}
@@ -145,7 +156,7 @@
 // stream runs a streamed call to its end and returns the tokens that the
 // caller got.
 func (t *trial) stream() ([]Token, *refuse.Refusal) {
-	f, refusal := t.runner.Open(context.Background(), t.pool, t.call)
+	f, refusal := t.runner.Open(context.Background(), alone{t.pool}, t.call)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -161,7 +172,7 @@
 }
 
 func (t *trial) whole() (string, *refuse.Refusal) {
-	f, refusal := t.runner.Open(context.Background(), t.pool, t.call)
+	f, refusal := t.runner.Open(context.Background(), alone{t.pool}, t.call)
 	if refusal != nil {
 		return "", refusal
 	}
--- a/internal/route/gener/runner.go
+++ b/internal/route/gener/runner.go
@@ -51,6 +51,19 @@
 	Cancel(ctx context.Context, addr netip.AddrPort, g ident.Generation) error
 }
 
+// Seat is a generation's place on an engine.
+type Seat interface {
+	At() config.Server
+	Progress(n int)
+	Release(end pool.Ending, now time.Time)
+}
+
+// Placer finds places for generations of one model.
+type Placer interface {
+	Model() ident.Model
+	Acquire(ctx context.Context, ask *pool.Ask) (Seat, *refuse.Refusal)
+}
+
 // Call is one generation that a caller asked for.
 type Call struct {
 	Request    ident.Request
@@ -98,12 +111,12 @@
 }
 
 // Open starts a generation and returns once its first token is at hand.
-func (r *Runner) Open(ctx context.Context, p *pool.Pool, call Call) (*Flight, *refuse.Refusal) {
+func (r *Runner) Open(ctx context.Context, p Placer, call Call) (*Flight, *refuse.Refusal) {
 	r.budget.Earn()
 	ctx, cancel := context.WithCancel(ctx)
 	f := &Flight{
 		runner:  r,
-		pool:    p,
+		placer:  p,
 		call:    call,
 		ctx:     ctx,
 		cancel:  cancel,
--- a/internal/route/gener/start.go
+++ b/internal/route/gener/start.go
@@ -22,19 +22,19 @@
 	ask := f.call.Ask
 	ask.Exclude = f.exclude
 	before := time.Now()
-	seat, refusal := f.pool.Acquire(f.ctx, &ask)
+	seat, refusal := f.placer.Acquire(f.ctx, &ask)
 	f.Record.Queued += time.Since(before)
 	if refusal != nil {
 		return f.truth(refusal)
 	}
 	f.seat = seat
-	f.addr = seat.Server.Address
-	f.Record.Server = seat.Server.Name
+	f.addr = seat.At().Address
+	f.Record.Server = seat.At().Name
 	g := ident.NewGeneration()
 	f.runner.book.Assert(invar.AtMostOnce, !f.call.AtMostOnce || !f.started, "request %s is started twice", f.call.Request)
 	link, err := f.runner.engines.Start(f.ctx, f.addr, engine.Start{
 		Generation: g,
-		Model:      f.pool.Model(),
+		Model:      f.placer.Model(),
 		Prompt:     f.call.Prompt,
 		MaxTokens:  f.call.MaxTokens,
 		Priority:   f.call.Class.Rank,
--- a/internal/route/loads/loads.go
+++ b/internal/route/loads/loads.go
@@ -17,6 +17,9 @@
 	"umberladder/internal/state/config"
 )
 
+// readTime bounds the reading of one report.
+const readTime = time.Second
+
 // Reader reads an engine's load report.
 type Reader interface {
 	Load(ctx context.Context, addr netip.AddrPort) (engine.Load, error)
@@ -26,9 +29,9 @@
 // goroutines.
 type Loads struct {
 	reader   Reader
-	interval time.Duration
+	interval func(ident.Model) time.Duration
 	chooser  func() place.Chooser
-	vms      func() int
+	vms      func(ident.Model) int
 	book     *invar.Book
 	seed     uint64
 
@@ -44,8 +47,10 @@
 	name ident.Server
 }
 
-// New makes the pools' keeper. Each engine's report is read every interval.
-func New(reader Reader, interval time.Duration, chooser func() place.Chooser, vms func() int, book *invar.Book, seed uint64) *Loads {
+// New makes the pools' keeper. vms tells how many VMs place generations of a
+// model. Each engine's report is read every interval
+// of its model.
+func New(reader Reader, interval func(ident.Model) time.Duration, chooser func() place.Chooser, vms func(ident.Model) int, book *invar.Book, seed uint64) *Loads {
 	return &Loads{
 		reader:   reader,
 		interval: interval,
@@ -90,7 +95,7 @@
 		p := l.pools[m.Name]
 		if p == nil {
 			l.seed++
-			p = pool.New(m.Name, l.chooser(), l.vms, l.book, rand.New(rand.NewPCG(l.seed, 0)))
+			p = pool.New(m.Name, l.chooser(), func() int { return l.vms(m.Name) }, l.book, rand.New(rand.NewPCG(l.seed, 0)))
 			l.pools[m.Name] = p
 		}
 		p.Update(m.Servers)
@@ -150,7 +155,8 @@
 func (l *Loads) poll(ctx context.Context, addr netip.AddrPort, t target, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		l.read(ctx, addr, t)
-		wait := l.interval/2 + time.Duration(rng.Int64N(int64(l.interval)))
+		every := l.interval(t.pool.Model())
+		wait := every/2 + time.Duration(rng.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -159,7 +165,7 @@
 }
 
 func (l *Loads) read(ctx context.Context, addr netip.AddrPort, t target) {
-	ctx, cancel := context.WithTimeout(ctx, max(2*l.interval, time.Second))
+	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 	report, err := l.reader.Load(ctx, addr)
 	if err != nil {
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -30,6 +30,36 @@
 	Learn   ident.Workspace           // whose lengths these are
 }
 
+// NewAsk describes a generation of a service and class; its prompt is not
+// filled in.
+func NewAsk(w *config.Workspace, s *config.Service, c *config.Class, sys *config.System) Ask {
+	return Ask{
+		Service: s,
+		Class:   c,
+		Rule: refuse.Rule{
+			Path:    config.SystemPath + "/classes/" + string(c.Name) + "/max-wait",
+			Version: sys.Version,
+			Limit:   c.MaxWait.Seconds(),
+		},
+		Reserve: reserve(c, sys),
+		Learn:   w.Name,
+	}
+}
+
+// reserve is the share of memory that classes before c keep free.
+func reserve(c *config.Class, sys *config.System) float64 {
+	sum := 0.0
+	for _, o := range sys.Classes {
+		if o.Rank < c.Rank {
+			sum += o.Reserve
+		}
+	}
+	return min(sum, maxReserve)
+}
+
+// maxReserve is the most that classes together may keep free.
+const maxReserve = 0.9
+
 // Pool is the engines of one model. It is safe for use by several goroutines.
 type Pool struct {
 	model ident.Model
--- a/internal/route/pool/seat.go
+++ b/internal/route/pool/seat.go
@@ -25,6 +25,9 @@
 	released bool
 }
 
+// At returns the engine.
+func (s *Seat) At() config.Server { return s.Server }
+
 // Progress notes that the generation has produced n tokens in all. It is
 // cheap until n passes into another bucket of lengths.
 func (s *Seat) Progress(n int) {
--- a/internal/state/claim/claims.go
+++ b/internal/state/claim/claims.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
@@ -53,16 +54,22 @@
 		return nil, c.direct.Claim(ctx, w, key, r)
 	}
 	k := full(w, key)
+	why := ""
 	for try := range askTries {
 		if try > 0 {
 			time.Sleep(askPause)
 		}
 		v, answer, err := c.ask(ctx, k, minted, sum, r)
-		if err == nil && v != NotHolder {
+		switch {
+		case err != nil:
+			why = trace.UserMessage(err)
+		case v == NotHolder:
+			why = "the shard's lease is just changing hands, or the store that keeps it is down"
+		default:
 			return judge(v, answer)
 		}
 	}
-	return nil, direct.Down("the VM that keeps the key does not answer")
+	return nil, direct.Down(why)
 }
 
 // ask asks the shard's home. Asking again is safe: a holder knows a request
