--- a/internal/load/scene/scene.go
+++ b/internal/load/scene/scene.go
@@ -166,6 +166,7 @@
 	// a killed VM's metrics are gone.
 	StallMS   float64 `json:"stall-ms-per-request"`
 	Preempted float64 `json:"preempted-per-1000"`
+	CallBytes float64 `json:"peer-call-bytes-per-request"`
 	// Violations counts the invariants that the VMs' logs say were violated.
 	Violations int            `json:"violations"`
 	Race       *rivals.Report `json:"race,omitempty"`
@@ -180,8 +181,10 @@
 			continue // it is just being started again
 		}
 		r.StallMS += 1000 * m["umberladder_stall_seconds_total"]
+		r.CallBytes += m["umberladder_peer_call_bytes_total"]
 		r.Preempted += 1000 * m["umberladder_preemptions_total"]
 	}
+	r.CallBytes /= math.Max(1, float64(r.Requests))
 	r.StallMS /= math.Max(1, float64(r.Requests))
 	r.Preempted /= math.Max(1, float64(r.Requests))
 }
--- a/internal/peer/nodes/rpc.go
+++ b/internal/peer/nodes/rpc.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -93,13 +94,44 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	err := s.Serve(ln)
+	err := s.Serve(&meter{Listener: ln, bytes: &traffic.Calls})
 	if ctx.Err() != nil {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
+// meter counts the bytes of a listener's connections.
+type meter struct {
+	net.Listener
+	bytes *atomic.Uint64
+}
+
+func (m *meter) Accept() (net.Conn, error) {
+	c, err := m.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &metered{Conn: c, bytes: m.bytes}, nil
+}
+
+type metered struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+func (m *metered) Read(p []byte) (int, error) {
+	n, err := m.Conn.Read(p)
+	m.bytes.Add(uint64(n))
+	return n, err
+}
+
+func (m *metered) Write(p []byte) (int, error) {
+	n, err := m.Conn.Write(p)
+	m.bytes.Add(uint64(n))
+	return n, err
+}
+
 // opener lets only calls through that the ring sealed.
 func opener(ring *seal.Ring, traffic *Traffic, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/peer/nodes/socket.go
+++ b/internal/peer/nodes/socket.go
@@ -21,6 +21,7 @@
 	Sent, Received           atomic.Uint64 // bytes of datagrams, without IP and UDP headers
 	SentCount, ReceivedCount atomic.Uint64
 	Forged                   atomic.Uint64 // dropped: not made by the ring, or not readable
+	Calls                    atomic.Uint64 // bytes of calls answered, both ways, with HTTP headers
 }
 
 // Socket sends and receives sealed datagrams.
--- /dev/null
+++ b/internal/proc/burn/burn_test.go
@@ -0,0 +1,81 @@
+package burn
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/final"
+	"umberladder/internal/core/ident"
+)
+
+var noon = time.Unix(1_800_000_000, 0)
+
+func meter(vm ident.VM, bad, total int) *Meter {
+	m := New(vm)
+	for i := range total {
+		r := &final.Record{Workspace: "w", Service: "s", Class: "c", Tokens: 10, Slow: 1}
+		if i < bad {
+			r.Stall = 2 * StallBound
+			r.Preemptions = 1
+		}
+		m.note(r, noon)
+	}
+	return m
+}
+
+func row(t *testing.T, r *Report, o Objective) *Row {
+	t.Helper()
+	for i := range r.Rows {
+		if r.Rows[i].Objective == o {
+			return &r.Rows[i]
+		}
+	}
+	t.Fatalf("no row of %s", o)
+	return nil
+}
+
+func TestRates(t *testing.T) {
+	r := meter("a", 5, 100).Snapshot(noon)
+	assert.Equal(t, int(0.5+row(t, r, Stall).Rate(0)), 5, "5% bad where 1% may be")
+	assert.Assert(t, row(t, r, Preempt).Rate(0) > 2.49 && row(t, r, Preempt).Rate(0) < 2.51)
+	assert.Assert(t, row(t, r, Tail).Rate(2) > 9.9)
+	assert.Equal(t, row(t, r, Tail).Alert(), "ticket")
+	assert.Equal(t, row(t, meter("a", 20, 100).Snapshot(noon), Stall).Alert(), "page")
+	assert.Equal(t, row(t, meter("a", 0, 100).Snapshot(noon), Stall).Alert(), "")
+	assert.Equal(t, row(t, meter("a", 0, 100).Snapshot(noon), Stall).Left(), 1.0)
+}
+
+func TestWindowsSlide(t *testing.T) {
+	m := meter("a", 10, 10)
+	for i, w := range Windows {
+		later := noon.Add(w + w/10)
+		assert.Equal(t, row(t, m.Snapshot(later), Stall).Counts[i].Total, uint64(0), "window %s", w)
+	}
+}
+
+func TestMerge(t *testing.T) {
+	a, b := meter("a", 1, 10).Snapshot(noon), meter("b", 3, 30).Snapshot(noon)
+	a.Merge(b)
+	a.Silent = append(a.Silent, "c")
+	assert.DeepEqual(t, a.VMs, []ident.VM{"a", "b"})
+	assert.Equal(t, row(t, a, Stall).Counts[0], Count{Bad: 4, Total: 40})
+	data, err := a.Encode()
+	assert.NilError(t, err)
+	again, err := Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again.Rows, a.Rows)
+	var table, page bytes.Buffer
+	assert.NilError(t, again.WriteTable(&table))
+	assert.NilError(t, again.WritePage(&page))
+	for _, out := range []string{table.String(), page.String()} {
+		assert.Assert(t, strings.Contains(out, "VM c did not answer"), out)
+	}
+	again.Only("other")
+	assert.Equal(t, len(again.Rows), 0)
+	_, err = Decode([]byte("{"))
+	assert.Assert(t, err != nil)
+}
--- a/internal/proc/burn/codec.go
+++ b/internal/proc/burn/codec.go
@@ -36,7 +36,7 @@
 
 // Encode returns the report as JSON.
 func (r *Report) Encode() ([]byte, error) {
-	w := reportWire{At: r.At.UTC().Format(time.RFC3339Nano), VMs: strings(r.VMs), Silent: strings(r.Silent), Rows: []rowWire{}}
+	w := reportWire{At: r.At.UTC().Format(time.RFC3339Nano), VMs: texts(r.VMs), Silent: texts(r.Silent), Rows: []rowWire{}}
 	for i := range r.Rows {
 		w.Rows = append(w.Rows, encodeRow(&r.Rows[i]))
 	}
@@ -99,7 +99,7 @@
 	return r, nil
 }
 
-func strings(vms []ident.VM) []string {
+func texts(vms []ident.VM) []string {
 	out := make([]string, 0, len(vms))
 	for _, v := range vms {
 		out = append(out, string(v))
--- a/internal/proc/serve/status.go
+++ b/internal/proc/serve/status.go
@@ -26,6 +26,7 @@
 		"umberladder_peer_received_bytes_total":      func() float64 { return float64(v.traffic.Received.Load()) },
 		"umberladder_peer_sent_packets_total":        func() float64 { return float64(v.traffic.SentCount.Load()) },
 		"umberladder_peer_received_packets_total":    func() float64 { return float64(v.traffic.ReceivedCount.Load()) },
+		"umberladder_peer_call_bytes_total":          func() float64 { return float64(v.traffic.Calls.Load()) },
 		"umberladder_peer_forged_total":              func() float64 { return float64(v.traffic.Forged.Load()) },
 		"umberladder_live_vms":                       func() float64 { return float64(len(v.fleet.View().Live)) },
 		"umberladder_settings_revision":              func() float64 { return float64(v.settings.Load().Revision) },
--- a/internal/state/claim/shard_test.go
+++ b/internal/state/claim/shard_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -201,17 +203,33 @@
 	assert.Assert(t, !suspended.holds(now))
 }
 
+// BenchmarkClaim claims keys of a shard that holds n, and reports what each
+// takes in memory.
 func BenchmarkClaim(b *testing.B) {
-	s := NewShard(time.Now().Add(-time.Minute))
-	keys := make([]string, 20000)
-	for i := range keys {
-		keys[i] = fmt.Sprintf("installers/0199-%d", i)
-	}
-	now := time.Now()
-	b.ReportAllocs()
-	i := 0
-	for b.Loop() {
-		s.Claim(keys[i%len(keys)], now, [32]byte{}, "r", now)
-		i++
+	for _, n := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("claims=%d", n), func(b *testing.B) {
+			now := time.Now()
+			before := heap()
+			s := NewShard(now.Add(-time.Minute))
+			keys := make([]string, n)
+			for i := range keys {
+				keys[i] = full("installers", uuid.Must(uuid.NewV7()).String())
+				s.Claim(keys[i], now, [32]byte{}, ident.NewRequest(), now)
+			}
+			each := float64(heap()-before) / float64(n)
+			i := 0
+			for b.Loop() {
+				s.Claim(keys[i%n], now, [32]byte{}, "r", now)
+				i++
+			}
+			b.ReportMetric(each, "bytes/claim")
+		})
 	}
 }
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/state/config/config_test.go
+++ b/internal/state/config/config_test.go
@@ -1,6 +1,8 @@
 package config_test
 
 import (
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -148,3 +150,36 @@
 		_, _ = config.ParseWorkspace("w", []byte(s), 1)
 	})
 }
+
+// BenchmarkWith puts one more change in force over n workspaces, and reports
+// what each workspace takes in memory.
+func BenchmarkWith(b *testing.B) {
+	for _, n := range []int{100, 1000, 2500} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			before := heap()
+			s := config.New()
+			for i := range n {
+				body := strings.ReplaceAll(workspace, "KEY", hex(config.HashKey(fmt.Sprint(i))))
+				var err error
+				s, err = s.With(config.Document{Path: fmt.Sprintf("/workspaces/w%d", i), Version: uint64(i + 1), Body: []byte(body)})
+				assert.NilError(b, err)
+			}
+			each := float64(heap()-before) / float64(n)
+			version := uint64(n)
+			for b.Loop() {
+				version++
+				next, err := s.With(config.Document{Path: "/workspaces/w1", Version: version, Body: doc(workspace)})
+				assert.NilError(b, err)
+				s = next
+			}
+			b.ReportMetric(each, "bytes/workspace")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Measures the slopes of docs/CAPACITY.md: capacity.sh DIR PROGRAMS
-# Prints a line of JSON for each size. Takes about five minutes.
+# Prints a line of JSON for each size. Takes about nine minutes.
 set -u
 dir=$1 programs=$2
 
@@ -10,17 +10,23 @@
   rm -rf "$dir"
   # The flags are words of their own.
   "$programs/stress" plan --dir "$dir" --net "$net" $flags || return 1
-  scripts/fleet.sh start "$dir" "$programs" && sleep 3 &&
+  scripts/fleet.sh start "$dir" "$programs" && sleep "$settle" &&
     "$programs/stress" "$@" --dir "$dir" --net "$net" $flags
   scripts/fleet.sh stop "$dir"
 }
 
+# The news of everybody's start takes a while to be told to all.
+settle=60
 for vms in 7 14 28 56; do
   with_fleet 41 "--vms $vms --engines 4" control --duration 20s
 done
+settle=5
 for engines in 16 64 256; do
   with_fleet 42 "--vms 7 --engines $engines" control --duration 20s
 done
+for rate in 20 40 80; do
+  with_fleet 45 "--vms 7 --engines 4" run calm --duration 15s --rate "$rate"
+done
 for vms in 7 28; do
   with_fleet 43 "--vms $vms --engines 4" run settings-race --duration 30s --rate 10
 done
