Serve, print and list in one place each

Cause: duplicates: five stand-ins had the same serving code, four commands the same printing, two results the same line.

Change: fake/httpd serves stand-ins; output.show prints what a VM answers; serveAll starts stand-ins.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -64,6 +64,25 @@
 	return nil
 }
 
+// serveAll makes a server for each NAME=ADDRESS, with a record of its own, and
+// waits for all to end.
+func serveAll(ctx context.Context, g *errgroup.Group, addrs []string, records string, build func(string, *record.Record) server) error {
+	for _, at := range addrs {
+		name, addr, err := split(at)
+		if err != nil {
+			return err
+		}
+		rec, err := openRecord(records, name)
+		if err != nil {
+			return err
+		}
+		if err := serveOn(ctx, g, addr, build(name, rec)); err != nil {
+			return err
+		}
+	}
+	return g.Wait()
+}
+
 func newPlatform() *cobra.Command {
 	var storeAddr, listAddr string
 	var lag time.Duration
@@ -112,24 +131,13 @@
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			g, ctx := errgroup.WithContext(c.Context())
-			for _, at := range addrs {
-				name, addr, err := split(at)
-				if err != nil {
-					return err
-				}
+			return serveAll(ctx, g, addrs, records, func(name string, rec *record.Record) server {
 				one := cfg
 				one.Name = name
-				rec, err := openRecord(records, name)
-				if err != nil {
-					return err
-				}
 				e := engine.New(one, rec)
-				if err := serveOn(ctx, g, addr, e); err != nil {
-					return err
-				}
 				g.Go(func() error { return e.Run(ctx) })
-			}
-			return g.Wait()
+				return e
+			})
 		},
 	}
 	c.Flags().StringArrayVar(&addrs, "at", nil, "NAME=ADDRESS of an engine; may be repeated")
@@ -151,20 +159,9 @@
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			g, ctx := errgroup.WithContext(c.Context())
-			for _, at := range addrs {
-				name, addr, err := split(at)
-				if err != nil {
-					return err
-				}
-				rec, err := openRecord(records, name)
-				if err != nil {
-					return err
-				}
-				if err := serveOn(ctx, g, addr, plain.New(name, rec)); err != nil {
-					return err
-				}
-			}
-			return g.Wait()
+			return serveAll(ctx, g, addrs, records, func(name string, rec *record.Record) server {
+				return plain.New(name, rec)
+			})
 		},
 	}
 	c.Flags().StringArrayVar(&addrs, "at", nil, "NAME=ADDRESS of a server; may be repeated")
--- a/cmd/stress/control.go
+++ b/cmd/stress/control.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -45,12 +43,7 @@
 			if err != nil {
 				return err
 			}
-			data, err := json.Marshal(row)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintln(c.OutOrStdout(), string(data))
-			return nil
+			return printLine(c, row)
 		},
 	}
 	flags.add(c)
--- a/cmd/stress/cost.go
+++ b/cmd/stress/cost.go
@@ -47,11 +47,9 @@
 				if err != nil {
 					return err
 				}
-				data, err := json.Marshal(row)
-				if err != nil {
+				if err := printLine(c, row); err != nil {
 					return err
 				}
-				fmt.Fprintln(c.OutOrStdout(), string(data))
 			}
 			return nil
 		},
--- a/cmd/stress/main.go
+++ b/cmd/stress/main.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,3 +23,13 @@
 		os.Exit(1)
 	}
 }
+
+// printLine prints a result as one line of JSON.
+func printLine(c *cobra.Command, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(c.OutOrStdout(), string(data))
+	return nil
+}
--- a/cmd/stress/run.go
+++ b/cmd/stress/run.go
@@ -51,7 +51,9 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintln(c.OutOrStdout(), res.Line())
+			if err := printLine(c, res); err != nil {
+				return err
+			}
 			if !res.Held {
 				return errBroken
 			}
--- a/internal/fake/copier/copier.go
+++ b/internal/fake/copier/copier.go
@@ -9,10 +9,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
-	"umberladder/internal/fake/quiet"
+	"umberladder/internal/fake/httpd"
 	"umberladder/internal/peer/link"
 )
 
@@ -35,14 +34,7 @@
 
 // Serve answers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	h := &fasthttp.Server{Handler: s.handle, NoDefaultDate: true, Logger: quiet.Log{}}
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	err := h.Serve(ln)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return httpd.Serve(ctx, ln, "copy", s.handle)
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"umberladder/internal/fake/quiet"
+	"umberladder/internal/fake/httpd"
 )
 
 const (
@@ -25,14 +25,7 @@
 
 // Serve answers on ln until ctx ends.
 func (e *Engine) Serve(ctx context.Context, ln net.Listener) error {
-	s := &fasthttp.Server{Handler: e.handle, CloseOnShutdown: true, Name: "engine", NoDefaultDate: true, Logger: quiet.Log{}}
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	err := s.Serve(ln)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return httpd.Serve(ctx, ln, e.cfg.Name, e.handle)
 }
 
 func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/fake/plain/plain.go
+++ b/internal/fake/plain/plain.go
@@ -10,11 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"umberladder/internal/fake/quiet"
+	"umberladder/internal/fake/httpd"
 	"umberladder/internal/fake/record"
 )
 
@@ -47,14 +46,7 @@
 
 // Serve answers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	h := &fasthttp.Server{Handler: s.handle, Name: s.name, NoDefaultDate: true, Logger: quiet.Log{}}
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	err := h.Serve(ln)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return httpd.Serve(ctx, ln, s.name, s.handle)
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/fake/roster/roster.go
+++ b/internal/fake/roster/roster.go
@@ -10,11 +10,10 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"umberladder/internal/fake/quiet"
+	"umberladder/internal/fake/httpd"
 )
 
 // VM is one line of the list.
@@ -85,14 +84,7 @@
 // Serve answers on ln until ctx ends: GET /vms lists, PUT /vms/<name> with a
 // JSON body sets, DELETE /vms/<name> removes.
 func (r *Roster) Serve(ctx context.Context, ln net.Listener) error {
-	h := &fasthttp.Server{Handler: r.handle, Name: "vm-list", NoDefaultDate: true, Logger: quiet.Log{}}
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	err := h.Serve(ln)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return httpd.Serve(ctx, ln, "vm-list", r.handle)
 }
 
 func (r *Roster) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/fake/store/server.go
+++ b/internal/fake/store/server.go
@@ -12,12 +12,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 	"golang.org/x/time/rate"
 
-	"umberladder/internal/fake/quiet"
+	"umberladder/internal/fake/httpd"
 )
 
 const (
@@ -77,14 +76,7 @@
 
 // Serve answers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	h := &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * maxValue, Name: "store", NoDefaultDate: true, Logger: quiet.Log{}}
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	err := h.Serve(ln)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return httpd.Serve(ctx, ln, "store", s.handle)
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/load/scene/scene.go
+++ b/internal/load/scene/scene.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -202,15 +201,6 @@
 	return n, nil
 }
 
-// Line returns the result as one line of JSON.
-func (r *Result) Line() string {
-	data, err := json.Marshal(r)
-	if err != nil {
-		return err.Error()
-	}
-	return string(data)
-}
-
 // Run puts a running fleet through the scene.
 func (s *Scene) Run(ctx context.Context, f *plan.Fleet, mix drive.Mix, seed uint64) (*Result, error) {
 	faults, cancel := context.WithTimeout(ctx, mix.Duration)
--- a/internal/proc/cmds/flags.go
+++ b/internal/proc/cmds/flags.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"os"
 
 	"github.com/gravitational/trace"
@@ -52,6 +54,22 @@
 	c.Flags().StringVar(&o.form, "output", formTable, "form of the output: "+forms)
 }
 
+// show prints what is at a path of the VM: as it came, or as a table.
+func (o *output) show(c *cobra.Command, vm *remote.VM, path string, table func(io.Writer, *remote.Answer) error) error {
+	if err := o.check(formTable, formJSON); err != nil {
+		return err
+	}
+	a, err := vm.Get(path)
+	if err != nil {
+		return failed(err)
+	}
+	if o.form == formJSON {
+		fmt.Fprintf(c.OutOrStdout(), "%s\n", a.Body)
+		return nil
+	}
+	return table(c.OutOrStdout(), a)
+}
+
 func (o *output) check(forms ...string) error {
 	for _, f := range forms {
 		if o.form == f {
--- a/internal/proc/cmds/node.go
+++ b/internal/proc/cmds/node.go
@@ -25,18 +25,7 @@
 		Example: "  umberladder status --server 127.0.0.1:8081",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if err := o.check(formTable, formJSON); err != nil {
-				return err
-			}
-			a, err := vm.Get("/v1/status")
-			if err != nil {
-				return failed(err)
-			}
-			if o.form == formJSON {
-				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.Body)
-				return nil
-			}
-			return printStatus(c.OutOrStdout(), a)
+			return o.show(c, &vm, "/v1/status", printStatus)
 		},
 	}
 	remoteFlags(c, &vm)
--- a/internal/proc/cmds/settings.go
+++ b/internal/proc/cmds/settings.go
@@ -100,11 +100,8 @@
 			"  umberladder settings get /workspaces/installers",
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if err := o.check(formTable, formJSON); err != nil {
-				return err
-			}
 			if len(args) == 0 {
-				return listSettings(c.OutOrStdout(), &vm, &o)
+				return o.show(c, &vm, "/v1/settings", printPaths)
 			}
 			a, err := vm.Get("/v1/settings" + args[0])
 			if err != nil {
@@ -120,15 +117,7 @@
 	return c
 }
 
-func listSettings(w io.Writer, vm *remote.VM, o *output) error {
-	a, err := vm.Get("/v1/settings")
-	if err != nil {
-		return failed(err)
-	}
-	if o.form == formJSON {
-		fmt.Fprintf(w, "%s\n", a.Body)
-		return nil
-	}
+func printPaths(w io.Writer, a *remote.Answer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "PATH\tVERSION")
 	for _, v := range a.Value().GetArray() {
@@ -220,18 +209,7 @@
 		Example: "  umberladder settings history /workspaces/installers",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if err := o.check(formTable, formJSON); err != nil {
-				return err
-			}
-			a, err := vm.Get("/v1/history" + args[0])
-			if err != nil {
-				return failed(err)
-			}
-			if o.form == formJSON {
-				fmt.Fprintf(c.OutOrStdout(), "%s\n", a.Body)
-				return nil
-			}
-			return printHistory(c.OutOrStdout(), a)
+			return o.show(c, &vm, "/v1/history"+args[0], printHistory)
 		},
 	}
 	remoteFlags(c, &vm)
--- a/internal/proc/conf/conf_test.go
+++ b/internal/proc/conf/conf_test.go
@@ -22,7 +22,7 @@
 
 func TestFaults(t *testing.T) {
 	for name, c := range map[string]struct{ old, new, path, want string }{
-		"unknown member":   {`"name"`, `"nmae"`, "/nmae", "unknown member"},
+		"unknown member":   {`"name"`, `"title"`, "/title", "unknown member"},
 		"missing name":     {`"name": "vm-1", `, ``, "/name", "missing"},
 		"missing address":  {`"callers-address": "127.0.0.1:8080", `, ``, "/callers-address", "IP address with a port"},
 		"no ring":          {`{"id": 1, "secret": "00112233445566778899aabbccddeeff"}`, ``, "/key-ring", "1 or 2 secrets"},
