Free shards whose taking was not seen to its end

A VM that starts knows only itself, takes all 64 shards for its own, and uses up its budget of store calls; where the taking was written and the lease's renewal, which tells the term's start, was not sent, its name stayed in the store under a lease it went on renewing, and the shard's home never got it.

Ruled out: slow homes (the refusals came after 200 ms, three answers 'not the holder'), handovers (no VM came or went).

Change: a taking is in doubt until it is seen to its end; once its home is another VM, what was left in the store is read and freed. A VM waits a second for others before it takes itself to be alone. A taking that a handover overtook no longer replaces the claims handed over.

Before: TestKeepers 'taken in part before its home changed': 36 of 64 shards held.

--- a/internal/state/claim/keeper.go
+++ b/internal/state/claim/keeper.go
@@ -28,6 +28,8 @@
 	// takeRetry is the wait after a shard was found held by another.
 	takeRetry = 2 * time.Second
 	handTime  = 3 * time.Second
+	// aloneAfter is when a VM that knows no other takes itself to be alone.
+	aloneAfter = time.Second
 )
 
 // Store is what the keeper needs of the platform's key-value service.
@@ -66,6 +68,7 @@
 	held    map[int]*holding
 	retry   map[int]time.Time
 	freeing map[int]uint64 // shards given up, with the revision of this VM's name
+	doubt   map[int]bool   // shards whose taking was begun and not seen to its end
 	leaving bool
 }
 
@@ -97,6 +100,7 @@
 		held:    map[int]*holding{},
 		retry:   map[int]time.Time{},
 		freeing: map[int]uint64{},
+		doubt:   map[int]bool{},
 	}
 }
 
@@ -107,10 +111,14 @@
 
 // Run takes, renews and hands on shards until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
+	start := time.Now()
 	t := time.NewTicker(keepEvery)
 	defer t.Stop()
 	for {
-		k.round(ctx)
+		// Until it knows others, a VM would take every shard for its own.
+		if len(k.fleet.View().Live) > 1 || time.Since(start) > aloneAfter {
+			k.round(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -136,6 +144,8 @@
 			k.take(ctx, shard)
 		case !mine && k.holds(shard):
 			k.pass(ctx, shard, home)
+		case !mine && k.doubts(shard):
+			k.settle(ctx, shard)
 		}
 	}
 }
@@ -195,6 +205,7 @@
 	clear(k.held)
 	clear(k.retry)
 	clear(k.freeing)
+	clear(k.doubt)
 }
 
 func (k *Keeper) due(shard int) bool {
@@ -209,6 +220,12 @@
 	return k.held[shard] != nil
 }
 
+func (k *Keeper) doubts(shard int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.doubt[shard]
+}
+
 func shardPath(shard int) string { return fmt.Sprintf("%s%02d", shardPrefix, shard) }
 
 // take writes this VM's name as the shard's holder and starts a term. The
@@ -218,6 +235,7 @@
 	k.mu.Lock()
 	lease := k.lease
 	k.retry[shard] = time.Now().Add(takeRetry)
+	k.doubt[shard] = true
 	k.mu.Unlock()
 	rev, err := k.store.Put(ctx, shardPath(shard), k.mark(lease), 0, lease)
 	if store.Is(err, store.Conflict) || store.Is(err, store.Unknown) {
@@ -232,12 +250,32 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.lease != lease || k.leaving {
+	if k.lease != lease || k.leaving || k.held[shard] != nil {
 		return
 	}
+	delete(k.doubt, shard)
 	k.held[shard] = &holding{shard: NewShard(l.Now), revision: rev}
 }
 
+// settle finds out, for a shard whose taking was begun and whose home is
+// another VM by now, whether this VM's name was left in the store, and frees
+// it.
+func (k *Keeper) settle(ctx context.Context, shard int) {
+	k.mu.Lock()
+	lease := k.lease
+	k.mu.Unlock()
+	rev, err := k.mine(ctx, shard, lease)
+	if err != nil && !trace.IsAlreadyExists(err) && !store.Is(err, store.Missing) {
+		return // not known yet
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.doubt, shard)
+	if err == nil && k.held[shard] == nil {
+		k.freeing[shard] = rev
+	}
+}
+
 // mark is the value that names this VM and its lease as the holder.
 func (k *Keeper) mark(lease uint64) []byte {
 	return []byte(fmt.Sprintf("%s/%d", k.vm, lease))
--- a/internal/state/claim/keeper_test.go
+++ b/internal/state/claim/keeper_test.go
@@ -205,6 +205,25 @@
 			town.held(t)
 		})
 	})
+	t.Run("free a shard that was taken in part before its home changed", func(t *testing.T) {
+		for call, lost := range map[string]store.Fault{"renew": store.Budget, "put": store.Unknown} {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemory()
+				town := newTown(m, 1)
+				m.fail = func(c string) store.Fault {
+					if c == call || c == "get" {
+						return lost
+					}
+					return fine
+				}
+				town.rounds(1) // alone, it takes every shard for its own
+				m.fail = func(string) store.Fault { return fine }
+				town.add(m, 1)
+				town.rounds(12)
+				town.held(t)
+			})
+		}
+	})
 	t.Run("let no key run once the lease may have lapsed", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			m := newMemory()
