--- a/internal/route/cell/cell_test.go
+++ b/internal/route/cell/cell_test.go
@@ -118,7 +118,8 @@
 func (t *town) acquire(vm ident.VM) (interface {
 	Release(pool.Ending, time.Time)
 	Progress(int)
-}, *refuse.Refusal) {
+}, *refuse.Refusal,
+) {
 	w := t.snap.Workspace("w")
 	ask := pool.NewAsk(w, w.Service("s"), t.snap.System.Class("standard"), t.snap.System)
 	ask.Prompt = 10
