--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -146,6 +146,7 @@
 	c.Flags().IntVar(&cfg.Batch, "batch", cfg.Batch, "most streams in a step")
 	c.Flags().DurationVar(&cfg.StepBase, "step", cfg.StepBase, "time of a step")
 	c.Flags().DurationVar(&cfg.StepStream, "step-stream", cfg.StepStream, "time added for each stream")
+	c.Flags().BoolVar(&cfg.Fencing, "fencing", false, "refuse orders with an old fencing number")
 	c.Flags().DurationVar(&cfg.ReportLag, "report-lag", cfg.ReportLag, "age of the load reports")
 	return c
 }
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -29,6 +29,7 @@
 	Prefill    time.Duration // for each prompt token not in the cache
 	Cache      int           // prompt prefixes held
 	ReportLag  time.Duration // age of the load reports
+	Fencing    bool          // orders with an old fencing number are refused
 }
 
 // DefaultConfig returns a small engine.
@@ -61,6 +62,7 @@
 	Completed int
 	Preempted int
 	Late      int // new work offered after the engine had long been leaving
+	Orders    int // orders taken
 }
 
 // Load is one load report.
@@ -68,6 +70,7 @@
 	Running, Waiting, MemoryUsed, MemorySize int
 	Leaving                                  bool
 	At                                       time.Time
+	events                                   uint64 // cache events by then
 }
 
 // Engine is a stand-in engine. Its fields below mu are guarded by it.
@@ -84,8 +87,12 @@
 	record  *record.Record
 	counts  Count
 	cache   []uint64
+	fence   uint64
+	events  uint64 // cache events so far, lost ones too
 	reports []Load
 	leaveAt time.Time
+
+	cacheEvents []cacheEvent
 }
 
 type generation struct {
@@ -202,7 +209,9 @@
 		e.cache = slices.Delete(e.cache, i, i+1)
 	}
 	e.cache = append(e.cache, key)
+	e.noteCache(key, false)
 	if len(e.cache) > e.cfg.Cache {
+		e.noteCache(e.cache[0], true)
 		e.cache = e.cache[1:]
 	}
 	return time.Duration(cost) * e.cfg.Prefill
@@ -327,6 +336,7 @@
 		MemorySize: e.cfg.Memory,
 		Leaving:    e.faults.Load().Leaving,
 		At:         now,
+		events:     e.events,
 	})
 	for len(e.reports) > 1 && now.Sub(e.reports[1].At) >= e.cfg.ReportLag {
 		e.reports = e.reports[1:]
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -43,6 +43,10 @@
 		e.cancel(ctx, id)
 	case path == "/v1/load":
 		e.load(ctx)
+	case path == "/v1/cache-events":
+		e.showCache(ctx)
+	case path == "/v1/orders" && ctx.IsPost():
+		e.order(ctx)
 	case path == "/v1/counts":
 		e.showCounts(ctx)
 	case path == "/v1/faults" && ctx.IsPost():
@@ -245,7 +249,8 @@
 func (e *Engine) showCounts(ctx *fasthttp.RequestCtx) {
 	c := e.Counts()
 	ctx.SetContentType("application/json")
-	fmt.Fprintf(ctx, `{"starts":%d,"completed":%d,"preempted":%d,"late":%d}`, c.Starts, c.Completed, c.Preempted, c.Late)
+	fmt.Fprintf(ctx, `{"starts":%d,"completed":%d,"preempted":%d,"late":%d,"orders":%d}`,
+		c.Starts, c.Completed, c.Preempted, c.Late, c.Orders)
 }
 
 func (e *Engine) setFaults(ctx *fasthttp.RequestCtx) {
--- a/internal/load/fault/kinds.go
+++ b/internal/load/fault/kinds.go
@@ -1,9 +1,11 @@
 package fault
 
 import (
+	"context"
 	"syscall"
 	"time"
 
+	"umberladder/internal/load/gauge"
 	"umberladder/internal/load/plan"
 )
 
@@ -115,7 +117,13 @@
 // notice, whatever still runs on it.
 func reclaimEngine(w *World) (Ending, error) {
 	n := w.engine()
-	kill := func() error { return w.signal(n.Name, syscall.SIGKILL) }
+	kill := func() error {
+		// What it counted goes with it.
+		if late, err := gauge.Late(context.Background(), n); err == nil {
+			w.late.Add(int64(late))
+		}
+		return w.signal(n.Name, syscall.SIGKILL)
+	}
 	return Ending{After: w.between(4*time.Second, 8*time.Second), Do: kill}, w.engineFault(n, `{"leaving":true}`)
 }
 
--- a/internal/load/fault/world.go
+++ b/internal/load/fault/world.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,13 +27,25 @@
 	Fleet *plan.Fleet
 	Rand  *rand.Rand
 	http  http.Client
+	late  *atomic.Int64
 }
 
 // New makes the world of a fleet; what strikes whom follows from rng.
 func New(f *plan.Fleet, rng *rand.Rand) *World {
-	return &World{Fleet: f, Rand: rng, http: http.Client{Timeout: switchTime}}
+	return &World{Fleet: f, Rand: rng, http: http.Client{Timeout: switchTime}, late: &atomic.Int64{}}
 }
 
+// Fork returns the same world with another source of random numbers.
+func (w *World) Fork() *World {
+	one := *w
+	one.Rand = rand.New(rand.NewPCG(w.Rand.Uint64(), 0))
+	return &one
+}
+
+// Late returns how much new work was offered to engines more than three seconds
+// after they began to leave.
+func (w *World) Late() int { return int(w.late.Load()) }
+
 // signal sends a signal to a process of the fleet.
 func (w *World) signal(name string, s syscall.Signal) error {
 	data, err := os.ReadFile(filepath.Join(w.Fleet.Dir, plan.PIDDir, name))
--- a/internal/load/scene/scene.go
+++ b/internal/load/scene/scene.go
@@ -121,7 +121,7 @@
 		var g errgroup.Group
 		for range 2 {
 			k := kinds[w.Rand.IntN(len(kinds))]
-			one := fault.New(w.Fleet, rand.New(rand.NewPCG(w.Rand.Uint64(), 0)))
+			one := w.Fork()
 			g.Go(func() error { return strike(ctx, one, k) })
 		}
 		if err := g.Wait(); err != nil {
@@ -160,7 +160,8 @@
 	Scene string `json:"scene"`
 	Seed  uint64 `json:"seed"`
 	drive.Summary
-	CutOff int `json:"cut-off"` // connections that broke though no VM died
+	CutOff int `json:"cut-off"`   // connections that broke though no VM died
+	Late   int `json:"late-work"` // offered to engines that had long been leaving
 	// StallMS and Preempted are of the VMs and requests that are still there:
 	// a killed VM's metrics are gone.
 	StallMS   float64 `json:"stall-ms-per-request"`
@@ -206,7 +207,8 @@
 	faults, cancel := context.WithTimeout(ctx, mix.Duration)
 	defer cancel()
 	var g errgroup.Group
-	g.Go(func() error { return s.Faults(faults, fault.New(f, rand.New(rand.NewPCG(seed, 20)))) })
+	world := fault.New(f, rand.New(rand.NewPCG(seed, 20)))
+	g.Go(func() error { return s.Faults(faults, world) })
 	res := &Result{Scene: s.Name, Seed: seed}
 	if s.Race {
 		g.Go(func() error {
@@ -231,6 +233,7 @@
 	if res.Violations, err = violations(f); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	res.Held = res.Summary.Held() && res.CutOff == 0 && res.Violations == 0 && (res.Race == nil || res.Race.Held())
+	res.Late = world.Late()
+	res.Held = res.Summary.Held() && res.CutOff == 0 && res.Late == 0 && res.Violations == 0 && (res.Race == nil || res.Race.Held())
 	return res, nil
 }
--- a/internal/proc/burn/meter.go
+++ b/internal/proc/burn/meter.go
@@ -97,7 +97,9 @@
 			for i, w := range Windows {
 				r.Counts[i] = row[o][i].sum(now, w)
 			}
-			rep.Rows = append(rep.Rows, r)
+			if r.Counts[len(Windows)-1].Total > 0 {
+				rep.Rows = append(rep.Rows, r)
+			}
 		}
 	}
 	rep.sort()
--- a/internal/route/entry/generate.go
+++ b/internal/route/entry/generate.go
@@ -83,7 +83,6 @@
 		Prompt:     g.Prompt,
 		MaxTokens:  g.MaxTokens,
 		AtMostOnce: t.service.AtMostOnce,
-		Streamed:   g.Stream,
 		Ask:        t.ask(g.Prompt),
 	})
 	if refusal != nil {
--- a/internal/route/gener/flight.go
+++ b/internal/route/gener/flight.go
@@ -36,11 +36,12 @@
 	next   func() (engine.Event, error, bool)
 	stop   func()
 
-	started   bool // some engine was given the generation and may have run it
-	delivered bool // some token has reached the caller
-	resumes   int  // in a row that the engine did not answer, or answered wrongly
-	cuts      int  // in a row of links that broke off before a token
-	refusals  int  // engines that did not start it
+	shown     ident.Generation // whose tokens the caller has
+	started   bool             // some engine was given the generation and may have run it
+	delivered bool             // some token has reached the caller
+	resumes   int              // in a row that the engine did not answer, or answered wrongly
+	cuts      int              // in a row of links that broke off before a token
+	refusals  int              // engines that did not start it
 	kept      *Token
 	last      time.Time     // when the last token came, or the flight began
 	pace      time.Duration // expected time to the next token
@@ -68,6 +69,18 @@
 // refusal that ends it.
 func (f *Flight) Next() (Token, *refuse.Refusal) {
 	f.delivered = true
+	t, refusal := f.fetch()
+	if refusal != nil || t.End() {
+		return t, refusal
+	}
+	g := f.cursor.Generation()
+	f.runner.book.Assert(invar.OneGeneration, f.shown == "" || f.shown == g, "request %s shows tokens of two generations", f.call.Request)
+	f.shown = g
+	return t, nil
+}
+
+// fetch returns the kept first token, or the next one.
+func (f *Flight) fetch() (Token, *refuse.Refusal) {
 	if t := f.kept; t != nil {
 		f.kept = nil
 		return *t, nil
@@ -108,6 +121,7 @@
 	f.cancel()
 	f.Record.Total = time.Since(f.Record.Start)
 	if refusal != nil {
+		f.runner.book.Assert(invar.NotRun, refusal.Ran != refuse.RanNo || !f.started, "request %s was started, and its refusal says it never ran", f.call.Request)
 		f.Record.Outcome = final.Refused
 		f.Record.Refusal = refusal
 	}
--- a/internal/route/gener/runner.go
+++ b/internal/route/gener/runner.go
@@ -73,7 +73,6 @@
 	Prompt     string
 	MaxTokens  int
 	AtMostOnce bool // it may be started once, ever
-	Streamed   bool // tokens reach the caller as they come
 	Ask        pool.Ask
 }
 
