--- a/internal/load/drive/client.go
+++ b/internal/load/drive/client.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -340,13 +339,3 @@
 	a.words = append(a.words, text)
 	return now
 }
-
-// Address returns the address of the named VM.
-func Address(vms []plan.Node, name string) (netip.AddrPort, bool) {
-	for _, v := range vms {
-		if v.Name == name {
-			return v.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -10,7 +10,6 @@
 type Engine struct {
 	Size      float64      // memory, in tokens
 	Reported  float64      // memory used by the last report, in tokens
-	Streams   int          // streams by the last report
 	Own       int          // this VM's streams on it
 	Predicted length.Share // memory predicted for all streams known or inferred
 	Weight    float64      // share of its usual work it should get, 0 to 1
--- a/internal/route/pool/engine.go
+++ b/internal/route/pool/engine.go
@@ -93,7 +93,6 @@
 	e := place.Engine{
 		Size:      float64(n.report.MemorySize),
 		Reported:  float64(n.report.MemoryUsed),
-		Streams:   n.report.Running + n.report.Waiting,
 		Own:       n.own,
 		Predicted: n.share,
 		Weight:    n.breaker.Weight(now),
--- a/internal/state/config/wire.go
+++ b/internal/state/config/wire.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/go-json-experiment/json/jsontext"
 	"github.com/gravitational/trace"
 
 	"umberladder/internal/core/ident"
@@ -205,13 +204,3 @@
 		seen[k] = true
 	}
 }
-
-// Canonical returns a document's JSON with members in a fixed order and
-// spacing, so that equal documents are equal bytes.
-func Canonical(data []byte) ([]byte, error) {
-	v := jsontext.Value(append([]byte(nil), data...))
-	if err := v.Canonicalize(); err != nil {
-		return nil, trace.Wrap(&FieldError{Want: "not valid JSON: " + err.Error()})
-	}
-	return []byte(v), nil
-}
