--- a/internal/core/invar/book.go
+++ b/internal/core/invar/book.go
@@ -17,6 +17,9 @@
 	AtMostOnce                // a non-idempotent call was written twice
 	NoReversion               // an older version of a setting was applied
 	LeavingServer             // new work was sent to a leaving server
+	CutOff                    // a VM ended while a request was open
+	UrgentFirst               // another was seated while an urgent one waited
+	OwnAnswer                 // a caller was given the answer to another's request
 	names
 )
 
@@ -28,6 +31,9 @@
 	AtMostOnce:    "at-most-once",
 	NoReversion:   "no-reversion",
 	LeavingServer: "leaving-server",
+	CutOff:        "cut-off",
+	UrgentFirst:   "urgent-first",
+	OwnAnswer:     "own-answer",
 }
 
 func (n Name) String() string { return texts[n] }
--- a/internal/fake/plain/plain.go
+++ b/internal/fake/plain/plain.go
@@ -70,6 +70,7 @@
 	if f.Error {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
+	ctx.Response.Header.SetBytesV("Umberladder-Request", ctx.Request.Header.Peek("Umberladder-Request"))
 	ctx.SetContentType("application/json")
 	fmt.Fprintf(ctx, `{"tag":%q,"method":%q,"path":%q,"bytes":%d}`, tag, ctx.Method(), ctx.Path(), len(ctx.PostBody()))
 }
--- a/internal/peer/plain/client.go
+++ b/internal/peer/plain/client.go
@@ -43,8 +43,13 @@
 	Timeout     time.Duration
 }
 
+// EchoHeader is the header in which a server may return the request's
+// identifier, so that its answer is told from another's.
+const EchoHeader = "Umberladder-Request"
+
 // Answer is a whole answer.
 type Answer struct {
+	Echo        string // what EchoHeader holds
 	Status      int
 	ContentType string
 	Body        []byte
@@ -77,6 +82,7 @@
 		return Answer{}, classify(ctx, err)
 	}
 	return Answer{
+		Echo:        string(resp.Header.Peek(EchoHeader)),
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 		Body:        append([]byte(nil), resp.Body()...),
--- a/internal/proc/serve/run.go
+++ b/internal/proc/serve/run.go
@@ -123,6 +123,7 @@
 	v.keeper.Leave(ctx)
 	cancel()
 	err := v.callers.Shutdown(v.ctx)
+	v.entry.Ended()
 	v.log.Info("left")
 	return trace.Wrap(err)
 }
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -159,7 +159,7 @@
 		Claims:   claim.New(cfg.Name, v.fleet, v.keeper, direct.New(v.store), v.peers),
 		Placers:  v.desk.Placer,
 		Runner:   gener.New(cfg.Generate, engines, budget, v.book, rec, v.group, v.fork()),
-		Plain:    plain.New(peerplain.New(dialer, cfg.Limits.Answer), budget, v.fork()),
+		Plain:    plain.New(peerplain.New(dialer, cfg.Limits.Answer), budget, v.book, v.fork()),
 		Ring:     v.ring,
 		Book:     v.book,
 		Recorder: rec,
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -28,6 +28,8 @@
 	// bytesPerToken is the usual ratio for English text; engines count the
 	// prompt themselves, this only sizes it before it is sent.
 	bytesPerToken = 4
+	// lastTokens is how long streams whose callers left may take to end.
+	lastTokens = 3 * time.Second
 )
 
 // Settings is where the snapshot in force is read.
@@ -49,6 +51,7 @@
 	rec      final.Recorder
 	joined   atomic.Bool
 	draining atomic.Bool
+	pending  atomic.Int64 // requests begun and not recorded as ended
 }
 
 // Parts are what an entry is made of.
@@ -104,6 +107,7 @@
 
 // find resolves the key, the service and the class of a request.
 func (e *Entry) find(key string, name ident.Service, kind config.Kind, class ident.Class) (target, *refuse.Refusal) {
+	e.pending.Add(1)
 	t := target{request: ident.NewRequest(), start: time.Now()}
 	snap := e.settings.Load()
 	if snap.System == nil {
@@ -157,6 +161,7 @@
 // Refuse implements caller.Handler: it completes and records a refusal made
 // before the request had a target.
 func (e *Entry) Refuse(r *refuse.Refusal) *refuse.Refusal {
+	e.pending.Add(1)
 	t := target{request: ident.NewRequest(), start: time.Now()}
 	return e.refused(&t, &final.Record{}, r)
 }
@@ -194,6 +199,17 @@
 		rec.Class = t.class.Name
 	}
 	e.rec.Done(rec)
+	e.pending.Add(-1)
+}
+
+// Ended asserts, when the VM ends, that no request is open. A caller that left
+// is noticed with the next token, so it waits for that a little.
+func (e *Entry) Ended() {
+	for end := time.Now().Add(lastTokens); e.pending.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(lastTokens / 100)
+	}
+	n := e.pending.Load()
+	e.book.Assert(invar.CutOff, n == 0, "the VM ends with %d requests open", n)
 }
 
 // Code implements caller.Handler.
--- a/internal/route/entry/plain.go
+++ b/internal/route/entry/plain.go
@@ -44,7 +44,7 @@
 		e.done(&t, rec)
 		return replayed(t.request, claim.replay), nil
 	}
-	answer, server, refusal := e.plain.Do(ctx, t.service, t.plainCall(p))
+	answer, server, refusal := e.plain.Do(ctx, t.request, t.service, t.plainCall(p))
 	rec.Server = server
 	rec.First = time.Since(t.start)
 	if refusal != nil {
@@ -70,7 +70,7 @@
 		Timeout:     t.service.Timeout,
 		Repeatable:  !t.service.AtMostOnce && p.IdempotencyKey == "" && slices.Contains(repeatable, p.Method),
 		Headers: [][2]string{
-			{"Umberladder-Request", string(t.request)},
+			{peer.EchoHeader, string(t.request)},
 			{"Umberladder-Workspace", string(t.workspace.Name)},
 		},
 	}
--- a/internal/route/plain/router.go
+++ b/internal/route/plain/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/core/invar"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/peer/plain"
 	"umberladder/internal/policy/retry"
@@ -29,6 +30,7 @@
 type Router struct {
 	client Caller
 	budget *retry.Budget
+	book   *invar.Book
 
 	mu    sync.Mutex
 	rng   *rand.Rand
@@ -41,13 +43,13 @@
 }
 
 // New makes a router.
-func New(client Caller, budget *retry.Budget, rng *rand.Rand) *Router {
-	return &Router{client: client, budget: budget, rng: rng, nodes: map[netip.AddrPort]*node{}}
+func New(client Caller, budget *retry.Budget, book *invar.Book, rng *rand.Rand) *Router {
+	return &Router{client: client, budget: budget, book: book, rng: rng, nodes: map[netip.AddrPort]*node{}}
 }
 
-// Do sends the call to one of the service's servers and returns its answer
-// and server, or the refusal that says whether the call ran.
-func (r *Router) Do(ctx context.Context, svc *config.Service, call plain.Call) (plain.Answer, ident.Server, *refuse.Refusal) {
+// Do sends the request's call to one of the service's servers and returns its
+// answer and server, or the refusal that says whether the call ran.
+func (r *Router) Do(ctx context.Context, id ident.Request, svc *config.Service, call plain.Call) (plain.Answer, ident.Server, *refuse.Refusal) {
 	r.budget.Earn()
 	failed := map[netip.AddrPort]struct{}{}
 	ran := refuse.RanNo
@@ -57,9 +59,10 @@
 			return plain.Answer{}, "", refuse.New(refuse.NoServer, "none of the %d servers of service %s takes calls now",
 				len(svc.Servers), svc.Name).With(ran).After(comeAgain)
 		}
+		r.book.Assert(invar.AtMostOnce, call.Repeatable || ran == refuse.RanNo, "call %s may have run and is written again", id)
 		answer, err := r.client.Do(ctx, server.Address, call)
 		r.done(server.Address, err)
-		if err == nil {
+		if err == nil && r.own(id, server, answer) {
 			return answer, server.Name, nil
 		}
 		refusal := judge(server, err)
@@ -73,6 +76,13 @@
 	}
 }
 
+// own reports whether an answer is the request's: a server that returns the
+// request's identifier must return the right one.
+func (r *Router) own(id ident.Request, server *config.Server, a plain.Answer) bool {
+	return r.book.Assert(invar.OwnAnswer, a.Echo == "" || a.Echo == string(id),
+		"server %s answers request %s with the answer to %s", server.Name, id, a.Echo)
+}
+
 func judge(server *config.Server, err error) *refuse.Refusal {
 	var e *plain.Error
 	if !errors.As(err, &e) {
--- a/internal/test/stand/stand.go
+++ b/internal/test/stand/stand.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
@@ -42,6 +44,7 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	adjust func(*conf.Node)
+	errors zapcore.Core // what the VMs log as errors
 	stops  map[int]context.CancelFunc
 	ended  map[int]chan struct{}
 }
@@ -57,12 +60,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
 	s := &Stand{Fleet: f, t: t, group: g, ctx: ctx, adjust: adjust, stops: map[int]context.CancelFunc{}, ended: map[int]chan struct{}{}}
+	core, logs := observer.New(zap.ErrorLevel)
+	s.errors = core
 	t.Cleanup(func() {
 		for i := range s.stops {
 			s.Stop(i)
 		}
 		cancel()
 		assert.NilError(t, g.Wait())
+		for _, entry := range logs.FilterMessage("invariant violated").All() {
+			t.Errorf("invariant violated: %v", entry.ContextMap())
+		}
 	})
 	s.platform()
 	s.servers()
@@ -136,7 +144,7 @@
 	if s.adjust != nil {
 		s.adjust(cfg)
 	}
-	vm, err := serve.New(cfg, zap.NewNop())
+	vm, err := serve.New(cfg, zap.New(s.errors))
 	assert.NilError(s.t, err)
 	stop, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
