Apply documents at once; keep each fact in one place

Cause: reading the whole change once more: - putting documents in force cloned the maps and rebuilt the callers' index for each one, so a VM that boots with 2,500 workspaces did it 2,500 times; - the pool walked its whole queue at each seating to assert that nothing urgent waits; - a flight's record set whose request it was, its total and its end, which the entry sets anyway; - a function of one line that only renamed context.Background.

Behaviour is as before, and no test was eased.

--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -18,8 +18,9 @@
 // Queue is a priority queue of entries. It is not safe for use by several
 // goroutines.
 type Queue[T any] struct {
-	heap entries[T]
-	seq  uint64
+	heap   entries[T]
+	seq    uint64
+	urgent int // entries of rank 0
 }
 
 // New returns an empty queue.
@@ -28,11 +29,17 @@
 // Len returns how many entries wait.
 func (q *Queue[T]) Len() int { return len(q.heap) }
 
+// Urgent returns how many entries of rank 0 wait.
+func (q *Queue[T]) Urgent() int { return q.urgent }
+
 // Push adds an entry for v and returns it.
 func (q *Queue[T]) Push(v T, rank int, arrival time.Time, bound time.Duration) *Entry[T] {
 	q.seq++
 	e := &Entry[T]{Value: v, Rank: rank, Arrival: arrival, Deadline: arrival.Add(bound), seq: q.seq}
 	heap.Push(&q.heap, e)
+	if rank == 0 {
+		q.urgent++
+	}
 	return e
 }
 
@@ -50,6 +57,9 @@
 		return false
 	}
 	heap.Remove(&q.heap, e.at)
+	if e.Rank == 0 {
+		q.urgent--
+	}
 	return true
 }
 
@@ -65,13 +75,6 @@
 	return n
 }
 
-// Each calls f with every entry, in no order.
-func (q *Queue[T]) Each(f func(*Entry[T])) {
-	for _, e := range q.heap {
-		f(e)
-	}
-}
-
 func (e *Entry[T]) before(o *Entry[T]) bool {
 	if (e.Rank == 0) != (o.Rank == 0) {
 		return e.Rank == 0
--- a/internal/policy/queue/queue_test.go
+++ b/internal/policy/queue/queue_test.go
@@ -58,7 +58,16 @@
 				assert.Assert(t, !q.Remove(e))
 				all = slices.DeleteFunc(all, func(o *Entry[int]) bool { return o == e })
 			},
-			"": func(t *rapid.T) { assert.Equal(t, q.Len(), len(all)) },
+			"": func(t *rapid.T) {
+				assert.Equal(t, q.Len(), len(all))
+				urgent := 0
+				for _, e := range all {
+					if e.Rank == 0 {
+						urgent++
+					}
+				}
+				assert.Equal(t, q.Urgent(), urgent)
+			},
 		})
 	})
 }
--- a/internal/route/entry/claims.go
+++ b/internal/route/entry/claims.go
@@ -56,7 +56,7 @@
 
 func (h *held) replaying() bool { return h != nil && h.replay != nil }
 
-// finish tells the holder how the request ended.
+// finish tells the holder how the request ended, whatever became of its caller.
 func (h *held) finish(ran bool, answer *proto.Answer) {
 	if !h.holds() {
 		return
@@ -64,7 +64,7 @@
 	if len(answer.GetBody()) > maxKept {
 		answer = nil
 	}
-	h.claims.Finish(nothing(), h.workspace, h.key, h.request, ran, answer)
+	h.claims.Finish(context.Background(), h.workspace, h.key, h.request, ran, answer)
 }
 
 // wholeAnswer keeps a whole generation for a caller who asks again. Its
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -221,6 +220,3 @@
 }
 
 var _ caller.Handler = (*Entry)(nil)
-
-// nothing is the context of work that must end whatever its caller does.
-func nothing() context.Context { return context.Background() }
--- a/internal/route/entry/generate.go
+++ b/internal/route/entry/generate.go
@@ -77,7 +77,6 @@
 	}
 	s.flight, refusal = e.runner.Open(ctx, placer, gener.Call{
 		Request:    t.request,
-		Workspace:  t.workspace.Name,
 		Service:    t.service,
 		Class:      t.class,
 		Prompt:     g.Prompt,
@@ -111,7 +110,7 @@
 		return nil, e.refused(&t, rec, refuse.New(refuse.NotFound, "the handle names no engine"))
 	}
 	s := &stream{entry: e, target: t, chat: h.GetChat()}
-	call := gener.Call{Request: t.request, Workspace: t.workspace.Name, Service: t.service, Class: t.class}
+	call := gener.Call{Request: t.request, Service: t.service, Class: t.class}
 	s.flight, refusal = e.runner.Rejoin(ctx, call, addr, ident.Generation(h.GetGeneration()), r.Next)
 	if refusal != nil {
 		return nil, s.refuse(refusal)
--- a/internal/route/gener/flight.go
+++ b/internal/route/gener/flight.go
@@ -20,7 +20,7 @@
 // Flight is one generation on its way to its caller. One goroutine at a time
 // uses it.
 type Flight struct {
-	Record final.Record
+	Record final.Record // how it went; whose it is and how it ended are for the caller to say
 
 	runner  *Runner
 	placer  Placer
@@ -119,12 +119,8 @@
 	f.unlink()
 	f.release(pool.CutOff)
 	f.cancel()
-	f.Record.Total = time.Since(f.Record.Start)
-	if refusal != nil {
-		f.runner.book.Assert(invar.NotRun, refusal.Ran != refuse.RanNo || !f.started, "request %s was started, and its refusal says it never ran", f.call.Request)
-		f.Record.Outcome = final.Refused
-		f.Record.Refusal = refusal
-	}
+	truthful := refusal == nil || refusal.Ran != refuse.RanNo || !f.started
+	f.runner.book.Assert(invar.NotRun, truthful, "request %s was started, and its refusal says it never ran", f.call.Request)
 }
 
 // step yields the next accepted token, resuming and running again as needed.
--- a/internal/route/gener/runner.go
+++ b/internal/route/gener/runner.go
@@ -67,7 +67,6 @@
 // Call is one generation that a caller asked for.
 type Call struct {
 	Request    ident.Request
-	Workspace  ident.Workspace
 	Service    *config.Service
 	Class      *config.Class
 	Prompt     string
@@ -123,13 +122,7 @@
 		last:    time.Now(),
 		pace:    r.cfg.FirstPace,
 	}
-	f.Record = final.Record{
-		Request:   call.Request,
-		Workspace: call.Workspace,
-		Service:   call.Service.Name,
-		Class:     call.Class.Name,
-		Start:     f.last,
-	}
+	f.Record.Start = f.last
 	return f.first()
 }
 
@@ -149,7 +142,7 @@
 		last:      time.Now(),
 		pace:      r.cfg.FirstPace,
 	}
-	f.Record = final.Record{Request: call.Request, Workspace: call.Workspace, Service: call.Service.Name, Start: f.last}
+	f.Record.Start = f.last
 	return f.first()
 }
 
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -312,26 +312,13 @@
 			return
 		}
 		p.queue.Remove(e)
-		p.urgentFirst(e)
+		p.book.Assert(invar.UrgentFirst, e.Rank == 0 || p.queue.Urgent() == 0,
+			"%d urgent generations wait while another is seated", p.queue.Urgent())
 		p.drain.note(now)
 		e.Value.seat <- seat
 	}
 }
 
-// urgentFirst asserts that nothing urgent waits when another is seated.
-func (p *Pool) urgentFirst(seated *queue.Entry[*waiter]) {
-	if seated.Rank == 0 {
-		return
-	}
-	waiting := 0
-	p.queue.Each(func(e *queue.Entry[*waiter]) {
-		if e.Rank == 0 {
-			waiting++
-		}
-	})
-	p.book.Assert(invar.UrgentFirst, waiting == 0, "%d urgent generations wait while another is seated", waiting)
-}
-
 // Depth returns how many generations wait.
 func (p *Pool) Depth() int {
 	p.mu.Lock()
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -51,46 +51,69 @@
 	}
 }
 
-// With returns the snapshot with d in force, or s itself if d is not newer
-// than what it holds.
-func (s *Snapshot) With(d Document) (*Snapshot, error) {
-	if old, ok := s.Documents[d.Path]; ok && old.Version >= d.Version {
-		return s, nil
-	}
+// With returns the snapshot with the newer ones of docs in force, or s itself
+// if none is newer than what it holds. A document that can't be parsed is left
+// out; the rest is in force, and the first such error is returned.
+func (s *Snapshot) With(docs ...Document) (*Snapshot, error) {
 	n := &Snapshot{
 		System:     s.System,
-		Revision:   max(s.Revision, d.Version),
+		Revision:   s.Revision,
 		Documents:  maps.Clone(s.Documents),
-		workspaces: s.workspaces,
-		callers:    s.callers,
+		workspaces: maps.Clone(s.workspaces),
+	}
+	changed := false
+	var first error
+	for _, d := range docs {
+		if old, ok := n.Documents[d.Path]; ok && old.Version >= d.Version {
+			continue
+		}
+		if err := n.put(d); err != nil {
+			if first == nil {
+				first = trace.Wrap(err, "the document %s of version %d is not applied", d.Path, d.Version)
+			}
+			continue
+		}
+		changed = true
+	}
+	if !changed {
+		return s, first
 	}
-	n.Documents[d.Path] = d
-	if err := n.parse(d); err != nil {
-		return s, trace.Wrap(err)
+	n.index()
+	return n, first
+}
+
+// put parses d and puts it in force; on an error s is as it was.
+func (s *Snapshot) put(d Document) error {
+	if err := s.parse(d); err != nil {
+		return err
 	}
-	return n, nil
+	s.Documents[d.Path] = d
+	s.Revision = max(s.Revision, d.Version)
+	return nil
 }
 
 func (s *Snapshot) parse(d Document) error {
 	if d.Path == SystemPath {
 		sys, err := ParseSystem(d.Body, d.Version)
+		if err != nil {
+			return err
+		}
 		s.System = sys
-		return err
+		return nil
 	}
 	name, err := WorkspaceOf(d.Path)
 	if err != nil {
 		return err
 	}
-	s.workspaces = maps.Clone(s.workspaces)
-	delete(s.workspaces, name)
-	if !d.Deleted() {
-		w, err := ParseWorkspace(name, d.Body, d.Version)
-		if err != nil {
-			return err
-		}
-		s.workspaces[name] = w
+	if d.Deleted() {
+		delete(s.workspaces, name)
+		return nil
+	}
+	w, err := ParseWorkspace(name, d.Body, d.Version)
+	if err != nil {
+		return err
 	}
-	s.index()
+	s.workspaces[name] = w
 	return nil
 }
 
--- a/internal/state/spread/book.go
+++ b/internal/state/spread/book.go
@@ -37,17 +37,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.current.Load()
-	next := old
-	var first error
-	for _, d := range docs {
-		s, err := next.With(d)
-		if err != nil && first == nil {
-			first = trace.Wrap(err, "the document %s of version %d is not applied", d.Path, d.Version)
-		}
-		next = s
-	}
+	next, err := old.With(docs...)
 	if next == old {
-		return false, first
+		return false, trace.Wrap(err)
 	}
 	for path, d := range old.Documents {
 		b.invariants.Assert(invar.NoReversion, next.Documents[path].Version >= d.Version,
@@ -57,7 +49,7 @@
 	for _, f := range b.watchers {
 		f(next)
 	}
-	return true, first
+	return true, trace.Wrap(err)
 }
 
 // Watch calls f with the snapshot in force now and with each later one, in
