Wait for the next holder's store budget when handing shards on

With prints in the keeper: of 26 shards that the second VM handed on, 19 were refused within 150 ms. The accepting VM writes once a shard and had used up its own budget of store calls (40 at once, 20 a second); the refusal was taken for a final one, the shard was freed and its claims forgotten. Found by reading on: taking, accepting and settling a shard ran side by side. A late reply to the accepting could lay older claims over a term begun meanwhile, so that a key was let run twice; and settling could free a shard just accepted, so that two VMs held it.

Ruled out: stale membership at the leaver (it saw one other VM); a lapsed lease (no lease was dropped in the run); the handover's time-out (refused in 2 ms).

Change: a shard that is handed on stays off the table and is offered again for 3 s before it is freed; a VM that refuses one is not asked for more in that round; an end that is told meanwhile goes along. The store's value names the revision it replaced, so an accepting whose reply was lost is known again. One turn a shard for taking, accepting, settling. Packages keeper and term split off claim.

A handover may now leave a shard without a holder for 3 s where it was freed at once; its keys are refused with "come again" in that time.

--- a/internal/peer/nodes/server.go
+++ b/internal/peer/nodes/server.go
@@ -9,14 +9,15 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/proto"
-	"umberladder/internal/state/claim"
 	"umberladder/internal/state/config"
+	"umberladder/internal/state/keeper"
 	"umberladder/internal/state/member"
+	"umberladder/internal/state/term"
 )
 
 // Claimer keeps claims for other VMs.
 type Claimer interface {
-	Claim(shard int, key string, minted time.Time, sum [32]byte, r ident.Request) (claim.Verdict, *proto.Answer)
+	Claim(shard int, key string, minted time.Time, sum [32]byte, r ident.Request) (term.Verdict, *proto.Answer)
 	Finish(shard int, key string, r ident.Request, ran bool, answer *proto.Answer)
 	Accept(ctx context.Context, shard int, revision uint64, start time.Time, claims []*proto.Claim) (bool, error)
 }
@@ -64,7 +65,7 @@
 func (s *Server) Claim(_ context.Context, r *proto.ClaimRequest) (*proto.ClaimReply, error) {
 	at := strings.LastIndexByte(r.GetKey(), '/')
 	minted, ok := ident.Minted(r.GetKey()[at+1:])
-	if !ok || r.GetShard() >= claim.Shards || len(r.GetFingerprint()) != 32 {
+	if !ok || r.GetShard() >= keeper.Shards || len(r.GetFingerprint()) != 32 {
 		return nil, twirp.NewError(twirp.InvalidArgument, "not a claim")
 	}
 	v, answer := s.claims.Claim(int(r.GetShard()), r.GetKey(), minted, [32]byte(r.GetFingerprint()), ident.Request(r.GetRequest()))
@@ -125,7 +126,7 @@
 }
 
 // Claim asks the holder of a shard.
-func (p *Peers) Claim(ctx context.Context, to member.Member, shard int, key string, sum [32]byte, r ident.Request) (claim.Verdict, *proto.Answer, error) {
+func (p *Peers) Claim(ctx context.Context, to member.Member, shard int, key string, sum [32]byte, r ident.Request) (term.Verdict, *proto.Answer, error) {
 	reply, err := p.clients.To(to.Address).Claim(ctx, &proto.ClaimRequest{
 		Shard:       uint32(shard),
 		Key:         key,
@@ -133,9 +134,9 @@
 		Request:     string(r),
 	})
 	if err != nil {
-		return claim.NotHolder, nil, failed(to, err)
+		return term.NotHolder, nil, failed(to, err)
 	}
-	return claim.Verdict(reply.GetVerdict()), reply.GetAnswer(), nil
+	return term.Verdict(reply.GetVerdict()), reply.GetAnswer(), nil
 }
 
 // Finish tells the holder of a shard the end of a request.
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -39,6 +39,7 @@
 	"umberladder/internal/state/claim"
 	"umberladder/internal/state/direct"
 	"umberladder/internal/state/fleet"
+	"umberladder/internal/state/keeper"
 	"umberladder/internal/state/member"
 	"umberladder/internal/state/spread"
 )
@@ -76,7 +77,7 @@
 	traffic  nodes.Traffic
 	fleet    *fleet.Fleet
 	follower *spread.Follower
-	keeper   *claim.Keeper
+	keeper   *keeper.Keeper
 	meter    *burn.Meter
 	loads    *loads.Loads
 	home     *cell.Home
@@ -138,7 +139,7 @@
 	table := member.New(member.DefaultConfig(), self, v.fork())
 	v.fleet = fleet.New(table, v.socket, vmlist.New(dialer, cfg.VMList), v.follower.Revision, v.follower.Heard)
 	v.follower.Start(v.fleet)
-	v.keeper = claim.NewKeeper(cfg.Name, cfg.ClaimTTL, v.store, v.fleet, v.peers, v.log)
+	v.keeper = keeper.New(cfg.Name, cfg.ClaimTTL, v.store, v.fleet, v.peers, v.log)
 }
 
 // buildRoute makes the path of requests.
--- a/internal/state/claim/claims.go
+++ b/internal/state/claim/claims.go
@@ -11,7 +11,9 @@
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/peer/proto"
 	"umberladder/internal/state/direct"
+	"umberladder/internal/state/keeper"
 	"umberladder/internal/state/member"
+	"umberladder/internal/state/term"
 )
 
 const (
@@ -22,7 +24,7 @@
 
 // Asker asks the VM that holds a shard.
 type Asker interface {
-	Claim(ctx context.Context, to member.Member, shard int, key string, sum [32]byte, r ident.Request) (Verdict, *proto.Answer, error)
+	Claim(ctx context.Context, to member.Member, shard int, key string, sum [32]byte, r ident.Request) (term.Verdict, *proto.Answer, error)
 	Finish(ctx context.Context, to member.Member, shard int, key string, r ident.Request, ran bool, answer *proto.Answer) error
 }
 
@@ -30,21 +32,21 @@
 // the holder of its shard, any other through the store.
 type Claims struct {
 	vm     ident.VM
-	fleet  Fleet
-	keeper *Keeper
+	fleet  keeper.Fleet
+	keeper *keeper.Keeper
 	direct *direct.Claims
 	asker  Asker
 }
 
 // New makes the claims of a VM.
-func New(vm ident.VM, f Fleet, k *Keeper, d *direct.Claims, a Asker) *Claims {
+func New(vm ident.VM, f keeper.Fleet, k *keeper.Keeper, d *direct.Claims, a Asker) *Claims {
 	return &Claims{vm: vm, fleet: f, keeper: k, direct: d, asker: a}
 }
 
 // full returns the key as holders know it: keys of two workspaces never meet.
 func full(w ident.Workspace, key string) string { return string(w) + "/" + key }
 
-func shardOf(key string) int { return int(xxhash.Sum64String(key) % Shards) }
+func shardOf(key string) int { return int(xxhash.Sum64String(key) % keeper.Shards) }
 
 // Claim lets the request run the key, or returns the answer of the call that
 // had it before, or the refusal.
@@ -63,7 +65,7 @@
 		switch {
 		case err != nil:
 			why = trace.UserMessage(err)
-		case v == NotHolder:
+		case v == term.NotHolder:
 			why = "the shard's lease is just changing hands, or the store that keeps it is down"
 		default:
 			return judge(v, answer)
@@ -74,9 +76,9 @@
 
 // ask asks the shard's home. Asking again is safe: a holder knows a request
 // that it let run.
-func (c *Claims) ask(ctx context.Context, key string, minted time.Time, sum [32]byte, r ident.Request) (Verdict, *proto.Answer, error) {
+func (c *Claims) ask(ctx context.Context, key string, minted time.Time, sum [32]byte, r ident.Request) (term.Verdict, *proto.Answer, error) {
 	shard := shardOf(key)
-	home, ok := HomeOf(shard, c.fleet.View().Live)
+	home, ok := keeper.HomeOf(shard, c.fleet.View().Live)
 	if !ok || home.Name == c.vm {
 		v, answer := c.keeper.Claim(shard, key, minted, sum, r)
 		return v, answer, nil
@@ -86,18 +88,18 @@
 	return c.asker.Claim(ctx, home, shard, key, sum, r)
 }
 
-func judge(v Verdict, answer *proto.Answer) (*proto.Answer, *refuse.Refusal) {
+func judge(v term.Verdict, answer *proto.Answer) (*proto.Answer, *refuse.Refusal) {
 	switch v {
-	case Run:
+	case term.Run:
 		return nil, nil
-	case Replay:
+	case term.Replay:
 		return answer, nil
-	case Running:
+	case term.Running:
 		return nil, refuse.New(refuse.InProgress, "an earlier call with this key has not ended").
 			With(refuse.RanMaybe).After(direct.ComeAgain)
-	case Mismatch:
+	case term.Mismatch:
 		return nil, refuse.New(refuse.KeyReused, "this key came with another method, path, service or body")
-	case Early:
+	case term.Early:
 		return nil, refuse.New(refuse.BadInput, "the Idempotency-Key was minted in the future; check the caller's clock")
 	default:
 		return nil, refuse.New(refuse.MayHaveRun, "no VM can tell any more whether a call with this key ran").
@@ -115,7 +117,7 @@
 	}
 	k := full(w, key)
 	shard := shardOf(k)
-	home, ok := HomeOf(shard, c.fleet.View().Live)
+	home, ok := keeper.HomeOf(shard, c.fleet.View().Live)
 	if !ok || home.Name == c.vm {
 		c.keeper.Finish(shard, k, r, ran, answer)
 		return
--- a/internal/state/claim/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -1,9 +1,16 @@
-package claim
+// Package keeper holds this VM's shards of idempotency keys: it takes them
+// under a lease of the platform's key-value service, renews it, hands shards on
+// to the VMs that become their homes, and decides on the keys of those it
+// holds.
+//
+// Of one shard, the store's value names at most one holder at a time. A shard
+// that is being handed on is off the table: this VM decides on none of its keys
+// any more, whatever becomes of the handover.
+package keeper
 
 import (
 	"context"
 	"fmt"
-	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +23,7 @@
 	"umberladder/internal/peer/store"
 	"umberladder/internal/state/fleet"
 	"umberladder/internal/state/member"
+	"umberladder/internal/state/term"
 )
 
 // Shards is into how many shards the keys fall.
@@ -27,7 +35,6 @@
 	keepEvery   = 500 * time.Millisecond
 	// takeRetry is the wait after a shard was found held by another.
 	takeRetry = 2 * time.Second
-	handTime  = 3 * time.Second
 	// aloneAfter is when a VM that knows no other takes itself to be alone.
 	aloneAfter = time.Second
 )
@@ -66,15 +73,36 @@
 	lease   uint64
 	until   lapse
 	held    map[int]*holding
+	handing map[int]*holding // shards off the table, until their next holder has them
 	retry   map[int]time.Time
 	freeing map[int]uint64 // shards given up, with the revision of this VM's name
 	doubt   map[int]bool   // shards whose taking was begun and not seen to its end
 	leaving bool
+
+	// turns let the taking, the accepting and the settling of one shard follow
+	// one another. A turn is taken before mu.
+	turns [Shards]turn
+}
+
+// turn is a lock whose wait can be given up.
+type turn chan struct{}
+
+func (t turn) take(ctx context.Context) bool {
+	select {
+	case t <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
+func (t turn) end() { <-t }
+
 type holding struct {
-	shard    *Shard
-	revision uint64 // of the store's value that names this VM
+	shard    *term.Shard
+	revision uint64    // of the store's value that names this VM
+	handed   uint64    // the revision that the holder before gave with the shard, or 0
+	until    time.Time // if it is being handed on, when this VM gives that up
 }
 
 // lapse is when a lease may have ended, by the monotonic and by the wall
@@ -88,9 +116,9 @@
 	return now.Before(l.at) && now.Round(0).Before(l.at.Round(0))
 }
 
-// NewKeeper makes a keeper whose leases last ttl.
-func NewKeeper(vm ident.VM, ttl time.Duration, s Store, f Fleet, h Hander, log *zap.Logger) *Keeper {
-	return &Keeper{
+// New makes a keeper whose leases last ttl.
+func New(vm ident.VM, ttl time.Duration, s Store, f Fleet, h Hander, log *zap.Logger) *Keeper {
+	k := &Keeper{
 		vm:      vm,
 		ttl:     ttl,
 		store:   s,
@@ -98,10 +126,15 @@
 		hand:    h,
 		log:     log,
 		held:    map[int]*holding{},
+		handing: map[int]*holding{},
 		retry:   map[int]time.Time{},
 		freeing: map[int]uint64{},
 		doubt:   map[int]bool{},
 	}
+	for i := range k.turns {
+		k.turns[i] = make(turn, 1)
+	}
+	return k
 }
 
 // HomeOf returns the VM that should hold a shard.
@@ -143,11 +176,12 @@
 		case mine && k.due(shard):
 			k.take(ctx, shard)
 		case !mine && k.holds(shard):
-			k.pass(ctx, shard, home)
+			k.pass(shard, time.Now().Add(handTime))
 		case !mine && k.doubts(shard):
 			k.settle(ctx, shard)
 		}
 	}
+	k.handOn(ctx)
 }
 
 // renew keeps the lease once a third of it has passed. A lease that lapsed
@@ -186,7 +220,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lease = id
-	k.until = lapse{at: asked.Add(k.ttl - Margin)}
+	k.until = lapse{at: asked.Add(k.ttl - term.Margin)}
 }
 
 func (k *Keeper) dropLapsed(now time.Time) {
@@ -203,6 +237,7 @@
 	defer k.mu.Unlock()
 	k.lease = 0
 	clear(k.held)
+	clear(k.handing)
 	clear(k.retry)
 	clear(k.freeing)
 	clear(k.doubt)
@@ -211,7 +246,7 @@
 func (k *Keeper) due(shard int) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.held[shard] == nil && !k.leaving && !time.Now().Before(k.retry[shard])
+	return k.held[shard] == nil && k.handing[shard] == nil && !k.leaving && !time.Now().Before(k.retry[shard])
 }
 
 func (k *Keeper) holds(shard int) bool {
@@ -228,167 +263,14 @@
 
 func shardPath(shard int) string { return fmt.Sprintf("%s%02d", shardPrefix, shard) }
 
-// take writes this VM's name as the shard's holder and starts a term. The
-// term's start is read from the store's clock after the write, so it is not
-// before the end of any earlier holder's term.
-func (k *Keeper) take(ctx context.Context, shard int) {
-	k.mu.Lock()
-	lease := k.lease
-	k.retry[shard] = time.Now().Add(takeRetry)
-	k.doubt[shard] = true
-	k.mu.Unlock()
-	rev, err := k.store.Put(ctx, shardPath(shard), k.mark(lease), 0, lease)
-	if store.Is(err, store.Conflict) || store.Is(err, store.Unknown) {
-		rev, err = k.mine(ctx, shard, lease)
-	}
-	if err != nil {
-		return
-	}
-	l, err := k.store.Renew(ctx, lease)
-	if err != nil {
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.lease != lease || k.leaving || k.held[shard] != nil {
-		return
-	}
-	delete(k.doubt, shard)
-	k.held[shard] = &holding{shard: NewShard(l.Now), revision: rev}
-}
-
-// settle finds out, for a shard whose taking was begun and whose home is
-// another VM by now, whether this VM's name was left in the store, and frees
-// it.
-func (k *Keeper) settle(ctx context.Context, shard int) {
-	k.mu.Lock()
-	lease := k.lease
-	k.mu.Unlock()
-	rev, err := k.mine(ctx, shard, lease)
-	if err != nil && !trace.IsAlreadyExists(err) && !store.Is(err, store.Missing) {
-		return // not known yet
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.doubt, shard)
-	if err == nil && k.held[shard] == nil {
-		k.freeing[shard] = rev
-	}
-}
-
-// mark is the value that names this VM and its lease as the holder.
-func (k *Keeper) mark(lease uint64) []byte {
-	return []byte(fmt.Sprintf("%s/%d", k.vm, lease))
-}
-
-// mine reads whether the shard's value is one that this VM wrote under its
-// present lease, though the reply was lost.
-func (k *Keeper) mine(ctx context.Context, shard int, lease uint64) (uint64, error) {
-	it, err := k.store.Get(ctx, shardPath(shard))
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	if string(it.Value) != string(k.mark(lease)) {
-		return 0, trace.AlreadyExists("shard %d is held by %s", shard, it.Value)
-	}
-	return it.Revision, nil
-}
-
-// pass hands a shard to its home. From the moment it is taken off the table,
-// this VM lets none of its keys run again in this term.
-func (k *Keeper) pass(ctx context.Context, shard int, to member.Member) {
-	k.mu.Lock()
-	h := k.held[shard]
-	delete(k.held, shard)
-	k.mu.Unlock()
-	if h == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, handTime)
-	defer cancel()
-	start, claims := h.shard.Export()
-	taken, err := k.hand.Handover(ctx, to, shard, h.revision, start, claims)
-	if err == nil && taken {
-		return
-	}
-	k.mu.Lock()
-	k.freeing[shard] = h.revision
-	k.mu.Unlock()
-	k.free(ctx)
-}
-
-// free takes this VM's name off shards that it gave up. The next holder may
-// have replaced it already, which ends the matter too.
-func (k *Keeper) free(ctx context.Context) {
-	k.mu.Lock()
-	todo := maps.Clone(k.freeing)
-	k.mu.Unlock()
-	for shard, rev := range todo {
-		err := k.store.Delete(ctx, shardPath(shard), rev)
-		if err != nil && !store.Is(err, store.Conflict) && !store.Is(err, store.Missing) {
-			return
-		}
-		k.mu.Lock()
-		delete(k.freeing, shard)
-		k.mu.Unlock()
-	}
-}
-
-// Accept takes a shard that its holder hands on: the holder's value in the
-// store is replaced at the very revision that the holder wrote, so nobody
-// held the shard in between.
-func (k *Keeper) Accept(ctx context.Context, shard int, revision uint64, start time.Time, claims []*proto.Claim) (bool, error) {
-	if shard < 0 || shard >= Shards {
-		return false, trace.BadParameter("there is no shard %d", shard)
-	}
-	k.mu.Lock()
-	lease, leaving := k.lease, k.leaving
-	k.mu.Unlock()
-	if lease == 0 || leaving {
-		return false, nil
-	}
-	rev, err := k.store.Put(ctx, shardPath(shard), k.mark(lease), revision, lease)
-	if err != nil {
-		return false, trace.Wrap(err)
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.lease != lease {
-		return false, nil
-	}
-	k.held[shard] = &holding{shard: Import(start, claims), revision: rev}
-	return true, nil
-}
-
-// Leave hands every shard on and takes no more.
-func (k *Keeper) Leave(ctx context.Context) {
-	k.mu.Lock()
-	k.leaving = true
-	shards := make([]int, 0, len(k.held))
-	for s := range k.held {
-		shards = append(shards, s)
-	}
-	lease := k.lease
-	k.mu.Unlock()
-	live := k.fleet.View().Live
-	for _, s := range shards {
-		if home, ok := HomeOf(s, live); ok && home.Name != k.vm {
-			k.pass(ctx, s, home)
-		}
-	}
-	if lease != 0 {
-		_ = k.store.Revoke(ctx, lease)
-	}
-}
-
 // Claim decides on a key of a shard this VM holds.
-func (k *Keeper) Claim(shard int, key string, minted time.Time, sum [32]byte, r ident.Request) (Verdict, *proto.Answer) {
+func (k *Keeper) Claim(shard int, key string, minted time.Time, sum [32]byte, r ident.Request) (term.Verdict, *proto.Answer) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
 	h := k.held[shard]
 	if h == nil || !k.until.holds(now) {
-		return NotHolder, nil
+		return term.NotHolder, nil
 	}
 	return h.shard.Claim(key, minted, sum, r, now)
 }
@@ -397,8 +279,10 @@
 func (k *Keeper) Finish(shard int, key string, r ident.Request, ran bool, answer *proto.Answer) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if h := k.held[shard]; h != nil {
-		h.shard.Finish(key, r, ran, answer)
+	for _, h := range []*holding{k.held[shard], k.handing[shard]} {
+		if h != nil {
+			h.shard.Finish(key, r, ran, answer)
+		}
 	}
 }
 
@@ -413,7 +297,7 @@
 		if !ok || home.Name != k.vm {
 			continue
 		}
-		if h := k.held[s]; h == nil || time.Now().Before(h.shard.start) {
+		if h := k.held[s]; h == nil || !h.shard.Begun(time.Now()) {
 			return false
 		}
 	}
--- a/internal/state/claim/shard.go
+++ b/internal/state/term/shard.go
@@ -1,4 +1,7 @@
-package claim
+// Package term holds the claims on idempotency keys of one shard for one
+// term, and decides which key may run. docs/design/03-at-most-once.md gives
+// the argument that a key runs at most once over all terms.
+package term
 
 import (
 	"time"
@@ -50,8 +53,8 @@
 	answer  *proto.Answer
 }
 
-// NewShard starts a term at the store's time now.
-func NewShard(now time.Time) *Shard {
+// New starts a term at the store's time now.
+func New(now time.Time) *Shard {
 	return &Shard{start: now.Add(2 * Margin), claims: map[string]*claimed{}}
 }
 
@@ -121,6 +124,9 @@
 	}
 }
 
+// Begun reports whether a key minted at now is inside the term.
+func (s *Shard) Begun(now time.Time) bool { return now.After(s.start) }
+
 // Len returns how many claims are remembered.
 func (s *Shard) Len() int { return len(s.claims) }
 
