Cut one VM off from one engine; hold every refusal against the records

No failure cut a VM off from an engine alone; two VMs resuming one stream at once was not tried; a refusal of a request that had been sent several times was not held against what the servers ran, as all sendings bore one tag.

Change: the stand-in engine's `cut_from` keeps silent towards one address, and VMs dial from their own address, so that an engine can tell them apart; failure `cut-link`, also drawn in `pairs`. Each sending of a call that may be repeated bears a tag of its own. A test resumes one stream through two VMs at once.

--- a/cmd/stress/cost.go
+++ b/cmd/stress/cost.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
-	"umberladder/internal/fake/engine"
+	"umberladder/internal/fake/prompt"
 	"umberladder/internal/load/gauge"
 	"umberladder/internal/load/plan"
 )
@@ -41,7 +41,7 @@
 			if err != nil {
 				return err
 			}
-			o := engine.Order{Tokens: tokens, Seed: 1}
+			o := prompt.Order{Tokens: tokens, Seed: 1}
 			for _, target := range []relay{viaVM(f, o), viaCopy(f, o)} {
 				row, err := target.run(c.Context(), f, streams, tokens)
 				if err != nil {
@@ -68,14 +68,14 @@
 	body func(i int) []byte
 }
 
-func viaVM(f *plan.Fleet, o engine.Order) relay {
+func viaVM(f *plan.Fleet, o prompt.Order) relay {
 	return relay{name: f.VMs[0].Name, addr: f.VMs[0].Address, path: "/v1/completions", body: func(int) []byte {
 		data, _ := json.Marshal(map[string]any{"model": plan.Proposals, "prompt": o.Prompt(), "stream": true})
 		return data
 	}}
 }
 
-func viaCopy(f *plan.Fleet, o engine.Order) relay {
+func viaCopy(f *plan.Fleet, o prompt.Order) relay {
 	return relay{name: "copy", addr: f.Copy, path: "/v1/generations", body: func(i int) []byte {
 		data, _ := json.Marshal(map[string]any{"id": fmt.Sprint("copy-", time.Now().UnixNano(), i), "prompt": o.Prompt()})
 		return data
--- a/internal/fake/copier/copier.go
+++ b/internal/fake/copier/copier.go
@@ -29,7 +29,7 @@
 
 // New makes a copier of the engine at addr.
 func New(addr netip.AddrPort) *Server {
-	return &Server{engine: addr, dialer: link.New(time.Second, waitTime, 1)}
+	return &Server{engine: addr, dialer: link.New(netip.Addr{}, time.Second, waitTime, 1)}
 }
 
 // Serve answers on ln until ctx ends.
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,14 +10,15 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"umberladder/internal/fake/cache"
+	"umberladder/internal/fake/prompt"
 	"umberladder/internal/fake/record"
 )
 
 const (
-	defaultTokens = 16
-	cacheHead     = 64 // bytes of a prompt that make its cache key
-	keepFinished  = 30 * time.Second
-	idleStep      = 5 * time.Millisecond
+	cacheHead    = 64 // bytes of a prompt that make its cache key
+	keepFinished = 30 * time.Second
+	idleStep     = 5 * time.Millisecond
 )
 
 // Config sizes an engine.
@@ -54,6 +56,7 @@
 	Late     time.Duration // heads of answers come this late
 	Leaving  bool          // the engine is leaving
 	NewRun   bool          // a resume is answered from another generation
+	CutFrom  netip.Addr    // nothing goes to this address
 }
 
 // Count is what happened on an engine.
@@ -86,18 +89,15 @@
 	used    int
 	record  *record.Record
 	counts  Count
-	cache   []uint64
+	cache   *cache.Cache
 	fence   uint64
-	events  uint64 // cache events so far, lost ones too
 	reports []Load
 	leaveAt time.Time
-
-	cacheEvents []cacheEvent
 }
 
 type generation struct {
 	id       string
-	order    Order
+	order    prompt.Order
 	run      string
 	priority int
 	prompt   int
@@ -117,7 +117,7 @@
 
 // New makes an engine that records what it runs; Run drives it.
 func New(cfg Config, rec *record.Record) *Engine {
-	e := &Engine{cfg: cfg, gens: map[string]*generation{}, record: rec}
+	e := &Engine{cfg: cfg, gens: map[string]*generation{}, record: rec, cache: cache.New(cfg.Cache)}
 	e.changed = sync.NewCond(&e.mu)
 	e.faults.Store(&Faults{})
 	return e
@@ -204,15 +204,8 @@
 func (e *Engine) prefill(g *generation) time.Duration {
 	key := xxhash.Sum64String(g.order.Prompt()[:min(cacheHead, len(g.order.Prompt()))])
 	cost := g.memory()
-	if i := slices.Index(e.cache, key); i >= 0 {
+	if e.cache.Use(key) {
 		cost = g.produced
-		e.cache = slices.Delete(e.cache, i, i+1)
-	}
-	e.cache = append(e.cache, key)
-	e.noteCache(key, false)
-	if len(e.cache) > e.cfg.Cache {
-		e.noteCache(e.cache[0], true)
-		e.cache = e.cache[1:]
 	}
 	return time.Duration(cost) * e.cfg.Prefill
 }
@@ -336,7 +329,7 @@
 		MemorySize: e.cfg.Memory,
 		Leaving:    e.faults.Load().Leaving,
 		At:         now,
-		events:     e.events,
+		events:     e.cache.Seq(),
 	})
 	for len(e.reports) > 1 && now.Sub(e.reports[1].At) >= e.cfg.ReportLag {
 		e.reports = e.reports[1:]
--- a/internal/fake/engine/orders.go
+++ b/internal/fake/engine/orders.go
@@ -8,33 +8,6 @@
 	"github.com/valyala/fastjson"
 )
 
-const (
-	// eventsKept bounds the cache events remembered.
-	eventsKept = 256
-	// eventGap is how many cache events pass between two that are lost.
-	eventGap = 7
-)
-
-// cacheEvent says that a prompt's prefix came into the cache or left it.
-type cacheEvent struct {
-	seq    uint64
-	prefix uint64
-	gone   bool
-}
-
-// noteCache records a cache event; now and then one is lost, and its number is
-// missing from the list.
-func (e *Engine) noteCache(prefix uint64, gone bool) {
-	e.events++
-	if e.events%eventGap == 0 {
-		return
-	}
-	e.cacheEvents = append(e.cacheEvents, cacheEvent{seq: e.events, prefix: prefix, gone: gone})
-	if len(e.cacheEvents) > eventsKept {
-		e.cacheEvents = e.cacheEvents[1:]
-	}
-}
-
 // showCache lists the cache events after a number, as late as load reports.
 func (e *Engine) showCache(ctx *fasthttp.RequestCtx) {
 	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
@@ -46,19 +19,14 @@
 	}
 	var a fastjson.Arena
 	list := a.NewArray()
-	n := 0
-	for _, ev := range e.cacheEvents {
-		if ev.seq <= after || ev.seq > upTo {
-			continue
-		}
+	for n, ev := range e.cache.Events(after, upTo) {
 		o := a.NewObject()
-		o.Set("seq", a.NewNumberString(strconv.FormatUint(ev.seq, 10)))
-		o.Set("prefix", a.NewString(strconv.FormatUint(ev.prefix, 16)))
-		if ev.gone {
+		o.Set("seq", a.NewNumberString(strconv.FormatUint(ev.Seq, 10)))
+		o.Set("prefix", a.NewString(strconv.FormatUint(ev.Prefix, 16)))
+		if ev.Gone {
 			o.Set("gone", a.NewTrue())
 		}
 		list.SetArrayItem(n, o)
-		n++
 	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(list.MarshalTo(nil))
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fastjson"
 
 	"umberladder/internal/fake/httpd"
+	"umberladder/internal/fake/prompt"
 )
 
 const (
@@ -25,13 +27,26 @@
 
 // Serve answers on ln until ctx ends.
 func (e *Engine) Serve(ctx context.Context, ln net.Listener) error {
-	return httpd.Serve(ctx, ln, e.cfg.Name, e.handle)
+	return httpd.Serve(ctx, ln, e.cfg.Name, e.receive)
 }
 
-func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+// swallow holds a link in silence while it is cut, and reports whether it was.
+func (e *Engine) swallow(conn net.Conn) bool {
+	return httpd.Swallow(conn, func() netip.Addr { return e.faults.Load().CutFrom })
+}
+
+// receive answers a request as the link to its sender allows.
+func (e *Engine) receive(ctx *fasthttp.RequestCtx) {
+	if e.swallow(ctx.Conn()) {
+		return
+	}
 	if late := e.faults.Load().Late; late > 0 {
 		time.Sleep(late)
 	}
+	e.handle(ctx)
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	id, one := strings.CutPrefix(path, generationsPath+"/")
 	switch {
@@ -110,15 +125,15 @@
 	return g
 }
 
-func makeGeneration(id, prompt string, priority int) *generation {
-	o := ParseOrder(prompt)
+func makeGeneration(id, text string, priority int) *generation {
+	o := prompt.Parse(text)
 	now := time.Now()
 	return &generation{
 		id:       id,
 		order:    o,
 		run:      strconv.FormatInt(now.UnixNano()&0xffffffff, 36),
 		priority: priority,
-		prompt:   len(prompt)/4 + 1,
+		prompt:   len(text)/4 + 1,
 		limit:    o.Tokens,
 		started:  now,
 		left:     now,
@@ -162,7 +177,7 @@
 	ctx.SetContentType("text/event-stream")
 	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		err := e.write(w, g, from)
+		err := e.write(w, conn, g, from)
 		e.mu.Lock()
 		g.readers--
 		g.left = time.Now()
@@ -175,10 +190,13 @@
 
 // write sends tokens from index next on, until the generation ends or the
 // reader is gone.
-func (e *Engine) write(w *bufio.Writer, g *generation, next int) error {
+func (e *Engine) write(w *bufio.Writer, conn net.Conn, g *generation, next int) error {
 	sent, paused := 0, false
 	for {
 		upTo, done, finish, pause := e.await(g, next, paused)
+		if e.swallow(conn) {
+			return trace.ConnectionProblem(nil, "the link was cut")
+		}
 		if pause != paused {
 			paused = pause
 			writePause(w, g.id, paused)
@@ -269,5 +287,6 @@
 		Late:     time.Duration(v.GetInt("late_ms")) * time.Millisecond,
 		Leaving:  v.GetBool("leaving"),
 		NewRun:   v.GetBool("new_run"),
+		CutFrom:  httpd.Address(v.GetStringBytes("cut_from")),
 	})
 }
--- a/internal/fake/engine/prompt.go
+++ b/internal/fake/prompt/order.go
@@ -1,4 +1,6 @@
-package engine
+// Package prompt writes and reads the prompts that tell a stand-in engine what
+// to produce, and checks answers against them.
+package prompt
 
 import (
 	"fmt"
@@ -8,6 +10,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// defaultTokens is what a prompt without an order gets.
+const defaultTokens = 16
+
 // Order is what a stand-in prompt asks for.
 type Order struct {
 	Tokens int
@@ -15,9 +20,9 @@
 	Tag    string
 }
 
-// ParseOrder reads an order out of a prompt. Words that are no order are
+// Parse reads an order out of a prompt. Words that are no order are
 // prompt text.
-func ParseOrder(prompt string) Order {
+func Parse(prompt string) Order {
 	o := Order{Tokens: defaultTokens}
 	for _, word := range strings.Fields(prompt) {
 		name, value, ok := strings.Cut(word, "=")
--- a/internal/load/drive/client.go
+++ b/internal/load/drive/client.go
@@ -7,17 +7,16 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
-	"golang.org/x/sync/errgroup"
 
+	"umberladder/internal/fake/prompt"
+	"umberladder/internal/load/picker"
 	"umberladder/internal/load/plan"
 )
 
@@ -25,8 +24,6 @@
 	maxSends    = 8
 	maxResumes  = 20
 	resendPause = 150 * time.Millisecond
-	probeEvery  = 200 * time.Millisecond
-	probeTime   = time.Second
 	deadline    = 120 * time.Second
 )
 
@@ -40,77 +37,20 @@
 // Client sends orders to VMs. It is safe for use by several goroutines.
 type Client struct {
 	http *http.Client
-	vms  []plan.Node
+	vms  *picker.Picker
 	gap  func(time.Duration)
-
-	mu    sync.Mutex
-	rng   *rand.Rand
-	ready []plan.Node // the VMs that said so when last asked
 }
 
-// NewClient makes a client that spreads requests over the VMs as a balancer
-// would; gap is told the time between two tokens.
-func NewClient(vms []plan.Node, seed uint64, gap func(time.Duration)) *Client {
+// NewClient makes a client that sends requests to the VMs that vms picks; gap
+// is told the time between two tokens.
+func NewClient(vms *picker.Picker, gap func(time.Duration)) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
-	return &Client{http: &http.Client{Transport: t}, vms: vms, ready: vms, gap: gap, rng: rand.New(rand.NewPCG(seed, 11))}
+	return &Client{http: &http.Client{Transport: t}, vms: vms, gap: gap}
 }
 
 // Close drops the kept connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-func (c *Client) pick() plan.Node {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.ready) == 0 {
-		return c.vms[c.rng.IntN(len(c.vms))]
-	}
-	return c.ready[c.rng.IntN(len(c.ready))]
-}
-
-// Balance asks every VM whether it is ready until ctx ends, as the platform's
-// balancer does.
-func (c *Client) Balance(ctx context.Context) error {
-	probe := &http.Client{Timeout: probeTime, Transport: &http.Transport{DisableKeepAlives: true}}
-	for ctx.Err() == nil {
-		up := make([]bool, len(c.vms))
-		var g errgroup.Group
-		for i, vm := range c.vms {
-			g.Go(func() error {
-				up[i] = isReady(ctx, probe, vm)
-				return nil
-			})
-		}
-		_ = g.Wait()
-		var ready []plan.Node
-		for i, vm := range c.vms {
-			if up[i] {
-				ready = append(ready, vm)
-			}
-		}
-		c.mu.Lock()
-		c.ready = ready
-		c.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(probeEvery):
-		}
-	}
-	return nil
-}
-
-func isReady(ctx context.Context, probe *http.Client, vm plan.Node) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Address.String()+"/readyz", http.NoBody)
-	if err != nil {
-		return false
-	}
-	resp, err := probe.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // attempt is one order on its way.
 type attempt struct {
 	client *Client
@@ -166,8 +106,9 @@
 }
 
 func (a *attempt) send(ctx context.Context) error {
-	vm := a.client.pick()
+	vm := a.client.vms.Pick()
 	a.res.VM = vm.Name
+	a.res.Tag = a.tag()
 	method, path, body := a.request()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+vm.Address.String()+path, bytes.NewReader(body))
 	if err != nil {
@@ -180,7 +121,7 @@
 }
 
 func (a *attempt) resume(ctx context.Context) error {
-	vm := a.client.pick()
+	vm := a.client.vms.Pick()
 	a.res.VM = vm.Name
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Address.String()+"/v1/resume/"+a.handle, http.NoBody)
 	if err != nil {
@@ -192,6 +133,17 @@
 	return a.exchange(req)
 }
 
+// tag marks what the backend servers run for this sending. Sendings of a call
+// that may be repeated are told apart, so that each refusal can be held against
+// the records; those of one that may not bear one tag, so that a second run
+// shows.
+func (a *attempt) tag() string {
+	if a.order.AtMostOnce || a.res.Sends == 1 {
+		return a.order.Want.Tag
+	}
+	return fmt.Sprintf("%s.%d", a.order.Want.Tag, a.res.Sends)
+}
+
 // request returns the method, path and body of the order. Net/http resends a
 // GET by itself on a broken kept connection; that is what callers do too.
 func (a *attempt) request() (string, string, []byte) {
@@ -201,9 +153,9 @@
 		if o.AtMostOnce {
 			method = http.MethodPost
 		}
-		return method, fmt.Sprintf("/v1/services/%s/do?tag=%s", o.Service, o.Want.Tag), nil
+		return method, fmt.Sprintf("/v1/services/%s/do?tag=%s", o.Service, a.res.Tag), nil
 	}
-	body, _ := json.Marshal(map[string]any{"model": o.Service, "prompt": o.Want.Prompt(), "stream": o.Stream})
+	body, _ := json.Marshal(map[string]any{"model": o.Service, "prompt": a.want().Prompt(), "stream": o.Stream})
 	return http.MethodPost, "/v1/completions", body
 }
 
@@ -240,6 +192,13 @@
 	return nil
 }
 
+// want is what this sending orders.
+func (a *attempt) want() prompt.Order {
+	o := a.order.Want
+	o.Tag = a.res.Tag
+	return o
+}
+
 // problem is the part of a problem document that a caller reads.
 type problem struct {
 	Reason string `json:"reason"`
@@ -264,8 +223,8 @@
 func (a *attempt) whole(data []byte) {
 	if a.order.Plain {
 		var answer struct{ Tag string }
-		if err := json.Unmarshal(data, &answer); err != nil || answer.Tag != a.order.Want.Tag {
-			a.end(Wrong, fmt.Sprintf("the answer to %s is %.200s", a.order.Want.Tag, data))
+		if err := json.Unmarshal(data, &answer); err != nil || answer.Tag != a.res.Tag {
+			a.end(Wrong, fmt.Sprintf("the answer to %s is %.200s", a.res.Tag, data))
 		}
 		return
 	}
--- a/internal/load/drive/order.go
+++ b/internal/load/drive/order.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"umberladder/internal/fake/engine"
+	"umberladder/internal/fake/prompt"
 	"umberladder/internal/load/plan"
 )
 
@@ -22,7 +22,7 @@
 	Stream     bool
 	AtMostOnce bool
 	Keyed      bool
-	Want       engine.Order
+	Want       prompt.Order
 }
 
 // Mix says what a run sends.
--- a/internal/load/drive/result.go
+++ b/internal/load/drive/result.go
@@ -22,6 +22,7 @@
 	Ran      string // of a refusal: "no", "maybe", "partial"
 	Code     string // of a refusal
 	Detail   string
+	Tag      string // what the servers recorded of the last sending
 	Tokens   int
 	Sends    int // requests sent, resends counted
 	Resumes  int
--- a/internal/load/drive/run.go
+++ b/internal/load/drive/run.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
+	"umberladder/internal/load/picker"
 	"umberladder/internal/load/plan"
 )
 
@@ -55,11 +56,12 @@
 // Send sends the orders at their times and waits for every outcome.
 func Send(ctx context.Context, vms []plan.Node, orders []Order, seed uint64) *Run {
 	r := &Run{Results: make([]Result, len(orders)), Gaps: NewHistogram(), First: NewHistogram(), Urgent: NewHistogram()}
-	c := NewClient(vms, seed, r.Gaps.Add)
+	vmPicker := picker.New(vms, seed)
+	c := NewClient(vmPicker, r.Gaps.Add)
 	defer c.Close()
 	poll, stop := context.WithCancel(ctx)
 	var balancer errgroup.Group
-	balancer.Go(func() error { return c.Balance(poll) })
+	balancer.Go(func() error { return vmPicker.Run(poll) })
 	defer func() {
 		stop()
 		_ = balancer.Wait()
@@ -150,7 +152,7 @@
 func (s *Summary) add(res *Result, runs map[string]int) {
 	s.Resumes += res.Resumes
 	s.Tokens += res.Tokens
-	ran := runs[res.Order.Want.Tag]
+	ran := runs[res.Tag]
 	switch res.Outcome {
 	case Complete:
 		s.Complete++
@@ -178,8 +180,9 @@
 	s.example(res, "wrong", detail)
 }
 
-// refused counts a refusal. Its word that the request never ran is checked
-// where one request was sent: of several, an earlier one may have run.
+// refused counts a refusal. Its word that the request never ran is held against
+// the records, but for a call that was sent several times under one tag: there
+// an earlier sending may have run.
 func (s *Summary) refused(res *Result, ran int) {
 	s.Refused[res.Reason]++
 	switch res.Ran {
@@ -188,7 +191,7 @@
 	case "partial":
 		s.Partial++
 	case "no":
-		if ran > 0 && res.Sends == 1 {
+		if ran > 0 && (res.Sends == 1 || !res.Order.AtMostOnce) {
 			s.FalseNotRun++
 			s.example(res, "false not-run", res.Reason)
 		}
--- a/internal/load/fault/kinds.go
+++ b/internal/load/fault/kinds.go
@@ -38,6 +38,7 @@
 		{Name: "freeze-engine", Start: freezeEngine},
 		{Name: "stall-engine", Start: stallEngine},
 		{Name: "cut-engine", Start: cutEngine},
+		{Name: "cut-link", Start: cutLink},
 		{Name: "refuse-engine", Start: refuseEngine},
 		{Name: "late-engine", Start: lateEngine},
 		{Name: "foreign-engine", Start: foreignEngine},
@@ -103,6 +104,11 @@
 	return w.switched(`{"cut_after":%d}`, 1+w.Rand.IntN(20))
 }
 
+// cutLink cuts one VM off from one engine: nothing arrives, and nothing says so.
+func cutLink(w *World) (Ending, error) {
+	return w.switched(`{"cut_from":%q}`, w.vm().Address.Addr().String())
+}
+
 func refuseEngine(w *World) (Ending, error) { return w.switched(`{"refuse":true}`) }
 
 func lateEngine(w *World) (Ending, error) {
--- a/internal/load/trial/trial.go
+++ b/internal/load/trial/trial.go
@@ -18,6 +18,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/invar"
 	"umberladder/internal/fake/engine"
+	"umberladder/internal/fake/prompt"
 	"umberladder/internal/fake/record"
 	"umberladder/internal/load/drive"
 	peer "umberladder/internal/peer/engine"
@@ -181,7 +182,7 @@
 	for n := 0; time.Since(r.start) < r.cfg.Time; n++ {
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		urgent := rng.Float64() < urgentShare
-		o := engine.Order{Seed: rng.Uint64(), Tag: fmt.Sprint(n), Tokens: 1 + rng.IntN(urgentMost)}
+		o := prompt.Order{Seed: rng.Uint64(), Tag: fmt.Sprint(n), Tokens: 1 + rng.IntN(urgentMost)}
 		if !urgent {
 			o.Tokens = min(longest, max(1, int(median*math.Exp(spread*rng.NormFloat64()))))
 		}
@@ -194,7 +195,7 @@
 }
 
 // request is one generation from its arrival to its end.
-func (r *run) request(p *pool.Pool, o engine.Order, urgent bool) {
+func (r *run) request(p *pool.Pool, o prompt.Order, urgent bool) {
 	start := time.Now()
 	ask := &pool.Ask{Service: r.services[urgent], Class: r.classes[urgent], Prompt: len(o.Prompt())/4 + 1}
 	if !urgent {
--- a/internal/peer/link/dialer.go
+++ b/internal/peer/link/dialer.go
@@ -23,6 +23,7 @@
 // Dialer opens, keeps and reuses connections. It is safe for use by several
 // goroutines.
 type Dialer struct {
+	from    netip.Addr
 	connect time.Duration
 	idle    time.Duration
 	keep    int
@@ -33,8 +34,10 @@
 
 // New makes a dialer that waits up to connect for a connection and up to idle
 // for each read or write, and keeps up to keep spare connections an address.
-func New(connect, idle time.Duration, keep int) *Dialer {
-	return &Dialer{connect: connect, idle: idle, keep: keep, spare: make(map[netip.AddrPort][]*conn)}
+// Connections come from the address from, so that a peer can tell VMs apart; if
+// it is not valid or unspecified, the system chooses.
+func New(from netip.Addr, connect, idle time.Duration, keep int) *Dialer {
+	return &Dialer{from: from, connect: connect, idle: idle, keep: keep, spare: make(map[netip.AddrPort][]*conn)}
 }
 
 // Do sends req and reads the whole answer into resp.
@@ -102,6 +105,9 @@
 		}
 	}
 	dialer := net.Dialer{Timeout: d.connect}
+	if d.from.IsValid() && !d.from.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.from, 0))
+	}
 	c, err := dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -66,7 +66,7 @@
 	return string(resp.Body()), err
 }
 
-func newDialer() *Dialer { return New(time.Second, 300*time.Millisecond, 4) }
+func newDialer() *Dialer { return New(netip.Addr{}, time.Second, 300*time.Millisecond, 4) }
 
 // TestLateAnswer lets a call time out and then answers it: the next call must
 // get its own answer, not the late one.
--- a/internal/peer/store/client_test.go
+++ b/internal/peer/store/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 		cancel()
 		assert.NilError(t, g.Wait())
 	})
-	d := link.New(time.Second, 500*time.Millisecond, 2)
+	d := link.New(netip.Addr{}, time.Second, 500*time.Millisecond, 2)
 	return s, store.New(d, ln.Addr().(*net.TCPAddr).AddrPort(), "test", perSecond, burst)
 }
 
--- a/internal/proc/serve/serve_test.go
+++ b/internal/proc/serve/serve_test.go
@@ -7,15 +7,18 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/fake/engine"
 	"umberladder/internal/fake/plain"
+	"umberladder/internal/fake/prompt"
 	"umberladder/internal/fake/store"
 	"umberladder/internal/load/plan"
 	"umberladder/internal/proc/conf"
@@ -44,11 +47,11 @@
 	return p
 }
 
-func order(tokens int, tag string) engine.Order {
-	return engine.Order{Tokens: tokens, Seed: 7, Tag: tag}
+func order(tokens int, tag string) prompt.Order {
+	return prompt.Order{Tokens: tokens, Seed: 7, Tag: tag}
 }
 
-func generation(o engine.Order, more string) string {
+func generation(o prompt.Order, more string) string {
 	return fmt.Sprintf(`{"model":%q,"prompt":%q%s}`, plan.Proposals, o.Prompt(), more)
 }
 
@@ -227,6 +230,24 @@
 	words = append(words, texts(t, body)...)
 	assert.NilError(t, o.CheckText(strings.Join(words, "")))
 	assert.Equal(t, s.Engines[0].Runs("resumed")+s.Engines[1].Runs("resumed"), 1)
+	t.Run("through two VMs at once", func(t *testing.T) {
+		o := order(60, "resumed-twice")
+		var head []string
+		handle, last := readSome(t, s.URL(0, completions), plan.CallerKey(plan.Installers), generation(o, `,"stream":true`), 10, &head)
+		bodies := make([]string, 2)
+		var g errgroup.Group
+		for i := range bodies {
+			g.Go(func() error {
+				_, bodies[i], _ = s.Call(i, http.MethodGet, "/v1/resume/"+handle, plan.Installers, "", "Last-Event-ID", last)
+				return nil
+			})
+		}
+		assert.NilError(t, g.Wait())
+		for _, body := range bodies {
+			assert.NilError(t, o.CheckText(strings.Join(append(slices.Clone(head), texts(t, body)...), "")))
+		}
+		assert.Equal(t, s.Engines[0].Runs("resumed-twice")+s.Engines[1].Runs("resumed-twice"), 1)
+	})
 	t.Run("by its own workspace only", func(t *testing.T) {
 		code, _, _ := s.Call(1, http.MethodGet, "/v1/resume/"+handle, plan.Faultdesk, "", "Last-Event-ID", last)
 		assert.Equal(t, code, 404)
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -124,7 +124,7 @@
 // buildState makes what the VMs share.
 func (v *VM) buildState() {
 	cfg := v.cfg
-	dialer := link.New(cfg.Limits.Connect, peerTime, keptConns)
+	dialer := link.New(cfg.Peers.Addr(), cfg.Limits.Connect, peerTime, keptConns)
 	v.settings = spread.NewBook(v.book)
 	v.store = store.New(dialer, cfg.Store, string(cfg.Name), cfg.Budget.PerSecond, cfg.Budget.Burst)
 	v.clients = nodes.NewClients(v.ring, peerTime)
@@ -145,7 +145,7 @@
 // buildRoute makes the path of requests.
 func (v *VM) buildRoute() {
 	cfg := v.cfg
-	dialer := link.New(cfg.Limits.Connect, cfg.Limits.EngineIdle, keptConns)
+	dialer := link.New(cfg.Peers.Addr(), cfg.Limits.Connect, cfg.Limits.EngineIdle, keptConns)
 	rec := tally.New(v.log, v.set, v.book, v.meter)
 	engines := engine.New(dialer)
 	budget := retry.NewBudget()
