--- a/internal/fake/store/server.go
+++ b/internal/fake/store/server.go
@@ -42,9 +42,10 @@
 	writes *rate.Limiter
 	reads  *rate.Limiter
 
-	mu    sync.Mutex
-	calls map[string]int
-	rng   *rand.Rand
+	meter meter
+
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
 // New makes a server whose lost replies follow from seed.
@@ -53,7 +54,7 @@
 		table:  table,
 		writes: rate.NewLimiter(writesPerSecond, writesPerSecond),
 		reads:  rate.NewLimiter(readsPerSecond, readsPerSecond),
-		calls:  map[string]int{},
+		meter:  meter{calls: map[string]int{}},
 		rng:    rand.New(rand.NewPCG(seed, 0)),
 	}
 	s.faults.Store(&Faults{})
@@ -63,16 +64,8 @@
 // Fault replaces the faults in force.
 func (s *Server) Fault(f Faults) { s.faults.Store(&f) }
 
-// Calls returns the calls counted so far, by caller.
-func (s *Server) Calls() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.calls))
-	for k, v := range s.calls {
-		out[k] = v
-	}
-	return out
-}
+// Count returns what was asked so far.
+func (s *Server) Count() Count { return s.meter.count() }
 
 // Serve answers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
@@ -113,9 +106,7 @@
 }
 
 func (s *Server) count(ctx *fasthttp.RequestCtx) bool {
-	s.mu.Lock()
-	s.calls[string(ctx.Request.Header.Peek("Caller"))]++
-	s.mu.Unlock()
+	s.meter.note(string(ctx.Request.Header.Peek("Caller")), time.Now())
 	limit := s.reads
 	if !ctx.IsGet() {
 		limit = s.writes
@@ -123,6 +114,7 @@
 	if limit.Allow() {
 		return true
 	}
+	s.meter.refuse()
 	ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
 	return false
 }
@@ -207,10 +199,14 @@
 
 func (s *Server) showCalls(ctx *fasthttp.RequestCtx) {
 	var a fastjson.Arena
-	o := a.NewObject()
-	for name, n := range s.Calls() {
-		o.Set(name, a.NewNumberInt(n))
-	}
+	o, calls := a.NewObject(), a.NewObject()
+	c := s.Count()
+	for name, n := range c.Calls {
+		calls.Set(name, a.NewNumberInt(n))
+	}
+	o.Set("calls", calls)
+	o.Set("peak", a.NewNumberInt(c.Peak))
+	o.Set("refused", a.NewNumberInt(c.Refused))
 	ctx.SetBody(o.MarshalTo(nil))
 }
 
--- a/internal/load/gauge/proc.go
+++ b/internal/load/gauge/proc.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -53,17 +52,9 @@
 // Late returns how much new work was offered to an engine that had been leaving
 // for more than three seconds.
 func Late(ctx context.Context, e plan.Node) (int, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/counts", e.Address), http.NoBody)
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
 	var c struct{ Late int }
-	return c.Late, trace.Wrap(json.NewDecoder(resp.Body).Decode(&c))
+	err := fetch(ctx, fmt.Sprintf("http://%s/v1/counts", e.Address), &c)
+	return c.Late, err
 }
 
 // Metrics are a VM's metrics, each added up over its labels.
--- a/internal/load/scene/scene.go
+++ b/internal/load/scene/scene.go
@@ -167,12 +167,36 @@
 	StallMS   float64 `json:"stall-ms-per-request"`
 	Preempted float64 `json:"preempted-per-1000"`
 	CallBytes float64 `json:"peer-call-bytes-per-request"`
+	Removals  int     `json:"vm-removals"` // times a VM took another for dead
+	Store     Store   `json:"store"`
 	// Violations counts the invariants that the VMs' logs say were violated.
 	Violations int            `json:"violations"`
 	Race       *rivals.Report `json:"race,omitempty"`
 	Held       bool           `json:"held"`
 }
 
+// Store is what the platform's key-value service was asked in a trial, waiting
+// watches included.
+type Store struct {
+	PerVM   float64 `json:"calls-per-second-of-the-busiest-vm"`
+	Fleet   float64 `json:"calls-per-second"`
+	Peak    int     `json:"calls-in-the-busiest-second"`
+	Refused int     `json:"refused-by-its-rates"`
+}
+
+// storeUse compares what the store counted before and after.
+func storeUse(before, after *gauge.StoreCalls, took time.Duration) Store {
+	s := Store{Peak: after.Peak, Refused: after.Refused - before.Refused}
+	most := 0
+	for name, n := range after.Calls {
+		most = max(most, n-before.Calls[name])
+	}
+	seconds := math.Max(1, took.Seconds())
+	s.PerVM = float64(most) / seconds
+	s.Fleet = float64(after.Total()-before.Total()) / seconds
+	return s
+}
+
 // measure reads the users' own measures off the VMs.
 func (r *Result) measure(ctx context.Context, f *plan.Fleet) {
 	for _, vm := range f.VMs {
@@ -182,6 +206,7 @@
 		}
 		r.StallMS += 1000 * m["umberladder_stall_seconds_total"]
 		r.CallBytes += m["umberladder_peer_call_bytes_total"]
+		r.Removals += int(m["umberladder_vm_removals_total"])
 		r.Preempted += 1000 * m["umberladder_preemptions_total"]
 	}
 	r.CallBytes /= math.Max(1, float64(r.Requests))
@@ -216,6 +241,10 @@
 			return nil
 		})
 	}
+	before, err := gauge.Store(ctx, f.Store)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	run := drive.Send(ctx, f.VMs, mix.Orders(seed), seed)
 	cancel()
 	if err := g.Wait(); err != nil {
@@ -230,6 +259,11 @@
 		res.CutOff = run.CutOff()
 	}
 	res.measure(ctx, f)
+	after, err := gauge.Store(ctx, f.Store)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	res.Store = storeUse(before, after, run.Took)
 	if res.Violations, err = violations(f); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/peer/nodes/server.go
+++ b/internal/peer/nodes/server.go
@@ -9,6 +9,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/proto"
+	"umberladder/internal/route/gate"
 	"umberladder/internal/state/config"
 	"umberladder/internal/state/keeper"
 	"umberladder/internal/state/member"
@@ -34,9 +35,11 @@
 	News(news *proto.SeatNews)
 }
 
-// Reporter gives other VMs this VM's report on service-level burn.
+// Reporter gives other VMs this VM's report on service-level burn, and what a
+// workspace uses here.
 type Reporter interface {
 	Report() []byte
+	Usage(w ident.Workspace) (gate.Usage, bool)
 }
 
 // Server answers other VMs' calls. It implements proto.Nodes.
@@ -92,6 +95,21 @@
 	return &proto.BurnReply{Report: s.report.Report()}, nil
 }
 
+// Usage implements proto.Nodes.
+func (s *Server) Usage(_ context.Context, r *proto.UsageRequest) (*proto.UsageReply, error) {
+	u, ok := s.report.Usage(ident.Workspace(r.GetWorkspace()))
+	if !ok {
+		return nil, twirp.NewError(twirp.NotFound, "no such workspace")
+	}
+	return &proto.UsageReply{
+		Open:            uint32(u.Open),
+		OpenShare:       uint32(u.OpenShare),
+		TokensLeft:      u.TokensLeft,
+		RateShare:       uint32(u.RateShare),
+		SettingsVersion: u.Version,
+	}, nil
+}
+
 // Seat implements proto.Nodes.
 func (s *Server) Seat(ctx context.Context, r *proto.SeatAsk) (*proto.SeatReply, error) {
 	return s.seats.Seat(ctx, r), nil
@@ -174,6 +192,21 @@
 	return reply.GetReport(), nil
 }
 
+// Usage asks what a workspace uses on another VM.
+func (p *Peers) Usage(ctx context.Context, from member.Member, w ident.Workspace) (gate.Usage, error) {
+	reply, err := p.clients.To(from.Address).Usage(ctx, &proto.UsageRequest{Workspace: string(w)})
+	if err != nil {
+		return gate.Usage{}, failed(from, err)
+	}
+	return gate.Usage{
+		Open:       int(reply.GetOpen()),
+		OpenShare:  int(reply.GetOpenShare()),
+		TokensLeft: reply.GetTokensLeft(),
+		RateShare:  int(reply.GetRateShare()),
+		Version:    reply.GetSettingsVersion(),
+	}, nil
+}
+
 // Seat asks a model's home for a place.
 func (p *Peers) Seat(ctx context.Context, to member.Member, ask *proto.SeatAsk) (*proto.SeatReply, error) {
 	reply, err := p.clients.To(to.Address).Seat(ctx, ask)
--- a/internal/peer/oper/server.go
+++ b/internal/peer/oper/server.go
@@ -23,6 +23,7 @@
 	pathHistory  = "/v1/history"
 	pathChanges  = "/v1/changes/"
 	pathStatus   = "/v1/status"
+	pathUsage    = "/v1/status/workspaces/"
 	pathBurn     = "/v1/burn"
 	pathDrain    = "/v1/drain"
 	maxBody      = 1 << 20
@@ -48,6 +49,9 @@
 	// Burn returns the report as JSON: of this VM, or merged over all; of one
 	// workspace, unless only is empty.
 	Burn(ctx context.Context, merged bool, only ident.Workspace) ([]byte, error)
+	// Workspace tells what a workspace uses on every VM, or nil if there is
+	// none of that name.
+	Workspace(ctx context.Context, a *fastjson.Arena, name ident.Workspace) *fastjson.Value
 	Drain()
 }
 
@@ -104,6 +108,8 @@
 		s.change(ctx, &acc, strings.TrimPrefix(path, pathChanges))
 	case path == pathStatus:
 		s.status(ctx)
+	case strings.HasPrefix(path, pathUsage):
+		s.usage(ctx, &acc, ident.Workspace(strings.TrimPrefix(path, pathUsage)))
 	case path == pathBurn:
 		s.burn(ctx, &acc)
 	case path == pathDrain && ctx.IsPost():
@@ -134,6 +140,21 @@
 	reply(ctx, s.node.Status(&a))
 }
 
+func (s *Server) usage(ctx *fasthttp.RequestCtx, acc *access, name ident.Workspace) {
+	if !allowed(ctx, acc, config.WorkspacePath(name)) {
+		return
+	}
+	c, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	var a fastjson.Arena
+	v := s.node.Workspace(c, &a, name)
+	if v == nil {
+		fail(ctx, fasthttp.StatusNotFound, "not-found", "there is no workspace "+string(name))
+		return
+	}
+	reply(ctx, v)
+}
+
 func (s *Server) burn(ctx *fasthttp.RequestCtx, acc *access) {
 	c, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
--- a/internal/peer/store/client_test.go
+++ b/internal/peer/store/client_test.go
@@ -124,6 +124,6 @@
 		}
 	}
 	assert.Equal(t, refused, 7)
-	assert.Equal(t, s.Calls()["test"], 3)
+	assert.Equal(t, s.Count().Calls["test"], 3)
 	assert.Equal(t, c.Calls(), uint64(3))
 }
--- a/internal/proc/cmds/node.go
+++ b/internal/proc/cmds/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/url"
 	"text/tabwriter"
 
 	"github.com/gravitational/trace"
@@ -19,15 +20,21 @@
 func newStatus() *cobra.Command {
 	var vm remote.VM
 	var o output
+	var workspace string
 	c := &cobra.Command{
-		Use:     "status",
-		Short:   "Print the state of a VM and the VMs it knows",
-		Example: "  umberladder status --server 127.0.0.1:8081",
-		Args:    cobra.NoArgs,
+		Use:   "status",
+		Short: "Print the state of a VM and the VMs it knows, or what a workspace uses on all of them",
+		Example: "  umberladder status --server 127.0.0.1:8081\n" +
+			"  umberladder status --server 127.0.0.1:8081 --workspace installers",
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if workspace != "" {
+				return o.show(c, &vm, "/v1/status/workspaces/"+url.PathEscape(workspace), printUsage)
+			}
 			return o.show(c, &vm, "/v1/status", printStatus)
 		},
 	}
+	c.Flags().StringVar(&workspace, "workspace", "", "print what this workspace uses of its limits")
 	remoteFlags(c, &vm)
 	o.flags(c, "table or json")
 	return c
@@ -46,6 +53,24 @@
 	return trace.Wrap(t.Flush())
 }
 
+func printUsage(w io.Writer, a *remote.Answer) error {
+	v := a.Value()
+	fmt.Fprintf(w, "workspace %s: %d of %d requests open, limit of %d tokens a second (0: none)\n",
+		v.GetStringBytes("workspace"), v.GetInt("open"),
+		v.GetInt("limits", "concurrency"), v.GetInt("limits", "tokens-per-second"))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "VM\tOPEN\tSHARE\tTOKENS LEFT\tRATE SHARE\tSETTINGS VERSION")
+	for _, m := range v.GetArray("vms") {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", m.GetStringBytes("vm"), m.GetInt("open"), m.GetInt("open-share"),
+			m.GetInt("tokens-left"), m.GetInt("rate-share"), m.GetInt("settings-version"))
+	}
+	for _, m := range v.GetArray("silent") {
+		name, _ := m.StringBytes()
+		fmt.Fprintf(t, "%s\tdoes not answer\n", name)
+	}
+	return trace.Wrap(t.Flush())
+}
+
 func newDrain() *cobra.Command {
 	var vm remote.VM
 	c := &cobra.Command{
--- a/internal/proc/serve/serve_test.go
+++ b/internal/proc/serve/serve_test.go
@@ -449,6 +449,23 @@
 		assert.Equal(t, code, 422, body)
 		assert.Assert(t, strings.Contains(body, `/limits/concurrency`), body)
 	})
+	t.Run("a dry run says what would be promised beyond what there is", func(t *testing.T) {
+		missing := strings.Replace(doc, `"class":"urgent"`, `"class":"nothing"`, 1)
+		code, body, _ := s.Operate(0, http.MethodPut, path+"?dry-run=true", plan.Installers, missing, "If-Match", tag)
+		assert.Equal(t, code, 200, body)
+		assert.Assert(t, strings.Contains(body, `the system has no class \"nothing\"`), body)
+		now, _ := read(0)
+		assert.Equal(t, now, doc)
+	})
+	t.Run("what a workspace uses, on every VM", func(t *testing.T) {
+		usage := "/v1/status/workspaces/"
+		code, body, _ := s.Operate(1, http.MethodGet, usage+plan.Installers, plan.Installers, "")
+		assert.Equal(t, code, 200, body)
+		assert.Equal(t, strings.Count(body, `"open-share":133`), 3, body)
+		assert.Assert(t, strings.Contains(body, `"silent":[]`), body)
+		code, _, _ = s.Operate(1, http.MethodGet, usage+plan.Faultdesk, plan.Installers, "")
+		assert.Equal(t, code, 404)
+	})
 	t.Run("in force everywhere in time", func(t *testing.T) {
 		next := strings.Replace(doc, `"concurrency":4000`, `"concurrency":9`, 1)
 		code, body, _ := s.Operate(1, http.MethodPut, path, plan.Installers, next, "If-Match", tag)
--- a/internal/proc/serve/status.go
+++ b/internal/proc/serve/status.go
@@ -29,6 +29,7 @@
 		"umberladder_peer_call_bytes_total":          func() float64 { return float64(v.traffic.Calls.Load()) },
 		"umberladder_peer_forged_total":              func() float64 { return float64(v.traffic.Forged.Load()) },
 		"umberladder_live_vms":                       func() float64 { return float64(len(v.fleet.View().Live)) },
+		"umberladder_vm_removals_total":              func() float64 { return float64(v.fleet.Removals()) },
 		"umberladder_settings_revision":              func() float64 { return float64(v.settings.Load().Revision) },
 		"umberladder_claim_shards":                   func() float64 { shards, _ := v.keeper.Held(); return float64(shards) },
 		"umberladder_home_tickets":                   func() float64 { return float64(v.home.Tickets()) },
@@ -124,24 +125,32 @@
 // suspects among them.
 func (v *VM) mergeBurn(ctx context.Context, rep *burn.Report) {
 	var mu sync.Mutex
+	v.askOthers(func(m member.Member) {
+		data, err := v.peers.Burn(ctx, m)
+		var one *burn.Report
+		if err == nil {
+			one, err = burn.Decode(data)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			rep.Silent = append(rep.Silent, m.Name)
+			return
+		}
+		rep.Merge(one)
+	})
+}
+
+// askOthers calls ask for every other VM known that has not left, all at once,
+// and waits for them.
+func (v *VM) askOthers(ask func(m member.Member)) {
 	var g errgroup.Group
 	for _, m := range v.fleet.All() {
 		if m.Name == v.cfg.Name || m.State == member.Left {
 			continue
 		}
 		g.Go(func() error {
-			data, err := v.peers.Burn(ctx, m)
-			var one *burn.Report
-			if err == nil {
-				one, err = burn.Decode(data)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				rep.Silent = append(rep.Silent, m.Name)
-				return nil
-			}
-			rep.Merge(one)
+			ask(m)
 			return nil
 		})
 	}
--- /dev/null
+++ b/internal/proc/serve/usage.go
@@ -0,0 +1,90 @@
+package serve
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/route/gate"
+	"umberladder/internal/state/config"
+	"umberladder/internal/state/member"
+)
+
+// Usage implements nodes.Reporter.
+func (v *VM) Usage(name ident.Workspace) (gate.Usage, bool) {
+	w := v.settings.Load().Workspace(name)
+	if w == nil {
+		return gate.Usage{}, false
+	}
+	return v.gate.Usage(w, time.Now()), true
+}
+
+// used is what one VM answered.
+type used struct {
+	vm    ident.VM
+	usage gate.Usage
+	known bool // false: the VM did not answer
+}
+
+// Workspace implements oper.Node: what the workspace uses on every VM.
+func (v *VM) Workspace(ctx context.Context, a *fastjson.Arena, name ident.Workspace) *fastjson.Value {
+	w := v.settings.Load().Workspace(name)
+	if w == nil {
+		return nil
+	}
+	all := v.usages(ctx, name)
+	o, vms, silent := a.NewObject(), a.NewArray(), a.NewArray()
+	open := 0
+	for _, u := range all {
+		if !u.known {
+			silent.SetArrayItem(len(silent.GetArray()), a.NewString(string(u.vm)))
+			continue
+		}
+		open += u.usage.Open
+		vms.SetArrayItem(len(vms.GetArray()), usageValue(a, u))
+	}
+	o.Set("workspace", a.NewString(string(name)))
+	o.Set("limits", limitsValue(a, w))
+	o.Set("open", a.NewNumberInt(open))
+	o.Set("vms", vms)
+	o.Set("silent", silent)
+	return o
+}
+
+// usages asks every VM known, and names those that do not answer.
+func (v *VM) usages(ctx context.Context, name ident.Workspace) []used {
+	own, known := v.Usage(name)
+	out := []used{{vm: v.cfg.Name, usage: own, known: known}}
+	var mu sync.Mutex
+	v.askOthers(func(m member.Member) {
+		u, err := v.peers.Usage(ctx, m, name)
+		mu.Lock()
+		defer mu.Unlock()
+		out = append(out, used{vm: m.Name, usage: u, known: err == nil})
+	})
+	slices.SortFunc(out, func(a, b used) int { return strings.Compare(string(a.vm), string(b.vm)) })
+	return out
+}
+
+func limitsValue(a *fastjson.Arena, w *config.Workspace) *fastjson.Value {
+	o := a.NewObject()
+	o.Set("concurrency", a.NewNumberInt(w.Limits.Concurrency))
+	o.Set("tokens-per-second", a.NewNumberInt(w.Limits.TokensPerSecond))
+	return o
+}
+
+func usageValue(a *fastjson.Arena, u used) *fastjson.Value {
+	o := a.NewObject()
+	o.Set("vm", a.NewString(string(u.vm)))
+	o.Set("settings-version", a.NewNumberInt(int(u.usage.Version)))
+	o.Set("open", a.NewNumberInt(u.usage.Open))
+	o.Set("open-share", a.NewNumberInt(u.usage.OpenShare))
+	o.Set("tokens-left", a.NewNumberInt(int(u.usage.TokensLeft)))
+	o.Set("rate-share", a.NewNumberInt(u.usage.RateShare))
+	return o
+}
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -78,6 +78,7 @@
 	fleet    *fleet.Fleet
 	follower *spread.Follower
 	keeper   *keeper.Keeper
+	gate     *gate.Gate
 	meter    *burn.Meter
 	loads    *loads.Loads
 	home     *cell.Home
@@ -146,6 +147,7 @@
 func (v *VM) buildRoute() {
 	cfg := v.cfg
 	dialer := link.New(cfg.Peers.Addr(), cfg.Limits.Connect, cfg.Limits.EngineIdle, keptConns)
+	v.gate = gate.New(v.fleet)
 	rec := tally.New(v.log, v.set, v.book, v.meter)
 	engines := engine.New(dialer)
 	budget := retry.NewBudget()
@@ -156,7 +158,7 @@
 	v.entry = entry.New(entry.Parts{
 		VM:       cfg.Name,
 		Settings: v.settings,
-		Gate:     gate.New(v.fleet),
+		Gate:     v.gate,
 		Claims:   claim.New(cfg.Name, v.fleet, v.keeper, direct.New(v.store), v.peers),
 		Placers:  v.desk.Placer,
 		Runner:   gener.New(cfg.Generate, engines, budget, v.book, rec, v.group, v.fork()),
@@ -175,7 +177,7 @@
 		DrainDelay: cfg.Limits.DrainDelay,
 		Log:        httpLog{v.log},
 	}, v.entry, v.writeMetrics)
-	v.oper = oper.New(v.settings, amend.New(v.store, v.follower), v, cfg.OperKeys, httpLog{v.log})
+	v.oper = oper.New(v.settings, amend.New(v.store, v.follower, v.settings.Load), v, cfg.OperKeys, httpLog{v.log})
 }
 
 // httpLog takes the HTTP library's lines, which tell of callers' broken
--- a/internal/route/gate/gate.go
+++ b/internal/route/gate/gate.go
@@ -49,13 +49,11 @@
 
 // Enter lets a request of w in, or explains which limit it meets.
 func (g *Gate) Enter(w *config.Workspace, now time.Time) (*Pass, *refuse.Refusal) {
-	i, n := g.fleet.Rank()
-	// The shares' remainders start at another VM for each workspace.
-	i = (i + len(w.Name)) % n
+	i, n := g.place(w)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u := g.of(w, now)
-	share := max(limit.Share(w.Limits.Concurrency, i, n), 1)
+	share := openShare(w, i, n)
 	if u.open >= share {
 		return nil, refuse.New(refuse.Concurrency, "this VM is one of %d and holds a share of %d open requests", n, share).
 			Under(rule(w, "concurrency", w.Limits.Concurrency, u.open)).After(busyAfter)
--- a/internal/state/amend/amend.go
+++ b/internal/state/amend/amend.go
@@ -10,6 +10,7 @@
 
 	"umberladder/internal/peer/store"
 	"umberladder/internal/state/config"
+	"umberladder/internal/state/quota"
 	"umberladder/internal/state/spread"
 )
 
@@ -70,10 +71,13 @@
 type Amender struct {
 	store    Store
 	follower Follower
+	inForce  func() *config.Snapshot
 }
 
-// New makes an amender.
-func New(s Store, f Follower) *Amender { return &Amender{store: s, follower: f} }
+// New makes an amender. inForce returns the settings in force on this VM.
+func New(s Store, f Follower, inForce func() *config.Snapshot) *Amender {
+	return &Amender{store: s, follower: f, inForce: inForce}
+}
 
 // Apply checks a change and writes it. Its errors are a *config.FieldError, a
 // *ConflictError, an *UnknownError, or that the store is down.
@@ -91,7 +95,7 @@
 	if version != c.Want {
 		return Result{}, conflict(c.Path, version, old)
 	}
-	res := Result{Version: version, Diff: Diff(old.Body, c.Body), Warnings: warnings(c)}
+	res := Result{Version: version, Diff: Diff(old.Body, c.Body), Warnings: a.warnings(c, version)}
 	if c.DryRun {
 		return res, nil
 	}
@@ -233,23 +237,15 @@
 	}
 }
 
-// warnings names limits in the new document that promise more than there is.
-func warnings(c Change) []string {
-	if c.Path != config.SystemPath {
-		return nil
-	}
-	s, err := config.ParseSystem(c.Body, 0)
+// warnings names what the settings would promise beyond what there is, with the
+// change made to the document of the given version.
+func (a *Amender) warnings(c Change, version uint64) []string {
+	now := a.inForce()
+	then, err := now.With(config.Document{Path: c.Path, Version: max(version, now.Revision) + 1, Body: c.Body})
 	if err != nil {
 		return nil
 	}
-	sum := 0.0
-	for _, cl := range s.Classes {
-		sum += cl.Reserve
-	}
-	if sum > 0.9 {
-		return []string{fmt.Sprintf("/classes: the reserves add up to %.2f of each engine's memory", sum)}
-	}
-	return nil
+	return quota.Check(then)
 }
 
 // IsConflict returns the conflict behind err, if it is one.
--- a/internal/state/amend/amend_test.go
+++ b/internal/state/amend/amend_test.go
@@ -75,7 +75,7 @@
 			l := &lossy{}
 			var now func(string) string
 			l.next = func(call string) string { return now(call) }
-			a := New(l, still{})
+			a := New(l, still{}, config.New)
 			read := uint64(0)
 			for n := range rapid.IntRange(1, 15).Draw(rt, "changes") {
 				now = healthy
@@ -116,7 +116,7 @@
 func TestApply(t *testing.T) {
 	ctx := context.Background()
 	l := &lossy{next: healthy}
-	a := New(l, still{})
+	a := New(l, still{}, config.New)
 	first := Change{ID: "1", By: "ada", Path: "/workspaces/w", Body: workspace(1)}
 	res, err := a.Apply(ctx, first)
 	assert.NilError(t, err)
@@ -161,7 +161,7 @@
 
 func TestHistoryIsBounded(t *testing.T) {
 	l := &lossy{next: healthy}
-	a := New(l, still{})
+	a := New(l, still{}, config.New)
 	for n := range spread.MaxChanges + 5 {
 		_, err := a.Apply(context.Background(), Change{ID: fmt.Sprint(n), Path: "/workspaces/w", Want: uint64(n), Body: workspace(n + 1)})
 		assert.NilError(t, err)
--- a/internal/state/config/types.go
+++ b/internal/state/config/types.go
@@ -34,6 +34,8 @@
 	Address netip.AddrPort
 	Domain  ident.Domain
 	Fencing bool // it refuses orders with an old fencing number
+	// TokensPerSecond is what it generates when full; zero: not told.
+	TokensPerSecond int
 }
 
 // Model is a model that any workspace's services may use.
--- a/internal/state/config/wire.go
+++ b/internal/state/config/wire.go
@@ -30,6 +30,7 @@
 	Address string `json:"address"`
 	Domain  string `json:"failure-domain"`
 	Fencing bool   `json:"checks-fencing,omitzero"`
+	Rate    *int   `json:"tokens-per-second,omitzero"`
 }
 
 type modelWire struct {
@@ -148,6 +149,8 @@
 			Address: f.Address(p+"/address", w.Address),
 			Domain:  ident.Domain(f.Name(p+"/failure-domain", w.Domain)),
 			Fencing: w.Fencing,
+
+			TokensPerSecond: f.Int(p+"/tokens-per-second", w.Rate, 0, 0, MaxTokenRate),
 		})
 	}
 	unique(f, path, out, func(s Server) string { return string(s.Name) })
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -73,6 +73,13 @@
 // Heard returns when another VM was last heard.
 func (f *Fleet) Heard() time.Time { return time.Unix(0, f.last.Load()) }
 
+// Removals returns how many times this VM took another for dead.
+func (f *Fleet) Removals() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Removals()
+}
+
 // All returns every VM known, dead ones too.
 func (f *Fleet) All() []member.Member {
 	f.mu.Lock()
--- a/internal/state/member/table.go
+++ b/internal/state/member/table.go
@@ -31,6 +31,7 @@
 	pings    int
 	revision uint64
 	version  uint64
+	removed  uint64 // VMs taken for dead so far
 }
 
 type entry struct {
@@ -75,6 +76,9 @@
 // SetRevision sets the revision of the settings told to others.
 func (t *Table) SetRevision(r uint64) { t.revision = r }
 
+// Removals returns how many times this VM itself took another for dead.
+func (t *Table) Removals() uint64 { return t.removed }
+
 // Live returns the VMs taken to be alive, this one included unless it leaves,
 // by name. Suspects are still among them.
 func (t *Table) Live() []Member {
@@ -206,6 +210,7 @@
 	for _, e := range t.others {
 		if e.State == Suspect && now.Sub(e.since) >= t.cfg.Suspect {
 			e.State = Dead
+			t.removed++
 			t.changed(e, now)
 		}
 	}
