Neither take nor accept a shard that is still being given up

Cause: found by reading the handover again. A shard's value in the store names a VM until its next holder has replaced or the VM has deleted it. A VM that had accepted a shard, let keys run and begun to hand it further took a repeated offer of its first holder for a lost reply of its own: it laid the old claims back, without the keys that had run. And a VM whose freeing was still to be done (the store down) could take the shard again when its home came back, at the same revision; the late deletion then took its name off a shard it held.

Ruled out: comparing revisions alone, as the value is the VM's own in both cases.

Change: taking and accepting wait until nothing is left to hand on or free.

Before, the new tests on the old code: "offer() is true: it is being handed further"; "shard 25: deleted" under a holder. After: TestKeepers passes 5 times.

--- a/internal/state/keeper/hand.go
+++ b/internal/state/keeper/hand.go
@@ -97,7 +97,7 @@
 	defer k.turns[shard].end()
 	k.mu.Lock()
 	lease, leaving, h := k.lease, k.leaving, k.held[shard]
-	if lease == 0 || leaving || h != nil {
+	if lease == 0 || leaving || h != nil || k.givesUp(shard) {
 		k.mu.Unlock()
 		return h != nil && h.handed == revision, nil
 	}
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -246,7 +246,14 @@
 func (k *Keeper) due(shard int) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.held[shard] == nil && k.handing[shard] == nil && !k.leaving && !time.Now().Before(k.retry[shard])
+	return k.held[shard] == nil && !k.givesUp(shard) && !k.leaving && !time.Now().Before(k.retry[shard])
+}
+
+// givesUp reports whether the store may still name this VM for a shard whose term
+// it has ended. The caller holds mu.
+func (k *Keeper) givesUp(shard int) bool {
+	_, freeing := k.freeing[shard]
+	return freeing || k.handing[shard] != nil
 }
 
 func (k *Keeper) holds(shard int) bool {
--- a/internal/state/keeper/keeper_test.go
+++ b/internal/state/keeper/keeper_test.go
@@ -149,6 +149,17 @@
 	assert.Equal(tt, sum, Shards)
 }
 
+// named fails unless the store names each holder at the revision it knows.
+func (t *town) named(tt *testing.T, m *memory) {
+	tt.Helper()
+	for _, k := range t.keepers {
+		for shard, h := range k.held {
+			it, ok := m.table.Get(shardPath(shard), time.Now())
+			assert.Assert(tt, ok && it.Revision == h.revision, "shard %d: %v", shard, it)
+		}
+	}
+}
+
 func newMemory() *memory {
 	return &memory{table: table.NewTable(), fail: func(string) store.Fault { return fine }}
 }
@@ -206,6 +217,27 @@
 			town.held(t)
 		})
 	})
+	t.Run("take no shard back while it is still to be freed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemory()
+			town := newTown(m, 1)
+			town.rounds(4)
+			town.add(m, 1)
+			town.broken = true
+			m.fail = func(call string) store.Fault {
+				if call == "delete" {
+					return store.Down
+				}
+				return fine
+			}
+			town.rounds(9) // shards are given up, and stay in the store
+			town.live = town.live[:1]
+			town.rounds(6)
+			m.fail = func(string) store.Fault { return fine }
+			town.rounds(8)
+			town.named(t, m)
+		})
+	})
 	t.Run("keep a shard whose taking lost its reply", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			m := newMemory()
@@ -357,6 +389,35 @@
 			assert.Equal(t, v, term.Run, "the shard was handed on in the end")
 		})
 	})
+	t.Run("a shard that is offered again after it was handed further", func(t *testing.T) {
+		for _, step := range []string{"handing", "freeing"} {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemory()
+				town := newTown(m, 1)
+				town.rounds(4)
+				joined := town.add(m, 1)
+				assert.NilError(t, joined.renew(context.Background()))
+				shard := joined.homes()[0]
+				revision := town.keepers["vm-0"].held[shard].revision
+				offer := func() bool {
+					taken, err := joined.Accept(context.Background(), shard, revision, time.Now().Add(-time.Hour), nil)
+					return taken && err == nil
+				}
+				assert.Assert(t, offer())
+				minted := time.Now()
+				v, _ := joined.Claim(shard, "k", minted, [32]byte{}, "r1")
+				assert.Equal(t, v, term.Run)
+				assert.Assert(t, offer(), "the reply was lost, so it is offered again")
+				joined.pass(shard, time.Now())
+				if step == "freeing" {
+					joined.end(shard, joined.handing[shard], false)
+				}
+				assert.Assert(t, !offer(), "it is being handed further")
+				v, _ = joined.Claim(shard, "k", minted, [32]byte{}, "r2")
+				assert.Equal(t, v, term.NotHolder)
+			})
+		}
+	})
 	t.Run("a shard that is freed while it is handed on", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			m := newMemory()
