Draw the policy's figures

Change: package chart draws grouped bars by gonum.org/v1/plot; TestCharts runs the trials in virtual time and writes stall time, preemptions and time between tokens at 0.7, 1.0 and 1.3 of load into docs/design/charts.

Ruled out: drawing from processes, whose figures differ from run to run.

--- a/internal/load/trial/trial_test.go
+++ b/internal/load/trial/trial_test.go
@@ -5,11 +5,14 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"umberladder/internal/load/chart"
 )
 
 // The flags of the table in docs/design/05-admission.md.
@@ -17,6 +20,7 @@
 	rounds   = flag.Bool("rounds", false, "run every trial and print the table")
 	overflow = flag.Float64("overflow", 0.05, "bound on the chance of overflow")
 	reserve  = flag.Float64("reserve", 0.1, "memory share kept for urgent calls")
+	charts   = flag.String("charts", "", "run the trials of the charts and write them to this folder")
 )
 
 func base(placement string, load float64, vms int) Config {
@@ -68,6 +72,46 @@
 	}
 }
 
+// TestCharts draws the measures that the users care for, by load: the baselines
+// with seven VMs, and the prediction by one home for all.
+func TestCharts(t *testing.T) {
+	if *charts == "" {
+		t.Skip("charts for people; run with -charts FOLDER")
+	}
+	loads := []float64{0.7, 1.0, 1.3}
+	groups := []string{"0.7 of load", "1.0", "1.3"}
+	measures := map[string]struct {
+		title, unit string
+		of          func(*Figures) float64
+		series      []chart.Series
+	}{
+		"stall":       {title: "Stall time of a request", unit: "ms", of: func(f *Figures) float64 { return ms(f.StallEach()) }},
+		"preemptions": {title: "Preemptions", unit: "per 1,000 requests", of: (*Figures).Per1000},
+		"token-gap":   {title: "Time between tokens, 99 in 100", unit: "ms", of: func(f *Figures) float64 { return ms(f.GapP99) }},
+	}
+	for _, p := range placements {
+		vms := 7
+		if p == "predicted" {
+			vms = 1
+		}
+		var figures []*Figures
+		for _, load := range loads {
+			figures = append(figures, try(t, base(p, load, vms)))
+		}
+		for name, m := range measures {
+			s := chart.Series{Name: p}
+			for _, f := range figures {
+				s.Values = append(s.Values, m.of(f))
+			}
+			m.series = append(m.series, s)
+			measures[name] = m
+		}
+	}
+	for name, m := range measures {
+		assert.NilError(t, chart.Bars(filepath.Join(*charts, name+".svg"), m.title, m.unit, groups, m.series))
+	}
+}
+
 // TestPredictedBeatsTwoChoices holds the policy to what it is for, with one VM
 // deciding: fewer preemptions and no more than the baseline's stall, at equal
 // goodput.
