--- /dev/null
+++ b/cmd/stress/claims.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"umberladder/internal/load/drive"
+	"umberladder/internal/load/gauge"
+	"umberladder/internal/load/plan"
+)
+
+// claimWire is what an idempotency key costs a call.
+type claimWire struct {
+	Key        string  `json:"key"`
+	Calls      int     `json:"calls"`
+	P50        float64 `json:"p50-ms"`
+	P99        float64 `json:"p99-ms"`
+	StoreCalls float64 `json:"store-calls-per-call"`
+}
+
+// keyKinds are the ways a call may be keyed, each with how a key is made.
+var keyKinds = []struct {
+	name string
+	make func() string
+}{
+	{"none", func() string { return "" }},
+	{"uuid-v7", func() string { return uuid.Must(uuid.NewV7()).String() }},
+	{"other", func() string { return "order-" + uuid.NewString() }},
+}
+
+func newClaims() *cobra.Command {
+	var flags fleetFlags
+	var calls int
+	var pause time.Duration
+	c := &cobra.Command{
+		Use:   "claims",
+		Short: "Measure what an idempotency key adds to a plain call, in time and calls to the store",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := flags.fleet()
+			if err != nil {
+				return err
+			}
+			for _, kind := range keyKinds {
+				row, err := claimCost(c.Context(), f, kind.make, calls, pause)
+				if err != nil {
+					return err
+				}
+				row.Key = kind.name
+				if err := printLine(c, row); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	flags.add(c)
+	c.Flags().IntVar(&calls, "calls", 400, "calls with each kind of key, one after the other, through the VMs in turn")
+	c.Flags().DurationVar(&pause, "pause", 10*time.Millisecond, "wait between calls, to stay in the VMs' store budgets")
+	return c
+}
+
+func claimCost(ctx context.Context, f *plan.Fleet, key func() string, calls int, pause time.Duration) (*claimWire, error) {
+	before, err := gauge.Store(ctx, f.Store)
+	if err != nil {
+		return nil, err
+	}
+	times := drive.NewHistogram()
+	for i := range calls {
+		start := time.Now()
+		if err := book(ctx, f.VMs[i%len(f.VMs)], key()); err != nil {
+			return nil, err
+		}
+		times.Add(time.Since(start))
+		time.Sleep(pause)
+	}
+	after, err := gauge.Store(ctx, f.Store)
+	if err != nil {
+		return nil, err
+	}
+	const q50, q99 = 50, 99
+	return &claimWire{
+		Calls:      calls,
+		P50:        float64(times.At(q50).Microseconds()) / 1000,
+		P99:        float64(times.At(q99).Microseconds()) / 1000,
+		StoreCalls: float64(after.Total()-before.Total()) / float64(calls),
+	}, nil
+}
+
+// book makes one plain call that may not be repeated.
+func book(ctx context.Context, vm plan.Node, key string) error {
+	url := fmt.Sprintf("http://%s/v1/services/%s/do?tag=cost-%s", vm.Address, plan.Bookings, uuid.NewString())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+plan.CallerKey(plan.Installers))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answers %d", vm.Name, resp.StatusCode)
+	}
+	return nil
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -31,3 +31,4 @@
   with_fleet 43 "--vms $vms --engines 4" run settings-race --duration 30s --rate 10
 done
 with_fleet 44 "--vms 1 --engines 1 --copy" cost
+with_fleet 46 "--vms 7 --engines 4" claims --pause 20ms
