--- a/cmd/stress/claims.go
+++ b/cmd/stress/claims.go
@@ -86,8 +86,8 @@
 	const q50, q99 = 50, 99
 	return &claimWire{
 		Calls:      calls,
-		P50:        float64(times.At(q50).Microseconds()) / 1000,
-		P99:        float64(times.At(q99).Microseconds()) / 1000,
+		P50:        drive.Millis(times.At(q50)),
+		P99:        drive.Millis(times.At(q99)),
 		StoreCalls: float64(after.Total()-before.Total()) / float64(calls),
 	}, nil
 }
--- a/internal/load/drive/run.go
+++ b/internal/load/drive/run.go
@@ -137,10 +137,10 @@
 	s := Summary{
 		Requests:  len(r.Results),
 		Refused:   map[string]int{},
-		GapP50:    millis(r.Gaps.At(50)),
-		GapP99:    millis(r.Gaps.At(99)),
-		FirstP99:  millis(r.First.At(99)),
-		UrgentP99: millis(r.Urgent.At(99)),
+		GapP50:    Millis(r.Gaps.At(50)),
+		GapP99:    Millis(r.Gaps.At(99)),
+		FirstP99:  Millis(r.First.At(99)),
+		UrgentP99: Millis(r.Urgent.At(99)),
 		Seconds:   r.Took.Seconds(),
 	}
 	for i := range r.Results {
@@ -149,52 +149,51 @@
 	return s
 }
 
-func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+// Millis returns d in milliseconds, to the microsecond.
+func Millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func (s *Summary) add(res *Result, runs map[string]int) {
 	s.Resumes += res.Resumes
 	s.Tokens += res.Tokens
-	ran := runs[res.Tag]
 	switch res.Outcome {
 	case Complete:
 		s.Complete++
-		if ran == 0 {
-			s.wrong(res, "complete, but no server ran it")
-		}
 	case Refused:
-		s.refused(res, ran)
-	case Wrong:
-		s.wrong(res, res.Detail)
-	case Lost:
-		s.Lost++
-		s.example(res, "lost", res.Detail)
+		s.refused(res)
 	case Broken:
 		s.Broken++
+	case Wrong, Lost:
 	}
-	if res.Again != nil {
-		s.again(res.Again, runs)
-	}
-	if res.Order.AtMostOnce && ran > 1 {
-		s.Doubled++
-		s.example(res, "doubled", fmt.Sprintf("%d runs", ran))
+	s.hold(res, runs[res.Tag])
+	if back := res.Again; back != nil {
+		s.CameBack++
+		if back.Outcome == Complete {
+			s.Served++
+		}
+		s.hold(back, runs[back.Tag])
 	}
 }
 
-// again counts what became of a caller who came back.
-func (s *Summary) again(res *Result, runs map[string]int) {
-	s.CameBack++
-	ran := runs[res.Tag]
+// hold counts the promises that were broken to one caller, by what the backend
+// servers recorded. The word of a refusal that the request never ran is held
+// against the records, but for a call that was sent several times under one tag:
+// there an earlier sending may have run.
+func (s *Summary) hold(res *Result, ran int) {
 	switch {
-	case res.Outcome == Complete:
-		s.Served++
-	case res.Outcome == Refused && res.Ran == "no" && ran > 0:
-		s.FalseNotRun++
-		s.example(res, "false not-run", res.Reason)
+	case res.Outcome == Complete && ran == 0:
+		s.wrong(res, "complete, but no server ran it")
 	case res.Outcome == Wrong:
 		s.wrong(res, res.Detail)
 	case res.Outcome == Lost:
 		s.Lost++
 		s.example(res, "lost", res.Detail)
+	case res.Outcome == Refused && res.Ran == "no" && ran > 0 && (res.Sends == 1 || !res.Order.AtMostOnce):
+		s.FalseNotRun++
+		s.example(res, "false not-run", res.Reason)
+	}
+	if res.Order.AtMostOnce && ran > 1 {
+		s.Doubled++
+		s.example(res, "doubled", fmt.Sprintf("%d runs", ran))
 	}
 }
 
@@ -203,21 +202,15 @@
 	s.example(res, "wrong", detail)
 }
 
-// refused counts a refusal. Its word that the request never ran is held against
-// the records, but for a call that was sent several times under one tag: there
-// an earlier sending may have run.
-func (s *Summary) refused(res *Result, ran int) {
+// refused counts a refusal.
+func (s *Summary) refused(res *Result) {
 	s.Refused[res.Reason]++
 	switch res.Ran {
+	case "no":
 	case "maybe":
 		s.Maybe++
 	case "partial":
 		s.Partial++
-	case "no":
-		if ran > 0 && (res.Sends == 1 || !res.Order.AtMostOnce) {
-			s.FalseNotRun++
-			s.example(res, "false not-run", res.Reason)
-		}
 	default:
 		s.wrong(res, "a refusal that does not say whether the request ran")
 	}
--- a/internal/load/gauge/proc.go
+++ b/internal/load/gauge/proc.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -62,17 +61,13 @@
 
 // Scrape reads a VM's metrics.
 func Scrape(ctx context.Context, vm plan.Node) (Metrics, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/metrics", vm.Address), http.NoBody)
+	body, err := open(ctx, fmt.Sprintf("http://%s/metrics", vm.Address))
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = body.Close() }()
 	m := Metrics{}
-	s := bufio.NewScanner(resp.Body)
+	s := bufio.NewScanner(body)
 	for s.Scan() {
 		at := strings.LastIndexByte(s.Text(), ' ')
 		if at < 0 || strings.HasPrefix(s.Text(), "#") {
--- a/internal/load/gauge/store.go
+++ b/internal/load/gauge/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 
@@ -34,14 +35,23 @@
 }
 
 func fetch(ctx context.Context, url string, into any) error {
+	body, err := open(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = body.Close() }()
+	return trace.Wrap(json.NewDecoder(body).Decode(into))
+}
+
+// open returns the body of what is at a URL, to be closed.
+func open(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return trace.Wrap(json.NewDecoder(resp.Body).Decode(into))
+	return resp.Body, nil
 }
--- a/internal/load/picker/picker.go
+++ b/internal/load/picker/picker.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"umberladder/internal/load/plan"
+	"umberladder/internal/policy/retry"
 )
 
 const (
@@ -67,10 +68,7 @@
 		p.mu.Lock()
 		p.ready = ready
 		p.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(probeEvery):
-		}
+		retry.Pause(ctx, probeEvery)
 	}
 	return nil
 }
--- a/internal/load/rivals/rivals.go
+++ b/internal/load/rivals/rivals.go
@@ -22,6 +22,7 @@
 
 	"umberladder/internal/load/drive"
 	"umberladder/internal/load/plan"
+	"umberladder/internal/policy/retry"
 )
 
 const (
@@ -61,7 +62,7 @@
 // InTime reports whether changes were in force everywhere in time, but for one
 // in a hundred.
 func (r *Report) InTime() bool {
-	return r.Absent == 0 && r.ForceP99 <= millis(forceLimit)
+	return r.Absent == 0 && r.ForceP99 <= drive.Millis(forceLimit)
 }
 
 // Race is a race under way.
@@ -113,14 +114,12 @@
 	stop()
 	_ = rec.Wait()
 	r.audit()
-	r.report.ForceP50 = millis(r.force.At(50))
-	r.report.ForceP99 = millis(r.force.At(99))
-	r.report.ForceMax = millis(r.force.At(100))
+	r.report.ForceP50 = drive.Millis(r.force.At(50))
+	r.report.ForceP99 = drive.Millis(r.force.At(99))
+	r.report.ForceMax = drive.Millis(r.force.At(100))
 	return &r.report
 }
 
-func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
 // operate is one operator: read, change the concurrency limit, write.
 func (r *Race) operate(ctx context.Context, workspace string, who int, rng *rand.Rand) {
 	path := "/workspaces/" + workspace
@@ -270,10 +269,7 @@
 func (r *Race) record(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.readHistories(1)
-		select {
-		case <-ctx.Done():
-		case <-time.After(recordEvery):
-		}
+		retry.Pause(ctx, recordEvery)
 	}
 }
 
--- a/internal/load/scene/scene.go
+++ b/internal/load/scene/scene.go
@@ -20,6 +20,7 @@
 	"umberladder/internal/load/gauge"
 	"umberladder/internal/load/plan"
 	"umberladder/internal/load/rivals"
+	"umberladder/internal/policy/retry"
 )
 
 // Scene is one trial.
@@ -82,7 +83,7 @@
 	if err != nil {
 		return nil //nolint:nilerr // the process is just being started again
 	}
-	sleep(ctx, end.After)
+	retry.Pause(ctx, end.After)
 	for range 20 {
 		if end.Do() == nil {
 			return nil
@@ -92,15 +93,8 @@
 	return trace.Errorf("the failure %s could not be ended", k.Name)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func rest(ctx context.Context, w *fault.World) {
-	sleep(ctx, restLeast+time.Duration(w.Rand.Int64N(int64(restMost-restLeast))))
+	retry.Pause(ctx, restLeast+time.Duration(w.Rand.Int64N(int64(restMost-restLeast))))
 }
 
 func only(k fault.Kind) func(context.Context, *fault.World) error {
@@ -138,7 +132,7 @@
 			if err := w.Drain(vm); err != nil {
 				return err
 			}
-			sleep(ctx, rollEvery)
+			retry.Pause(ctx, rollEvery)
 		}
 	}
 	return nil
--- a/internal/load/trial/trial.go
+++ b/internal/load/trial/trial.go
@@ -23,6 +23,7 @@
 	"umberladder/internal/load/drive"
 	peer "umberladder/internal/peer/engine"
 	"umberladder/internal/policy/place"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/pool"
 	"umberladder/internal/state/config"
 )
@@ -167,10 +168,7 @@
 			MemorySize: l.MemorySize,
 			At:         l.At,
 		}, time.Now())
-		select {
-		case <-ctx.Done():
-		case <-time.After(pollEvery/2 + time.Duration(rng.Int64N(int64(pollEvery)))):
-		}
+		retry.Pause(ctx, pollEvery/2+time.Duration(rng.Int64N(int64(pollEvery))))
 	}
 	return nil
 }
--- a/internal/load/trial/trial_test.go
+++ b/internal/load/trial/trial_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/load/chart"
+	"umberladder/internal/load/drive"
 )
 
 // The flags of the table in docs/design/05-admission.md.
@@ -49,12 +50,10 @@
 
 func row(f *Figures) string {
 	return fmt.Sprintf("| %s | %d | %.1f | %d | %d | %.1f | %.1f | %.1f | %.1f | %d | %d | %.0f |",
-		f.Placement, f.VMs, f.Load, f.Requests, f.Refused, ms(f.StallEach()), f.Per1000(), ms(f.GapP50), ms(f.GapP99),
+		f.Placement, f.VMs, f.Load, f.Requests, f.Refused, drive.Millis(f.StallEach()), f.Per1000(), drive.Millis(f.GapP50), drive.Millis(f.GapP99),
 		f.FirstP99.Milliseconds(), f.UrgentP99.Milliseconds(), f.Goodput)
 }
 
-func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
 var placements = []string{"round-robin", "least-load", "two-choices", "predicted"}
 
 func TestRounds(t *testing.T) {
@@ -85,9 +84,9 @@
 		of          func(*Figures) float64
 		series      []chart.Series
 	}{
-		"stall":       {title: "Stall time of a request", unit: "ms", of: func(f *Figures) float64 { return ms(f.StallEach()) }},
+		"stall":       {title: "Stall time of a request", unit: "ms", of: func(f *Figures) float64 { return drive.Millis(f.StallEach()) }},
 		"preemptions": {title: "Preemptions", unit: "per 1,000 requests", of: (*Figures).Per1000},
-		"token-gap":   {title: "Time between tokens, 99 in 100", unit: "ms", of: func(f *Figures) float64 { return ms(f.GapP99) }},
+		"token-gap":   {title: "Time between tokens, 99 in 100", unit: "ms", of: func(f *Figures) float64 { return drive.Millis(f.GapP99) }},
 	}
 	for _, p := range placements {
 		vms := 7
--- a/internal/peer/oper/settings.go
+++ b/internal/peer/oper/settings.go
@@ -35,13 +35,14 @@
 	for i, path := range paths {
 		o := a.NewObject()
 		o.Set("path", a.NewString(path))
-		o.Set("version", number(&a, snap.Documents[path].Version))
+		o.Set("version", Number(&a, snap.Documents[path].Version))
 		list.SetArrayItem(i, o)
 	}
 	reply(ctx, list)
 }
 
-func number(a *fastjson.Arena, n uint64) *fastjson.Value {
+// Number returns a whole number as JSON.
+func Number(a *fastjson.Arena, n uint64) *fastjson.Value {
 	return a.NewNumberString(strconv.FormatUint(n, 10))
 }
 
@@ -107,9 +108,9 @@
 	var a fastjson.Arena
 	o := a.NewObject()
 	o.Set("path", a.NewString(path))
-	o.Set("version", number(&a, res.Version))
+	o.Set("version", Number(&a, res.Version))
 	o.Set("change", a.NewString(c.ID))
-	o.Set("dry-run", boolean(&a, c.DryRun))
+	o.Set("dry-run", Bool(&a, c.DryRun))
 	o.Set("diff", texts(&a, res.Diff))
 	o.Set("warnings", texts(&a, res.Warnings))
 	reply(ctx, o)
@@ -151,12 +152,12 @@
 		e.Set("change", a.NewString(c.ID))
 		e.Set("by", a.NewString(c.By))
 		e.Set("at", a.NewString(c.At.UTC().Format(time.RFC3339Nano)))
-		e.Set("delete", boolean(&a, c.Delete))
+		e.Set("delete", Bool(&a, c.Delete))
 		e.Set("diff", texts(&a, c.Diff))
 		list.SetArrayItem(i, e)
 	}
 	o.Set("path", a.NewString(path))
-	o.Set("version", number(&a, version))
+	o.Set("version", Number(&a, version))
 	o.Set("changes", list)
 	reply(ctx, o)
 }
@@ -189,7 +190,8 @@
 	return out
 }
 
-func boolean(a *fastjson.Arena, b bool) *fastjson.Value {
+// Bool returns a truth value as JSON.
+func Bool(a *fastjson.Arena, b bool) *fastjson.Value {
 	if b {
 		return a.NewTrue()
 	}
--- a/internal/policy/length/curve.go
+++ b/internal/policy/length/curve.go
@@ -8,9 +8,6 @@
 // ahead lists the horizons in decode steps, a token a step for each stream.
 var ahead = [Horizons]int{8, 16, 32, 64, 128, 256}
 
-// Ahead returns horizon j in decode steps.
-func Ahead(j int) int { return ahead[j] }
-
 // Curve is a survival curve: S(n), the chance that a stream produces more
 // than n tokens. It is immutable and falls from 1.
 type Curve struct {
--- a/internal/policy/length/curve_test.go
+++ b/internal/policy/length/curve_test.go
@@ -115,8 +115,8 @@
 	for range runs {
 		held := 0
 		for range streams {
-			if lognormal(rng) > Ahead(j) {
-				held += prompt + Ahead(j)
+			if lognormal(rng) > ahead[j] {
+				held += prompt + ahead[j]
 			}
 		}
 		if float64(held) > size {
--- a/internal/proc/serve/status.go
+++ b/internal/proc/serve/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/invar"
+	"umberladder/internal/peer/oper"
 	"umberladder/internal/proc/burn"
 	"umberladder/internal/state/member"
 )
@@ -50,8 +50,8 @@
 	o := a.NewObject()
 	o.Set("vm", a.NewString(string(v.cfg.Name)))
 	o.Set("failure-domain", a.NewString(string(v.cfg.Domain)))
-	o.Set("ready", flag(a, v.entry.Ready()))
-	o.Set("settings-revision", a.NewNumberString(strconv.FormatUint(v.settings.Load().Revision, 10)))
+	o.Set("ready", oper.Bool(a, v.entry.Ready()))
+	o.Set("settings-revision", oper.Number(a, v.settings.Load().Revision))
 	shards, claims := v.keeper.Held()
 	o.Set("claim-shards", a.NewNumberInt(shards))
 	o.Set("claims", a.NewNumberInt(claims))
@@ -68,13 +68,6 @@
 	return o
 }
 
-func flag(a *fastjson.Arena, b bool) *fastjson.Value {
-	if b {
-		return a.NewTrue()
-	}
-	return a.NewFalse()
-}
-
 func violations(a *fastjson.Arena, b *invar.Book) *fastjson.Value {
 	o := a.NewObject()
 	for _, n := range invar.All() {
@@ -90,7 +83,7 @@
 		o.Set("name", a.NewString(string(m.Name)))
 		o.Set("state", a.NewString(m.State.String()))
 		o.Set("failure-domain", a.NewString(string(m.Domain)))
-		o.Set("incarnation", a.NewNumberString(strconv.FormatUint(m.Incarnation, 10)))
+		o.Set("incarnation", oper.Number(a, m.Incarnation))
 		out.SetArrayItem(i, o)
 	}
 	return out
--- a/internal/proc/serve/usage.go
+++ b/internal/proc/serve/usage.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fastjson"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/oper"
 	"umberladder/internal/route/gate"
 	"umberladder/internal/state/config"
 	"umberladder/internal/state/member"
@@ -81,7 +82,7 @@
 func usageValue(a *fastjson.Arena, u used) *fastjson.Value {
 	o := a.NewObject()
 	o.Set("vm", a.NewString(string(u.vm)))
-	o.Set("settings-version", a.NewNumberInt(int(u.usage.Version)))
+	o.Set("settings-version", oper.Number(a, u.usage.Version))
 	o.Set("open", a.NewNumberInt(u.usage.Open))
 	o.Set("open-share", a.NewNumberInt(u.usage.OpenShare))
 	o.Set("tokens-left", a.NewNumberInt(int(u.usage.TokensLeft)))
--- a/internal/route/loads/loads.go
+++ b/internal/route/loads/loads.go
@@ -13,6 +13,7 @@
 	"umberladder/internal/core/invar"
 	"umberladder/internal/peer/engine"
 	"umberladder/internal/policy/place"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/pool"
 	"umberladder/internal/state/config"
 )
@@ -157,10 +158,7 @@
 		l.read(ctx, addr, t)
 		every := l.interval(t.pool.Model())
 		wait := every/2 + time.Duration(rng.Int64N(int64(every)))
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		retry.Pause(ctx, wait)
 	}
 }
 
--- a/internal/state/config/config_test.go
+++ b/internal/state/config/config_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 
@@ -156,7 +155,7 @@
 func BenchmarkWith(b *testing.B) {
 	for _, n := range []int{100, 1000, 2500} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
-			before := heap()
+			before := check.Heap()
 			s := config.New()
 			for i := range n {
 				body := strings.ReplaceAll(workspace, "KEY", hex(config.HashKey(fmt.Sprint(i))))
@@ -164,7 +163,7 @@
 				s, err = s.With(config.Document{Path: fmt.Sprintf("/workspaces/w%d", i), Version: uint64(i + 1), Body: []byte(body)})
 				assert.NilError(b, err)
 			}
-			each := float64(heap()-before) / float64(n)
+			each := float64(check.Heap()-before) / float64(n)
 			version := uint64(n)
 			for b.Loop() {
 				version++
@@ -176,10 +175,3 @@
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"maps"
-	"math"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -58,34 +57,17 @@
 // every document that changed since s.Revision. A document that can't be parsed
 // is left out; the rest is in force, and the first such error is returned.
 func (s *Snapshot) With(docs ...Document) (*Snapshot, error) {
-	return s.with(math.MaxUint64, docs)
+	upTo := s.Revision
+	for _, d := range docs {
+		upTo = max(upTo, d.Version)
+	}
+	return s.Merge(upTo, docs...)
 }
 
 // Merge is With for documents that are every one that changed since s.Revision
-// up to the version upTo only; those above it are in force ahead.
+// up to the version upTo only; those above it are in force ahead. After an error
+// the revision is that of the last document up to upTo that is in force.
 func (s *Snapshot) Merge(upTo uint64, docs ...Document) (*Snapshot, error) {
-	n, err := s.with(upTo, docs)
-	if err != nil || n.Revision >= upTo {
-		return n, err
-	}
-	if n == s {
-		n = s.clone()
-	}
-	n.Revision = upTo
-	n.index()
-	return n, nil
-}
-
-func (s *Snapshot) clone() *Snapshot {
-	return &Snapshot{
-		System:     s.System,
-		Revision:   s.Revision,
-		Documents:  maps.Clone(s.Documents),
-		workspaces: maps.Clone(s.workspaces),
-	}
-}
-
-func (s *Snapshot) with(upTo uint64, docs []Document) (*Snapshot, error) {
 	n := s.clone()
 	changed := false
 	var first error
@@ -104,6 +86,9 @@
 			n.Revision = max(n.Revision, d.Version)
 		}
 	}
+	if first == nil {
+		n.Revision = max(n.Revision, upTo)
+	}
 	if !changed && n.Revision == s.Revision {
 		return s, first
 	}
@@ -111,6 +96,15 @@
 	return n, first
 }
 
+func (s *Snapshot) clone() *Snapshot {
+	return &Snapshot{
+		System:     s.System,
+		Revision:   s.Revision,
+		Documents:  maps.Clone(s.Documents),
+		workspaces: maps.Clone(s.workspaces),
+	}
+}
+
 // put parses d and puts it in force; on an error s is as it was.
 func (s *Snapshot) put(d Document) error {
 	if err := s.parse(d); err != nil {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/state/member"
 )
 
@@ -134,10 +135,7 @@
 				return nil
 			})
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		retry.Pause(ctx, wait)
 	}
 	return nil
 }
--- a/internal/state/keeper/hand.go
+++ b/internal/state/keeper/hand.go
@@ -10,6 +10,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/proto"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/state/member"
 	"umberladder/internal/state/term"
 )
@@ -129,10 +130,7 @@
 		k.pass(s, until)
 	}
 	for k.handOn(ctx); k.hands() && ctx.Err() == nil; k.handOn(ctx) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(handPause):
-		}
+		retry.Pause(ctx, handPause)
 	}
 	if lease != 0 {
 		_ = k.store.Revoke(ctx, lease)
--- a/internal/state/keeper/keeper_test.go
+++ b/internal/state/keeper/keeper_test.go
@@ -160,8 +160,20 @@
 	}
 }
 
+func healthy(string) store.Fault { return fine }
+
+// only has each call of one kind fail.
+func only(kind string, f store.Fault) func(string) store.Fault {
+	return func(call string) store.Fault {
+		if call == kind {
+			return f
+		}
+		return fine
+	}
+}
+
 func newMemory() *memory {
-	return &memory{table: table.NewTable(), fail: func(string) store.Fault { return fine }}
+	return &memory{table: table.NewTable(), fail: healthy}
 }
 
 func TestKeepers(t *testing.T) {
@@ -205,14 +217,9 @@
 			town.rounds(4)
 			town.add(m, 1)
 			town.broken = true
-			m.fail = func(call string) store.Fault {
-				if call == "delete" {
-					return store.Down
-				}
-				return fine
-			}
+			m.fail = only("delete", store.Down)
 			town.rounds(3)
-			m.fail = func(string) store.Fault { return fine }
+			m.fail = healthy
 			town.rounds(12) // handing on is tried for a while before
 			town.held(t)
 		})
@@ -224,16 +231,11 @@
 			town.rounds(4)
 			town.add(m, 1)
 			town.broken = true
-			m.fail = func(call string) store.Fault {
-				if call == "delete" {
-					return store.Down
-				}
-				return fine
-			}
+			m.fail = only("delete", store.Down)
 			town.rounds(9) // shards are given up, and stay in the store
 			town.live = town.live[:1]
 			town.rounds(6)
-			m.fail = func(string) store.Fault { return fine }
+			m.fail = healthy
 			town.rounds(8)
 			town.named(t, m)
 		})
@@ -241,12 +243,7 @@
 	t.Run("keep a shard whose taking lost its reply", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			m := newMemory()
-			m.fail = func(call string) store.Fault {
-				if call == "put" {
-					return store.Unknown
-				}
-				return fine
-			}
+			m.fail = only("put", store.Unknown)
 			town := newTown(m, 2)
 			town.rounds(8)
 			town.held(t)
@@ -264,7 +261,7 @@
 					return fine
 				}
 				town.rounds(1) // alone, it takes every shard for its own
-				m.fail = func(string) store.Fault { return fine }
+				m.fail = healthy
 				town.add(m, 1)
 				town.rounds(12)
 				town.held(t)
@@ -284,7 +281,7 @@
 			time.Sleep(4 * time.Second)
 			v, _ = k.Claim(0, "after", time.Now(), [32]byte{}, "r")
 			assert.Equal(t, v, term.NotHolder)
-			m.fail = func(string) store.Fault { return fine }
+			m.fail = healthy
 			town.rounds(8)
 			town.held(t)
 			v, _ = k.Claim(0, "before", time.Now(), [32]byte{}, "r2")
@@ -334,12 +331,7 @@
 			town := newTown(m, 2)
 			town.rounds(4)
 			n, minted := town.keepers["vm-1"].claimAll()
-			m.fail = func(call string) store.Fault {
-				if call == "put" {
-					return store.Unknown
-				}
-				return fine
-			}
+			m.fail = only("put", store.Unknown)
 			leaver := town.keepers["vm-1"]
 			town.live = town.live[:1]
 			leaver.Leave(context.Background())
--- a/internal/state/spread/follower.go
+++ b/internal/state/spread/follower.go
@@ -99,18 +99,11 @@
 			f.watch(ctx)
 			continue
 		}
-		f.pause(ctx, checkEvery)
+		retry.Pause(ctx, checkEvery)
 	}
 	return nil
 }
 
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // watching reports whether this VM is one of its domain's watchers.
 func (f *Follower) watching() bool {
 	v := f.fleet.View()
@@ -144,7 +137,7 @@
 	f.mu.Unlock()
 	f.take(items, rev)
 	if wait == 0 {
-		f.pause(ctx, f.jitter(deafAfter))
+		retry.Pause(ctx, f.jitter(deafAfter))
 	}
 }
 
@@ -160,7 +153,7 @@
 		f.askAround(ctx)
 		d = min(d, time.Second)
 	}
-	f.pause(ctx, d)
+	retry.Pause(ctx, d)
 }
 
 // askAround pulls from live VMs until one has settings.
--- a/internal/state/term/shard_test.go
+++ b/internal/state/term/shard_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -199,14 +198,14 @@
 	for _, n := range []int{1000, 10000, 100000} {
 		b.Run(fmt.Sprintf("claims=%d", n), func(b *testing.B) {
 			now := time.Now()
-			before := heap()
+			before := check.Heap()
 			s := New(now.Add(-time.Minute))
 			keys := make([]string, n)
 			for i := range keys {
 				keys[i] = "installers/" + uuid.Must(uuid.NewV7()).String()
 				s.Claim(keys[i], now, [32]byte{}, ident.NewRequest(), now)
 			}
-			each := float64(heap()-before) / float64(n)
+			each := float64(check.Heap()-before) / float64(n)
 			i := 0
 			for b.Loop() {
 				s.Claim(keys[i%n], now, [32]byte{}, "r", now)
@@ -216,10 +215,3 @@
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/test/check/check.go
+++ b/internal/test/check/check.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -52,3 +53,11 @@
 		}
 	}
 }
+
+// Heap returns the bytes in use on the heap, after a collection.
+func Heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
