--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -27,6 +27,10 @@
 	StoreDown              // the settings service can't be reached
 	Conflict               // another operator's change came first
 	HeaderTooLarge         // the header section is over the limit
+	SettingsStale          // whether the settings are the newest can't be known now
+	TimedOut               // the time that the client or the route allows is over
+	NoRoom                 // every backend server is full
+	CallerLeft             // the caller closed the connection
 	reasons
 )
 
@@ -58,6 +62,10 @@
 	StoreDown:       {"store-down", 503, "The settings service can't be reached"},
 	Conflict:        {"conflict", 412, "Another change came first"},
 	HeaderTooLarge:  {"header-too-large", 431, "The request's header section is too large"},
+	SettingsStale:   {"settings-stale", 503, "This VM can't know whether its settings are the newest"},
+	TimedOut:        {"timed-out", 504, "The time allowed for the request is over"},
+	NoRoom:          {"no-room", 503, "Every backend server of the service is full"},
+	CallerLeft:      {"caller-left", 499, "The caller closed the connection"},
 }
 
 func (r Reason) kind() int {
--- a/internal/peer/link/dialer.go
+++ b/internal/peer/link/dialer.go
@@ -104,7 +104,7 @@
 			return c, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: d.connect}
+	dialer := net.Dialer{Timeout: d.connect, KeepAliveConfig: keepAlive()}
 	if d.from.IsValid() && !d.from.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.from, 0))
 	}
--- /dev/null
+++ b/internal/policy/fit/fit.go
@@ -0,0 +1,83 @@
+package fit
+
+import "math/rand/v2"
+
+const (
+	// Full is the share of an engine's memory that expected lengths may fill.
+	// Streams are met at half their length on the average, so that memory holds
+	// more than the sum of their ends.
+	Full = 1.25
+	// Spare is the share up to which copies kept for a loss may fill it.
+	Spare = 0.8
+	// seatWeight, backlogWeight and farWeight order engines that have room: a full
+	// batch doubles a step; a backlog of a tenth of the memory, 250 ms of
+	// reading, weighs as a quarter of the memory; the way to another failure
+	// domain takes a millisecond.
+	seatWeight    = 0.5
+	backlogWeight = 2.5
+	farWeight     = 0.02
+	// drawWeight spreads the choices of VMs that know the same.
+	drawWeight = 0.02
+)
+
+// Server is what is known of one server at the time of a choice.
+type Server struct {
+	Slots   int // calls that run at once
+	Memory  int // tokens; zero: a plain server
+	Seats   int // calls under way
+	Tokens  int // memory that these will take
+	Backlog int // prompt tokens to be read before a new call's
+	Far     bool
+	Weight  float64 // share of its usual work it should get, 0 to 1
+	Skip    bool
+}
+
+// Choose returns the server with the lowest cost for a generation that needs
+// need tokens in an engine filled up to share at most, or -1 if none has room.
+func Choose(need int, share float64, servers []Server, rng *rand.Rand) int {
+	best, cost := -1, 0.0
+	for i := range servers {
+		s := &servers[i]
+		if s.Skip || !s.room(need, share) {
+			continue
+		}
+		if c := s.cost(need) + drawWeight*rng.Float64(); best < 0 || c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
+
+func (s *Server) room(need int, share float64) bool {
+	return s.Seats < s.Slots && float64(s.Tokens+need) <= share*float64(s.Memory)
+}
+
+func (s *Server) cost(need int) float64 {
+	c := float64(s.Tokens+need)/float64(s.Memory) +
+		seatWeight*float64(s.Seats)/float64(s.Slots) +
+		backlogWeight*float64(s.Backlog)/float64(s.Memory)
+	if s.Far {
+		c += farWeight
+	}
+	return c / max(s.Weight, 0.05)
+}
+
+// ChoosePlain returns the plain server with the fewest calls under way, nearer
+// ones first, or -1 if there is none.
+func ChoosePlain(servers []Server, rng *rand.Rand) int {
+	best, cost := -1, 0.0
+	for i := range servers {
+		s := &servers[i]
+		if s.Skip {
+			continue
+		}
+		c := (float64(s.Seats)+1)/float64(max(s.Slots, 1))/max(s.Weight, 0.05) + drawWeight*rng.Float64()
+		if s.Far {
+			c += 1 / float64(max(s.Slots, 1))
+		}
+		if best < 0 || c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/proc/cmds/edge.go
@@ -0,0 +1,67 @@
+package cmds
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/peer/link"
+	"umberladder/internal/proc/conf"
+	"umberladder/internal/proc/edge"
+	"umberladder/internal/route/relay"
+	"umberladder/platform"
+)
+
+const (
+	// edgeConfig is the variable that names the settings file.
+	edgeConfig = "UMBERLADDER_CONFIG"
+	// edgeConnect bounds a connection to a backend server or the store: one way
+	// takes a millisecond, and a lost opening packet is sent again after a second.
+	edgeConnect = 400 * time.Millisecond
+)
+
+func newEdge() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "edge [--config FILE]",
+		Short: "Serve a platform's clients on this VM until told to stop",
+		Example: "  umberladder edge --config edge.json\n" +
+			"  kill -TERM PID    # leave gracefully, within the grace time of the settings",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg, err := conf.ReadEdge(file)
+			if err != nil {
+				return exit(ExitInvalid, err)
+			}
+			return runEdge(c, cfg)
+		},
+	}
+	c.Flags().StringVar(&file, "config", os.Getenv(edgeConfig), "the settings, a JSON file; by default the one that "+edgeConfig+" names")
+	return c
+}
+
+func runEdge(c *cobra.Command, cfg *conf.Edge) error {
+	log, err := newLogger(cfg.LogLevel)
+	if err != nil {
+		return exit(ExitInvalid, err)
+	}
+	defer func() { _ = log.Sync() }()
+	dialer := link.New(cfg.Callers.Addr(), edgeConnect, time.Minute, 0)
+	store := platform.NewStore(dialer, cfg.Store)
+	group := &errgroup.Group{}
+	vm := edge.New(cfg, edge.Ports{
+		Settings: store,
+		Servers:  store,
+		Backend:  platform.NewServers(dialer),
+		Codec:    func(r *relay.Relay) edge.Codec { return platform.NewIngress(r, awake.Now) },
+		Calls:    store.Calls,
+	}, group, log)
+	stop, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return exit(ExitFailure, vm.Run(stop, group))
+}
--- /dev/null
+++ b/internal/proc/conf/edge.go
@@ -0,0 +1,100 @@
+package conf
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/state/config"
+)
+
+// Edge is the settings of a VM that serves a platform's clients.
+type Edge struct {
+	Name     ident.VM
+	Domain   ident.Domain
+	Callers  netip.AddrPort // HTTP for clients
+	Ready    netip.AddrPort // HTTP for the balancer's readiness checks
+	Metrics  netip.AddrPort // HTTP for metrics
+	Peers    netip.AddrPort // UDP for other VMs
+	Store    netip.AddrPort
+	LogLevel string
+	Revoke   time.Duration // how long after its end an API key may be served
+	Grace    time.Duration // from the signal to stop to the end of the process
+	Retry    RetryShare
+}
+
+// RetryShare bounds the sendings beyond the first of each call, over all VMs.
+type RetryShare struct {
+	Ratio  float64 // of the first sendings in the window
+	Extra  float64 // sendings in the window that need no first ones
+	Window time.Duration
+}
+
+type edgeWire struct {
+	Name     string         `json:"name"`
+	Domain   string         `json:"failure-domain"`
+	Callers  string         `json:"callers-address"`
+	Ready    string         `json:"ready-address"`
+	Metrics  string         `json:"metrics-address"`
+	Peers    string         `json:"peers-address"`
+	Store    string         `json:"store-address"`
+	LogLevel *string        `json:"log-level,omitzero"`
+	Revoke   *string        `json:"revoke-bound,omitzero"`
+	Grace    *string        `json:"stop-grace,omitzero"`
+	Retry    retryShareWire `json:"retry-budget,omitzero"`
+}
+
+type retryShareWire struct {
+	Ratio  *float64 `json:"ratio,omitzero"`
+	Extra  *float64 `json:"extra,omitzero"`
+	Window *string  `json:"window,omitzero"`
+}
+
+// Defaults of the members that may be left out.
+const (
+	DefaultRevoke = 5 * time.Second
+	DefaultGrace  = 8 * time.Second
+	DefaultRatio  = 0.2
+	DefaultExtra  = 20.0
+	DefaultWindow = 10 * time.Second
+)
+
+// ReadEdge reads the settings of an edge VM in a file.
+func ReadEdge(path string) (*Edge, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	e, err := ParseEdge(data)
+	return e, trace.Wrap(err, "%s", path)
+}
+
+// ParseEdge reads the settings of an edge VM and names the first member at fault.
+func ParseEdge(data []byte) (*Edge, error) {
+	var w edgeWire
+	if err := config.Decode(data, &w); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f := &config.Fields{}
+	e := &Edge{
+		Name:     ident.VM(f.Name("/name", w.Name)),
+		Domain:   ident.Domain(f.Name("/failure-domain", w.Domain)),
+		Callers:  f.Address("/callers-address", w.Callers),
+		Ready:    f.Address("/ready-address", w.Ready),
+		Metrics:  f.Address("/metrics-address", w.Metrics),
+		Peers:    f.Address("/peers-address", w.Peers),
+		Store:    f.Address("/store-address", w.Store),
+		LogLevel: oneOf(f, "/log-level", w.LogLevel, DefaultLogLevel, logLevels),
+		Revoke:   f.Duration("/revoke-bound", w.Revoke, DefaultRevoke, 500*time.Millisecond, time.Hour),
+		Grace:    f.Duration("/stop-grace", w.Grace, DefaultGrace, 500*time.Millisecond, time.Hour),
+		Retry: RetryShare{
+			Ratio:  f.Float("/retry-budget/ratio", w.Retry.Ratio, DefaultRatio, 0, 10),
+			Extra:  f.Float("/retry-budget/extra", w.Retry.Extra, DefaultExtra, 0, 1e6),
+			Window: f.Duration("/retry-budget/window", w.Retry.Window, DefaultWindow, 100*time.Millisecond, time.Hour),
+		},
+	}
+	return e, f.Err()
+}
--- /dev/null
+++ b/internal/proc/edge/vm.go
@@ -0,0 +1,215 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/peer/front"
+	"umberladder/internal/policy/retry"
+	"umberladder/internal/proc/conf"
+	"umberladder/internal/route/relay"
+	"umberladder/internal/route/seats"
+	"umberladder/internal/state/backs"
+	"umberladder/internal/state/follow"
+	"umberladder/internal/state/routes"
+)
+
+const (
+	// takeTime is how long after the signal to stop new connections are taken:
+	// the balancer asks once a second and needs two misses.
+	takeTime = 3500 * time.Millisecond
+	// stopReserve is kept of the grace time for the end of the process.
+	stopReserve = 400 * time.Millisecond
+	// drainPoll is how often the open connections are looked at while stopping.
+	drainPoll = 50 * time.Millisecond
+	// readyMargin is how much earlier than it must refuse a VM stops asking for
+	// clients, so that they need not be refused.
+	readyMargin = time.Second
+	// defaultHeader and the like hold until the first settings are there.
+	defaultHeader     = 16 << 10
+	defaultBody       = 4 << 20
+	defaultHeaderTime = 3 * time.Second
+	defaultIdle       = 15 * time.Second
+)
+
+// Codec maps the platform's requests to calls of a relay.
+type Codec interface {
+	Handle(ctx context.Context, r *front.Request, w *front.Reply)
+	Reject(w *front.Reply, f front.Fault, detail string)
+}
+
+// Ports are the platform's side of the VM.
+type Ports struct {
+	Settings follow.SettingsSource
+	Servers  follow.ServerSource
+	Backend  relay.Backend
+	Codec    func(r *relay.Relay) Codec
+	Calls    func() uint64 // made to the store
+}
+
+// VM is one edge VM.
+type VM struct {
+	cfg      *conf.Edge
+	log      *zap.Logger
+	set      *metrics.Set
+	settings *routes.Book
+	servers  *backs.Table
+	seats    *seats.Book
+	follow   *follow.Settings
+	discover *follow.Servers
+	front    *front.Server
+	stopping atomic.Bool
+}
+
+// New makes a VM from its settings and the platform's side.
+func New(cfg *conf.Edge, ports Ports, group *errgroup.Group, log *zap.Logger) *VM {
+	v := &VM{
+		cfg:      cfg,
+		log:      log,
+		set:      metrics.NewSet(),
+		settings: routes.NewBook(awake.Now),
+		servers:  backs.NewTable(),
+		seats:    seats.New(),
+	}
+	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, log)
+	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, log)
+	r := relay.New(relay.Parts{
+		Config:   relay.Config{Domain: cfg.Domain, Revoke: cfg.Revoke},
+		Settings: v.settings,
+		Refresh:  v.follow,
+		Servers:  v.servers,
+		Seats:    v.seats,
+		Budget:   retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v.vms),
+		Health:   relay.NewHealth(),
+		Backend:  ports.Backend,
+		Clock:    awake.Now,
+		Log:      log,
+		Group:    group,
+		Count:    &counter{log: log, set: v.set},
+	})
+	codec := ports.Codec(r)
+	v.front = front.New(codec.Handle, codec.Reject, v.limits, log)
+	v.set.NewGauge("umberladder_store_calls_total", func() float64 { return float64(ports.Calls()) })
+	return v
+}
+
+// leastVMs is how many VMs at least are taken to share a budget: while the
+// others are not known yet, each would take the whole.
+const leastVMs = 12
+
+func (v *VM) vms() int { return max(v.seats.Peers(time.Now())+1, leastVMs) }
+
+func (v *VM) limits() front.Limits {
+	s := v.settings.Load()
+	if s == nil {
+		return front.Limits{Header: defaultHeader, Body: defaultBody, HeaderTime: defaultHeaderTime, Idle: defaultIdle}
+	}
+	return front.Limits{Header: s.Limits.Header, Body: s.Limits.Body, HeaderTime: s.Limits.HeaderTime, Idle: s.Limits.Idle}
+}
+
+// Ready reports whether the balancer should send clients here.
+func (v *VM) Ready() bool {
+	return !v.stopping.Load() && v.settings.Load() != nil && v.servers.View().Len() > 0 &&
+		v.settings.Age() < v.cfg.Revoke-readyMargin
+}
+
+// Run serves until stop is done, and then until every request has ended or the
+// grace time is over.
+func (v *VM) Run(stop context.Context, group *errgroup.Group) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ln, err := net.Listen("tcp", v.cfg.Callers.String())
+	if err != nil {
+		return trace.Wrap(err, "/callers-address")
+	}
+	if err := v.serveSide(ctx, group); err != nil {
+		return trace.Wrap(err)
+	}
+	group.Go(func() error { v.follow.Run(ctx); return nil })
+	group.Go(func() error { v.discover.Run(ctx); return nil })
+	group.Go(func() error { v.discover.Expire(ctx); return nil })
+	failed := make(chan error, 1)
+	group.Go(func() error {
+		failed <- v.front.Serve(ctx, ln)
+		return nil
+	})
+	v.log.Info("serving", zap.String("vm", string(v.cfg.Name)), zap.Stringer("callers", v.cfg.Callers))
+	select {
+	case <-stop.Done():
+	case err := <-failed:
+		return trace.Wrap(err)
+	}
+	v.leave(ln)
+	return nil
+}
+
+// leave ends the VM's service without cutting a request off.
+func (v *VM) leave(ln net.Listener) {
+	start := time.Now()
+	v.log.Info("stopping", zap.Int64("connections", v.front.Open()))
+	v.stopping.Store(true)
+	v.front.Drain()
+	end := start.Add(v.cfg.Grace - stopReserve)
+	for time.Now().Before(end) {
+		if time.Since(start) > takeTime {
+			_ = ln.Close()
+			v.front.CloseIdle(takeTime)
+			if v.front.Open() == 0 {
+				break
+			}
+		}
+		time.Sleep(drainPoll)
+	}
+	_ = ln.Close()
+	v.log.Info("stopped", zap.Int64("connections-cut", v.front.Open()), zap.Duration("after", time.Since(start)))
+}
+
+// serveSide serves readiness checks and metrics.
+func (v *VM) serveSide(ctx context.Context, group *errgroup.Group) error {
+	for _, s := range []struct {
+		path    string
+		addr    string
+		handler fasthttp.RequestHandler
+	}{
+		{"/ready-address", v.cfg.Ready.String(), v.ready},
+		{"/metrics-address", v.cfg.Metrics.String(), v.writeMetrics},
+	} {
+		ln, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			return trace.Wrap(err, "%s", s.path)
+		}
+		srv := &fasthttp.Server{Handler: s.handler, NoDefaultDate: true, NoDefaultServerHeader: true, Logger: httpLog{v.log}}
+		context.AfterFunc(ctx, func() { _ = ln.Close() })
+		group.Go(func() error {
+			if err := srv.Serve(ln); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				v.log.Error("side server ended", zap.String("address", s.addr), zap.Error(err))
+			}
+			return nil
+		})
+	}
+	return nil
+}
+
+func (v *VM) ready(ctx *fasthttp.RequestCtx) {
+	if v.Ready() {
+		ctx.SetBodyString("ready\n")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString("not ready\n")
+}
+
+func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
+	v.set.WritePrometheus(ctx)
+	metrics.WriteProcessMetrics(ctx)
+}
--- /dev/null
+++ b/internal/route/relay/health.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"umberladder/internal/core/ident"
+)
+
+const (
+	// healthHalf is the time after which what was seen of a server counts half.
+	healthHalf = 2 * time.Second
+	// healthPrior is the weight of the belief that a server is sound, in calls.
+	healthPrior = 4.0
+)
+
+// Health weighs servers by the calls they failed lately. Servers fail while
+// their own health check is good, so only what calls met counts.
+type Health struct {
+	mu      sync.Mutex
+	servers map[ident.Server]*record
+}
+
+type record struct {
+	at   time.Time
+	good float64
+	bad  float64
+}
+
+// NewHealth makes a record of sound servers.
+func NewHealth() *Health { return &Health{servers: make(map[ident.Server]*record)} }
+
+// Success notes a call that the server answered.
+func (h *Health) Success(id ident.Server, now time.Time) { h.note(id, now, 1, 0) }
+
+// Failure notes a call that the server failed.
+func (h *Health) Failure(id ident.Server, now time.Time) { h.note(id, now, 0, 1) }
+
+func (h *Health) note(id ident.Server, now time.Time, good, bad float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.servers[id]
+	if r == nil {
+		r = &record{at: now}
+		h.servers[id] = r
+	}
+	r.fade(now)
+	r.good += good
+	r.bad += bad
+}
+
+func (r *record) fade(now time.Time) {
+	age := now.Sub(r.at)
+	if age <= 0 {
+		return
+	}
+	keep := 1 / (1 + float64(age)/float64(healthHalf))
+	r.good *= keep
+	r.bad *= keep
+	r.at = now
+}
+
+// Weight returns the share of its usual work that the server should get, in (0, 1].
+func (h *Health) Weight(id ident.Server, now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.servers[id]
+	if r == nil {
+		return 1
+	}
+	r.fade(now)
+	w := (healthPrior + r.good) / (healthPrior + r.good + 3*r.bad)
+	return w
+}
+
+// Keep forgets the servers that known does not report.
+func (h *Health) Keep(known func(ident.Server) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.servers {
+		if !known(id) {
+			delete(h.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/relay/leg.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// legBuffer is how many reads of a stream may wait for a slow client.
+	legBuffer = 16
+	// readSize is the size of one read of a stream, in bytes.
+	readSize = 4 << 10
+)
+
+// leg is the part of a stream that comes over one connection to an engine.
+type leg struct {
+	body   Body
+	events chan []byte // whole events, one or more in each slice
+	err    error       // set before events is closed; io.EOF: the stream is whole
+	quit   chan struct{}
+	once   sync.Once
+}
+
+func newLeg(g *errgroup.Group, body Body) *leg {
+	l := &leg{body: body, events: make(chan []byte, legBuffer), quit: make(chan struct{})}
+	g.Go(func() error {
+		l.read()
+		return nil
+	})
+	return l
+}
+
+// close ends the connection and with it the engine's work.
+func (l *leg) close() {
+	l.once.Do(func() {
+		close(l.quit)
+		_ = l.body.Close()
+	})
+}
+
+// read passes whole events on; what is left of an event that breaks off is dropped.
+func (l *leg) read() {
+	defer close(l.events)
+	var rest []byte
+	buf := make([]byte, readSize)
+	for {
+		n, err := l.body.Read(buf)
+		rest = append(rest, buf[:n]...)
+		if at := lastEnd(rest); at > 0 {
+			if !l.pass(bytes.Clone(rest[:at])) {
+				return
+			}
+			rest = append(rest[:0], rest[at:]...)
+		}
+		if err != nil {
+			l.finish(rest, err)
+			return
+		}
+	}
+}
+
+func (l *leg) finish(rest []byte, err error) {
+	if errors.Is(err, io.EOF) && len(rest) > 0 {
+		l.pass(rest)
+	}
+	l.err = err
+}
+
+func (l *leg) pass(p []byte) bool {
+	select {
+	case l.events <- p:
+		return true
+	case <-l.quit:
+		l.err = io.ErrClosedPipe
+		return false
+	}
+}
+
+// lastEnd returns the length of the whole events at the start of p. An event
+// ends with an empty line.
+func lastEnd(p []byte) int {
+	at := 0
+	for _, end := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(p, end); i >= 0 {
+			at = max(at, i+len(end))
+		}
+	}
+	return at
+}
+
+// lastID returns the identifier of the last event in p, or nothing, and how
+// many events p holds.
+func lastID(p []byte) (string, int) {
+	id, n := "", 0
+	for line := range bytes.Lines(p) {
+		line = bytes.TrimRight(line, "\r\n")
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimPrefix(v, []byte(" ")))
+			n++
+		}
+	}
+	return id, n
+}
--- /dev/null
+++ b/internal/route/relay/pump.go
@@ -0,0 +1,226 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/route/seats"
+	"umberladder/internal/state/backs"
+)
+
+const (
+	// tailTime is how long the last events of a stopped run may take to come.
+	tailTime = 250 * time.Millisecond
+	// growBy is how many tokens a stream that outgrew its expected length is
+	// expected to go on for, each time.
+	growBy = 400
+)
+
+// pump passes events on until the stream is whole or lost.
+func (f *flight) pump(ctx context.Context) *refuse.Refusal {
+	leave := f.server.Leave()
+	var moved <-chan departure
+	for {
+		select {
+		case p, ok := <-f.leg.events:
+			if ok {
+				if err := f.forward(p); err != nil {
+					return refuse.New(refuse.CallerLeft, "an event could not be written: %v", err).With(refuse.RanPartial)
+				}
+				continue
+			}
+			if errors.Is(f.leg.err, io.EOF) {
+				return f.complete()
+			}
+			if refusal := f.broken(ctx, moved); refusal != nil {
+				return refusal
+			}
+			leave, moved = f.server.Leave(), nil
+		case <-leave:
+			leave = nil
+			moved = f.depart(ctx)
+		case d := <-moved:
+			moved = nil
+			if d.err != nil {
+				f.log("stream stays at a leaving engine", zap.String("server", string(f.server.ID)), zap.Error(d.err))
+				continue
+			}
+			if refusal := f.follow(ctx, d); refusal != nil {
+				return refusal
+			}
+			leave = f.server.Leave()
+		case <-ctx.Done():
+			return f.over(ctx, refuse.RanPartial)
+		}
+	}
+}
+
+func (f *flight) complete() *refuse.Refusal {
+	if err := f.reply.End(); err != nil {
+		return refuse.New(refuse.CallerLeft, "the end could not be written: %v", err).With(refuse.RanPartial)
+	}
+	f.relay.Health.Success(f.server.ID, time.Now())
+	return nil
+}
+
+// forward writes whole events to the client.
+func (f *flight) forward(p []byte) error {
+	id, n := lastID(p)
+	if id != "" {
+		f.lastID = id
+	}
+	now := time.Now()
+	if f.record.Events == 0 {
+		f.record.First = now.Sub(f.call.Arrived)
+		f.seat.Resize(f.load(false))
+	} else {
+		f.record.Gap = max(f.record.Gap, now.Sub(f.lastAt))
+	}
+	f.lastAt = now
+	f.record.Events += n
+	f.grow()
+	return f.reply.Piece(p)
+}
+
+// grow corrects the memory expected of a stream that outgrew its hint.
+func (f *flight) grow() {
+	if f.call.Prompt == nil || f.service.Engine == nil {
+		return
+	}
+	made := f.call.Prompt.Tokens + f.record.Events*f.service.Engine.Stride
+	l := f.seat.Load()
+	if made < l.Tokens {
+		return
+	}
+	l.Tokens = min(made+growBy, f.call.Prompt.Tokens+f.call.Prompt.Limit)
+	f.seat.Resize(l)
+}
+
+// broken judges a leg that broke off: the stream goes on elsewhere or is lost.
+func (f *flight) broken(ctx context.Context, moved <-chan departure) *refuse.Refusal {
+	err := f.leg.err
+	if ctx.Err() != nil {
+		return f.over(ctx, refuse.RanPartial)
+	}
+	if moved != nil {
+		// The engine stops the run as the last step of a departure.
+		select {
+		case d := <-moved:
+			if d.err == nil {
+				return f.follow(ctx, d)
+			}
+			err = d.err
+		case <-ctx.Done():
+			return f.over(ctx, refuse.RanPartial)
+		}
+	}
+	f.log("stream broke off", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
+	f.relay.Health.Failure(f.server.ID, time.Now())
+	if d := f.rescue(ctx); d.err == nil {
+		if refusal := f.follow(ctx, d); refusal == nil {
+			return nil
+		}
+	}
+	if f.route.Resumable {
+		return f.resume(ctx, err)
+	}
+	return refuse.New(refuse.ServerDied, "server %s broke off after event %q: %v", f.server.ID, f.lastID, err).With(refuse.RanPartial)
+}
+
+// resume runs a resumable stream anew from the last event on.
+func (f *flight) resume(ctx context.Context, cause error) *refuse.Refusal {
+	for f.again() {
+		s, refusal := f.place(ctx)
+		if refusal != nil {
+			return refusal.With(refuse.RanPartial)
+		}
+		f.tried[s.ID] = true
+		a, err := f.open(ctx, s, Copy{})
+		f.record.Sent++
+		if err != nil {
+			f.seat.Release()
+			cause = err
+			continue
+		}
+		if a.Status != http.StatusOK || a.NotRun {
+			_ = a.Body.Close()
+			f.seat.Release()
+			continue
+		}
+		f.attach(a)
+		return nil
+	}
+	return refuse.New(refuse.ServerDied, "server %s broke off after event %q: %v", f.server.ID, f.lastID, cause).With(refuse.RanPartial)
+}
+
+// attach makes a's body the stream's present leg.
+func (f *flight) attach(a *Answer) {
+	if f.leg != nil {
+		f.leg.close()
+	}
+	f.leg = newLeg(f.relay.Group, a.Body)
+}
+
+// departure is a run that was stopped and can go on at another engine.
+type departure struct {
+	to   *backs.Server
+	seat *seats.Seat
+	copy Copy
+	err  error
+}
+
+// follow goes on at the engine that holds the copy.
+func (f *flight) follow(ctx context.Context, d departure) *refuse.Refusal {
+	f.drain(ctx)
+	from := f.server
+	f.leg.close()
+	f.seat.Release()
+	f.spare.Release()
+	f.seat = d.seat
+	f.backup = nil
+	if !f.relay.Budget.Spend(f.service.Name, time.Now()) {
+		return refuse.New(refuse.ServerDied, "the retry budget is used up").With(refuse.RanPartial)
+	}
+	f.pickBackup(d.to)
+	a, err := f.open(ctx, d.to, d.copy)
+	if err == nil && (a.Status != http.StatusOK || a.NotRun) {
+		_ = a.Body.Close()
+		err = &SendError{Err: errors.New(http.StatusText(a.Status))}
+	}
+	if err != nil {
+		f.log("stream did not go on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)),
+			zap.String("last-event", f.lastID), zap.Error(err))
+		return refuse.New(refuse.ServerDied, "the stream could not go on at server %s: %v", d.to.ID, err).With(refuse.RanPartial)
+	}
+	f.record.Moves++
+	f.log("stream goes on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)), zap.String("last-event", f.lastID))
+	f.attach(a)
+	return nil
+}
+
+// drain forwards what a stopped run still sends.
+func (f *flight) drain(ctx context.Context) {
+	end := time.NewTimer(tailTime)
+	defer end.Stop()
+	for {
+		select {
+		case p, ok := <-f.leg.events:
+			if !ok {
+				return
+			}
+			if err := f.forward(p); err != nil {
+				return
+			}
+		case <-end.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/relay/stream.go
@@ -0,0 +1,256 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/call"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/fit"
+	"umberladder/internal/route/seats"
+	"umberladder/internal/state/backs"
+)
+
+// waitShare is the part of the latency target that a stream may wait for room.
+const waitShare = 0.5
+
+// flight is one stream on its way.
+type flight struct {
+	*task
+	tried  map[ident.Server]bool
+	server *backs.Server
+	seat   *seats.Seat
+	backup *backs.Server
+	spare  *seats.Seat
+	leg    *leg
+	lastID string
+	ran    refuse.Ran
+	begun  bool // the head was written to the client
+	lastAt time.Time
+}
+
+func (t *task) stream(ctx context.Context) *refuse.Refusal {
+	f := &flight{task: t, tried: make(map[ident.Server]bool), lastID: t.call.After}
+	defer f.release()
+	refusal := f.start(ctx)
+	if refusal != nil {
+		return truthful(refusal)
+	}
+	refusal = f.pump(ctx)
+	if refusal != nil && f.begun {
+		t.reply.Abort()
+	}
+	return refusal
+}
+
+func (f *flight) release() {
+	if f.leg != nil {
+		f.leg.close()
+	}
+	f.seat.Release()
+	f.spare.Release()
+}
+
+func (f *flight) need() int {
+	if f.call.Prompt == nil {
+		return 1
+	}
+	return f.call.Prompt.Expected()
+}
+
+// start sends the call until an engine has begun to answer it.
+func (f *flight) start(ctx context.Context) *refuse.Refusal {
+	unsent := 0
+	for {
+		s, refusal := f.place(ctx)
+		if refusal != nil {
+			return refusal.With(f.ran)
+		}
+		f.tried[s.ID] = true
+		a, err := f.open(ctx, s, Copy{})
+		if err != nil {
+			f.seat.Release()
+			f.spare.Release()
+			var se *SendError
+			if errors.As(err, &se) && se.Unsent {
+				f.log("server not reached", zap.String("server", string(s.ID)), zap.Error(err))
+				if unsent++; unsent < maxUnsent && ctx.Err() == nil {
+					continue
+				}
+				if ctx.Err() != nil {
+					return f.over(ctx, f.ran)
+				}
+				return refuse.New(refuse.NoServer, "no server of service %s could be reached", f.service.Name).With(f.ran).After(roomRetry)
+			}
+			f.record.Sent++
+			f.ran = refuse.RanMaybe
+			if ctx.Err() != nil {
+				return f.over(ctx, refuse.RanMaybe)
+			}
+			f.log("no answer", zap.String("server", string(s.ID)), zap.Error(err))
+			if f.again() {
+				continue
+			}
+			return refuse.New(refuse.ServerDied, "server %s broke off: %v", s.ID, err).With(refuse.RanMaybe)
+		}
+		f.record.Sent++
+		if a.Status == http.StatusOK && !a.NotRun {
+			f.attach(a)
+			return f.head(a)
+		}
+		refusal, done := f.declined(s, a)
+		if done {
+			return refusal
+		}
+	}
+}
+
+// declined judges an answer that is no stream.
+func (f *flight) declined(s *backs.Server, a *Answer) (*refuse.Refusal, bool) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBody))
+	_ = a.Body.Close()
+	f.seat.Release()
+	f.spare.Release()
+	f.log("server declined", zap.String("server", string(s.ID)), zap.Int("status", a.Status), zap.Bool("not-run", a.NotRun))
+	if a.NotRun {
+		if f.again() {
+			return nil, false
+		}
+		return refuse.New(refuse.ServerRefused, "server %s did not take the call, with status %d", s.ID, a.Status).With(f.ran).After(roomRetry), true
+	}
+	f.ran = refuse.RanMaybe
+	if err != nil {
+		return refuse.New(refuse.ServerDied, "server %s failed with status %d and broke off", s.ID, a.Status).With(f.ran), true
+	}
+	if a.Status >= http.StatusInternalServerError && f.again() {
+		return nil, false
+	}
+	return f.deliver(&whole{status: a.Status, fields: a.Fields, body: body}), true
+}
+
+// again reports whether the call may be sent once more from its start or from
+// the last event.
+func (f *flight) again() bool {
+	if f.record.Sent >= f.route.Attempts {
+		return false
+	}
+	if f.ran != refuse.RanNo && !f.route.Resumable {
+		return false
+	}
+	return f.relay.Budget.Spend(f.service.Name, time.Now())
+}
+
+// open sends the call to an engine.
+func (f *flight) open(ctx context.Context, s *backs.Server, from Copy) (*Answer, error) {
+	f.server = s
+	f.record.Server = s.ID
+	send := Send{Call: f.call, Server: s, Workspace: f.workspace, Left: f.left(), Copy: from, After: f.lastID}
+	if f.backup != nil {
+		send.Backup = f.backup.Addr
+	}
+	a, err := f.relay.Backend.Send(ctx, send)
+	if err != nil {
+		f.relay.Health.Failure(s.ID, time.Now())
+	}
+	return a, err
+}
+
+func (f *flight) head(a *Answer) *refuse.Refusal {
+	f.begun = true
+	f.record.Status = a.Status
+	if err := f.reply.Start(a.Status, a.Fields); err != nil {
+		return refuse.New(refuse.CallerLeft, "the answer could not be written: %v", err).With(refuse.RanPartial)
+	}
+	return nil
+}
+
+// place takes a seat at an engine with room; it waits a little for one.
+func (f *flight) place(ctx context.Context) (*backs.Server, *refuse.Refusal) {
+	wait := time.NewTimer(max(0, min(time.Duration(waitShare*float64(f.route.Target))-time.Since(f.call.Arrived), f.left())))
+	defer wait.Stop()
+	if e := f.service.Engine; e != nil && f.call.Prompt != nil && f.call.Prompt.Tokens > e.Memory {
+		return nil, refuse.New(refuse.TooLarge, "the prompt of %d tokens is larger than an engine's memory of %d", f.call.Prompt.Tokens, e.Memory)
+	}
+	for {
+		changed := f.relay.Seats.Changed()
+		s, any := f.pick(f.tried, fit.Full, f.need())
+		if s != nil {
+			f.seat = f.relay.Seats.Take(s.ID, f.load(true))
+			f.pickBackup(s)
+			return s, nil
+		}
+		if !any {
+			return nil, refuse.New(refuse.NoServer, "no server of service %s takes work", f.service.Name).After(roomRetry)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, f.over(ctx, f.ran)
+		case <-changed:
+		case <-wait.C:
+			return nil, refuse.New(refuse.NoRoom, "no engine of service %s has room for %d tokens", f.service.Name, f.need()).After(roomRetry)
+		}
+	}
+}
+
+func (f *flight) load(reading bool) seats.Load {
+	l := seats.Load{Seats: 1, Tokens: f.need()}
+	if reading && f.call.Prompt != nil {
+		l.Backlog = f.call.Prompt.Tokens
+	}
+	return l
+}
+
+// pick chooses an engine with room; any reports whether there is an engine at all.
+func (f *flight) pick(skip map[ident.Server]bool, share float64, need int) (s *backs.Server, any bool) {
+	now := time.Now()
+	list := f.relay.Servers.View().Service(f.service.Name)
+	loads := f.relay.Seats.All(now)
+	servers := make([]fit.Server, len(list))
+	for i, s := range list {
+		l := loads[s.ID]
+		servers[i] = fit.Server{
+			Slots:   s.Slots,
+			Memory:  f.memory(),
+			Seats:   l.Seats,
+			Tokens:  l.Tokens,
+			Backlog: l.Backlog,
+			Far:     s.Domain != f.relay.Config.Domain,
+			Weight:  f.relay.Health.Weight(s.ID, now),
+			Skip:    skip[s.ID],
+		}
+		any = any || !skip[s.ID]
+	}
+	if i := fit.Choose(need, share, servers, random()); i >= 0 {
+		return list[i], true
+	}
+	return nil, any
+}
+
+func (f *flight) memory() int {
+	if f.service.Engine == nil || f.service.Engine.Memory <= 0 {
+		return 1 << 30
+	}
+	return f.service.Engine.Memory
+}
+
+// pickBackup chooses the engine that keeps a copy, if there is room to spare.
+// A stream that may be resumed is soon read anew and needs none.
+func (f *flight) pickBackup(s *backs.Server) {
+	f.backup, f.spare = nil, nil
+	e := f.service.Engine
+	if e == nil || !e.Backups || f.route.Resumable || f.route.Kind != call.Stream {
+		return
+	}
+	b, _ := f.pick(map[ident.Server]bool{s.ID: true}, fit.Spare, f.need())
+	if b == nil {
+		return
+	}
+	f.backup = b
+	f.spare = f.relay.Seats.Take(b.ID, seats.Load{Tokens: f.need()})
+}
--- /dev/null
+++ b/internal/route/seats/book.go
@@ -0,0 +1,177 @@
+package seats
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"umberladder/internal/core/ident"
+)
+
+// PeerTTL is how long another VM's figures count without news of it. VMs tell
+// each other at least every half second, so three losses in a row are borne.
+const PeerTTL = 2 * time.Second
+
+// Load is work under way at one server.
+type Load struct {
+	Seats   int // calls
+	Tokens  int // memory they are expected to take at their end
+	Backlog int // prompt tokens that are not known to be read yet
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{Seats: l.Seats + o.Seats, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog}
+}
+
+func (l Load) minus(o Load) Load {
+	return Load{Seats: l.Seats - o.Seats, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog}
+}
+
+// Book holds the loads. It is safe for use by several goroutines.
+type Book struct {
+	mu      sync.Mutex
+	own     map[ident.Server]Load
+	peers   map[ident.VM]peer
+	changed chan struct{} // closed at the next change that may make room
+	dirty   chan struct{} // has an element once own loads changed
+}
+
+type peer struct {
+	at   time.Time
+	load map[ident.Server]Load
+}
+
+// New makes an empty book.
+func New() *Book {
+	return &Book{
+		own:     make(map[ident.Server]Load),
+		peers:   make(map[ident.VM]peer),
+		changed: make(chan struct{}),
+		dirty:   make(chan struct{}, 1),
+	}
+}
+
+// Seat is one call's part of a server's load.
+type Seat struct {
+	book   *Book
+	server ident.Server
+	load   Load
+	ended  bool
+}
+
+// Take counts a call at a server.
+func (b *Book) Take(server ident.Server, l Load) *Seat {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.own[server] = b.own[server].plus(l)
+	b.mark()
+	return &Seat{book: b, server: server, load: l}
+}
+
+// Resize changes what the call takes.
+func (s *Seat) Resize(l Load) {
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	if s.ended || l == s.load {
+		return
+	}
+	s.book.own[s.server] = s.book.own[s.server].minus(s.load).plus(l)
+	s.load = l
+	s.book.mark()
+}
+
+// Load returns what the call takes.
+func (s *Seat) Load() Load {
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	return s.load
+}
+
+// Release ends the call's part. Further calls do nothing.
+func (s *Seat) Release() {
+	if s == nil {
+		return
+	}
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.ended = true
+	left := s.book.own[s.server].minus(s.load)
+	if left == (Load{}) {
+		delete(s.book.own, s.server)
+	} else {
+		s.book.own[s.server] = left
+	}
+	s.book.mark()
+	s.book.wake()
+}
+
+// mark notes that own loads changed.
+func (b *Book) mark() {
+	select {
+	case b.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Book) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Dirty has an element once own loads changed since the last receive.
+func (b *Book) Dirty() <-chan struct{} { return b.dirty }
+
+// Changed returns a channel that is closed once there may be more room.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// Own returns this VM's loads.
+func (b *Book) Own() map[ident.Server]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.own)
+}
+
+// Hear takes another VM's loads.
+func (b *Book) Hear(vm ident.VM, load map[ident.Server]Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[vm] = peer{at: now, load: load}
+	b.wake()
+}
+
+// All returns the loads of all VMs heard lately.
+func (b *Book) All(now time.Time) map[ident.Server]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := maps.Clone(b.own)
+	for vm, p := range b.peers {
+		if now.Sub(p.at) > PeerTTL {
+			delete(b.peers, vm)
+			continue
+		}
+		for s, l := range p.load {
+			all[s] = all[s].plus(l)
+		}
+	}
+	return all
+}
+
+// Peers returns how many other VMs were heard lately.
+func (b *Book) Peers(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, p := range b.peers {
+		if now.Sub(p.at) <= PeerTTL {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/state/backs/table.go
@@ -0,0 +1,178 @@
+package backs
+
+import (
+	"maps"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"umberladder/internal/core/ident"
+)
+
+// ReturnTime is how long a live server may need to write its entry again after
+// an outage of the store in which it lapsed; the platform states 2 s.
+const ReturnTime = 2 * time.Second
+
+// Entry is what a server says of itself.
+type Entry struct {
+	ID      ident.Server
+	Service ident.Service
+	Addr    netip.AddrPort
+	Domain  ident.Domain
+	Slots   int
+	Leaving bool
+}
+
+// Server is one start of a backend server. Its fields do not change; a changed
+// entry makes a new Server that shares the channel.
+type Server struct {
+	Entry
+	leave chan struct{}
+}
+
+// Leave returns a channel that is closed once the server takes no new work.
+func (s *Server) Leave() <-chan struct{} { return s.leave }
+
+// View is the set of servers at a moment. It never changes.
+type View struct {
+	servers  map[ident.Server]*Server
+	services map[ident.Service][]*Server
+}
+
+// Service returns the servers of a service that take new work.
+func (v *View) Service(name ident.Service) []*Server { return v.services[name] }
+
+// Server returns a server that is known, or nil; it may be leaving.
+func (v *View) Server(id ident.Server) *Server { return v.servers[id] }
+
+// Len returns how many servers are known.
+func (v *View) Len() int { return len(v.servers) }
+
+// Table follows the servers' entries. Reads take no lock.
+type Table struct {
+	mu     sync.Mutex
+	all    map[ident.Server]*Server
+	lapsed map[ident.Server]time.Time // entries that lapsed in an outage: when they count as gone
+	view   atomic.Pointer[View]
+}
+
+// NewTable makes an empty table.
+func NewTable() *Table {
+	t := &Table{all: make(map[ident.Server]*Server), lapsed: make(map[ident.Server]time.Time)}
+	t.publish()
+	return t
+}
+
+// View returns the servers known now.
+func (t *Table) View() *View { return t.view.Load() }
+
+// Put takes a server's entry. It reports whether what is known of the server
+// changed.
+func (t *Table) Put(e Entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := t.put(e)
+	if changed {
+		t.publish()
+	}
+	return changed
+}
+
+func (t *Table) put(e Entry) bool {
+	delete(t.lapsed, e.ID)
+	old := t.all[e.ID]
+	if old != nil && old.Entry == e {
+		return false
+	}
+	s := &Server{Entry: e, leave: make(chan struct{})}
+	if old != nil {
+		s.leave = old.leave
+		if old.Leaving {
+			// A server that leaves does not come back under its name.
+			s.Leaving = true
+		}
+	}
+	if s.Leaving && (old == nil || !old.Leaving) {
+		close(s.leave)
+	}
+	t.all[e.ID] = s
+	return true
+}
+
+// Remove takes the end of a server's entry. Within an outage of the store, or
+// until ReturnTime after it, the server stays usable until then.
+func (t *Table) Remove(id ident.Server, until time.Time, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.all[id] == nil {
+		return
+	}
+	if now.Before(until) {
+		t.lapsed[id] = until
+		return
+	}
+	t.drop(id)
+	t.publish()
+}
+
+// Replace takes the whole list of entries. Servers that are missing from it
+// are removed as by Remove.
+func (t *Table) Replace(list []Entry, until time.Time, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[ident.Server]struct{}, len(list))
+	for _, e := range list {
+		seen[e.ID] = struct{}{}
+		t.put(e)
+	}
+	for id := range t.all {
+		if _, ok := seen[id]; ok {
+			continue
+		}
+		if now.Before(until) {
+			t.lapsed[id] = until
+			continue
+		}
+		t.drop(id)
+	}
+	t.publish()
+}
+
+// Expire drops the servers whose entries lapsed in an outage and did not come
+// back in time, and returns them.
+func (t *Table) Expire(now time.Time) []ident.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var gone []ident.Server
+	for id, until := range t.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		t.drop(id)
+		gone = append(gone, id)
+	}
+	if gone != nil {
+		t.publish()
+	}
+	return gone
+}
+
+func (t *Table) drop(id ident.Server) {
+	delete(t.lapsed, id)
+	s := t.all[id]
+	delete(t.all, id)
+	if s != nil && !s.Leaving {
+		close(s.leave)
+	}
+}
+
+func (t *Table) publish() {
+	v := &View{servers: maps.Clone(t.all), services: make(map[ident.Service][]*Server)}
+	for _, s := range t.all {
+		if !s.Leaving {
+			v.services[s.Service] = append(v.services[s.Service], s)
+		}
+	}
+	t.view.Store(v)
+}
--- /dev/null
+++ b/internal/state/follow/follow.go
@@ -0,0 +1,113 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/policy/retry"
+)
+
+const (
+	// readTime bounds a read. The store answers in 4 ms, and in under 0.4 s at
+	// the slowest that the platform allows for while it works at all.
+	readTime = 700 * time.Millisecond
+	// firstPause and lastPause are the bounds of the pause between failed reads.
+	// The last one keeps the return of a store within a third of the 2 s in which
+	// a change has to be in force.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+)
+
+// Revision counts the store's changes.
+type Revision uint64
+
+// source is the part of the store that a loop follows.
+type source struct {
+	name string
+	wait time.Duration // how long the store holds a wait without changes
+	rest time.Duration // pause after a change, so that several come in one answer
+	// read takes everything, as it was at a moment after sent.
+	read func(ctx context.Context, sent awake.Instant) (Revision, error)
+	// await takes the changes after a revision.
+	await func(ctx context.Context, after Revision, wait time.Duration, sent awake.Instant) (Revision, error)
+	lost  func(now time.Time)
+	back  func(now time.Time)
+}
+
+// loop follows a source until ctx ends.
+type loop struct {
+	src   source
+	clock awake.Clock
+	log   *zap.Logger
+	down  bool
+}
+
+func (l *loop) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		rev, err := l.read(ctx)
+		if err != nil {
+			l.failed(ctx, "read", err)
+			retry.Pause(ctx, pause(n))
+			continue
+		}
+		n = 0
+		l.recovered()
+		err = l.follow(ctx, rev)
+		l.failed(ctx, "wait", err)
+	}
+}
+
+func pause(n int) time.Duration {
+	return min(firstPause<<min(n, 8), lastPause)
+}
+
+func (l *loop) read(ctx context.Context) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	return l.src.read(ctx, l.clock())
+}
+
+// follow waits for changes until something fails.
+func (l *loop) follow(ctx context.Context, rev Revision) error {
+	for {
+		next, err := l.await(ctx, rev)
+		if err != nil {
+			return err
+		}
+		if next != rev && l.src.rest > 0 {
+			retry.Pause(ctx, l.src.rest)
+		}
+		rev = next
+	}
+}
+
+func (l *loop) await(ctx context.Context, rev Revision) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.src.wait+readTime)
+	defer cancel()
+	return l.src.await(ctx, rev, l.src.wait, l.clock())
+}
+
+// failed notes a failure; the first of several in a row is a dependency lost.
+func (l *loop) failed(ctx context.Context, call string, err error) {
+	if ctx.Err() != nil || err == nil {
+		return
+	}
+	l.src.lost(time.Now())
+	if l.down {
+		return
+	}
+	l.down = true
+	l.log.Warn("store lost", zap.String("source", l.src.name), zap.String("call", call), zap.Error(err))
+}
+
+func (l *loop) recovered() {
+	if !l.down {
+		return
+	}
+	l.down = false
+	l.src.back(time.Now())
+	l.log.Info("store back", zap.String("source", l.src.name))
+}
--- /dev/null
+++ b/internal/state/follow/settings.go
@@ -0,0 +1,101 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/state/routes"
+)
+
+// settingsWait is how long a wait for new settings is held. It bounds the age
+// of the knowledge that the settings are the newest, which must stay well under
+// the 5 s after which a revoked key must not be served.
+const settingsWait = 1500 * time.Millisecond
+
+// SettingsSource reads the settings in the store.
+type SettingsSource interface {
+	Settings(ctx context.Context) (*routes.Snapshot, Revision, error)
+	// AwaitSettings returns the newest settings after a revision, or nil if none
+	// came within wait, and the revision up to which nothing was missed.
+	AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (*routes.Snapshot, Revision, error)
+}
+
+// Settings keeps a book of settings in step with the store.
+type Settings struct {
+	src   SettingsSource
+	book  *routes.Book
+	clock awake.Clock
+	log   *zap.Logger
+	once  singleflight.Group
+}
+
+// NewSettings makes a follower of the settings.
+func NewSettings(src SettingsSource, book *routes.Book, clock awake.Clock, log *zap.Logger) *Settings {
+	return &Settings{src: src, book: book, clock: clock, log: log}
+}
+
+// Run follows the settings until ctx ends.
+func (s *Settings) Run(ctx context.Context) {
+	l := &loop{clock: s.clock, log: s.log, src: source{
+		name:  "settings",
+		wait:  settingsWait,
+		read:  s.read,
+		await: s.await,
+		lost:  func(time.Time) {},
+		back:  func(time.Time) {},
+	}}
+	l.run(ctx)
+}
+
+// Refresh reads the settings now, within limit. Calls at the same time share
+// a read that was sent after the first of them began.
+func (s *Settings) Refresh(ctx context.Context, limit time.Duration) error {
+	_, err, _ := s.once.Do("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return s.read(ctx, s.clock())
+	})
+	return err
+}
+
+func (s *Settings) read(ctx context.Context, sent awake.Instant) (Revision, error) {
+	snap, rev, err := s.src.Settings(ctx)
+	if err != nil {
+		return 0, err
+	}
+	s.put(snap, sent)
+	return rev, nil
+}
+
+func (s *Settings) await(ctx context.Context, after Revision, wait time.Duration, sent awake.Instant) (Revision, error) {
+	snap, rev, err := s.src.AwaitSettings(ctx, after, wait)
+	if err != nil {
+		return 0, err
+	}
+	if snap != nil {
+		s.put(snap, sent)
+		return rev, nil
+	}
+	s.book.Confirm(s.confirmed(sent, wait))
+	return rev, nil
+}
+
+// confirmed returns the moment at which a wait that brought nothing shows that
+// nothing had changed: the store held it for the whole wait, unless the answer
+// came sooner.
+func (s *Settings) confirmed(sent awake.Instant, wait time.Duration) awake.Instant {
+	if s.clock().Sub(sent) < wait {
+		return sent
+	}
+	return sent.Add(wait)
+}
+
+func (s *Settings) put(snap *routes.Snapshot, at awake.Instant) {
+	if s.book.Put(snap, at) {
+		s.log.Info("settings in force", zap.Uint64("version", snap.Version))
+	}
+}
--- /dev/null
+++ b/internal/state/routes/snapshot.go
@@ -0,0 +1,94 @@
+package routes
+
+import (
+	"slices"
+	"strings"
+
+	"umberladder/internal/core/ident"
+)
+
+// Snapshot is one version of the settings.
+type Snapshot struct {
+	Version  uint64
+	Limits   Limits
+	services map[ident.Service]*Service
+	hosts    map[string][]*Route // longest prefix first
+	keys     map[string]*Workspace
+	keyed    bool
+}
+
+// Parts are what a snapshot is made of.
+type Parts struct {
+	Version    uint64
+	Limits     Limits
+	Routes     []*Route
+	Services   []*Service
+	Workspaces []*Workspace
+}
+
+// New makes a snapshot. The parts are not changed afterwards.
+func New(p Parts) *Snapshot {
+	s := &Snapshot{
+		Version:  p.Version,
+		Limits:   p.Limits,
+		services: make(map[ident.Service]*Service, len(p.Services)),
+		hosts:    make(map[string][]*Route),
+		keys:     make(map[string]*Workspace),
+		keyed:    len(p.Workspaces) > 0,
+	}
+	for _, v := range p.Services {
+		s.services[v.Name] = v
+	}
+	for _, r := range p.Routes {
+		host := strings.ToLower(r.Host)
+		s.hosts[host] = append(s.hosts[host], r)
+	}
+	for _, list := range s.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, w := range p.Workspaces {
+		for _, k := range w.Keys {
+			s.keys[k] = w
+		}
+	}
+	return s
+}
+
+// Find returns the route with the longest prefix of path among those of the
+// host, or nil. The host may have a port.
+func (s *Snapshot) Find(host, path string) *Route {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range s.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (s *Snapshot) Service(name ident.Service) *Service { return s.services[name] }
+
+// Keyed reports whether a call of the route needs an API key.
+func (s *Snapshot) Keyed(r *Route) bool { return s.keyed && !r.Public }
+
+// Holder returns the workspace that holds an API key, or nil.
+func (s *Snapshot) Holder(key string) *Workspace { return s.keys[key] }
+
+// Pick returns the service of the share that draw falls into; draw is in [0, 1).
+func (r *Route) Pick(draw float64) ident.Service {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(s.Weight, 0)
+	}
+	at := int(draw * float64(total))
+	for _, s := range r.Shares {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[0].Service
+}
