--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -83,4 +83,3 @@
 	}
 	return w.Conn.Write(p)
 }
-
--- a/internal/route/relay/depart.go
+++ b/internal/route/relay/depart.go
@@ -123,4 +123,3 @@
 	}
 	return departure{to: to, seat: seat, copy: Copy{At: f.server.Addr, ID: m.Handle}}
 }
-
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -144,4 +144,3 @@
 			zap.Stringer("address", c.Entry.Addr), zap.Bool("leaving", c.Entry.Leaving))
 	}
 }
-
