--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -42,6 +42,10 @@
 	if refusal != nil {
 		return truthful(refusal)
 	}
+	if f.leg == nil {
+		// The server's answer was no stream and is delivered whole.
+		return nil
+	}
 	refusal = f.pump(ctx)
 	if refusal != nil && f.begun {
 		t.reply.Abort()
