Tell other VMs what is under way at each server

Change: datagrams with each VM's loads and the servers it saw leaving; VMs find each other in the store.

--- /dev/null
+++ b/internal/peer/gossip/codec.go
@@ -0,0 +1,139 @@
+package gossip
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/gravitational/trace"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/route/seats"
+)
+
+// State is what one VM tells.
+type State struct {
+	VM      ident.VM
+	Boot    uint64 // of the process; a later one replaces all that was told before
+	Seq     uint64 // of the message within its boot
+	Loads   map[ident.Server]seats.Load
+	Leaving []ident.Server // servers seen to leave lately
+}
+
+// Field numbers of a message and of a load in it.
+const (
+	fieldVM      = 1
+	fieldBoot    = 2
+	fieldSeq     = 3
+	fieldLoad    = 4
+	fieldLeaving = 5
+
+	loadServer  = 1
+	loadSeats   = 2
+	loadTokens  = 3
+	loadBacklog = 4
+)
+
+// Encode returns the message.
+func (s *State) Encode() []byte {
+	b := appendString(nil, fieldVM, string(s.VM))
+	b = appendNumber(b, fieldBoot, s.Boot)
+	b = appendNumber(b, fieldSeq, s.Seq)
+	for id, l := range s.Loads {
+		b = protowire.AppendTag(b, fieldLoad, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeLoad(id, l))
+	}
+	for _, id := range s.Leaving {
+		b = appendString(b, fieldLeaving, string(id))
+	}
+	return b
+}
+
+func encodeLoad(id ident.Server, l seats.Load) []byte {
+	b := appendString(nil, loadServer, string(id))
+	b = appendNumber(b, loadSeats, uint64(l.Seats))
+	b = appendNumber(b, loadTokens, uint64(l.Tokens))
+	return appendNumber(b, loadBacklog, uint64(l.Backlog))
+}
+
+func appendString(b []byte, n protowire.Number, s string) []byte {
+	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
+}
+
+func appendNumber(b []byte, n protowire.Number, v uint64) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
+}
+
+// Decode reads a message. Fields it does not know are passed over.
+func Decode(b []byte) (*State, error) {
+	s := &State{Loads: make(map[ident.Server]seats.Load)}
+	err := fields(b, func(n protowire.Number, text []byte, v uint64) error {
+		switch n {
+		case fieldVM:
+			s.VM = ident.VM(text)
+		case fieldBoot:
+			s.Boot = v
+		case fieldSeq:
+			s.Seq = v
+		case fieldLoad:
+			id, l, err := decodeLoad(text)
+			if err != nil {
+				return err
+			}
+			s.Loads[id] = l
+		case fieldLeaving:
+			s.Leaving = append(s.Leaving, ident.Server(text))
+		}
+		return nil
+	})
+	if err == nil && s.VM == "" {
+		err = trace.BadParameter("the message names no VM")
+	}
+	return s, trace.Wrap(err)
+}
+
+func decodeLoad(b []byte) (ident.Server, seats.Load, error) {
+	var id ident.Server
+	var l seats.Load
+	err := fields(b, func(n protowire.Number, text []byte, v uint64) error {
+		switch n {
+		case loadServer:
+			id = ident.Server(text)
+		case loadSeats:
+			l.Seats = int(v)
+		case loadTokens:
+			l.Tokens = int(v)
+		case loadBacklog:
+			l.Backlog = int(v)
+		}
+		return nil
+	})
+	return id, l, err
+}
+
+// fields calls f for each field of a message, with its text or its number.
+func fields(b []byte, f func(n protowire.Number, text []byte, v uint64) error) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return trace.Wrap(protowire.ParseError(n))
+		}
+		b = b[n:]
+		var text []byte
+		var v uint64
+		switch typ {
+		case protowire.VarintType:
+			v, n = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			text, n = protowire.ConsumeBytes(b)
+		default:
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return trace.Wrap(protowire.ParseError(n))
+		}
+		b = b[n:]
+		if err := f(num, text, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/gossip/gossip.go
@@ -0,0 +1,115 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/route/seats"
+)
+
+const (
+	// beat is how often a VM tells its state though nothing changed.
+	beat = 500 * time.Millisecond
+	// gather is the least time between two messages for each VM told, so that
+	// what a VM receives grows with the VMs and not with their square: at 74 VMs
+	// one message in 150 ms from each.
+	gather = 2 * time.Millisecond
+	// leastGather bounds it below: calls that come together are told together.
+	leastGather = 15 * time.Millisecond
+	// maxMessage is the largest datagram, in bytes.
+	maxMessage = 60 << 10
+)
+
+// Local is what this VM tells, and where it puts what others tell.
+type Local interface {
+	Loads() map[ident.Server]seats.Load
+	Leaving(now time.Time) []ident.Server
+	// Hear takes another VM's state.
+	Hear(s *State, now time.Time)
+	// Dirty has an element once there is something new to tell.
+	Dirty() <-chan struct{}
+	// Others returns the other VMs' addresses.
+	Others() []netip.AddrPort
+}
+
+// Gossip is one VM's socket.
+type Gossip struct {
+	vm    ident.VM
+	boot  uint64
+	seq   uint64
+	conn  *net.UDPConn
+	local Local
+	log   *zap.Logger
+}
+
+// New opens the socket at addr. The boot must rise from start to start of a VM.
+func New(vm ident.VM, boot uint64, addr netip.AddrPort, local Local, log *zap.Logger) (*Gossip, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Gossip{vm: vm, boot: boot, conn: conn, local: local, log: log}, nil
+}
+
+// Send tells the others until ctx ends.
+func (g *Gossip) Send(ctx context.Context) {
+	t := time.NewTicker(beat)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = g.conn.Close()
+			return
+		case <-t.C:
+		case <-g.local.Dirty():
+		}
+		others := g.local.Others()
+		g.tell(others)
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(leastGather, gather*time.Duration(len(others)))):
+		}
+	}
+}
+
+func (g *Gossip) tell(others []netip.AddrPort) {
+	if len(others) == 0 {
+		return
+	}
+	g.seq++
+	s := State{VM: g.vm, Boot: g.boot, Seq: g.seq, Loads: g.local.Loads(), Leaving: g.local.Leaving(time.Now())}
+	b := s.Encode()
+	for _, a := range others {
+		if _, err := g.conn.WriteToUDPAddrPort(b, a); err != nil {
+			g.log.Debug("state not told", zap.Stringer("to", a), zap.Error(err))
+		}
+	}
+}
+
+// Receive takes what others tell until the socket is closed.
+func (g *Gossip) Receive(ctx context.Context) {
+	buf := make([]byte, maxMessage)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				g.log.Error("gossip ended", zap.Error(err))
+			}
+			return
+		}
+		s, err := Decode(buf[:n])
+		if err != nil {
+			g.log.Warn("message not readable", zap.Stringer("from", from), zap.Error(err))
+			continue
+		}
+		if s.VM != g.vm {
+			g.local.Hear(s, time.Now())
+		}
+	}
+}
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -59,6 +59,7 @@
 		Servers:  store,
 		Backend:  platform.NewServers(dialer),
 		Codec:    func(r *relay.Relay) edge.Codec { return platform.NewIngress(r, awake.Now) },
+		Peers:    store,
 		Calls:    store.Calls,
 	}, group, log)
 	stop, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -15,12 +15,14 @@
 
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/front"
+	"umberladder/internal/peer/gossip"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/route/relay"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/follow"
+	"umberladder/internal/state/peers"
 	"umberladder/internal/state/routes"
 )
 
@@ -54,6 +56,7 @@
 	Servers  follow.ServerSource
 	Backend  relay.Backend
 	Codec    func(r *relay.Relay) Codec
+	Peers    peers.Registry
 	Calls    func() uint64 // made to the store
 }
 
@@ -67,6 +70,7 @@
 	seats    *seats.Book
 	follow   *follow.Settings
 	discover *follow.Servers
+	peers    *peers.Peers
 	front    *front.Server
 	stopping atomic.Bool
 }
@@ -78,9 +82,10 @@
 		log:      log,
 		set:      metrics.NewSet(),
 		settings: routes.NewBook(awake.Now),
-		servers:  backs.NewTable(),
 		seats:    seats.New(),
+		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
+	v.servers = backs.NewTable(v.seats.Touch)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, log)
 	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, log)
 	r := relay.New(relay.Parts{
@@ -135,9 +140,18 @@
 	if err := v.serveSide(ctx, group); err != nil {
 		return trace.Wrap(err)
 	}
-	group.Go(func() error { v.follow.Run(ctx); return nil })
-	group.Go(func() error { v.discover.Run(ctx); return nil })
-	group.Go(func() error { v.discover.Expire(ctx); return nil })
+	g, err := gossip.New(v.cfg.Name, uint64(time.Now().UnixNano()), v.cfg.Peers, &local{v}, v.log)
+	if err != nil {
+		return trace.Wrap(err, "/peers-address")
+	}
+	for _, loop := range []func(context.Context){
+		v.follow.Run, v.discover.Run, v.discover.Expire, v.peers.Announce, v.peers.Follow, g.Send, g.Receive,
+	} {
+		group.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
 	failed := make(chan error, 1)
 	group.Go(func() error {
 		failed <- v.front.Serve(ctx, ln)
--- a/internal/route/seats/book.go
+++ b/internal/route/seats/book.go
@@ -12,6 +12,10 @@
 // each other at least every half second, so three losses in a row are borne.
 const PeerTTL = 2 * time.Second
 
+// forgetPeer is how long the number of another VM's last message is kept: a
+// message can't be under way for longer.
+const forgetPeer = time.Minute
+
 // Load is work under way at one server.
 type Load struct {
 	Seats   int // calls
@@ -38,6 +42,8 @@
 
 type peer struct {
 	at   time.Time
+	boot uint64
+	seq  uint64
 	load map[ident.Server]Load
 }
 
@@ -131,6 +137,9 @@
 	return b.changed
 }
 
+// Touch marks that there is something new to tell other VMs.
+func (b *Book) Touch() { b.mark() }
+
 // Own returns this VM's loads.
 func (b *Book) Own() map[ident.Server]Load {
 	b.mu.Lock()
@@ -138,11 +147,14 @@
 	return maps.Clone(b.own)
 }
 
-// Hear takes another VM's loads.
-func (b *Book) Hear(vm ident.VM, load map[ident.Server]Load, now time.Time) {
+// Hear takes another VM's loads, unless later ones were heard already.
+func (b *Book) Hear(vm ident.VM, boot, seq uint64, load map[ident.Server]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[vm] = peer{at: now, load: load}
+	if p := b.peers[vm]; boot < p.boot || boot == p.boot && seq <= p.seq {
+		return
+	}
+	b.peers[vm] = peer{at: now, boot: boot, seq: seq, load: load}
 	b.wake()
 }
 
@@ -153,7 +165,9 @@
 	all := maps.Clone(b.own)
 	for vm, p := range b.peers {
 		if now.Sub(p.at) > PeerTTL {
-			delete(b.peers, vm)
+			if now.Sub(p.at) > forgetPeer {
+				delete(b.peers, vm)
+			}
 			continue
 		}
 		for s, l := range p.load {
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -49,17 +49,29 @@
 // Len returns how many servers are known.
 func (v *View) Len() int { return len(v.servers) }
 
+// newsTime is how long other VMs are told of a server that leaves: three of
+// their messages may be lost.
+const newsTime = 1500 * time.Millisecond
+
 // Table follows the servers' entries. Reads take no lock.
 type Table struct {
+	onLeave func()
+
 	mu     sync.Mutex
 	all    map[ident.Server]*Server
 	lapsed map[ident.Server]time.Time // entries that lapsed in an outage: when they count as gone
+	news   map[ident.Server]time.Time // servers seen to leave, and when
 	view   atomic.Pointer[View]
 }
 
-// NewTable makes an empty table.
-func NewTable() *Table {
-	t := &Table{all: make(map[ident.Server]*Server), lapsed: make(map[ident.Server]time.Time)}
+// NewTable makes an empty table. It calls onLeave once a server is seen to leave.
+func NewTable(onLeave func()) *Table {
+	t := &Table{
+		onLeave: onLeave,
+		all:     make(map[ident.Server]*Server),
+		lapsed:  make(map[ident.Server]time.Time),
+		news:    make(map[ident.Server]time.Time),
+	}
 	t.publish()
 	return t
 }
@@ -95,6 +107,7 @@
 	}
 	if s.Leaving && (old == nil || !old.Leaving) {
 		close(s.leave)
+		t.tell(e.ID)
 	}
 	t.all[e.ID] = s
 	return true
@@ -113,9 +126,48 @@
 		return
 	}
 	t.drop(id)
+	t.tell(id)
 	t.publish()
 }
 
+// Hear takes another VM's word that servers leave. It reports which were not
+// known to.
+func (t *Table) Hear(ids []ident.Server) []ident.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var left []ident.Server
+	for _, id := range ids {
+		if s := t.all[id]; s != nil && !s.Leaving {
+			t.drop(id)
+			left = append(left, id)
+		}
+	}
+	if left != nil {
+		t.publish()
+	}
+	return left
+}
+
+// Leaving returns the servers that this VM itself saw to leave lately.
+func (t *Table) Leaving(now time.Time) []ident.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []ident.Server
+	for id, at := range t.news {
+		if now.Sub(at) > newsTime {
+			delete(t.news, id)
+			continue
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+func (t *Table) tell(id ident.Server) {
+	t.news[id] = time.Now()
+	t.onLeave()
+}
+
 // Replace takes the whole list of entries. Servers that are missing from it
 // are removed as by Remove.
 func (t *Table) Replace(list []Entry, until time.Time, now time.Time) {
