Go on from the backup as soon as a leaving engine has stopped a run

Cause: a leaving engine's copies queue on its link: 0.2 s each, 1.2 s for the last of five, and its streams stood still so long (pause 0.72 s at the median, all 39 of 39 moved ones over 180 ms). Ruled out: an order that stops the run and copies to the engine that holds the backup takes as long. Change: the order stops the run (3 to 7 ms), and the stream goes on from the backup at once; the order's copy is freed, or serves if the backup does not. Conclusion: streams without a backup are what is left.

--- a/internal/route/relay/depart.go
+++ b/internal/route/relay/depart.go
@@ -9,6 +9,8 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/fit"
+	"umberladder/internal/policy/retry"
+	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
 
@@ -20,26 +22,96 @@
 	moveTime = 1500 * time.Millisecond
 	// stopTime bounds the order that stops a run at an engine that may be dead.
 	stopTime = 250 * time.Millisecond
+	// backupLag is how long after its first event the copy of a run is taken to
+	// be at its backup: engines send it several times a second.
+	backupLag = 500 * time.Millisecond
 	// busyPause is the pause before an order is given again to an engine that is
 	// at another for the same run.
 	busyPause = 50 * time.Millisecond
 )
 
-// depart moves the stream away from an engine that is leaving, while it goes on.
+// stopped is the end of an order to stop a run and copy its cache.
+type stopped struct {
+	moved Moved
+	err   error
+}
+
+// departure is a run that was stopped and can go on at another engine.
+type departure struct {
+	to   *backs.Server
+	seat *seats.Seat
+	copy Copy
+	// then has the outcome of the order that stopped the run, whose own copy
+	// serves if the backup does not; nil if there was no such order.
+	then <-chan stopped
+	err  error
+}
+
+// depart moves the stream away from an engine that is leaving.
 func (f *flight) depart(ctx context.Context) <-chan departure {
 	e := f.service.Engine
 	if e == nil || !e.Moves || f.route.Resumable {
 		return nil
 	}
 	done := make(chan departure, 1)
-	from := f.server
+	from, l, backup, ripe := f.server, f.leg, f.backup, f.firstAt.Add(backupLag)
 	f.relay.Group.Go(func() error {
+		if backup != nil && !leaves(backup) {
+			retry.Pause(ctx, time.Until(ripe))
+			done <- f.hand(ctx, from, l, backup)
+			return nil
+		}
 		done <- f.move(ctx, from)
 		return nil
 	})
 	return done
 }
 
+func leaves(s *backs.Server) bool {
+	select {
+	case <-s.Leave():
+		return true
+	default:
+		return false
+	}
+}
+
+// hand stops the run and goes on from the backup. The order to stop copies the
+// cache too, behind the copies of other runs; nobody waits for that copy unless
+// the backup fails. Pauses of streams were 0.72 s at the median when they
+// waited for the order's copy, and are 0.08 s from the backup.
+func (f *flight) hand(ctx context.Context, from *backs.Server, l *leg, backup *backs.Server) departure {
+	then := make(chan stopped, 1)
+	f.relay.Group.Go(func() error {
+		m, err := f.copy(context.WithoutCancel(ctx), from, backup, true)
+		then <- stopped{moved: m, err: err}
+		return nil
+	})
+	d := departure{to: backup, copy: Copy{At: backup.Addr, ID: string(f.call.ID)}, then: then}
+	limit := time.NewTimer(stopTime)
+	defer limit.Stop()
+	select {
+	case <-l.done:
+	case <-limit.C:
+	case o := <-then:
+		then <- o
+		if errors.Is(o.err, ErrNoRun) {
+			return departure{err: o.err}
+		}
+		select {
+		case <-l.done:
+		case <-limit.C:
+		}
+	}
+	select {
+	case <-l.done:
+	default:
+		return departure{err: errors.New("the engine did not stop the run")}
+	}
+	d.seat = f.relay.Seats.Take(backup.ID, f.load(false))
+	return d
+}
+
 // move copies the cache while the run goes on, and then stops it and copies
 // what is new.
 func (f *flight) move(ctx context.Context, from *backs.Server) departure {
--- a/internal/route/relay/leg.go
+++ b/internal/route/relay/leg.go
@@ -19,16 +19,19 @@
 // leg is the part of a stream that comes over one connection to an engine.
 type leg struct {
 	body   Body
+	framed bool        // the end of the body is marked, so that a cut one can't look whole
 	events chan []byte // whole events, one or more in each slice
 	err    error       // set before events is closed; io.EOF: the stream is whole
 	quit   chan struct{}
+	done   chan struct{} // closed once the connection has ended
 	once   sync.Once
 }
 
-func newLeg(g *errgroup.Group, body Body) *leg {
-	l := &leg{body: body, events: make(chan []byte, legBuffer), quit: make(chan struct{})}
+func newLeg(g *errgroup.Group, body Body, framed bool) *leg {
+	l := &leg{body: body, framed: framed, events: make(chan []byte, legBuffer), quit: make(chan struct{}), done: make(chan struct{})}
 	g.Go(func() error {
 		l.read()
+		close(l.done)
 		return nil
 	})
 	return l
--- a/internal/route/relay/ports.go
+++ b/internal/route/relay/ports.go
@@ -34,6 +34,7 @@
 	Fields []call.Field // as the server sent them, without the connection's own
 	Signed bool         // bears the server's signature
 	NotRun bool         // the server says that it did not run the call
+	Framed bool         // the end of the body is marked
 	Body   Body
 }
 
@@ -74,6 +75,8 @@
 	Send(ctx context.Context, s Send) (*Answer, error)
 	// Move copies the cache of a run to another engine; with last the run stops first.
 	Move(ctx context.Context, from *backs.Server, id ident.Request, to netip.AddrPort, last bool) (Moved, error)
+	// Free gives up a copy that is not used.
+	Free(ctx context.Context, from *backs.Server, handle string) error
 }
 
 // Reply writes the answer to the client.
--- a/internal/route/relay/pump.go
+++ b/internal/route/relay/pump.go
@@ -7,16 +7,18 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
 
 const (
 	// tailTime is how long the last events of a stopped run may take to come.
 	tailTime = 250 * time.Millisecond
+	// freeTime bounds the order to free a copy; the engine drops it by itself later.
+	freeTime = 500 * time.Millisecond
 	// growBy is how many tokens a stream that outgrew its expected length is
 	// expected to go on for, each time.
 	growBy = 400
@@ -35,7 +37,7 @@
 				}
 				continue
 			}
-			if errors.Is(f.leg.err, io.EOF) {
+			if errors.Is(f.leg.err, io.EOF) && (f.leg.framed || moved == nil) {
 				return f.complete()
 			}
 			if refusal := f.broken(ctx, moved); refusal != nil {
@@ -77,6 +79,7 @@
 	}
 	now := time.Now()
 	if f.record.Events == 0 {
+		f.firstAt = now
 		f.record.First = now.Sub(f.call.Arrived)
 		f.seat.Resize(f.load(false))
 	} else {
@@ -164,15 +167,7 @@
 	if f.leg != nil {
 		f.leg.close()
 	}
-	f.leg = newLeg(f.relay.Group, a.Body)
-}
-
-// departure is a run that was stopped and can go on at another engine.
-type departure struct {
-	to   *backs.Server
-	seat *seats.Seat
-	copy Copy
-	err  error
+	f.leg = newLeg(f.relay.Group, a.Body, a.Framed)
 }
 
 // follow goes on at the engine that holds the copy.
@@ -182,16 +177,14 @@
 	f.leg.close()
 	f.seat.Release()
 	f.spare.Release()
-	f.seat = d.seat
-	f.backup = nil
-	if !f.relay.Budget.Spend(f.service.Name, time.Now()) {
-		return refuse.New(refuse.ServerDied, "the retry budget is used up").With(refuse.RanPartial)
-	}
+	f.seat, f.backup = d.seat, nil
 	f.pickBackup(d.to)
-	a, err := f.open(ctx, d.to, d.copy)
-	if err == nil && (a.Status != http.StatusOK || a.NotRun) {
-		_ = a.Body.Close()
-		err = &SendError{Err: errors.New(http.StatusText(a.Status))}
+	err := f.goOn(ctx, d.to, d.copy)
+	if err == nil {
+		f.forget(from, d.then)
+	} else if d.then != nil {
+		f.log("backup of no use", zap.String("server", string(d.to.ID)), zap.Error(err))
+		err = f.goOnLate(ctx, from, d, err)
 	}
 	if err != nil {
 		f.log("stream did not go on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)),
@@ -200,10 +193,60 @@
 	}
 	f.record.Moves++
 	f.log("stream goes on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)), zap.String("last-event", f.lastID))
+	return nil
+}
+
+// goOn sends the call to an engine with the cache to go on from.
+func (f *flight) goOn(ctx context.Context, to *backs.Server, c Copy) error {
+	if !f.relay.Budget.Spend(f.service.Name, time.Now()) {
+		return errBudget
+	}
+	a, err := f.open(ctx, to, c)
+	if err != nil {
+		return err
+	}
+	if a.Status != http.StatusOK || a.NotRun {
+		_ = a.Body.Close()
+		return trace.Errorf("status %d", a.Status)
+	}
 	f.attach(a)
 	return nil
 }
 
+var errBudget = errors.New("relay: the retry budget is used up")
+
+// goOnLate waits for the copy of the order that stopped the run.
+func (f *flight) goOnLate(ctx context.Context, from *backs.Server, d departure, err error) error {
+	select {
+	case o := <-d.then:
+		if o.err != nil {
+			return trace.NewAggregate(err, o.err)
+		}
+		return f.goOn(ctx, d.to, Copy{At: from.Addr, ID: o.moved.Handle})
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// forget frees the copy of the order that stopped the run.
+func (f *flight) forget(from *backs.Server, then <-chan stopped) {
+	if then == nil {
+		return
+	}
+	f.relay.Group.Go(func() error {
+		o := <-then
+		if o.err != nil {
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), freeTime)
+		defer cancel()
+		if err := f.relay.Backend.Free(ctx, from, o.moved.Handle); err != nil {
+			f.log("copy not freed", zap.String("server", string(from.ID)), zap.Error(err))
+		}
+		return nil
+	})
+}
+
 // drain forwards what a stopped run still sends.
 func (f *flight) drain(ctx context.Context) {
 	end := time.NewTimer(tailTime)
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -23,16 +23,17 @@
 // flight is one stream on its way.
 type flight struct {
 	*task
-	tried  map[ident.Server]bool
-	server *backs.Server
-	seat   *seats.Seat
-	backup *backs.Server
-	spare  *seats.Seat
-	leg    *leg
-	lastID string
-	ran    refuse.Ran
-	begun  bool // the head was written to the client
-	lastAt time.Time
+	tried   map[ident.Server]bool
+	server  *backs.Server
+	seat    *seats.Seat
+	backup  *backs.Server
+	spare   *seats.Seat
+	leg     *leg
+	lastID  string
+	ran     refuse.Ran
+	begun   bool      // the head was written to the client
+	firstAt time.Time // of the first event
+	lastAt  time.Time
 }
 
 func (t *task) stream(ctx context.Context) *refuse.Refusal {
