Do not go on with a stream that ended while its run was being stopped

Change: a stream that came whole is complete, whatever was ordered. Beside it, copies prefer the engine's own failure domain.

--- a/internal/peer/gossip/codec.go
+++ b/internal/peer/gossip/codec.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/seats"
 )
 
@@ -15,7 +16,8 @@
 	Boot    uint64 // of the process; a later one replaces all that was told before
 	Seq     uint64 // of the message within its boot
 	Loads   map[ident.Server]seats.Load
-	Leaving []ident.Server // servers seen to leave lately
+	Sent    map[ident.Service]retry.Sent // in the window of the retry budget
+	Leaving []ident.Server               // servers seen to leave lately
 }
 
 // Field numbers of a message and of a load in it.
@@ -25,11 +27,16 @@
 	fieldSeq     = 3
 	fieldLoad    = 4
 	fieldLeaving = 5
+	fieldSent    = 6
 
 	loadServer  = 1
 	loadSeats   = 2
 	loadTokens  = 3
 	loadBacklog = 4
+
+	sentService = 1
+	sentFirst   = 2
+	sentAgain   = 3
 )
 
 // Encode returns the message.
@@ -41,6 +48,10 @@
 		b = protowire.AppendTag(b, fieldLoad, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeLoad(id, l))
 	}
+	for name, n := range s.Sent {
+		b = protowire.AppendTag(b, fieldSent, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeSent(name, n))
+	}
 	for _, id := range s.Leaving {
 		b = appendString(b, fieldLeaving, string(id))
 	}
@@ -54,6 +65,12 @@
 	return appendNumber(b, loadBacklog, uint64(l.Backlog))
 }
 
+func encodeSent(name ident.Service, n retry.Sent) []byte {
+	b := appendString(nil, sentService, string(name))
+	b = appendNumber(b, sentFirst, uint64(n.First))
+	return appendNumber(b, sentAgain, uint64(n.Again))
+}
+
 func appendString(b []byte, n protowire.Number, s string) []byte {
 	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
 }
@@ -64,7 +81,7 @@
 
 // Decode reads a message. Fields it does not know are passed over.
 func Decode(b []byte) (*State, error) {
-	s := &State{Loads: make(map[ident.Server]seats.Load)}
+	s := &State{Loads: make(map[ident.Server]seats.Load), Sent: make(map[ident.Service]retry.Sent)}
 	err := fields(b, func(n protowire.Number, text []byte, v uint64) error {
 		switch n {
 		case fieldVM:
@@ -79,6 +96,12 @@
 				return err
 			}
 			s.Loads[id] = l
+		case fieldSent:
+			name, n, err := decodeSent(text)
+			if err != nil {
+				return err
+			}
+			s.Sent[name] = n
 		case fieldLeaving:
 			s.Leaving = append(s.Leaving, ident.Server(text))
 		}
@@ -109,6 +132,23 @@
 	return id, l, err
 }
 
+func decodeSent(b []byte) (ident.Service, retry.Sent, error) {
+	var name ident.Service
+	var sent retry.Sent
+	err := fields(b, func(n protowire.Number, text []byte, v uint64) error {
+		switch n {
+		case sentService:
+			name = ident.Service(text)
+		case sentFirst:
+			sent.First = int(v)
+		case sentAgain:
+			sent.Again = int(v)
+		}
+		return nil
+	})
+	return name, sent, err
+}
+
 // fields calls f for each field of a message, with its text or its number.
 func fields(b []byte, f func(n protowire.Number, text []byte, v uint64) error) error {
 	for len(b) > 0 {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/seats"
 )
 
@@ -29,6 +30,7 @@
 // Local is what this VM tells, and where it puts what others tell.
 type Local interface {
 	Loads() map[ident.Server]seats.Load
+	Sent(now time.Time) map[ident.Service]retry.Sent
 	Leaving(now time.Time) []ident.Server
 	// Hear takes another VM's state.
 	Hear(s *State, now time.Time)
@@ -83,7 +85,15 @@
 		return
 	}
 	g.seq++
-	s := State{VM: g.vm, Boot: g.boot, Seq: g.seq, Loads: g.local.Loads(), Leaving: g.local.Leaving(time.Now())}
+	now := time.Now()
+	s := State{
+		VM:      g.vm,
+		Boot:    g.boot,
+		Seq:     g.seq,
+		Loads:   g.local.Loads(),
+		Sent:    g.local.Sent(now),
+		Leaving: g.local.Leaving(now),
+	}
 	b := s.Encode()
 	for _, a := range others {
 		if _, err := g.conn.WriteToUDPAddrPort(b, a); err != nil {
--- a/internal/policy/fit/fit.go
+++ b/internal/policy/fit/fit.go
@@ -8,14 +8,17 @@
 	// more than the sum of their ends.
 	Full = 1.25
 	// Spare is the share up to which copies kept for a loss may fill it.
-	Spare = 0.8
-	// seatWeight, backlogWeight and farWeight order engines that have room: a full
+	Spare = 1.05
+	// seatWeight, backlogWeight and FarCall order engines that have room: a full
 	// batch doubles a step; a backlog of a tenth of the memory, 250 ms of
 	// reading, weighs as a quarter of the memory; the way to another failure
 	// domain takes a millisecond.
 	seatWeight    = 0.5
 	backlogWeight = 2.5
-	farWeight     = 0.02
+	FarCall       = 0.02
+	// FarCopy is the weight of the way to another failure domain for a copy of a
+	// cache, which takes twice as long there.
+	FarCopy = 0.2
 	// drawWeight spreads the choices of VMs that know the same.
 	drawWeight = 0.02
 )
@@ -34,14 +37,15 @@
 
 // Choose returns the server with the lowest cost for a generation that needs
 // need tokens in an engine filled up to share at most, or -1 if none has room.
-func Choose(need int, share float64, servers []Server, rng *rand.Rand) int {
+// The weight of the way to another failure domain is far.
+func Choose(need int, share, far float64, servers []Server, rng *rand.Rand) int {
 	best, cost := -1, 0.0
 	for i := range servers {
 		s := &servers[i]
 		if s.Skip || !s.room(need, share) {
 			continue
 		}
-		if c := s.cost(need) + drawWeight*rng.Float64(); best < 0 || c < cost {
+		if c := s.cost(need, far) + drawWeight*rng.Float64(); best < 0 || c < cost {
 			best, cost = i, c
 		}
 	}
@@ -52,12 +56,12 @@
 	return s.Seats < s.Slots && float64(s.Tokens+need) <= share*float64(s.Memory)
 }
 
-func (s *Server) cost(need int) float64 {
+func (s *Server) cost(need int, far float64) float64 {
 	c := float64(s.Tokens+need)/float64(s.Memory) +
 		seatWeight*float64(s.Seats)/float64(s.Slots) +
 		backlogWeight*float64(s.Backlog)/float64(s.Memory)
 	if s.Far {
-		c += farWeight
+		c += far
 	}
 	return c / max(s.Weight, 0.05)
 }
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -14,19 +14,43 @@
 	// safety is the share of the allowance that is used: VMs that die take the
 	// memory of what they spent with them.
 	safety = 0.8
+	// leastVMs is how many VMs at least are taken to share the extra while not
+	// all are heard: one that starts knows none, and each would take the whole.
+	leastVMs = 12
 )
 
-// Window is this VM's part of a budget that all VMs share: in any window, the
-// calls sent beyond the first sending of each stay under a share of the first
-// ones and an extra. It is safe for use by several goroutines.
+// Window is a budget that all VMs share: in any window, the calls sent beyond
+// the first sending of each stay under a share of the first ones and an extra.
+//
+// VMs tell each other what they sent. A VM that hears all others spends from
+// what is left of the whole; one that does not keeps to its part of the extra
+// and to its own first sendings. It is safe for use by several goroutines.
 type Window struct {
 	ratio float64
 	extra float64
 	span  time.Duration
-	vms   func() int
+	peers Peers
 
 	mu       sync.Mutex
 	services map[ident.Service]*spans
+	heard    map[ident.VM]told
+}
+
+// Peers tells how many other VMs there are, by all that is known, and how many
+// of them were heard lately.
+type Peers interface {
+	Others() (known, heard int)
+}
+
+// Sent counts the sendings of a VM in a window.
+type Sent struct {
+	First int
+	Again int
+}
+
+type told struct {
+	at   time.Time
+	sent map[ident.Service]Sent
 }
 
 type spans struct {
@@ -35,9 +59,58 @@
 	again [slots + 1]int
 }
 
-// NewWindow makes a budget; vms returns how many VMs share the extra.
-func NewWindow(ratio, extra float64, span time.Duration, vms func() int) *Window {
-	return &Window{ratio: ratio, extra: extra, span: span, vms: vms, services: make(map[ident.Service]*spans)}
+// NewWindow makes a budget.
+func NewWindow(ratio, extra float64, span time.Duration, peers Peers) *Window {
+	return &Window{
+		ratio:    ratio,
+		extra:    extra,
+		span:     span,
+		peers:    peers,
+		services: make(map[ident.Service]*spans),
+		heard:    make(map[ident.VM]told),
+	}
+}
+
+// Hear takes what another VM sent in the window before now.
+func (w *Window) Hear(vm ident.VM, sent map[ident.Service]Sent, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard[vm] = told{at: now, sent: sent}
+}
+
+// Sent returns what this VM sent in the window before now.
+func (w *Window) Sent(now time.Time) map[ident.Service]Sent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[ident.Service]Sent, len(w.services))
+	for s := range w.services {
+		out[s] = w.turn(s, now).sum()
+	}
+	return out
+}
+
+// others sums what the other VMs sent. A VM that fell silent counts until what
+// it sent has left the window.
+func (w *Window) others(s ident.Service, now time.Time) Sent {
+	var sum Sent
+	for vm, t := range w.heard {
+		if now.Sub(t.at) > w.span {
+			delete(w.heard, vm)
+			continue
+		}
+		sum.First += t.sent[s].First
+		sum.Again += t.sent[s].Again
+	}
+	return sum
+}
+
+func (p *spans) sum() Sent {
+	var sum Sent
+	for i := range p.first {
+		sum.First += p.first[i]
+		sum.Again += p.again[i]
+	}
+	return sum
 }
 
 // Earn notes the first sending of a call.
@@ -53,13 +126,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.turn(s, now)
-	first, again := 0, 0
-	for i := range p.first {
-		first += p.first[i]
-		again += p.again[i]
+	own := p.sum()
+	extra, others := w.extra, w.others(s, now)
+	if known, heard := w.peers.Others(); heard < known || known == 0 {
+		// What a silent VM sends isn't known.
+		extra /= float64(max(known+1, leastVMs))
+		others = Sent{}
 	}
-	allowed := safety * (w.ratio*float64(first) + w.extra/float64(max(w.vms(), 1)))
-	if float64(again+1) > allowed {
+	left := safety*(w.ratio*float64(own.First+others.First)+extra) - float64(others.Again)
+	if float64(own.Again+1) > left {
 		return false
 	}
 	p.again[p.at%(slots+1)]++
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -71,6 +71,7 @@
 	follow   *follow.Settings
 	discover *follow.Servers
 	peers    *peers.Peers
+	budget   *retry.Window
 	front    *front.Server
 	stopping atomic.Bool
 }
@@ -86,6 +87,7 @@
 		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
 	v.servers = backs.NewTable(v.seats.Touch)
+	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, log)
 	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, log)
 	r := relay.New(relay.Parts{
@@ -94,7 +96,7 @@
 		Refresh:  v.follow,
 		Servers:  v.servers,
 		Seats:    v.seats,
-		Budget:   retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v.vms),
+		Budget:   v.budget,
 		Health:   relay.NewHealth(),
 		Backend:  ports.Backend,
 		Clock:    awake.Now,
@@ -108,11 +110,10 @@
 	return v
 }
 
-// leastVMs is how many VMs at least are taken to share a budget: while the
-// others are not known yet, each would take the whole.
-const leastVMs = 12
-
-func (v *VM) vms() int { return max(v.seats.Peers(time.Now())+1, leastVMs) }
+// Others implements retry.Peers.
+func (v *VM) Others() (known, heard int) {
+	return len(v.peers.Others()), v.seats.Peers(time.Now())
+}
 
 func (v *VM) limits() front.Limits {
 	s := v.settings.Load()
--- a/internal/route/relay/depart.go
+++ b/internal/route/relay/depart.go
@@ -22,9 +22,11 @@
 	moveTime = 1500 * time.Millisecond
 	// stopTime bounds the order that stops a run at an engine that may be dead.
 	stopTime = 250 * time.Millisecond
-	// backupLag is how long after its first event the copy of a run is taken to
-	// be at its backup: engines send it several times a second.
-	backupLag = 500 * time.Millisecond
+	// handDelay is how long after a notice the streams with a backup leave. The
+	// order that stops them takes the engine's link for 0.2 s each, which until
+	// then is free for those without; and young runs reach their backup by then.
+	// The shortest notice is 1.5 s.
+	handDelay = 700 * time.Millisecond
 	// busyPause is the pause before an order is given again to an engine that is
 	// at another for the same run.
 	busyPause = 50 * time.Millisecond
@@ -54,10 +56,12 @@
 		return nil
 	}
 	done := make(chan departure, 1)
-	from, l, backup, ripe := f.server, f.leg, f.backup, f.firstAt.Add(backupLag)
+	from, l, backup := f.server, f.leg, f.backup
 	f.relay.Group.Go(func() error {
 		if backup != nil && !leaves(backup) {
-			retry.Pause(ctx, time.Until(ripe))
+			retry.Pause(ctx, handDelay)
+		}
+		if backup != nil && !leaves(backup) {
 			done <- f.hand(ctx, from, l, backup)
 			return nil
 		}
@@ -118,7 +122,7 @@
 	skip := map[ident.Server]bool{from.ID: true}
 	err := errors.New("no engine has room")
 	for range moveTries {
-		to, _ := f.pick(skip, fit.Full, f.need())
+		to, _ := f.pick(skip, fit.Full, fit.FarCopy, from.Domain)
 		if to == nil {
 			break
 		}
@@ -169,7 +173,7 @@
 		}
 	}
 	b := f.backup
-	if b == nil {
+	if b == nil || leaves(b) {
 		return departure{err: errors.New("no copy is kept of the run")}
 	}
 	return departure{to: b, seat: f.relay.Seats.Take(b.ID, f.load(false)), copy: Copy{At: b.Addr, ID: string(f.call.ID)}}
@@ -182,7 +186,7 @@
 	defer cancel()
 	to := f.backup
 	if to == nil {
-		if to, _ = f.pick(map[ident.Server]bool{f.server.ID: true}, fit.Full, f.need()); to == nil {
+		if to, _ = f.pick(map[ident.Server]bool{f.server.ID: true}, fit.Full, fit.FarCopy, f.server.Domain); to == nil {
 			return departure{err: errors.New("no engine has room")}
 		}
 	}
--- a/internal/route/relay/pump.go
+++ b/internal/route/relay/pump.go
@@ -26,7 +26,7 @@
 
 // pump passes events on until the stream is whole or lost.
 func (f *flight) pump(ctx context.Context) *refuse.Refusal {
-	leave := f.server.Leave()
+	leave, bare := f.watch()
 	var moved <-chan departure
 	for {
 		select {
@@ -43,26 +43,54 @@
 			if refusal := f.broken(ctx, moved); refusal != nil {
 				return refusal
 			}
-			leave, moved = f.server.Leave(), nil
+			if f.ended() {
+				return f.complete()
+			}
+			leave, bare = f.watch()
+			moved = nil
 		case <-leave:
-			leave = nil
-			moved = f.depart(ctx)
+			leave, bare = nil, nil
+			if moved == nil {
+				moved = f.depart(ctx)
+			}
+		case <-bare:
+			bare = nil
+			if moved == nil {
+				f.log("backup lost", zap.String("server", string(f.backup.ID)))
+				moved = f.depart(ctx)
+			}
 		case d := <-moved:
 			moved = nil
 			if d.err != nil {
-				f.log("stream stays at a leaving engine", zap.String("server", string(f.server.ID)), zap.Error(d.err))
+				if leaves(f.server) && leave != nil {
+					// It began to leave while the departure for want of a backup failed.
+					continue
+				}
+				f.log("stream stays", zap.String("server", string(f.server.ID)), zap.Error(d.err))
 				continue
 			}
 			if refusal := f.follow(ctx, d); refusal != nil {
 				return refusal
 			}
-			leave = f.server.Leave()
+			if f.ended() {
+				return f.complete()
+			}
+			leave, bare = f.watch()
 		case <-ctx.Done():
 			return f.over(ctx, refuse.RanPartial)
 		}
 	}
 }
 
+// watch returns the channels that are closed once the stream's engine leaves,
+// and once the engine that keeps its backup does.
+func (f *flight) watch() (leave, bare <-chan struct{}) {
+	if f.backup == nil {
+		return f.server.Leave(), nil
+	}
+	return f.server.Leave(), f.backup.Leave()
+}
+
 func (f *flight) complete() *refuse.Refusal {
 	if err := f.reply.End(); err != nil {
 		return refuse.New(refuse.CallerLeft, "the end could not be written: %v", err).With(refuse.RanPartial)
@@ -173,6 +201,11 @@
 // follow goes on at the engine that holds the copy.
 func (f *flight) follow(ctx context.Context, d departure) *refuse.Refusal {
 	f.drain(ctx)
+	if f.ended() {
+		d.seat.Release()
+		f.forget(f.server, d.then)
+		return nil
+	}
 	from := f.server
 	f.leg.close()
 	f.seat.Release()
@@ -196,6 +229,17 @@
 	return nil
 }
 
+// ended reports whether the stream is complete. A run that was to be stopped may
+// have ended by itself, and going on would send its end twice.
+func (f *flight) ended() bool {
+	select {
+	case <-f.leg.done:
+	default:
+		return false
+	}
+	return f.leg.framed && errors.Is(f.leg.err, io.EOF)
+}
+
 // goOn sends the call to an engine with the cache to go on from.
 func (f *flight) goOn(ctx context.Context, to *backs.Server, c Copy) error {
 	if !f.relay.Budget.Spend(f.service.Name, time.Now()) {
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -184,7 +184,7 @@
 	}
 	for {
 		changed := f.relay.Seats.Changed()
-		s, any := f.pick(f.tried, fit.Full, f.need())
+		s, any := f.pick(f.tried, fit.Full, fit.FarCall, f.relay.Config.Domain)
 		if s != nil {
 			f.seat = f.relay.Seats.Take(s.ID, f.load(true))
 			f.pickBackup(s)
@@ -211,8 +211,9 @@
 	return l
 }
 
-// pick chooses an engine with room; any reports whether there is an engine at all.
-func (f *flight) pick(skip map[ident.Server]bool, share float64, need int) (s *backs.Server, any bool) {
+// pick chooses an engine with room, by its distance from a failure domain; any
+// reports whether there is an engine at all.
+func (f *flight) pick(skip map[ident.Server]bool, share, far float64, from ident.Domain) (s *backs.Server, any bool) {
 	now := time.Now()
 	list := f.relay.Servers.View().Service(f.service.Name)
 	loads := f.relay.Seats.All(now)
@@ -225,13 +226,13 @@
 			Seats:   l.Seats,
 			Tokens:  l.Tokens,
 			Backlog: l.Backlog,
-			Far:     s.Domain != f.relay.Config.Domain,
+			Far:     s.Domain != from,
 			Weight:  f.relay.Health.Weight(s.ID, now),
 			Skip:    skip[s.ID],
 		}
 		any = any || !skip[s.ID]
 	}
-	if i := fit.Choose(need, share, servers, random()); i >= 0 {
+	if i := fit.Choose(f.need(), share, far, servers, random()); i >= 0 {
 		return list[i], true
 	}
 	return nil, any
@@ -252,7 +253,7 @@
 	if e == nil || !e.Backups || f.route.Resumable || f.route.Kind != call.Stream {
 		return
 	}
-	b, _ := f.pick(map[ident.Server]bool{s.ID: true}, fit.Spare, f.need())
+	b, _ := f.pick(map[ident.Server]bool{s.ID: true}, fit.Spare, fit.FarCopy, s.Domain)
 	if b == nil {
 		return
 	}
