Let two VMs watch the store and tell the others

Change: the first two VMs of an order that all agree on watch; they tell what changes with their loads, with the revisions that it covers, so that a VM that misses some reads all anew. The age of the settings is asked of a VM that watches, and reckoned from the moment of the question. A VM that is not told for 0.9 s watches itself.

--- a/internal/peer/gossip/codec.go
+++ b/internal/peer/gossip/codec.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/gravitational/trace"
@@ -8,6 +10,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/seats"
+	"umberladder/internal/state/follow"
 )
 
 // State is what one VM tells.
@@ -18,6 +21,20 @@
 	Loads   map[ident.Server]seats.Load
 	Sent    map[ident.Service]retry.Sent // in the window of the retry budget
 	Leaving []ident.Server               // servers seen to leave lately
+	Version uint64                       // of the settings in force
+	Asks    bool                         // the VM asks the store for changes
+	Age     time.Duration                // since the store answered it
+	News    *follow.News                 // changes of servers; nil: none are told
+	// Ask and Reply are of messages that hold nothing else.
+	Ask   uint64 // moment of the asking VM's clock, sent back in the reply; zero: none
+	Reply *Reply
+}
+
+// Reply says at which moment a version of the settings was the newest.
+type Reply struct {
+	Ask     uint64
+	Version uint64
+	Age     time.Duration // of that moment, when the reply was made
 }
 
 // Field numbers of a message and of a load in it.
@@ -28,6 +45,12 @@
 	fieldLoad    = 4
 	fieldLeaving = 5
 	fieldSent    = 6
+	fieldVersion = 7
+	fieldAsks    = 8
+	fieldAge     = 9
+	fieldNews    = 10
+	fieldAsk     = 11
+	fieldReply   = 12
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -35,6 +58,10 @@
 	loadBacklog = 4
 	loadCopies  = 5
 
+	replyAsk     = 1
+	replyVersion = 2
+	replyAge     = 3
+
 	sentService = 1
 	sentFirst   = 2
 	sentAgain   = 3
@@ -46,19 +73,37 @@
 	b = appendNumber(b, fieldBoot, s.Boot)
 	b = appendNumber(b, fieldSeq, s.Seq)
 	for id, l := range s.Loads {
-		b = protowire.AppendTag(b, fieldLoad, protowire.BytesType)
-		b = protowire.AppendBytes(b, encodeLoad(id, l))
+		b = appendBytes(b, fieldLoad, encodeLoad(id, l))
 	}
 	for name, n := range s.Sent {
-		b = protowire.AppendTag(b, fieldSent, protowire.BytesType)
-		b = protowire.AppendBytes(b, encodeSent(name, n))
+		b = appendBytes(b, fieldSent, encodeSent(name, n))
 	}
 	for _, id := range s.Leaving {
 		b = appendString(b, fieldLeaving, string(id))
 	}
+	b = appendNumber(b, fieldVersion, s.Version)
+	if s.Asks {
+		b = appendNumber(b, fieldAsks, 1)
+		b = appendNumber(b, fieldAge, uint64(s.Age))
+	}
+	if s.News != nil {
+		b = appendBytes(b, fieldNews, encodeNews(s.News))
+	}
+	if s.Ask != 0 {
+		b = appendNumber(b, fieldAsk, s.Ask)
+	}
+	if s.Reply != nil {
+		b = appendBytes(b, fieldReply, s.Reply.encode())
+	}
 	return b
 }
 
+func (r *Reply) encode() []byte {
+	b := appendNumber(nil, replyAsk, r.Ask)
+	b = appendNumber(b, replyVersion, r.Version)
+	return appendNumber(b, replyAge, uint64(r.Age))
+}
+
 func encodeLoad(id ident.Server, l seats.Load) []byte {
 	b := appendString(nil, loadServer, string(id))
 	b = appendNumber(b, loadSeats, uint64(l.Seats))
@@ -77,6 +122,10 @@
 	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
 }
 
+func appendBytes(b []byte, n protowire.Number, p []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), p)
+}
+
 func appendNumber(b []byte, n protowire.Number, v uint64) []byte {
 	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
 }
@@ -84,37 +133,67 @@
 // Decode reads a message. Fields it does not know are passed over.
 func Decode(b []byte) (*State, error) {
 	s := &State{Loads: make(map[ident.Server]seats.Load), Sent: make(map[ident.Service]retry.Sent)}
-	err := fields(b, func(n protowire.Number, text []byte, v uint64) error {
-		switch n {
-		case fieldVM:
-			s.VM = ident.VM(text)
-		case fieldBoot:
-			s.Boot = v
-		case fieldSeq:
-			s.Seq = v
-		case fieldLoad:
-			id, l, err := decodeLoad(text)
-			if err != nil {
-				return err
-			}
-			s.Loads[id] = l
-		case fieldSent:
-			name, n, err := decodeSent(text)
-			if err != nil {
-				return err
-			}
-			s.Sent[name] = n
-		case fieldLeaving:
-			s.Leaving = append(s.Leaving, ident.Server(text))
-		}
-		return nil
-	})
+	err := fields(b, s.take)
 	if err == nil && s.VM == "" {
 		err = trace.BadParameter("the message names no VM")
 	}
 	return s, trace.Wrap(err)
 }
 
+// take maps one field of a message.
+func (s *State) take(n protowire.Number, text []byte, v uint64) error {
+	var err error
+	switch n {
+	case fieldVM:
+		s.VM = ident.VM(text)
+	case fieldBoot:
+		s.Boot = v
+	case fieldSeq:
+		s.Seq = v
+	case fieldLoad:
+		var id ident.Server
+		var l seats.Load
+		id, l, err = decodeLoad(text)
+		s.Loads[id] = l
+	case fieldSent:
+		var name ident.Service
+		var sent retry.Sent
+		name, sent, err = decodeSent(text)
+		s.Sent[name] = sent
+	case fieldLeaving:
+		s.Leaving = append(s.Leaving, ident.Server(text))
+	case fieldVersion:
+		s.Version = v
+	case fieldAsks:
+		s.Asks = v != 0
+	case fieldAge:
+		s.Age = time.Duration(v)
+	case fieldNews:
+		s.News, err = decodeNews(text)
+	case fieldAsk:
+		s.Ask = v
+	case fieldReply:
+		s.Reply, err = decodeReply(text)
+	}
+	return err
+}
+
+func decodeReply(b []byte) (*Reply, error) {
+	r := &Reply{}
+	err := fields(b, func(n protowire.Number, _ []byte, v uint64) error {
+		switch n {
+		case replyAsk:
+			r.Ask = v
+		case replyVersion:
+			r.Version = v
+		case replyAge:
+			r.Age = time.Duration(v)
+		}
+		return nil
+	})
+	return r, err
+}
+
 func decodeLoad(b []byte) (ident.Server, seats.Load, error) {
 	var id ident.Server
 	var l seats.Load
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -10,8 +10,6 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
-	"umberladder/internal/policy/retry"
-	"umberladder/internal/route/seats"
 )
 
 const (
@@ -29,11 +27,17 @@
 
 // Local is what this VM tells, and where it puts what others tell.
 type Local interface {
-	Loads() map[ident.Server]seats.Load
-	Sent(now time.Time) map[ident.Service]retry.Sent
-	Leaving(now time.Time) []ident.Server
+	// Tell fills in what this VM tells of itself.
+	Tell(s *State, now time.Time)
 	// Hear takes another VM's state.
-	Hear(s *State, now time.Time)
+	Hear(s *State, from netip.AddrPort, now time.Time)
+	// Ask returns whom to ask for the age of the settings, and this VM's clock;
+	// not valid: nobody.
+	Ask(now time.Time) (netip.AddrPort, uint64)
+	// Answer answers another VM's question.
+	Answer(ask uint64) Reply
+	// Learn takes the answer to this VM's question.
+	Learn(r Reply)
 	// Dirty has an element once there is something new to tell.
 	Dirty() <-chan struct{}
 	// Others returns the other VMs' addresses.
@@ -69,6 +73,7 @@
 			_ = g.conn.Close()
 			return
 		case <-t.C:
+			g.ask()
 		case <-g.local.Dirty():
 		}
 		others := g.local.Others()
@@ -85,15 +90,8 @@
 		return
 	}
 	g.seq++
-	now := time.Now()
-	s := State{
-		VM:      g.vm,
-		Boot:    g.boot,
-		Seq:     g.seq,
-		Loads:   g.local.Loads(),
-		Sent:    g.local.Sent(now),
-		Leaving: g.local.Leaving(now),
-	}
+	s := State{VM: g.vm, Boot: g.boot, Seq: g.seq}
+	g.local.Tell(&s, time.Now())
 	b := s.Encode()
 	for _, a := range others {
 		if _, err := g.conn.WriteToUDPAddrPort(b, a); err != nil {
@@ -102,6 +100,34 @@
 	}
 }
 
+// ask asks one VM for the age of the settings.
+func (g *Gossip) ask() {
+	to, clock := g.local.Ask(time.Now())
+	if to.IsValid() {
+		g.write(State{VM: g.vm, Ask: clock}, to)
+	}
+}
+
+func (g *Gossip) write(s State, to netip.AddrPort) {
+	if _, err := g.conn.WriteToUDPAddrPort(s.Encode(), to); err != nil {
+		g.log.Debug("message not sent", zap.Stringer("to", to), zap.Error(err))
+	}
+}
+
+// take sorts a message by what it holds.
+func (g *Gossip) take(s *State, from netip.AddrPort) {
+	switch {
+	case s.VM == g.vm:
+	case s.Ask != 0:
+		r := g.local.Answer(s.Ask)
+		g.write(State{VM: g.vm, Reply: &r}, from)
+	case s.Reply != nil:
+		g.local.Learn(*s.Reply)
+	default:
+		g.local.Hear(s, from, time.Now())
+	}
+}
+
 // Receive takes what others tell until the socket is closed.
 func (g *Gossip) Receive(ctx context.Context) {
 	buf := make([]byte, maxMessage)
@@ -118,8 +144,6 @@
 			g.log.Warn("message not readable", zap.Stringer("from", from), zap.Error(err))
 			continue
 		}
-		if s.VM != g.vm {
-			g.local.Hear(s, time.Now())
-		}
+		g.take(s, from)
 	}
 }
--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -1,40 +1,131 @@
 package edge
 
 import (
+	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
-	"umberladder/internal/core/ident"
+	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/gossip"
-	"umberladder/internal/policy/retry"
-	"umberladder/internal/route/seats"
+)
+
+const (
+	// settingsAge is the age of the settings up to which a VM waits to be told. It
+	// leaves time to read them before keys can't be served.
+	settingsAge = 2500 * time.Millisecond
+	// newsAge is how long ago news of servers must have come for a VM to wait for
+	// more.
+	newsAge = 900 * time.Millisecond
 )
 
 // local is what the VM tells the others. It implements gossip.Local.
-type local struct{ vm *VM }
+type local struct {
+	vm *VM
+	// ctx ends with the VM.
+	ctx context.Context
+}
 
-// Loads implements gossip.Local.
-func (l *local) Loads() map[ident.Server]seats.Load { return l.vm.seats.Own() }
+// settingsTold reports whether other VMs tell what changes in the settings.
+func (v *VM) settingsTold() bool {
+	return v.settings.Age() < settingsAge && v.watch.Told(time.Now())
+}
 
-// Sent implements gossip.Local.
-func (l *local) Sent(now time.Time) map[ident.Service]retry.Sent { return l.vm.budget.Sent(now) }
+// serversTold reports whether other VMs tell what changes among the servers.
+func (v *VM) serversTold() bool {
+	now := time.Now()
+	return now.Sub(v.discover.Heard()) < newsAge && v.watch.Told(now)
+}
 
-// Leaving implements gossip.Local.
-func (l *local) Leaving(now time.Time) []ident.Server { return l.vm.servers.Leaving(now) }
+// Tell implements gossip.Local.
+func (l *local) Tell(s *gossip.State, now time.Time) {
+	v := l.vm
+	s.Loads = v.seats.Own()
+	s.Sent = v.budget.Sent(now)
+	s.Leaving = v.servers.Leaving(now)
+	if snap := v.settings.Load(); snap != nil {
+		s.Version = snap.Version
+	}
+	if v.serversTold() {
+		return
+	}
+	s.Asks = true
+	s.Age = v.discover.Answered(now)
+	if n, ok := v.discover.News(now); ok {
+		s.News = &n
+	}
+}
+
+// Hear implements gossip.Local.
+func (l *local) Hear(s *gossip.State, from netip.AddrPort, now time.Time) {
+	v := l.vm
+	age := s.Age
+	if !s.Asks {
+		age = -1
+	}
+	v.watch.Hear(s.VM, from, age, now)
+	v.budget.Hear(s.VM, s.Sent, now)
+	v.seats.Hear(s.VM, s.Boot, s.Seq, s.Loads, now)
+	if s.News != nil {
+		v.discover.Learn(*s.News, now)
+	}
+	for _, id := range v.servers.Hear(s.Leaving) {
+		v.log.Info("server leaves", zap.String("server", string(id)), zap.String("told-by", string(s.VM)))
+	}
+	if snap := v.settings.Load(); snap != nil && s.Version > snap.Version {
+		l.newer(s.Version)
+	}
+}
+
+// newer reads settings that another VM has already.
+func (l *local) newer(version uint64) {
+	if !l.vm.reading.CompareAndSwap(false, true) {
+		return
+	}
+	l.vm.group.Go(func() error {
+		defer l.vm.reading.Store(false)
+		l.vm.follow.Learn(l.ctx, version, 0)
+		return nil
+	})
+}
+
+// Ask implements gossip.Local.
+func (l *local) Ask(now time.Time) (netip.AddrPort, uint64) {
+	list := l.vm.watch.Watching(now)
+	if len(list) == 0 || !l.vm.watch.Told(now) {
+		return netip.AddrPort{}, 0
+	}
+	return list[rand.IntN(len(list))], uint64(awake.Now())
+}
+
+// Answer implements gossip.Local.
+func (l *local) Answer(ask uint64) gossip.Reply {
+	fresh := l.vm.settings.Fresh()
+	r := gossip.Reply{Ask: ask}
+	if snap := l.vm.settings.Load(); snap != nil {
+		r.Version, r.Age = snap.Version, awake.Now().Sub(fresh)
+	}
+	return r
+}
+
+// Learn implements gossip.Local. The other VM's settings were the newest Age
+// before it answered, and it answered after it was asked.
+func (l *local) Learn(r gossip.Reply) {
+	if r.Version == 0 || awake.Instant(r.Ask) > awake.Now() {
+		return
+	}
+	snap := l.vm.settings.Load()
+	if snap == nil || r.Version > snap.Version {
+		l.newer(r.Version)
+		return
+	}
+	l.vm.follow.Learn(l.ctx, r.Version, awake.Instant(r.Ask).Add(-r.Age))
+}
 
 // Dirty implements gossip.Local.
 func (l *local) Dirty() <-chan struct{} { return l.vm.seats.Dirty() }
 
 // Others implements gossip.Local.
 func (l *local) Others() []netip.AddrPort { return l.vm.peers.Others() }
-
-// Hear implements gossip.Local.
-func (l *local) Hear(s *gossip.State, now time.Time) {
-	l.vm.budget.Hear(s.VM, s.Sent, now)
-	l.vm.seats.Hear(s.VM, s.Boot, s.Seq, s.Loads, now)
-	for _, id := range l.vm.servers.Hear(s.Leaving) {
-		l.vm.log.Info("server leaves", zap.String("server", string(id)), zap.String("told-by", string(s.VM)))
-	}
-}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -71,7 +71,10 @@
 	follow   *follow.Settings
 	discover *follow.Servers
 	peers    *peers.Peers
+	watch    *peers.Watch
 	budget   *retry.Window
+	group    *errgroup.Group
+	reading  atomic.Bool // newer settings are being read
 	front    *front.Server
 	stopping atomic.Bool
 }
@@ -84,12 +87,14 @@
 		set:      metrics.NewSet(),
 		settings: routes.NewBook(awake.Now),
 		seats:    seats.New(),
+		watch:    peers.NewWatch(cfg.Name),
+		group:    group,
 		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
 	v.servers = backs.NewTable(v.seats.Touch)
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
-	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, log)
-	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, log)
+	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, log)
+	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, log)
 	r := relay.New(relay.Parts{
 		Config:   relay.Config{Domain: cfg.Domain, Revoke: cfg.Revoke},
 		Settings: v.settings,
@@ -141,7 +146,7 @@
 	if err := v.serveSide(ctx, group); err != nil {
 		return trace.Wrap(err)
 	}
-	g, err := gossip.New(v.cfg.Name, uint64(time.Now().UnixNano()), v.cfg.Peers, &local{v}, v.log)
+	g, err := gossip.New(v.cfg.Name, uint64(time.Now().UnixNano()), v.cfg.Peers, &local{vm: v, ctx: ctx}, v.log)
 	if err != nil {
 		return trace.Wrap(err, "/peers-address")
 	}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +20,8 @@
 	// a change has to be in force.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// toldPause is how often a VM that is told of changes looks whether it still is.
+	toldPause = 100 * time.Millisecond
 )
 
 // Revision counts the store's changes.
@@ -35,6 +38,12 @@
 	await func(ctx context.Context, after Revision, wait time.Duration, sent awake.Instant) (Revision, error)
 	lost  func(now time.Time)
 	back  func(now time.Time)
+	// known returns the revision up to which everything is known; zero: all has
+	// to be read.
+	known func() Revision
+	// told reports whether other VMs tell what changes, so that the store need
+	// not be asked.
+	told func() bool
 }
 
 // loop follows a source until ctx ends.
@@ -47,7 +56,7 @@
 
 func (l *loop) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		rev, err := l.read(ctx)
+		_, err := l.read(ctx)
 		if err != nil {
 			l.failed(ctx, "read", err)
 			retry.Pause(ctx, pause(n))
@@ -55,11 +64,16 @@
 		}
 		n = 0
 		l.recovered()
-		err = l.follow(ctx, rev)
-		l.failed(ctx, "wait", err)
+		err = l.follow(ctx)
+		if !errors.Is(err, errGap) {
+			l.failed(ctx, "wait", err)
+		}
 	}
 }
 
+// errGap says that changes were told of which some are missing.
+var errGap = errors.New("follow: some changes were not told")
+
 func pause(n int) time.Duration {
 	return min(firstPause<<min(n, 8), lastPause)
 }
@@ -71,8 +85,16 @@
 }
 
 // follow waits for changes until something fails.
-func (l *loop) follow(ctx context.Context, rev Revision) error {
-	for {
+func (l *loop) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if l.src.told() {
+			retry.Pause(ctx, toldPause)
+			continue
+		}
+		rev := l.src.known()
+		if rev == 0 {
+			return errGap
+		}
 		next, err := l.await(ctx, rev)
 		if err != nil {
 			return err
@@ -80,8 +102,8 @@
 		if next != rev && l.src.rest > 0 {
 			retry.Pause(ctx, l.src.rest)
 		}
-		rev = next
 	}
+	return ctx.Err()
 }
 
 func (l *loop) await(ctx context.Context, rev Revision) (Revision, error) {
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// serversWait is how long a wait for changes of servers is held.
-	serversWait = 2 * time.Second
+	// serversWait is how long a wait for changes of servers is held. Others take
+	// the place of a VM that the store has not answered for 0.9 s.
+	serversWait = 700 * time.Millisecond
 	// serversRest gathers the servers' heartbeats: at 16 servers with one each
 	// 1.2 s it cuts the calls of a VM from 13 to 5 a second. It is the longest
 	// time by which a leaving mark is seen later.
@@ -24,10 +25,18 @@
 
 // Change is one change of the servers' entries.
 type Change struct {
+	Rev   Revision
 	Entry backs.Entry // only the ID if Gone
 	Gone  bool
 }
 
+// News are the changes in a span of revisions, for VMs that do not ask the store.
+type News struct {
+	Base    Revision // of which the VM told must know at least
+	Rev     Revision // up to which the changes are complete
+	Changes []Change
+}
+
 // ServerSource reads the servers' entries in the store.
 type ServerSource interface {
 	Servers(ctx context.Context) ([]backs.Entry, Revision, error)
@@ -43,14 +52,103 @@
 	clock awake.Clock
 	log   *zap.Logger
 
-	mu    sync.Mutex
-	down  bool
-	until time.Time // entries missing before then may have lapsed in an outage
+	told func() bool
+
+	mu     sync.Mutex
+	down   bool
+	until  time.Time // entries missing before then may have lapsed in an outage
+	rev    Revision  // up to which everything is known
+	base   Revision  // from which recent is complete
+	recent []dated   // changes that are still told
+	heard  time.Time // when other VMs last told all that changed
+	okAt   time.Time // when the store last answered
+}
+
+// dated is a change and when it was seen.
+type dated struct {
+	Change
+	at time.Time
+}
+
+// newsTime is how long a change is told: three messages to each VM may be lost.
+const newsTime = 2 * time.Second
+
+// NewServers makes a follower of the servers. It asks the store while told
+// reports that other VMs do not tell what changes.
+func NewServers(src ServerSource, table *backs.Table, clock awake.Clock, told func() bool, log *zap.Logger) *Servers {
+	return &Servers{src: src, table: table, clock: clock, told: told, log: log}
+}
+
+// News returns what changed lately; nothing while the store does not answer.
+func (s *Servers) News(now time.Time) (News, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.rev == 0 {
+		return News{}, false
+	}
+	keep := 0
+	for keep < len(s.recent) && now.Sub(s.recent[keep].at) > newsTime {
+		s.base = s.recent[keep].Rev
+		keep++
+	}
+	s.recent = s.recent[keep:]
+	n := News{Base: s.base, Rev: s.rev}
+	for _, d := range s.recent {
+		n.Changes = append(n.Changes, d.Change)
+	}
+	return n, true
 }
 
-// NewServers makes a follower of the servers.
-func NewServers(src ServerSource, table *backs.Table, clock awake.Clock, log *zap.Logger) *Servers {
-	return &Servers{src: src, table: table, clock: clock, log: log}
+// Learn takes another VM's news. If some are missing, everything is read anew.
+func (s *Servers) Learn(n News, now time.Time) {
+	changes := s.news(n, now)
+	for _, c := range changes {
+		s.take(c)
+	}
+}
+
+// news returns the changes of n that are new, and notes that they are known.
+func (s *Servers) news(n News, now time.Time) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rev == 0 || n.Rev < s.rev {
+		return nil
+	}
+	if n.Base > s.rev {
+		s.rev = 0
+		return nil
+	}
+	var out []Change
+	for _, c := range n.Changes {
+		if c.Rev > s.rev {
+			out = append(out, c)
+		}
+	}
+	s.rev = n.Rev
+	s.heard = now
+	// What is told now was not seen in the store, so it is not told on.
+	s.base, s.recent = s.rev, nil
+	return out
+}
+
+// Answered returns how long ago the store last answered this VM.
+func (s *Servers) Answered(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.okAt)
+}
+
+// Heard returns when other VMs last told all that changed.
+func (s *Servers) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
+
+func (s *Servers) known() Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
 }
 
 // Run follows the servers until ctx ends.
@@ -63,6 +161,8 @@
 		await: s.await,
 		lost:  s.lost,
 		back:  s.back,
+		known: s.known,
+		told:  func() bool { return s.known() != 0 && s.told() },
 	}}
 	l.run(ctx)
 }
@@ -113,6 +213,9 @@
 	}
 	now := time.Now()
 	s.table.Replace(list, s.grace(now), now)
+	s.mu.Lock()
+	s.rev, s.base, s.recent, s.okAt = rev, rev, nil, now
+	s.mu.Unlock()
 	s.log.Info("servers read", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(rev)))
 	return rev, nil
 }
@@ -122,13 +225,26 @@
 	if err != nil {
 		return 0, err
 	}
+	now := time.Now()
 	for _, c := range changes {
-		s.take(c)
+		if s.take(c) {
+			s.note(c, now)
+		}
 	}
+	s.mu.Lock()
+	s.rev, s.okAt = rev, now
+	s.mu.Unlock()
 	return rev, nil
 }
 
-func (s *Servers) take(c Change) {
+func (s *Servers) note(c Change, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recent = append(s.recent, dated{Change: c, at: now})
+}
+
+// take applies a change and reports whether it says anything new.
+func (s *Servers) take(c Change) bool {
 	id := zap.String("server", string(c.Entry.ID))
 	if c.Gone {
 		now := time.Now()
@@ -137,10 +253,12 @@
 		if known {
 			s.log.Info("server entry removed", id)
 		}
-		return
+		return true
 	}
-	if s.table.Put(c.Entry) {
+	changed := s.table.Put(c.Entry)
+	if changed {
 		s.log.Info("server changed", id, zap.String("service", string(c.Entry.Service)),
 			zap.Stringer("address", c.Entry.Addr), zap.Bool("leaving", c.Entry.Leaving))
 	}
+	return changed
 }
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,12 +31,29 @@
 	book  *routes.Book
 	clock awake.Clock
 	log   *zap.Logger
+	told  func() bool
 	once  singleflight.Group
+	rev   atomic.Uint64
 }
 
-// NewSettings makes a follower of the settings.
-func NewSettings(src SettingsSource, book *routes.Book, clock awake.Clock, log *zap.Logger) *Settings {
-	return &Settings{src: src, book: book, clock: clock, log: log}
+// NewSettings makes a follower of the settings. It asks the store while told
+// reports that other VMs do not tell what changes.
+func NewSettings(src SettingsSource, book *routes.Book, clock awake.Clock, told func() bool, log *zap.Logger) *Settings {
+	return &Settings{src: src, book: book, clock: clock, told: told, log: log}
+}
+
+// Learn takes another VM's word that a version was the newest at a moment. A
+// newer version than the one in force is read.
+func (s *Settings) Learn(ctx context.Context, version uint64, at awake.Instant) {
+	snap := s.book.Load()
+	switch {
+	case snap == nil || version > snap.Version:
+		if err := s.Refresh(ctx, readTime); err != nil {
+			s.log.Info("newer settings not read", zap.Uint64("version", version), zap.Error(err))
+		}
+	case version == snap.Version:
+		s.book.Confirm(at)
+	}
 }
 
 // Run follows the settings until ctx ends.
@@ -47,6 +65,8 @@
 		await: s.await,
 		lost:  func(time.Time) {},
 		back:  func(time.Time) {},
+		known: func() Revision { return Revision(s.rev.Load()) },
+		told:  s.told,
 	}}
 	l.run(ctx)
 }
@@ -68,14 +88,20 @@
 		return 0, err
 	}
 	s.put(snap, sent)
+	s.answered(rev)
 	return rev, nil
 }
 
+func (s *Settings) answered(rev Revision) {
+	s.rev.Store(uint64(rev))
+}
+
 func (s *Settings) await(ctx context.Context, after Revision, wait time.Duration, sent awake.Instant) (Revision, error) {
 	snap, rev, err := s.src.AwaitSettings(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
+	s.answered(rev)
 	if snap != nil {
 		s.put(snap, sent)
 		return rev, nil
--- /dev/null
+++ b/internal/state/peers/watch.go
@@ -0,0 +1,78 @@
+package peers
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"umberladder/internal/core/ident"
+)
+
+const (
+	// watchers is how many VMs ask the store for changes and tell the others. With
+	// one, its death would be noticed only by its silence.
+	watchers = 2
+	// silence is how long a VM that watches may say nothing before the next one
+	// takes its place: it tells its state each 500 ms, and a server that leaves
+	// must get no call 2 s later.
+	silence = 800 * time.Millisecond
+	// answerAge is how long ago the store must have answered a VM that watches.
+	// Servers' heartbeats end each wait within a fraction of a second.
+	answerAge = 900 * time.Millisecond
+)
+
+// Watch decides which VMs ask the store for changes: the first ones in an order
+// that all agree on, of those that are heard and that the store answers. VMs
+// that disagree for a while cost calls and nothing else.
+type Watch struct {
+	vm ident.VM
+
+	mu    sync.Mutex
+	heard map[ident.VM]word
+}
+
+type word struct {
+	at   time.Time
+	from netip.AddrPort
+	age  time.Duration // since the store answered the VM; negative: the VM does not ask
+}
+
+// NewWatch makes a decider that has heard nobody.
+func NewWatch(vm ident.VM) *Watch {
+	return &Watch{vm: vm, heard: make(map[ident.VM]word)}
+}
+
+// Hear takes another VM's word on how long ago the store answered it.
+func (w *Watch) Hear(vm ident.VM, from netip.AddrPort, age time.Duration, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard[vm] = word{at: now, from: from, age: age}
+}
+
+// Told reports whether enough other VMs before this one watch the store.
+func (w *Watch) Told(now time.Time) bool { return len(w.Watching(now)) >= watchers }
+
+// Watching returns the addresses of the VMs before this one that watch the
+// store, or would if one of them fell silent.
+func (w *Watch) Watching(now time.Time) []netip.AddrPort {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	own := rank(w.vm)
+	var out []netip.AddrPort
+	for vm, h := range w.heard {
+		if now.Sub(h.at) > forget {
+			delete(w.heard, vm)
+			continue
+		}
+		if rank(vm) < own && now.Sub(h.at) < silence && h.age < answerAge {
+			out = append(out, h.from)
+		}
+	}
+	return out
+}
+
+const forget = time.Minute
+
+func rank(vm ident.VM) uint64 { return xxhash.Sum64String(string(vm)) }
