Refuse what a VM that stops would cut off

Change: from the signal on, a call whose longest time passes the VM's end is refused at once as not run, to be served by another VM.

--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -31,6 +31,7 @@
 	TimedOut               // the time that the client or the route allows is over
 	NoRoom                 // every backend server is full
 	CallerLeft             // the caller closed the connection
+	VMStopping             // this VM stops before the request would be served
 	reasons
 )
 
@@ -65,6 +66,7 @@
 	SettingsStale:   {"settings-stale", 503, "This VM can't know whether its settings are the newest"},
 	TimedOut:        {"timed-out", 504, "The time allowed for the request is over"},
 	NoRoom:          {"no-room", 503, "Every backend server of the service is full"},
+	VMStopping:      {"vm-stopping", 503, "This VM is being stopped"},
 	CallerLeft:      {"caller-left", 499, "The caller closed the connection"},
 }
 
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -75,6 +75,7 @@
 	budget   *retry.Window
 	group    *errgroup.Group
 	reading  atomic.Bool // newer settings are being read
+	relay    *relay.Relay
 	front    *front.Server
 	stopping atomic.Bool
 }
@@ -95,7 +96,7 @@
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, log)
 	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, log)
-	r := relay.New(relay.Parts{
+	v.relay = relay.New(relay.Parts{
 		Config:   relay.Config{Domain: cfg.Domain, Revoke: cfg.Revoke},
 		Settings: v.settings,
 		Refresh:  v.follow,
@@ -109,7 +110,7 @@
 		Group:    group,
 		Count:    &counter{log: log, set: v.set},
 	})
-	codec := ports.Codec(r)
+	codec := ports.Codec(v.relay)
 	v.front = front.New(codec.Handle, codec.Reject, v.limits, log)
 	v.set.NewGauge("umberladder_store_calls_total", func() float64 { return float64(ports.Calls()) })
 	return v
@@ -180,6 +181,7 @@
 	v.stopping.Store(true)
 	v.front.Drain()
 	end := start.Add(v.cfg.Grace - stopReserve)
+	v.relay.Stop(end)
 	for time.Now().Before(end) {
 		if time.Since(start) > takeTime {
 			_ = ln.Close()
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,11 @@
 	// settingsRetry is when a call refused for missing or stale settings should
 	// come back: another VM is likely to know better.
 	settingsRetry = 200 * time.Millisecond
+	// stopRetry is when a call refused by a VM that stops should come back.
+	stopRetry = 20 * time.Millisecond
+	// tokenTime is what a token of a stream takes at most at an engine that is not
+	// overloaded: a step of 7 ms, and twice that while prompts are read.
+	tokenTime = 10 * time.Millisecond
 	// roomRetry is when a call refused for want of a server should come back.
 	roomRetry = 500 * time.Millisecond
 )
@@ -87,11 +93,33 @@
 // Relay serves calls. It is safe for use by several goroutines.
 type Relay struct {
 	Parts
+	stop atomic.Int64 // when the VM ends, in Unix nanoseconds; zero: not stopping
 }
 
 // New makes a relay.
 func New(p Parts) *Relay { return &Relay{Parts: p} }
 
+// Stop makes the relay refuse what would not be served whole by end.
+func (r *Relay) Stop(end time.Time) { r.stop.Store(end.UnixNano()) }
+
+// stopping refuses a call that would be cut off by the end of this VM. Another
+// VM can serve it: it has not run.
+func (t *task) stopping() *refuse.Refusal {
+	ns := t.relay.stop.Load()
+	if ns == 0 {
+		return nil
+	}
+	left := time.Until(time.Unix(0, ns))
+	need := t.route.Target
+	if p := t.call.Prompt; p != nil {
+		need += time.Duration(p.Limit) * tokenTime
+	}
+	if need < left {
+		return nil
+	}
+	return refuse.New(refuse.VMStopping, "this VM ends in %s, and the call may take %s", left.Round(time.Millisecond), need).After(stopRetry)
+}
+
 // task is one call on its way.
 type task struct {
 	relay     *Relay
@@ -189,6 +217,9 @@
 		return refuse.New(refuse.NoServer, "route %s leads to service %s, which the settings do not define", route.Name, name).After(roomRetry)
 	}
 	t.record.Service = name
+	if refusal := t.stopping(); refusal != nil {
+		return refusal
+	}
 	t.end = t.call.Arrived.Add(route.Timeout)
 	if p := t.call.Patience; p > 0 && p < route.Timeout {
 		t.end = t.call.Arrived.Add(p)
