--- /dev/null
+++ b/internal/peer/gossip/codec_test.go
@@ -0,0 +1,73 @@
+package gossip
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/retry"
+	"umberladder/internal/route/seats"
+	"umberladder/internal/state/backs"
+	"umberladder/internal/state/follow"
+	_ "umberladder/internal/test/check" // fixes the seed
+)
+
+func draw(t *rapid.T) *State {
+	name := rapid.StringMatching(`[a-z0-9-]{1,20}`)
+	n := rapid.IntRange(0, 1<<40)
+	s := &State{
+		VM: ident.VM(name.Draw(t, "vm")), Boot: rapid.Uint64().Draw(t, "boot"), Seq: rapid.Uint64().Draw(t, "seq"),
+		Loads: map[ident.Server]seats.Load{}, Sent: map[ident.Service]retry.Sent{}, Version: rapid.Uint64().Draw(t, "version"),
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "loads") {
+		s.Loads[ident.Server(name.Draw(t, "server"))] = seats.Load{
+			Seats: n.Draw(t, "seats"), Tokens: n.Draw(t, "tokens"), Backlog: n.Draw(t, "backlog"), Copies: n.Draw(t, "copies"),
+		}
+		s.Sent[ident.Service(name.Draw(t, "service"))] = retry.Sent{First: n.Draw(t, "first"), Again: n.Draw(t, "again")}
+		s.Leaving = append(s.Leaving, ident.Server(name.Draw(t, "leaving")))
+	}
+	if rapid.Bool().Draw(t, "asks") {
+		s.Asks, s.Age = true, time.Duration(n.Draw(t, "age"))
+		s.News = &follow.News{Base: 3, Rev: 9, Changes: []follow.Change{
+			{Rev: 4, Gone: true, Entry: backs.Entry{ID: "gone"}},
+			{Rev: 9, Entry: backs.Entry{
+				ID: "came", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a",
+				Slots: n.Draw(t, "slots"), Leaving: rapid.Bool().Draw(t, "leaves"),
+			}},
+		}}
+	}
+	if rapid.Bool().Draw(t, "reply") {
+		s.Ask = uint64(n.Draw(t, "ask"))
+		s.Reply = &Reply{Ask: s.Ask, Version: 7, Age: time.Second}
+	}
+	return s
+}
+
+func TestCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := draw(t)
+		got, err := Decode(want.Encode())
+		assert.NilError(t, err)
+		assert.Assert(t, reflect.DeepEqual(got, want), "%+v, want %+v", got, want)
+	})
+	_, err := Decode(nil)
+	assert.ErrorContains(t, err, "names no VM")
+}
+
+// FuzzDecode feeds bytes that no VM sent: they are refused or read, never fatal.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{10, 1, 'a'})
+	f.Add((&State{VM: "a", News: &follow.News{Rev: 3}}).Encode())
+	f.Add([]byte{0x52, 0x05, 0x1a, 0x03, 0x2a, 0x01, 'x'})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Decode(b)
+		if err == nil && s.VM == "" {
+			t.Fatal("a message of nobody")
+		}
+	})
+}
--- /dev/null
+++ b/internal/proc/conf/edge_test.go
@@ -0,0 +1,53 @@
+package conf_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/proc/conf"
+	"umberladder/internal/test/check"
+)
+
+const edge = `{"name":"edge-1","failure-domain":"a","callers-address":"10.0.0.1:80","ready-address":"10.0.0.1:81",
+"metrics-address":"10.0.0.1:82","peers-address":"10.0.0.1:83","store-address":"10.0.0.2:80"}`
+
+func TestEdge(t *testing.T) {
+	e, err := conf.ParseEdge([]byte(edge))
+	assert.NilError(t, err)
+	assert.Equal(t, e.Revoke, conf.DefaultRevoke)
+	for path, change := range map[string][2]string{
+		"/name":           {`"edge-1"`, `"Edge 1"`},
+		"/ready-address":  {`"10.0.0.1:81"`, `"10.0.0.1"`},
+		"/stop-grace":     {`{"name"`, `{"stop-grace":"soon","name"`},
+		"/retry-budget":   {`{"name"`, `{"retry-budget":3,"name"`},
+		"/retry-budget/x": {`{"name"`, `{"retry-budget":{"x":1},"name"`},
+	} {
+		_, err := conf.ParseEdge([]byte(strings.Replace(edge, change[0], change[1], 1)))
+		check.Field(t, err, path, "")
+	}
+}
+
+// TestEdgeTemplate fills the deployed template as the platform does.
+func TestEdgeTemplate(t *testing.T) {
+	data, err := os.ReadFile("../../../deploy/settings.json")
+	assert.NilError(t, err)
+	values := map[string]string{
+		"nodeName|json": `"edge-a-1"`, "zone|json": `"a"`, "listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`,
+		"ip": "10.0.0.1", "internalPorts.0": "7200", "internalPorts.1": "7215", "platform.address|json": `"10.0.0.2:80"`,
+		"bounds.revokeMs": "5000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
+	}
+	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(data), func(s string) string {
+		v, ok := values[strings.Trim(s, "{}")]
+		assert.Assert(t, ok, "no value for %s", s)
+		return v
+	})
+	e, err := conf.ParseEdge([]byte(text))
+	assert.NilError(t, err)
+	assert.Equal(t, e.Grace, 8*time.Second)
+	assert.Equal(t, e.Retry.Extra, 54.0)
+}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -67,6 +67,7 @@
 		err = l.follow(ctx)
 		if !errors.Is(err, errGap) {
 			l.failed(ctx, "wait", err)
+			retry.Pause(ctx, firstPause)
 		}
 	}
 }
--- /dev/null
+++ b/internal/state/follow/follow_test.go
@@ -0,0 +1,326 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/state/backs"
+	"umberladder/internal/state/routes"
+)
+
+// store is the platform's store in virtual time.
+type store struct {
+	mu      sync.Mutex
+	down    bool
+	rev     Revision
+	version uint64
+	servers map[ident.Server]backs.Entry
+	log     []Change
+	from    Revision // oldest revision of the history
+	calls   atomic.Int64
+	changed chan struct{}
+}
+
+var (
+	errDown    = errors.New("down")
+	errHistory = errors.New("history gone")
+)
+
+func newStore() *store {
+	return &store{version: 1, rev: 1, servers: make(map[ident.Server]backs.Entry), changed: make(chan struct{})}
+}
+
+func (s *store) change(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) put(e backs.Entry) {
+	s.change(func() {
+		s.servers[e.ID] = e
+		s.log = append(s.log, Change{Rev: s.rev, Entry: e})
+	})
+}
+
+func (s *store) remove(id ident.Server) {
+	s.change(func() {
+		delete(s.servers, id)
+		s.log = append(s.log, Change{Rev: s.rev, Gone: true, Entry: backs.Entry{ID: id}})
+	})
+}
+
+func (s *store) setDown(down bool) { s.change(func() { s.down = down }) }
+
+func (s *store) state() (Revision, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Add(1)
+	if s.down {
+		return 0, 0, errDown
+	}
+	return s.rev, s.version, nil
+}
+
+func (s *store) Settings(context.Context) (*routes.Snapshot, Revision, error) {
+	rev, version, err := s.state()
+	return routes.New(routes.Parts{Version: version}), rev, err
+}
+
+func (s *store) Servers(context.Context) ([]backs.Entry, Revision, error) {
+	rev, _, err := s.state()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []backs.Entry
+	for _, e := range s.servers {
+		out = append(out, e)
+	}
+	return out, rev, err
+}
+
+// hold waits for a change after a revision.
+func (s *store) hold(ctx context.Context, after Revision, wait time.Duration) (Revision, uint64, error) {
+	end := time.After(wait)
+	for {
+		rev, version, err := s.state()
+		s.mu.Lock()
+		ch, gone := s.changed, after < s.from
+		s.mu.Unlock()
+		switch {
+		case gone:
+			return 0, 0, errHistory
+		case err != nil || rev > after:
+			return rev, version, err
+		}
+		select {
+		case <-ch:
+		case <-end:
+			return rev, version, nil
+		case <-ctx.Done():
+			return 0, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *store) AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (*routes.Snapshot, Revision, error) {
+	rev, version, err := s.hold(ctx, after, wait)
+	if err != nil || rev == after {
+		return nil, rev, err
+	}
+	return routes.New(routes.Parts{Version: version}), rev, nil
+}
+
+func (s *store) AwaitServers(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
+	rev, _, err := s.hold(ctx, after, wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Change
+	for _, c := range s.log {
+		if c.Rev > after {
+			out = append(out, c)
+		}
+	}
+	return out, rev, err
+}
+
+// vm follows a store.
+type vm struct {
+	book     *routes.Book
+	table    *backs.Table
+	settings *Settings
+	servers  *Servers
+	told     atomic.Bool
+	clock    awake.Clock
+}
+
+func follow(t *testing.T, s *store, f func(v *vm)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s.changed = make(chan struct{}) // of the bubble, so that its time goes on
+		start := time.Now()
+		v := &vm{clock: func() awake.Instant { return awake.Instant(time.Since(start) + time.Hour) }}
+		v.book = routes.NewBook(v.clock)
+		v.table = backs.NewTable(func() {})
+		told := v.told.Load
+		v.settings = NewSettings(s, v.book, v.clock, told, zap.NewNop())
+		v.servers = NewServers(s, v.table, v.clock, told, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var g errgroup.Group
+		for _, run := range []func(context.Context){v.settings.Run, v.servers.Run, v.servers.Expire} {
+			g.Go(func() error {
+				run(ctx)
+				return nil
+			})
+		}
+		time.Sleep(time.Second)
+		f(v)
+		cancel()
+		_ = g.Wait()
+	})
+}
+
+func entry(n int) backs.Entry {
+	return backs.Entry{ID: ident.Server(fmt.Sprint(n)), Service: "s", Slots: 1}
+}
+
+// knows fails the test unless so many servers take work.
+func (v *vm) knows(t *testing.T, n int, what string) {
+	t.Helper()
+	assert.Equal(t, len(v.table.View().Service("s")), n, what)
+}
+
+func TestFollow(t *testing.T) {
+	t.Run("changes are in force at once", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			s.put(entry(1))
+			s.change(func() { s.version = 7 })
+			time.Sleep(serversRest + time.Millisecond)
+			v.knows(t, 1, "a server came")
+			assert.Equal(t, v.book.Load().Version, uint64(7))
+			e := entry(1)
+			e.Leaving = true
+			s.put(e)
+			time.Sleep(serversRest + time.Millisecond)
+			v.knows(t, 0, "it leaves")
+		})
+	})
+	t.Run("the settings' age stays under their wait", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				assert.Assert(t, v.book.Age() <= settingsWait+100*time.Millisecond, "%s", v.book.Age())
+			}
+			s.setDown(true)
+			time.Sleep(5 * time.Second)
+			assert.Assert(t, v.book.Age() >= 5*time.Second, "nothing is known of a store that is down")
+			s.setDown(false)
+			time.Sleep(lastPause + time.Millisecond)
+			assert.Assert(t, v.book.Age() <= lastPause)
+		})
+	})
+	t.Run("entries that lapse in an outage stay until 2 s after it", func(t *testing.T) {
+		s := newStore()
+		s.put(entry(1))
+		s.put(entry(2))
+		follow(t, s, func(v *vm) {
+			s.setDown(true)
+			time.Sleep(3 * time.Second)
+			s.mu.Lock()
+			s.servers = map[ident.Server]backs.Entry{}
+			s.mu.Unlock()
+			s.setDown(false)
+			time.Sleep(lastPause + 100*time.Millisecond)
+			v.knows(t, 2, "the store has just come back")
+			s.put(entry(1))
+			time.Sleep(backs.ReturnTime)
+			v.knows(t, 1, "one came back, one is gone")
+		})
+	})
+	t.Run("a lost history is read anew", func(t *testing.T) {
+		s := newStore()
+		s.put(entry(1))
+		follow(t, s, func(v *vm) {
+			s.change(func() {
+				s.from = s.rev
+				s.servers = map[ident.Server]backs.Entry{"2": entry(2)}
+			})
+			time.Sleep(3 * time.Second)
+			v.knows(t, 1, "the server that was missed")
+			assert.Assert(t, v.table.View().Server("2") != nil)
+		})
+	})
+}
+
+func TestTold(t *testing.T) {
+	t.Run("a VM that is told asks nothing", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			v.told.Store(true)
+			time.Sleep(2 * time.Second)
+			calls := s.calls.Load()
+			time.Sleep(10 * time.Second)
+			assert.Equal(t, s.calls.Load(), calls)
+		})
+	})
+	t.Run("news are applied once, with what they cover", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			v.told.Store(true)
+			time.Sleep(2 * time.Second)
+			base := v.servers.known()
+			n := News{Base: base, Rev: base + 2, Changes: []Change{
+				{Rev: base + 1, Entry: entry(1)}, {Rev: base + 2, Entry: entry(2)},
+			}}
+			v.servers.Learn(n, time.Now())
+			v.knows(t, 2, "both came")
+			n = News{Base: base, Rev: base + 3, Changes: append(n.Changes, Change{Rev: base + 3, Gone: true, Entry: backs.Entry{ID: "1"}})}
+			v.servers.Learn(n, time.Now())
+			v.knows(t, 1, "one left, and what was told before is not told anew")
+			v.servers.Learn(News{Base: base, Rev: base + 2, Changes: n.Changes[:1]}, time.Now())
+			v.knows(t, 1, "late news change nothing")
+		})
+	})
+	t.Run("missed news make it read", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			v.told.Store(true)
+			time.Sleep(2 * time.Second)
+			s.put(entry(5))
+			v.servers.Learn(News{Base: 50, Rev: 60}, time.Now())
+			v.told.Store(false)
+			time.Sleep(time.Second)
+			v.knows(t, 1, "read from the store")
+		})
+	})
+	t.Run("a word of a version confirms or reads it", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			at := v.clock().Add(time.Minute)
+			v.settings.Learn(context.Background(), 1, at)
+			assert.Equal(t, v.book.Fresh(), at)
+			s.mu.Lock()
+			s.version = 9
+			s.mu.Unlock()
+			v.settings.Learn(context.Background(), 9, 0)
+			assert.Equal(t, v.book.Load().Version, uint64(9))
+			v.settings.Learn(context.Background(), 3, at.Add(time.Hour))
+			assert.Equal(t, v.book.Fresh(), at, "an old version says nothing")
+		})
+	})
+	t.Run("what is told covers what was seen", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			s.put(entry(1))
+			time.Sleep(serversRest + 10*time.Millisecond)
+			n, ok := v.servers.News(time.Now())
+			assert.Assert(t, ok)
+			assert.Equal(t, len(n.Changes), 1)
+			assert.Assert(t, n.Base < n.Changes[0].Rev && n.Changes[0].Rev <= n.Rev)
+			time.Sleep(2 * newsTime)
+			n, _ = v.servers.News(time.Now())
+			assert.Equal(t, len(n.Changes), 0)
+			s.setDown(true)
+			time.Sleep(time.Second)
+			_, ok = v.servers.News(time.Now())
+			assert.Assert(t, !ok, "a VM that the store does not answer has no news")
+		})
+	})
+}
