Write logs without blocking and at a bounded rate; tell a request's story

A pipe that nobody reads costs lines, not time (test). umberladder trace puts one request's lines together and takes differences of clocks out by the moments at which settings came into force. Metrics stand in one table.

--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/link"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/edge"
+	"umberladder/internal/proc/sink"
 	"umberladder/internal/route/relay"
 	"umberladder/platform"
 )
@@ -46,14 +49,16 @@
 }
 
 func runEdge(c *cobra.Command, cfg *conf.Edge) error {
-	log, err := newLogger(cfg.LogLevel)
+	level, err := zapcore.ParseLevel(cfg.LogLevel)
 	if err != nil {
 		return exit(ExitInvalid, err)
 	}
-	defer func() { _ = log.Sync() }()
+	group := &errgroup.Group{}
+	lines := sink.New(os.Stdout, cfg.LogRate, group)
+	defer lines.Close()
+	log := lines.Logger(level).With(zap.String("vm", string(cfg.Name)))
 	dialer := link.New(cfg.Callers.Addr(), edgeConnect, time.Minute, 0)
 	store := platform.NewStore(dialer, cfg.Store)
-	group := &errgroup.Group{}
 	vm := edge.New(cfg, edge.Ports{
 		Settings: store,
 		Servers:  store,
@@ -61,6 +66,7 @@
 		Codec:    func(r *relay.Relay) edge.Codec { return platform.NewIngress(r, awake.Now) },
 		Peers:    store,
 		Calls:    store.Calls,
+		Lines:    lines,
 	}, group, log)
 	stop, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
--- a/internal/proc/cmds/root.go
+++ b/internal/proc/cmds/root.go
@@ -63,6 +63,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newEdge(), newSettings(), newStatus(), newExplain(), newReport(), newDrain(), newKey(), newVersion())
+	root.AddCommand(newServe(), newEdge(), newSettings(), newStatus(), newExplain(), newReport(), newDrain(), newKey(), newTrace(), newVersion())
 	return root
 }
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -21,6 +21,7 @@
 	Peers    netip.AddrPort // UDP for other VMs
 	Store    netip.AddrPort
 	LogLevel string
+	LogRate  int           // most log lines a second
 	Revoke   time.Duration // how long after its end an API key may be served
 	Grace    time.Duration // from the signal to stop to the end of the process
 	Retry    RetryShare
@@ -42,6 +43,7 @@
 	Peers    string         `json:"peers-address"`
 	Store    string         `json:"store-address"`
 	LogLevel *string        `json:"log-level,omitzero"`
+	LogRate  *int           `json:"log-lines-per-second,omitzero"`
 	Revoke   *string        `json:"revoke-bound,omitzero"`
 	Grace    *string        `json:"stop-grace,omitzero"`
 	Retry    retryShareWire `json:"retry-budget,omitzero"`
@@ -55,11 +57,13 @@
 
 // Defaults of the members that may be left out.
 const (
-	DefaultRevoke = 5 * time.Second
-	DefaultGrace  = 8 * time.Second
-	DefaultRatio  = 0.2
-	DefaultExtra  = 20.0
-	DefaultWindow = 10 * time.Second
+	// DefaultLogRate is three lines a call at 100 calls a second.
+	DefaultLogRate = 300
+	DefaultRevoke  = 5 * time.Second
+	DefaultGrace   = 8 * time.Second
+	DefaultRatio   = 0.2
+	DefaultExtra   = 20.0
+	DefaultWindow  = 10 * time.Second
 )
 
 // ReadEdge reads the settings of an edge VM in a file.
@@ -88,6 +92,7 @@
 		Peers:    f.Address("/peers-address", w.Peers),
 		Store:    f.Address("/store-address", w.Store),
 		LogLevel: oneOf(f, "/log-level", w.LogLevel, DefaultLogLevel, logLevels),
+		LogRate:  f.Int("/log-lines-per-second", w.LogRate, DefaultLogRate, 1, 1_000_000),
 		Revoke:   f.Duration("/revoke-bound", w.Revoke, DefaultRevoke, 500*time.Millisecond, time.Hour),
 		Grace:    f.Duration("/stop-grace", w.Grace, DefaultGrace, 500*time.Millisecond, time.Hour),
 		Retry: RetryShare{
--- a/internal/proc/edge/counter.go
+++ b/internal/proc/edge/counter.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"umberladder/internal/route/relay"
@@ -17,19 +18,38 @@
 
 // Ended implements relay.Counter.
 func (c *counter) Ended(e *relay.End) {
-	route, kind, reason, ran := "", "", "", ""
+	kind, reason, ran := "", "", ""
 	if e.Route != nil {
-		route, kind = e.Route.Name, e.Route.Kind.String()
+		kind = e.Route.Kind.String()
 	}
 	if e.Refusal != nil {
 		reason, ran = e.Refusal.Reason.String(), e.Refusal.Ran.String()
 	}
-	c.set.GetOrCreateCounter(fmt.Sprintf(`umberladder_calls_total{service=%q,kind=%q,status="%d",reason=%q,ran=%q}`,
-		e.Service, kind, e.Status, reason, ran)).Inc()
 	labels := fmt.Sprintf(`{service=%q,kind=%q}`, e.Service, kind)
-	c.set.GetOrCreateHistogram("umberladder_first_seconds" + labels).Update(e.First.Seconds())
-	c.set.GetOrCreateHistogram("umberladder_call_seconds" + labels).Update(e.Total.Seconds())
-	c.set.GetOrCreateHistogram("umberladder_gap_seconds" + labels).Update(e.Gap.Seconds())
+	c.set.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,kind=%q,status="%d",reason=%q,ran=%q}`,
+		metricCalls, e.Service, kind, e.Status, reason, ran)).Inc()
+	c.set.GetOrCreateHistogram(metricFirst + labels).Update(e.First.Seconds())
+	c.set.GetOrCreateHistogram(metricWhole + labels).Update(e.Total.Seconds())
+	c.set.GetOrCreateHistogram(metricGap + labels).Update(e.Gap.Seconds())
+	c.set.GetOrCreateCounter(metricMoves + labels).Add(e.Moves)
+	c.set.GetOrCreateCounter(metricSent + labels).Add(e.Sent)
+	c.write(e, kind, reason, ran)
+}
+
+// write logs the end; that of a call that failed is not routine.
+func (c *counter) write(e *relay.End, kind, reason, ran string) {
+	level := zap.InfoLevel
+	if e.Refusal != nil || e.Status >= fasthttp.StatusInternalServerError {
+		level = zap.WarnLevel
+	}
+	ce := c.log.Check(level, "call ended")
+	if ce == nil {
+		return
+	}
+	route := ""
+	if e.Route != nil {
+		route = e.Route.Name
+	}
 	fields := []zap.Field{
 		zap.String("request", string(e.Call.ID)),
 		zap.String("route", route),
@@ -50,7 +70,7 @@
 		fields = append(fields, zap.String("reason", reason), zap.String("ran", ran),
 			zap.String("detail", r.Detail), zap.Duration("retry-after", r.RetryAfter))
 	}
-	c.log.Info("call ended", fields...)
+	ce.Write(fields...)
 }
 
 // httpLog takes the HTTP library's lines, which tell of broken connections.
--- /dev/null
+++ b/internal/proc/edge/metrics.go
@@ -0,0 +1,91 @@
+package edge
+
+import "time"
+
+// Names of the metrics.
+const (
+	metricCalls    = "umberladder_calls_total"
+	metricFirst    = "umberladder_first_seconds"
+	metricWhole    = "umberladder_call_seconds"
+	metricGap      = "umberladder_gap_seconds"
+	metricMoves    = "umberladder_moves_total"
+	metricSent     = "umberladder_sent_total"
+	metricStore    = "umberladder_store_calls_total"
+	metricLines    = "umberladder_log_lines_total"
+	metricLeftOut  = "umberladder_log_left_out_total"
+	metricConns    = "umberladder_client_connections"
+	metricVersion  = "umberladder_settings_version"
+	metricAge      = "umberladder_settings_age_seconds"
+	metricServers  = "umberladder_servers"
+	metricAnswered = "umberladder_store_answered_seconds"
+	metricPeers    = "umberladder_peers_heard"
+	metricWatches  = "umberladder_watches_store"
+	metricReady    = "umberladder_ready"
+)
+
+// Metric describes one metric.
+type Metric struct {
+	Name string
+	Kind string
+	Help string
+}
+
+// Metrics lists every metric of the VM, for docs/METRICS.md.
+func Metrics() []Metric {
+	return []Metric{
+		{metricCalls, "counter", "calls ended, by service, kind, status sent, reason of the refusal and whether the call ran"},
+		{metricFirst, "histogram", "time to the answer or a stream's first event, by service and kind"},
+		{metricWhole, "histogram", "time to a call's end, by service and kind"},
+		{metricGap, "histogram", "longest pause between two events of a stream, by service and kind"},
+		{metricMoves, "counter", "times a stream went on at another engine, by service and kind"},
+		{metricSent, "counter", "sendings of calls to servers, by service and kind"},
+		{metricStore, "gauge", "calls to the store since the start"},
+		{metricLines, "gauge", "log lines written since the start"},
+		{metricLeftOut, "gauge", "log lines left out since the start"},
+		{metricConns, "gauge", "open connections of clients"},
+		{metricVersion, "gauge", "version of the settings in force"},
+		{metricAge, "gauge", "time since the settings were known to be the newest"},
+		{metricServers, "gauge", "backend servers known"},
+		{metricAnswered, "gauge", "time since the store last told this VM of servers; it grows on VMs that are told by others"},
+		{metricPeers, "gauge", "other VMs heard in the last 2 s"},
+		{metricWatches, "gauge", "1 if this VM watches the store, 0 if others tell it"},
+		{metricReady, "gauge", "1 if the balancer should send clients here"},
+	}
+}
+
+// gauges exports what the VM knows anyway.
+func (v *VM) gauges(ports Ports) {
+	lines := func() (float64, float64) {
+		written, left := ports.Lines.Counts()
+		return float64(written), float64(left)
+	}
+	for name, f := range map[string]func() float64{
+		metricStore:    func() float64 { return float64(ports.Calls()) },
+		metricLines:    func() float64 { n, _ := lines(); return n },
+		metricLeftOut:  func() float64 { _, n := lines(); return n },
+		metricConns:    func() float64 { return float64(v.front.Open()) },
+		metricVersion:  v.version,
+		metricAge:      func() float64 { return v.settings.Age().Seconds() },
+		metricServers:  func() float64 { return float64(v.servers.View().Len()) },
+		metricAnswered: func() float64 { return v.discover.Answered(time.Now()).Seconds() },
+		metricPeers:    func() float64 { return float64(v.seats.Peers(time.Now())) },
+		metricWatches:  func() float64 { return number(!v.serversTold()) },
+		metricReady:    func() float64 { return number(v.Ready()) },
+	} {
+		v.set.NewGauge(name, f)
+	}
+}
+
+func (v *VM) version() float64 {
+	if s := v.settings.Load(); s != nil {
+		return float64(s.Version)
+	}
+	return 0
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -18,6 +18,7 @@
 	"umberladder/internal/peer/gossip"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
+	"umberladder/internal/proc/sink"
 	"umberladder/internal/route/relay"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -58,6 +59,7 @@
 	Codec    func(r *relay.Relay) Codec
 	Peers    peers.Registry
 	Calls    func() uint64 // made to the store
+	Lines    *sink.Sink    // the log's
 }
 
 // VM is one edge VM.
@@ -70,6 +72,7 @@
 	seats    *seats.Book
 	follow   *follow.Settings
 	discover *follow.Servers
+	lines    *sink.Sink
 	peers    *peers.Peers
 	watch    *peers.Watch
 	budget   *retry.Window
@@ -90,6 +93,7 @@
 		seats:    seats.New(),
 		watch:    peers.NewWatch(cfg.Name),
 		group:    group,
+		lines:    ports.Lines,
 		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
 	v.servers = backs.NewTable(v.seats.Touch)
@@ -106,13 +110,13 @@
 		Health:   relay.NewHealth(),
 		Backend:  ports.Backend,
 		Clock:    awake.Now,
-		Log:      log,
+		Log:      log.Named(sink.Calls),
 		Group:    group,
-		Count:    &counter{log: log, set: v.set},
+		Count:    &counter{log: log.Named(sink.Calls), set: v.set},
 	})
 	codec := ports.Codec(v.relay)
 	v.front = front.New(codec.Handle, codec.Reject, v.limits, log)
-	v.set.NewGauge("umberladder_store_calls_total", func() float64 { return float64(ports.Calls()) })
+	v.gauges(ports)
 	return v
 }
 
@@ -159,12 +163,16 @@
 			return nil
 		})
 	}
+	group.Go(func() error {
+		v.lines.Tell(v.log, ctx.Done())
+		return nil
+	})
 	failed := make(chan error, 1)
 	group.Go(func() error {
 		failed <- v.front.Serve(ctx, ln)
 		return nil
 	})
-	v.log.Info("serving", zap.String("vm", string(v.cfg.Name)), zap.Stringer("callers", v.cfg.Callers))
+	v.log.Info("serving", zap.Stringer("callers", v.cfg.Callers))
 	select {
 	case <-stop.Done():
 	case err := <-failed:
--- a/internal/route/relay/plain.go
+++ b/internal/route/relay/plain.go
@@ -164,7 +164,37 @@
 
 func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// log writes one line about the call.
+// maxKept is how many declined lines a call keeps for its end.
+const maxKept = 32
+
+// kept is a log line that was declined when it was made.
+type kept struct {
+	what   string
+	at     time.Time
+	fields []zap.Field
+}
+
+// log writes one line about the call. A line that the log declines under load
+// is kept, and written if the call fails.
 func (t *task) log(what string, fields ...zap.Field) {
-	t.relay.Log.Info(what, append([]zap.Field{zap.String("request", string(t.call.ID))}, fields...)...)
+	fields = append(fields, zap.String("request", string(t.call.ID)))
+	if ce := t.relay.Log.Check(zap.InfoLevel, what); ce != nil {
+		ce.Write(fields...)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.kept) < maxKept {
+		t.kept = append(t.kept, kept{what: what, at: time.Now(), fields: fields})
+	}
+}
+
+// tell writes the declined lines of a call that failed.
+func (t *task) tell() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range t.kept {
+		t.relay.Log.Warn(k.what, append(k.fields, zap.Time("at", k.at))...)
+	}
+	t.kept = nil
 }
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -130,6 +131,9 @@
 	workspace ident.Workspace
 	end       time.Time // no answer is of use after it
 	record    End
+
+	mu   sync.Mutex // guards kept: orders to engines log beside the call
+	kept []kept
 }
 
 // Serve takes the call to its end. It returns a refusal that is still to be
@@ -167,6 +171,9 @@
 	}
 	t.record.Route = t.route
 	t.record.Total = time.Since(t.call.Arrived)
+	if r != nil {
+		t.tell()
+	}
 	t.relay.Count.Ended(&t.record)
 }
 
