Split the relay: ports, events of a stream, health of servers

What it asks of its sides is in port, the reading of a stream's events in events, what calls met at servers in policy/health; the choice of a server is policy/assign. No behaviour changes.

--- a/internal/policy/fit/fit_test.go
+++ b/internal/policy/assign/assign_test.go
@@ -1,4 +1,4 @@
-package fit
+package assign
 
 import (
 	"math/rand/v2"
--- a/internal/route/relay/health.go
+++ b/internal/policy/health/health.go
@@ -1,4 +1,4 @@
-package relay
+package health
 
 import (
 	"sync"
@@ -8,15 +8,15 @@
 )
 
 const (
-	// healthHalf is the time after which what was seen of a server counts half.
-	healthHalf = 2 * time.Second
-	// healthPrior is the weight of the belief that a server is sound, in calls.
-	healthPrior = 4.0
+	// half is the time after which what was seen of a server counts half.
+	half = 2 * time.Second
+	// prior is the weight of the belief that a server is sound, in calls.
+	prior = 4.0
 )
 
-// Health weighs servers by the calls they failed lately. Servers fail while
+// Book weighs servers by the calls they failed lately. Servers fail while
 // their own health check is good, so only what calls met counts.
-type Health struct {
+type Book struct {
 	mu      sync.Mutex
 	servers map[ident.Server]*record
 }
@@ -27,16 +27,16 @@
 	bad  float64
 }
 
-// NewHealth makes a record of sound servers.
-func NewHealth() *Health { return &Health{servers: make(map[ident.Server]*record)} }
+// New makes a record of sound servers.
+func New() *Book { return &Book{servers: make(map[ident.Server]*record)} }
 
 // Success notes a call that the server answered.
-func (h *Health) Success(id ident.Server, now time.Time) { h.note(id, now, 1, 0) }
+func (h *Book) Success(id ident.Server, now time.Time) { h.note(id, now, 1, 0) }
 
 // Failure notes a call that the server failed.
-func (h *Health) Failure(id ident.Server, now time.Time) { h.note(id, now, 0, 1) }
+func (h *Book) Failure(id ident.Server, now time.Time) { h.note(id, now, 0, 1) }
 
-func (h *Health) note(id ident.Server, now time.Time, good, bad float64) {
+func (h *Book) note(id ident.Server, now time.Time, good, bad float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.servers[id]
@@ -54,14 +54,14 @@
 	if age <= 0 {
 		return
 	}
-	keep := 1 / (1 + float64(age)/float64(healthHalf))
+	keep := 1 / (1 + float64(age)/float64(half))
 	r.good *= keep
 	r.bad *= keep
 	r.at = now
 }
 
 // Weight returns the share of its usual work that the server should get, in (0, 1].
-func (h *Health) Weight(id ident.Server, now time.Time) float64 {
+func (h *Book) Weight(id ident.Server, now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.servers[id]
@@ -69,12 +69,12 @@
 		return 1
 	}
 	r.fade(now)
-	w := (healthPrior + r.good) / (healthPrior + r.good + 3*r.bad)
+	w := (prior + r.good) / (prior + r.good + 3*r.bad)
 	return w
 }
 
 // Keep forgets the servers that known does not report.
-func (h *Health) Keep(known func(ident.Server) bool) {
+func (h *Book) Keep(known func(ident.Server) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id := range h.servers {
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -16,9 +16,11 @@
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/gossip"
+	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/sink"
+	"umberladder/internal/route/port"
 	"umberladder/internal/route/relay"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -55,7 +57,7 @@
 type Ports struct {
 	Settings follow.SettingsSource
 	Servers  follow.ServerSource
-	Backend  relay.Backend
+	Backend  port.Backend
 	Codec    func(r *relay.Relay) Codec
 	Peers    peers.Registry
 	Calls    func() uint64 // made to the store
@@ -107,7 +109,7 @@
 		Servers:  v.servers,
 		Seats:    v.seats,
 		Budget:   v.budget,
-		Health:   relay.NewHealth(),
+		Health:   health.New(),
 		Backend:  ports.Backend,
 		Clock:    awake.Now,
 		Log:      log.Named(sink.Calls),
--- a/internal/route/relay/leg.go
+++ b/internal/route/events/leg.go
@@ -1,4 +1,4 @@
-package relay
+package events
 
 import (
 	"bytes"
@@ -16,9 +16,9 @@
 	readSize = 4 << 10
 )
 
-// leg is the part of a stream that comes over one connection to an engine.
-type leg struct {
-	body   Body
+// Leg is the part of a stream that comes over one connection to an engine.
+type Leg struct {
+	body   io.ReadCloser
 	framed bool        // the end of the body is marked, so that a cut one can't look whole
 	events chan []byte // whole events, one or more in each slice
 	err    error       // set before events is closed; io.EOF: the stream is whole
@@ -27,8 +27,9 @@
 	once   sync.Once
 }
 
-func newLeg(g *errgroup.Group, body Body, framed bool) *leg {
-	l := &leg{body: body, framed: framed, events: make(chan []byte, legBuffer), quit: make(chan struct{}), done: make(chan struct{})}
+// New begins to read a leg.
+func New(g *errgroup.Group, body io.ReadCloser, framed bool) *Leg {
+	l := &Leg{body: body, framed: framed, events: make(chan []byte, legBuffer), quit: make(chan struct{}), done: make(chan struct{})}
 	g.Go(func() error {
 		l.read()
 		close(l.done)
@@ -37,8 +38,8 @@
 	return l
 }
 
-// close ends the connection and with it the engine's work.
-func (l *leg) close() {
+// Close ends the connection and with it the engine's work.
+func (l *Leg) Close() {
 	l.once.Do(func() {
 		close(l.quit)
 		_ = l.body.Close()
@@ -46,7 +47,7 @@
 }
 
 // read passes whole events on; what is left of an event that breaks off is dropped.
-func (l *leg) read() {
+func (l *Leg) read() {
 	defer close(l.events)
 	var rest []byte
 	buf := make([]byte, readSize)
@@ -66,14 +67,14 @@
 	}
 }
 
-func (l *leg) finish(rest []byte, err error) {
+func (l *Leg) finish(rest []byte, err error) {
 	if errors.Is(err, io.EOF) && len(rest) > 0 {
 		l.pass(rest)
 	}
 	l.err = err
 }
 
-func (l *leg) pass(p []byte) bool {
+func (l *Leg) pass(p []byte) bool {
 	select {
 	case l.events <- p:
 		return true
@@ -95,9 +96,9 @@
 	return at
 }
 
-// lastID returns the identifier of the last event in p, or nothing, and how
+// LastID returns the identifier of the last event in p, or nothing, and how
 // many events p holds.
-func lastID(p []byte) (string, int) {
+func LastID(p []byte) (string, int) {
 	id, n := "", 0
 	for line := range bytes.Lines(p) {
 		line = bytes.TrimRight(line, "\r\n")
@@ -108,3 +109,17 @@
 	}
 	return id, n
 }
+
+// Events returns whole events, one or more in each slice, until the connection
+// has ended.
+func (l *Leg) Events() <-chan []byte { return l.events }
+
+// Done returns a channel that is closed once the connection has ended.
+func (l *Leg) Done() <-chan struct{} { return l.done }
+
+// Err returns why the connection ended, once it has; io.EOF is its regular end.
+func (l *Leg) Err() error { return l.err }
+
+// Framed reports whether the end of the stream is marked, so that one that was
+// cut can't look whole.
+func (l *Leg) Framed() bool { return l.framed }
--- a/internal/route/relay/ports.go
+++ b/internal/route/port/port.go
@@ -1,4 +1,4 @@
-package relay
+package port
 
 import (
 	"context"
@@ -53,9 +53,9 @@
 
 // Errors of an order to copy.
 var (
-	ErrNoRun  = errors.New("relay: the engine has no such run")
-	ErrBusy   = errors.New("relay: an order for the run is under way")
-	ErrNoRoom = errors.New("relay: the other engine has no room or can't be reached")
+	ErrNoRun  = errors.New("port: the engine has no such run")
+	ErrBusy   = errors.New("port: an order for the run is under way")
+	ErrNoRoom = errors.New("port: the other engine has no room or can't be reached")
 )
 
 // SendError is a sending without an answer.
--- a/internal/route/relay/depart.go
+++ b/internal/route/relay/depart.go
@@ -11,7 +11,8 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/policy/fit"
+	"umberladder/internal/policy/assign"
+	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
@@ -47,7 +48,7 @@
 type departure struct {
 	to   *backs.Server
 	seat *seats.Seat
-	copy Copy
+	copy port.Copy
 	err  error
 }
 
@@ -81,7 +82,7 @@
 	skip := map[ident.Server]bool{from.ID: true}
 	err := errors.New("no engine has room")
 	for range moveTries {
-		to, _ := f.pick(skip, fit.Tight, fit.FarCopy, from.Domain)
+		to, _ := f.pick(skip, assign.Tight, assign.FarCopy, from.Domain)
 		if to == nil {
 			break
 		}
@@ -89,15 +90,15 @@
 		l := f.load(false)
 		l.Copies = 1
 		seat := f.relay.Seats.Take(to.ID, l)
-		var m Moved
+		var m port.Moved
 		m, err = f.moveTo(ctx, from, to)
 		if err == nil {
 			seat.Resize(f.load(false))
-			return departure{to: to, seat: seat, copy: Copy{At: from.Addr, ID: m.Handle}}
+			return departure{to: to, seat: seat, copy: port.Copy{At: from.Addr, ID: m.Handle}}
 		}
 		seat.Release()
 		f.log("copy failed", zap.String("from", string(from.ID)), zap.String("to", string(to.ID)), zap.Error(err))
-		if errors.Is(err, ErrNoRun) || ctx.Err() != nil {
+		if errors.Is(err, port.ErrNoRun) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -108,7 +109,7 @@
 // a stopped run stands still while its last one waits. So what is new is copied
 // again while the run goes on, until a copy comes through at once or the time is
 // over; 8 ms then are the rule for the last one, and were 0.4 s at the median.
-func (f *flight) moveTo(ctx context.Context, from, to *backs.Server) (Moved, error) {
+func (f *flight) moveTo(ctx context.Context, from, to *backs.Server) (port.Moved, error) {
 	end := time.Now().Add(settleTime)
 	made := ""
 	for {
@@ -148,12 +149,12 @@
 }
 
 // copy orders an engine to copy the run's cache.
-func (f *flight) copy(ctx context.Context, from, to *backs.Server, last bool, limit time.Duration) (Moved, error) {
+func (f *flight) copy(ctx context.Context, from, to *backs.Server, last bool, limit time.Duration) (port.Moved, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		m, err := f.relay.Backend.Move(ctx, from, f.call.ID, to.Addr, last)
-		if !errors.Is(err, ErrBusy) {
+		if !errors.Is(err, port.ErrBusy) {
 			return m, err
 		}
 		select {
@@ -174,7 +175,7 @@
 	if f.ended() {
 		return nil
 	}
-	f.leg.close()
+	f.leg.Close()
 	f.stop(ctx, g.at)
 	g.seat.Resize(f.load(false))
 	f.guard = nil
@@ -189,7 +190,7 @@
 	f.relay.Group.Go(func() error {
 		defer close(done)
 		_, err := f.copy(context.WithoutCancel(ctx), from, to, true, stopTime)
-		if !errors.Is(err, ErrNoRun) {
+		if !errors.Is(err, port.ErrNoRun) {
 			f.log("run stopped by order", zap.String("server", string(from.ID)), zap.Error(err))
 		}
 		return nil
@@ -208,7 +209,7 @@
 	if !f.movable() {
 		return departure{err: errors.New("nothing is kept of the run")}
 	}
-	to, _ := f.pick(map[ident.Server]bool{f.server.ID: true}, fit.Tight, fit.FarCopy, f.server.Domain)
+	to, _ := f.pick(map[ident.Server]bool{f.server.ID: true}, assign.Tight, assign.FarCopy, f.server.Domain)
 	if to == nil {
 		return departure{err: errors.New("no engine has room")}
 	}
@@ -219,7 +220,7 @@
 		f.log("run not rescued", zap.String("server", string(f.server.ID)), zap.Error(err))
 		return departure{err: err}
 	}
-	return departure{to: to, seat: seat, copy: Copy{At: f.server.Addr, ID: m.Handle}}
+	return departure{to: to, seat: seat, copy: port.Copy{At: f.server.Addr, ID: m.Handle}}
 }
 
 // follow goes on at the engine that holds the copy.
@@ -230,7 +231,7 @@
 		return nil
 	}
 	from := f.server
-	f.leg.close()
+	f.leg.Close()
 	f.seat.Release()
 	f.seat = d.seat
 	f.pickGuard(d.to)
@@ -248,7 +249,7 @@
 var errBudget = errors.New("relay: the retry budget is used up")
 
 // goOn sends the call to an engine with the cache to go on from.
-func (f *flight) goOn(ctx context.Context, to *backs.Server, c Copy) error {
+func (f *flight) goOn(ctx context.Context, to *backs.Server, c port.Copy) error {
 	if !f.relay.Budget.Spend(f.service.Name, time.Now()) {
 		return errBudget
 	}
@@ -270,7 +271,7 @@
 	defer end.Stop()
 	for {
 		select {
-		case p, ok := <-f.leg.events:
+		case p, ok := <-f.leg.Events():
 			if !ok {
 				return
 			}
--- a/internal/route/relay/guard.go
+++ b/internal/route/relay/guard.go
@@ -5,7 +5,8 @@
 
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
-	"umberladder/internal/policy/fit"
+	"umberladder/internal/policy/assign"
+	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
@@ -32,7 +33,7 @@
 }
 
 // copy names the cache that the guard holds.
-func (g *guard) copy(id ident.Request) Copy { return Copy{At: g.at.Addr, ID: string(id)} }
+func (g *guard) copy(id ident.Request) port.Copy { return port.Copy{At: g.at.Addr, ID: string(id)} }
 
 // movable reports whether the stream can go on at another engine from its cache.
 func (f *flight) movable() bool {
@@ -53,7 +54,7 @@
 	if !f.guardable() {
 		return
 	}
-	b, _ := f.pick(map[ident.Server]bool{s.ID: true}, fit.Spare, fit.FarCopy, s.Domain)
+	b, _ := f.pick(map[ident.Server]bool{s.ID: true}, assign.Spare, assign.FarCopy, s.Domain)
 	if b == nil {
 		return
 	}
@@ -87,11 +88,11 @@
 // and for its copy at a third.
 func (f *flight) roomToGuard() bool {
 	skip := map[ident.Server]bool{f.server.ID: true}
-	to, _ := f.pick(skip, fit.Spare, fit.FarCopy, f.server.Domain)
+	to, _ := f.pick(skip, assign.Spare, assign.FarCopy, f.server.Domain)
 	if to == nil {
 		return false
 	}
 	skip[to.ID] = true
-	b, _ := f.pick(skip, fit.Spare, fit.FarCopy, f.server.Domain)
+	b, _ := f.pick(skip, assign.Spare, assign.FarCopy, f.server.Domain)
 	return b != nil
 }
--- a/internal/route/relay/plain.go
+++ b/internal/route/relay/plain.go
@@ -13,7 +13,8 @@
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/policy/fit"
+	"umberladder/internal/policy/assign"
+	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
@@ -54,7 +55,7 @@
 		tried[s.ID] = true
 		a, err := t.ask(ctx, s)
 		if err != nil {
-			var se *SendError
+			var se *port.SendError
 			if errors.As(err, &se) && se.Unsent {
 				unsent++
 				t.log("server not reached", zap.String("server", string(s.ID)), zap.Error(err))
@@ -109,7 +110,7 @@
 	seat := t.relay.Seats.Take(s.ID, seats.Load{Seats: 1})
 	defer seat.Release()
 	t.record.Server = s.ID
-	a, err := t.relay.Backend.Send(ctx, Send{Call: t.call, Server: s, Workspace: t.workspace, Left: t.left(), After: t.call.After})
+	a, err := t.relay.Backend.Send(ctx, port.Send{Call: t.call, Server: s, Workspace: t.workspace, Left: t.left(), After: t.call.After})
 	if err != nil {
 		t.relay.Health.Failure(s.ID, time.Now())
 		return nil, err
@@ -121,7 +122,7 @@
 	}
 	if err != nil {
 		t.relay.Health.Failure(s.ID, time.Now())
-		return nil, &SendError{Err: err}
+		return nil, &port.SendError{Err: err}
 	}
 	if a.Status < http.StatusInternalServerError {
 		t.relay.Health.Success(s.ID, time.Now())
@@ -145,9 +146,9 @@
 	now := time.Now()
 	list := t.relay.Servers.View().Service(t.service.Name)
 	loads := t.relay.Seats.All(now)
-	servers := make([]fit.Server, len(list))
+	servers := make([]assign.Server, len(list))
 	for i, s := range list {
-		servers[i] = fit.Server{
+		servers[i] = assign.Server{
 			Slots:  s.Slots,
 			Seats:  loads[s.ID].Seats,
 			Far:    s.Domain != t.relay.Config.Domain,
@@ -155,7 +156,7 @@
 			Skip:   tried[s.ID],
 		}
 	}
-	i := fit.ChoosePlain(servers, random())
+	i := assign.ChoosePlain(servers, random())
 	if i < 0 {
 		return nil
 	}
--- a/internal/route/relay/pump.go
+++ b/internal/route/relay/pump.go
@@ -10,6 +10,8 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/route/events"
+	"umberladder/internal/route/port"
 )
 
 const (
@@ -29,7 +31,7 @@
 	for {
 		var refusal *refuse.Refusal
 		select {
-		case p, ok := <-f.leg.events:
+		case p, ok := <-f.leg.Events():
 			if ok {
 				refusal = f.forward(p)
 				if w.leaving {
@@ -74,11 +76,11 @@
 // have ended by itself, and going on would send its end twice.
 func (f *flight) ended() bool {
 	select {
-	case <-f.leg.done:
+	case <-f.leg.Done():
 	default:
 		return false
 	}
-	return errors.Is(f.leg.err, io.EOF) && (f.leg.framed || !f.stopping)
+	return errors.Is(f.leg.Err(), io.EOF) && (f.leg.Framed() || !f.stopping)
 }
 
 func (f *flight) complete() *refuse.Refusal {
@@ -91,7 +93,7 @@
 
 // forward writes whole events to the client.
 func (f *flight) forward(p []byte) *refuse.Refusal {
-	id, n := lastID(p)
+	id, n := events.LastID(p)
 	if id != "" {
 		f.lastID = id
 	}
@@ -140,7 +142,7 @@
 
 // broken judges a leg that broke off: the stream goes on elsewhere or is lost.
 func (f *flight) broken(ctx context.Context, w *watch) *refuse.Refusal {
-	err := f.leg.err
+	err := f.leg.Err()
 	if ctx.Err() != nil {
 		return f.over(ctx, refuse.RanPartial)
 	}
@@ -186,7 +188,7 @@
 			return refusal.With(refuse.RanPartial)
 		}
 		f.tried[s.ID] = true
-		a, err := f.open(ctx, s, Copy{})
+		a, err := f.open(ctx, s, port.Copy{})
 		f.record.Sent++
 		if err != nil {
 			cause = err
@@ -203,10 +205,10 @@
 }
 
 // attach makes a's body the stream's present leg.
-func (f *flight) attach(a *Answer) {
+func (f *flight) attach(a *port.Answer) {
 	if f.leg != nil {
-		f.leg.close()
+		f.leg.Close()
 	}
 	f.stopping, f.legged = false, false
-	f.leg = newLeg(f.relay.Group, a.Body, a.Framed)
+	f.leg = events.New(f.relay.Group, a.Body, a.Framed)
 }
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -15,6 +15,8 @@
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/health"
+	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/routes"
@@ -54,12 +56,12 @@
 type Parts struct {
 	Config   Config
 	Settings *routes.Book
-	Refresh  Refresher
+	Refresh  port.Refresher
 	Servers  *backs.Table
 	Seats    *seats.Book
 	Budget   Budget
-	Health   *Health
-	Backend  Backend
+	Health   *health.Book
+	Backend  port.Backend
 	Clock    awake.Clock
 	Log      *zap.Logger
 	Group    *errgroup.Group
@@ -130,7 +132,7 @@
 type task struct {
 	relay     *Relay
 	call      *call.Call
-	reply     Reply
+	reply     port.Reply
 	route     *routes.Route
 	service   *routes.Service
 	workspace ident.Workspace
@@ -143,7 +145,7 @@
 
 // Serve takes the call to its end. It returns a refusal that is still to be
 // written, or nil if the answer was written or broken off.
-func (r *Relay) Serve(ctx context.Context, c *call.Call, w Reply) *refuse.Refusal {
+func (r *Relay) Serve(ctx context.Context, c *call.Call, w port.Reply) *refuse.Refusal {
 	t := &task{relay: r, call: c, reply: w, record: End{Call: c}}
 	refusal := t.admit(ctx)
 	if refusal == nil {
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -11,7 +11,9 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/policy/fit"
+	"umberladder/internal/policy/assign"
+	"umberladder/internal/route/events"
+	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
@@ -26,7 +28,7 @@
 	server   *backs.Server
 	seat     *seats.Seat
 	guard    *guard
-	leg      *leg
+	leg      *events.Leg
 	lastID   string
 	ran      refuse.Ran
 	begun    bool // the head was written to the client
@@ -57,7 +59,7 @@
 
 func (f *flight) release() {
 	if f.leg != nil {
-		f.leg.close()
+		f.leg.Close()
 	}
 	f.seat.Release()
 	f.dropGuard()
@@ -81,11 +83,11 @@
 			return refusal.With(f.ran)
 		}
 		f.tried[s.ID] = true
-		a, err := f.open(ctx, s, Copy{})
+		a, err := f.open(ctx, s, port.Copy{})
 		if err != nil {
 			f.seat.Release()
 			f.dropGuard()
-			var se *SendError
+			var se *port.SendError
 			if errors.As(err, &se) && se.Unsent {
 				f.log("server not reached", zap.String("server", string(s.ID)), zap.Error(err))
 				if unsent++; unsent < maxUnsent && ctx.Err() == nil {
@@ -120,7 +122,7 @@
 }
 
 // declined judges an answer that is no stream.
-func (f *flight) declined(s *backs.Server, a *Answer) (*refuse.Refusal, bool) {
+func (f *flight) declined(s *backs.Server, a *port.Answer) (*refuse.Refusal, bool) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBody))
 	_ = a.Body.Close()
 	f.seat.Release()
@@ -155,10 +157,10 @@
 }
 
 // open sends the call to an engine.
-func (f *flight) open(ctx context.Context, s *backs.Server, from Copy) (*Answer, error) {
+func (f *flight) open(ctx context.Context, s *backs.Server, from port.Copy) (*port.Answer, error) {
 	f.server = s
 	f.record.Server = s.ID
-	send := Send{Call: f.call, Server: s, Workspace: f.workspace, Left: f.left(), Copy: from, After: f.lastID}
+	send := port.Send{Call: f.call, Server: s, Workspace: f.workspace, Left: f.left(), Copy: from, After: f.lastID}
 	if f.guard != nil {
 		send.Backup = f.guard.at.Addr
 	}
@@ -169,7 +171,7 @@
 	return a, err
 }
 
-func (f *flight) head(a *Answer) *refuse.Refusal {
+func (f *flight) head(a *port.Answer) *refuse.Refusal {
 	f.begun = true
 	f.record.Status = a.Status
 	if err := f.reply.Start(a.Status, a.Fields); err != nil {
@@ -188,7 +190,7 @@
 	start := time.Now()
 	for {
 		changed := f.relay.Seats.Changed()
-		s, any := f.pick(f.tried, fit.Full, fit.FarCall, f.relay.Config.Domain)
+		s, any := f.pick(f.tried, assign.Full, assign.FarCall, f.relay.Config.Domain)
 		if s != nil {
 			f.record.Queued += time.Since(start)
 			f.seat = f.relay.Seats.Take(s.ID, f.load(true))
@@ -222,10 +224,10 @@
 	now := time.Now()
 	list := f.relay.Servers.View().Service(f.service.Name)
 	loads := f.relay.Seats.All(now)
-	servers := make([]fit.Server, len(list))
+	servers := make([]assign.Server, len(list))
 	for i, s := range list {
 		l := loads[s.ID]
-		servers[i] = fit.Server{
+		servers[i] = assign.Server{
 			Slots:   s.Slots,
 			Memory:  f.memory(),
 			Seats:   l.Seats,
@@ -238,7 +240,7 @@
 		}
 		any = any || !skip[s.ID]
 	}
-	if i := fit.Choose(f.need(), share, far, servers, random()); i >= 0 {
+	if i := assign.Choose(f.need(), share, far, servers, random()); i >= 0 {
 		return list[i], true
 	}
 	return nil, any
@@ -247,7 +249,7 @@
 // copies returns the caches under way that a copy has to wait for; a new call
 // does not.
 func copies(l seats.Load, far float64) int {
-	if far == fit.FarCopy {
+	if far == assign.FarCopy {
 		return l.Copies
 	}
 	return 0
