Soak real processes before stand-ins of the platform, with failures from outside

stress soak: edge VMs as processes; a store and servers that speak the platform's protocol; proxies that delay, silence, cut and reset; VMs stopped, paused, killed and started again; servers that leave, crash, shed; keys taken away.

--- a/cmd/stress/main.go
+++ b/cmd/stress/main.go
@@ -18,7 +18,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	root := &cobra.Command{Use: "stress", Short: "Drive load and failures against a fleet of processes", SilenceUsage: true}
-	root.AddCommand(newPlan(), newList(), newRun(), newControl(), newCost(), newClaims())
+	root.AddCommand(newPlan(), newList(), newRun(), newControl(), newCost(), newClaims(), newSoak())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/load/soak/soak.go
@@ -0,0 +1,278 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/platform/standin"
+)
+
+const (
+	keys = 4
+	// revokeBound is how long after its end a key may be served, drainBound how
+	// long after its mark a leaving server may get calls.
+	revokeBound = 5 * time.Second
+	drainBound  = 2 * time.Second
+	// settle is how long VMs have before the first failure.
+	settle = 1500 * time.Millisecond
+	// heartbeat is how often servers write their entries.
+	heartbeat = 400 * time.Millisecond
+)
+
+// Config is one soak.
+type Config struct {
+	Seed     uint64
+	Duration time.Duration
+	VMs      int
+	Servers  int // engines; half as many plain servers
+	Clients  int
+	Program  string
+	Dir      string
+}
+
+// Report is what a soak found.
+type Report struct {
+	Seed     uint64         `json:"seed"`
+	Calls    int            `json:"calls"`
+	Served   int            `json:"served"`
+	Refused  int            `json:"refused"`
+	Failed   int            `json:"failed"`
+	Faults   map[string]int `json:"faults"`
+	Violated []string       `json:"violated"`
+}
+
+// backend is a server behind a proxy.
+type backend struct {
+	server *standin.Server
+	proxy  *Proxy
+	ln     net.Listener
+	left   time.Time // when it was marked as leaving
+}
+
+type run struct {
+	cfg    Config
+	rng    *rand.Rand
+	store  *standin.Store
+	ledger *standin.Ledger
+	vms    []*vm
+	ways   []*Proxy // each VM's way to the store
+	group  errgroup.Group
+
+	mu       sync.Mutex
+	backends []*backend
+	calls    []*call
+	faults   map[string]int
+	version  int
+	revoked  map[string]time.Time
+	nextID   int
+}
+
+// Run plays one soak.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	r := &run{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), store: standin.NewStore(), ledger: standin.NewLedger(),
+		faults: make(map[string]int), revoked: make(map[string]time.Time),
+	}
+	ctx, cancel := context.WithTimeout(ctx, cfg.Duration)
+	defer cancel()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	for n := range cfg.Clients {
+		r.group.Go(func() error { return r.client(ctx, n) })
+	}
+	r.trouble(ctx)
+	<-ctx.Done()
+	r.stop()
+	return r.judge(), nil
+}
+
+// start starts the store, the servers and the VMs.
+func (r *run) start(ctx context.Context) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	r.group.Go(func() error { _ = r.store.Serve(ln); return nil })
+	r.configure()
+	for n := range r.cfg.Servers {
+		if err := r.addServer("engines"); err != nil {
+			return err
+		}
+		if n%2 == 0 {
+			if err := r.addServer("plain"); err != nil {
+				return err
+			}
+		}
+	}
+	if err := os.MkdirAll(r.cfg.Dir, 0o750); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	for n := range r.cfg.VMs {
+		way, err := NewProxy(ln.Addr().String())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		v, err := newVM(r.cfg.Program, r.cfg.Dir, n, way.Addr())
+		if err != nil {
+			return err
+		}
+		r.ways, r.vms = append(r.ways, way), append(r.vms, v)
+		if err := v.start(); err != nil {
+			return err
+		}
+	}
+	r.group.Go(func() error { r.beat(ctx); return nil })
+	time.Sleep(settle)
+	return nil
+}
+
+// beat writes the servers' entries, until ctx ends.
+func (r *run) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		for _, b := range r.backends {
+			b.server.Enter()
+		}
+		r.mu.Unlock()
+		time.Sleep(heartbeat)
+	}
+}
+
+const route = `{"name":%q,"hostname":"` + host + `","prefix":%q,"kind":%q,"timeoutMs":4000,"targetLatencyMs":600,"service":%q,"maxAttempts":%d}`
+
+// configure writes the next version of the settings, with the keys that are left.
+func (r *run) configure() {
+	r.version++
+	var left []string
+	for n := range keys {
+		if k := fmt.Sprintf("key-%d", n); r.revoked[k].IsZero() {
+			left = append(left, fmt.Sprintf("%q", k))
+		}
+	}
+	routes := []string{
+		fmt.Sprintf(route, "stream", "/stream/", "streaming", "engines", 1),
+		fmt.Sprintf(route, "once", "/once/", "non_idempotent", "plain", 1),
+		fmt.Sprintf(route, "get", "/get/", "idempotent", "plain", 2),
+	}
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"plain"},{"name":"engines","engine":{"slots":24,
+"kvCapacityTokens":30000,"migrations":true,"backups":true,"stride":1}}],"tenants":[{"name":"team","apiKeys":[%s]}]}`,
+		r.version, strings.Join(routes, ","), strings.Join(left, ","))
+	r.store.Put("op/config", []byte(text))
+}
+
+func (r *run) addServer(service string) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	p, err := NewProxy(ln.Addr().String())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nextID++
+	s := standin.NewServer(fmt.Sprintf("%s-%d", service, r.nextID), service, "a", p.Addr(), r.store, r.ledger)
+	b := &backend{server: s, proxy: p, ln: ln}
+	r.backends = append(r.backends, b)
+	s.Enter()
+	r.group.Go(func() error { _ = s.Serve(ln); return nil })
+	return nil
+}
+
+func (r *run) done(c *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, c)
+}
+
+// stop ends what the soak started, and nothing else.
+func (r *run) stop() {
+	for _, v := range r.vms {
+		v.signal(syscall.SIGCONT)
+		v.signal(syscall.SIGKILL)
+		v.wait()
+	}
+	for _, b := range r.backends {
+		b.server.Crash()
+		_ = b.ln.Close()
+		b.proxy.Close()
+	}
+	for _, w := range r.ways {
+		w.Close()
+	}
+	_ = r.group.Wait()
+}
+
+// judge holds what clients saw against what servers did.
+func (r *run) judge() *Report {
+	rep := &Report{Seed: r.cfg.Seed, Calls: len(r.calls), Faults: r.faults, Violated: []string{}}
+	for _, v := range r.vms {
+		rep.Violated = append(rep.Violated, v.crashed()...)
+	}
+	for _, c := range r.calls {
+		switch {
+		case c.status == 200 && c.whole:
+			rep.Served++
+		case c.status == 429 || c.status == 503:
+			rep.Refused++
+		default:
+			rep.Failed++
+		}
+		if fault := r.fault(c); fault != "" {
+			rep.Violated = append(rep.Violated, fmt.Sprintf("%s at %s, %s: %s", c.id, c.vm, c.path, fault))
+		}
+	}
+	slices.Sort(rep.Violated)
+	return rep
+}
+
+// fault returns the promise that was broken to a call, or nothing.
+func (r *run) fault(c *call) string {
+	runs := r.ledger.Runs(c.id)
+	fresh := 0
+	for _, one := range runs {
+		if !one.GoesOn {
+			fresh++
+		}
+		if b := r.backend(one.Server); b != nil && !b.left.IsZero() && one.Start.Sub(b.left) > drainBound && c.sent.After(b.left) {
+			return "ran at " + one.Server + ", which had left"
+		}
+	}
+	revoked := r.revoked[c.key]
+	switch {
+	case c.fault != "":
+		return c.fault
+	case (c.status == 503 || c.status == 429) && len(runs) > 0:
+		return "was refused as not run, and has run"
+	case fresh > 1 && !strings.HasPrefix(c.path, "/get/"):
+		return fmt.Sprintf("ran %d times", fresh)
+	case !revoked.IsZero() && c.sent.Sub(revoked) > revokeBound && len(runs) > 0:
+		return "ran with a key that was taken away"
+	case (c.status == 401 || c.status == 404) && revoked.IsZero():
+		return fmt.Sprintf("was denied with %d", c.status)
+	}
+	return ""
+}
+
+func (r *run) backend(id string) *backend {
+	for _, b := range r.backends {
+		if b.server.ID == id {
+			return b
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/soak/trouble.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+)
+
+// trouble starts failures until ctx ends; several are under way at a time.
+func (r *run) trouble(ctx context.Context) {
+	kinds := []struct {
+		name string
+		do   func(ctx context.Context)
+	}{
+		{"vm-stop", r.stopVM}, {"vm-kill", r.killVM}, {"vm-pause", r.pauseVM},
+		{"store-link", r.storeLink}, {"store-away", r.storeAway},
+		{"server-link", r.serverLink}, {"server-leave", r.leaveServer}, {"server-crash", r.crashServer}, {"server-shed", r.shedServer},
+		{"settings", func(context.Context) { r.mu.Lock(); defer r.mu.Unlock(); r.configure() }}, {"revoke", r.revoke},
+	}
+	for ctx.Err() == nil {
+		k := kinds[r.rng.IntN(len(kinds))]
+		r.mu.Lock()
+		r.faults[k.name]++
+		r.mu.Unlock()
+		k.do(ctx)
+		r.sleep(ctx, time.Duration(r.rng.IntN(700))*time.Millisecond)
+	}
+}
+
+func (r *run) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// later undoes a failure after a drawn time, beside those that follow.
+func (r *run) later(ctx context.Context, undo func()) {
+	d := time.Duration(200+r.rng.IntN(2500)) * time.Millisecond
+	r.group.Go(func() error {
+		r.sleep(ctx, d)
+		undo()
+		return nil
+	})
+}
+
+// calm returns a VM that is not being stopped or restarted already.
+func (r *run) calm() *vm {
+	v := r.vms[r.rng.IntN(len(r.vms))]
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.stopping.IsZero() {
+		return nil
+	}
+	v.stopping = time.Now()
+	return v
+}
+
+// again waits for a VM's end and starts it anew.
+func (r *run) again(ctx context.Context, v *vm) {
+	r.group.Go(func() error {
+		v.wait()
+		r.sleep(ctx, 300*time.Millisecond)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return v.start()
+	})
+}
+
+func (r *run) stopVM(ctx context.Context) {
+	if v := r.calm(); v != nil {
+		v.signal(syscall.SIGTERM)
+		r.again(ctx, v)
+	}
+}
+
+func (r *run) killVM(ctx context.Context) {
+	if v := r.calm(); v != nil {
+		v.signal(syscall.SIGKILL)
+		r.again(ctx, v)
+	}
+}
+
+func (r *run) pauseVM(ctx context.Context) {
+	v := r.calm()
+	if v == nil {
+		return
+	}
+	v.signal(syscall.SIGSTOP)
+	r.later(ctx, func() {
+		v.signal(syscall.SIGCONT)
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.stopping = time.Time{}
+	})
+}
+
+func (r *run) storeLink(ctx context.Context) {
+	w := r.ways[r.rng.IntN(len(r.ways))]
+	w.Set(Mode(1 + r.rng.IntN(int(modes)-1)))
+	r.later(ctx, func() { w.Set(Pass) })
+}
+
+func (r *run) storeAway(ctx context.Context) {
+	m := Mode(1 + r.rng.IntN(int(modes)-1))
+	for _, w := range r.ways {
+		w.Set(m)
+	}
+	r.later(ctx, func() {
+		for _, w := range r.ways {
+			w.Set(Pass)
+		}
+	})
+}
+
+// pick returns a server that has not left.
+func (r *run) pick() *backend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.backends[r.rng.IntN(len(r.backends))]
+	if !b.left.IsZero() {
+		return nil
+	}
+	return b
+}
+
+func (r *run) serverLink(ctx context.Context) {
+	b := r.pick()
+	if b == nil {
+		return
+	}
+	b.proxy.Set(Mode(1 + r.rng.IntN(int(modes)-1)))
+	r.later(ctx, func() { b.proxy.Set(Pass) })
+}
+
+func (r *run) shedServer(context.Context) {
+	if b := r.pick(); b != nil {
+		b.server.Shed(1 + r.rng.IntN(5))
+	}
+}
+
+// leaveServer has a server leave, with or without a word, after another came.
+func (r *run) leaveServer(ctx context.Context) {
+	b := r.pick()
+	if b == nil || r.addServer(b.server.Service) != nil {
+		return
+	}
+	b.server.Leave()
+	r.gone(b)
+	r.group.Go(func() error {
+		r.sleep(ctx, 4*time.Second)
+		b.server.Crash()
+		r.store.Remove("servers/" + b.server.ID)
+		return nil
+	})
+}
+
+// gone takes a server out of those that write their entries. The bound on what
+// it may get holds from then on.
+func (r *run) gone(b *backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b.left = time.Now()
+}
+
+// crashServer ends a server's runs and connections; its entry lapses later.
+func (r *run) crashServer(ctx context.Context) {
+	b := r.pick()
+	if b == nil || r.addServer(b.server.Service) != nil {
+		return
+	}
+	b.server.Crash()
+	b.proxy.Set(Reset)
+	r.group.Go(func() error {
+		r.sleep(ctx, time.Second)
+		r.store.Remove("servers/" + b.server.ID)
+		r.gone(b)
+		return nil
+	})
+}
+
+// revoke takes a key away; one is left.
+func (r *run) revoke(context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.revoked) == keys-1 {
+		return
+	}
+	r.revoked[[]string{"key-0", "key-1", "key-2"}[len(r.revoked)]] = time.Now()
+	r.configure()
+}
