Reload settings on a signal or a changed file; pass over entries that can't be read

A hang-up signal ended the process (Go's default). Settings are read anew on it, and each 2 s if the file has changed; addresses need a new start, and a bad file leaves what is in force. One entry of a server that can't be read no more hides the others. A rejected client can read its answer before its connection closes.

--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -47,6 +48,23 @@
 	}
 }
 
+const (
+	// lingerTime and lingerBytes bound what is read of a rejected request. Closing
+	// a connection with unread bytes resets it, and the client may lose the answer.
+	lingerTime  = 300 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// linger lets the client read the answer before the connection is closed.
+func (c *conn) linger() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.r, lingerBytes)
+}
+
 func (c *conn) close() { c.once.Do(func() { _ = c.Close() }) }
 
 // watch calls left when the client closes the connection. The function it
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -122,6 +122,7 @@
 		if fault.answerable() {
 			w.last = true
 			s.reject(w, fault.Fault, fault.Error())
+			c.linger()
 		}
 		return false
 	}
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// Set changes what is allowed.
+func (w *Window) Set(ratio, extra float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio, w.extra = ratio, extra
+}
+
 // Hear takes what another VM sent in the window before now.
 func (w *Window) Hear(vm ident.VM, sent map[ident.Service]Sent, now time.Time) {
 	w.mu.Lock()
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -41,14 +41,14 @@
 			if err != nil {
 				return exit(ExitInvalid, err)
 			}
-			return runEdge(c, cfg)
+			return runEdge(c, cfg, file)
 		},
 	}
 	c.Flags().StringVar(&file, "config", os.Getenv(edgeConfig), "the settings, a JSON file; by default the one that "+edgeConfig+" names")
 	return c
 }
 
-func runEdge(c *cobra.Command, cfg *conf.Edge) error {
+func runEdge(c *cobra.Command, cfg *conf.Edge, file string) error {
 	level, err := zapcore.ParseLevel(cfg.LogLevel)
 	if err != nil {
 		return exit(ExitInvalid, err)
@@ -58,7 +58,7 @@
 	defer lines.Close()
 	log := lines.Logger(level).With(zap.String("vm", string(cfg.Name)))
 	dialer := link.New(cfg.Callers.Addr(), edgeConnect, time.Minute, 0)
-	store := platform.NewStore(dialer, cfg.Store)
+	store := platform.NewStore(dialer, cfg.Store, log)
 	vm := edge.New(cfg, edge.Ports{
 		Settings: store,
 		Servers:  store,
@@ -70,5 +70,11 @@
 	}, group, log)
 	stop, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	group.Go(func() error {
+		vm.Reload(stop, file, hup)
+		return nil
+	})
 	return exit(ExitFailure, vm.Run(stop, group))
 }
--- /dev/null
+++ b/internal/proc/edge/reload_test.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/policy/retry"
+	"umberladder/internal/proc/conf"
+)
+
+const file = `{"name":"edge-1","failure-domain":"a","callers-address":"10.0.0.1:80","ready-address":"10.0.0.1:81",
+"metrics-address":"10.0.0.1:82","peers-address":"10.0.0.1:83","store-address":"10.0.0.2:80","revoke-bound":"5s"}`
+
+type nobody struct{}
+
+func (nobody) Others() (int, int) { return 0, 0 }
+
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "edge.json")
+	cfg, err := conf.ParseEdge([]byte(file))
+	assert.NilError(t, err)
+	v := &VM{log: zap.NewNop(), budget: retry.NewWindow(0, 0, time.Second, nobody{})}
+	v.cfg.Store(cfg)
+	for _, tc := range []struct {
+		old, new string
+		revoke   time.Duration
+	}{
+		{`"5s"`, `"7s"`, 7 * time.Second},
+		{`"5s"`, `"soon"`, 7 * time.Second},
+		{`10.0.0.1:80"`, `10.9.9.9:80"`, 5 * time.Second},
+	} {
+		assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(file, tc.old, tc.new, 1)), 0o600))
+		v.reload(path, "test")
+		assert.Equal(t, v.cfg.Load().Revoke, tc.revoke)
+		assert.Equal(t, v.cfg.Load().Callers, cfg.Callers, "an address needs a new start")
+	}
+}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -66,7 +66,7 @@
 
 // VM is one edge VM.
 type VM struct {
-	cfg      *conf.Edge
+	cfg      atomic.Pointer[conf.Edge]
 	log      *zap.Logger
 	set      *metrics.Set
 	settings *routes.Book
@@ -88,7 +88,6 @@
 // New makes a VM from its settings and the platform's side.
 func New(cfg *conf.Edge, ports Ports, group *errgroup.Group, log *zap.Logger) *VM {
 	v := &VM{
-		cfg:      cfg,
 		log:      log,
 		set:      metrics.NewSet(),
 		settings: routes.NewBook(awake.Now),
@@ -98,12 +97,13 @@
 		lines:    ports.Lines,
 		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
+	v.cfg.Store(cfg)
 	v.servers = backs.NewTable(v.seats.Touch)
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, log)
 	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, log)
 	v.relay = relay.New(relay.Parts{
-		Config:   relay.Config{Domain: cfg.Domain, Revoke: cfg.Revoke},
+		Config:   relay.Config{Domain: cfg.Domain, Revoke: func() time.Duration { return v.cfg.Load().Revoke }},
 		Settings: v.settings,
 		Refresh:  v.follow,
 		Servers:  v.servers,
@@ -138,7 +138,7 @@
 // Ready reports whether the balancer should send clients here.
 func (v *VM) Ready() bool {
 	return !v.stopping.Load() && v.settings.Load() != nil && v.servers.View().Len() > 0 &&
-		v.settings.Age() < v.cfg.Revoke-readyMargin
+		v.settings.Age() < v.cfg.Load().Revoke-readyMargin
 }
 
 // Run serves until stop is done, and then until every request has ended or the
@@ -146,14 +146,14 @@
 func (v *VM) Run(stop context.Context, group *errgroup.Group) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ln, err := net.Listen("tcp", v.cfg.Callers.String())
+	ln, err := net.Listen("tcp", v.cfg.Load().Callers.String())
 	if err != nil {
 		return trace.Wrap(err, "/callers-address")
 	}
 	if err := v.serveSide(ctx, group); err != nil {
 		return trace.Wrap(err)
 	}
-	g, err := gossip.New(v.cfg.Name, uint64(time.Now().UnixNano()), v.cfg.Peers, &local{vm: v, ctx: ctx}, v.log)
+	g, err := gossip.New(v.cfg.Load().Name, uint64(time.Now().UnixNano()), v.cfg.Load().Peers, &local{vm: v, ctx: ctx}, v.log)
 	if err != nil {
 		return trace.Wrap(err, "/peers-address")
 	}
@@ -174,7 +174,7 @@
 		failed <- v.front.Serve(ctx, ln)
 		return nil
 	})
-	v.log.Info("serving", zap.Stringer("callers", v.cfg.Callers))
+	v.log.Info("serving", zap.Stringer("callers", v.cfg.Load().Callers))
 	select {
 	case <-stop.Done():
 	case err := <-failed:
@@ -190,7 +190,7 @@
 	v.log.Info("stopping", zap.Int64("connections", v.front.Open()))
 	v.stopping.Store(true)
 	v.front.Drain()
-	end := start.Add(v.cfg.Grace - stopReserve)
+	end := start.Add(v.cfg.Load().Grace - stopReserve)
 	v.relay.Stop(end)
 	for time.Now().Before(end) {
 		if time.Since(start) > takeTime {
@@ -213,8 +213,8 @@
 		addr    string
 		handler fasthttp.RequestHandler
 	}{
-		{"/ready-address", v.cfg.Ready.String(), v.ready},
-		{"/metrics-address", v.cfg.Metrics.String(), v.writeMetrics},
+		{"/ready-address", v.cfg.Load().Ready.String(), v.ready},
+		{"/metrics-address", v.cfg.Load().Metrics.String(), v.writeMetrics},
 	} {
 		ln, err := net.Listen("tcp", s.addr)
 		if err != nil {
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -277,7 +277,7 @@
 	w.book = routes.NewBook(w.clock)
 	w.book.Put(snapshot(1), w.clock())
 	w.relay = New(Parts{
-		Config: Config{Domain: "a", Revoke: 5 * time.Second}, Settings: w.book, Refresh: w, Servers: w.table,
+		Config: Config{Domain: "a", Revoke: func() time.Duration { return 5 * time.Second }}, Settings: w.book, Refresh: w, Servers: w.table,
 		Seats: seats.New(), Budget: w.budget, Health: health.New(), Backend: w.engines, Clock: w.clock,
 		Log: zap.NewNop(), Group: w.group, Count: w,
 	})
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -48,8 +48,8 @@
 // Config is what varies between deployments.
 type Config struct {
 	Domain ident.Domain
-	// Revoke is how long after its end an API key may still be served.
-	Revoke time.Duration
+	// Revoke returns how long after its end an API key may still be served.
+	Revoke func() time.Duration
 }
 
 // Parts are what a relay is made of.
@@ -247,9 +247,9 @@
 	if !snap.Keyed(t.route) {
 		return nil
 	}
-	if age > t.relay.Config.Revoke-staleMargin {
+	if bound := t.relay.Config.Revoke(); age > bound-staleMargin {
 		return refuse.New(refuse.SettingsStale, "the settings were known to be the newest %s ago, and keys may be served for %s",
-			age.Round(time.Millisecond), t.relay.Config.Revoke).After(settingsRetry)
+			age.Round(time.Millisecond), bound).After(settingsRetry)
 	}
 	holder := snap.Holder(t.call.Key)
 	if holder == nil {
