--- a/internal/load/soak/client.go
+++ b/internal/load/soak/client.go
@@ -26,31 +26,18 @@
 	fault  string // a broken promise that the client saw
 }
 
-const (
-	patience = 4 * time.Second
-	host     = "soak.example"
-)
+// patience is how long a client waits for an answer.
+const patience = 4 * time.Second
 
 // send makes one call and reads the whole answer.
 func (r *run) send(ctx context.Context, http1 *http.Client, c *call, front string) {
 	ctx, cancel := context.WithTimeout(ctx, patience+time.Second)
 	defer cancel()
-	method := http.MethodPost
-	if strings.HasPrefix(c.path, "/get/") {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.path, strings.NewReader("{}"))
+	req, err := standin.NewRequest(ctx, front, c.path, c.id, c.key, patience)
 	if err != nil {
 		c.fault = err.Error()
 		return
 	}
-	req.Host = host
-	req.Header.Set("X-Umberladder-Attempt-Id", c.id)
-	req.Header.Set("X-Umberladder-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+c.key)
-	if strings.HasPrefix(c.path, "/stream/") {
-		req.Header.Set("X-Umberladder-Token-Usage", "100,100")
-	}
 	c.sent = time.Now()
 	resp, err := http1.Do(req)
 	if err != nil {
@@ -63,8 +50,8 @@
 		c.whole = err == nil
 		return
 	}
-	if got := resp.Header.Get("X-Umberladder-Response-Signature"); got != "of-"+c.id {
-		c.fault = "the answer is signed " + got
+	if !standin.Signed(resp, c.id) {
+		c.fault = "the answer is not signed as the server's"
 	}
 	if strings.HasPrefix(c.path, "/stream/") {
 		c.readStream(resp.Body)
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -114,11 +114,11 @@
 	r.group.Go(func() error { _ = r.store.Serve(ln); return nil })
 	r.configure()
 	for n := range r.cfg.Servers {
-		if err := r.addServer("engines"); err != nil {
+		if err := r.addServer(standin.Engines); err != nil {
 			return err
 		}
 		if n%2 == 0 {
-			if err := r.addServer("plain"); err != nil {
+			if err := r.addServer(standin.Plain); err != nil {
 				return err
 			}
 		}
@@ -159,26 +159,16 @@
 	}
 }
 
-const route = `{"name":%q,"hostname":"` + host + `","prefix":%q,"kind":%q,"timeoutMs":4000,"targetLatencyMs":600,"service":%q,"maxAttempts":%d}`
-
 // configure writes the next version of the settings, with the keys that are left.
 func (r *run) configure() {
 	r.version++
 	var left []string
 	for n := range keys {
 		if k := fmt.Sprintf("key-%d", n); r.revoked[k].IsZero() {
-			left = append(left, fmt.Sprintf("%q", k))
+			left = append(left, k)
 		}
 	}
-	routes := []string{
-		fmt.Sprintf(route, "stream", "/stream/", "streaming", "engines", 1),
-		fmt.Sprintf(route, "once", "/once/", "non_idempotent", "plain", 1),
-		fmt.Sprintf(route, "get", "/get/", "idempotent", "plain", 2),
-	}
-	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"plain"},{"name":"engines","engine":{"slots":24,
-"kvCapacityTokens":30000,"migrations":true,"backups":true,"stride":1}}],"tenants":[{"name":"team","apiKeys":[%s]}]}`,
-		r.version, strings.Join(routes, ","), strings.Join(left, ","))
-	r.store.Put("op/config", []byte(text))
+	r.store.Configure(r.version, left)
 }
 
 func (r *run) addServer(service string) error {
--- /dev/null
+++ b/internal/load/soak/soak_test.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"umberladder/platform/standin"
+)
+
+// TestUntrue has the soak see each broken promise.
+func TestUntrue(t *testing.T) {
+	now := time.Now()
+	r := &run{revoked: map[string]time.Time{"gone": now.Add(-time.Minute)}}
+	ran := []standin.Run{{Server: "a"}}
+	for name, tc := range map[string]struct {
+		call call
+		runs []standin.Run
+		want string
+	}{
+		"served":                         {call: call{path: "/once/x", status: 200}, runs: ran},
+		"refused and not run":            {call: call{path: "/once/x", status: 503}},
+		"refused and run":                {call: call{path: "/once/x", status: 503}, runs: ran, want: "has run"},
+		"run twice":                      {call: call{path: "/once/x", status: 200}, runs: append(ran, ran...), want: "ran 2 times"},
+		"repeatable, run twice":          {call: call{path: "/get/x", status: 200}, runs: append(ran, ran...)},
+		"gone on with":                   {call: call{path: "/stream/x", status: 200}, runs: append(ran, standin.Run{GoesOn: true})},
+		"a key that was taken away":      {call: call{path: "/get/x", key: "gone", sent: now, status: 200}, runs: ran, want: "taken away"},
+		"denied by the key":              {call: call{path: "/get/x", key: "gone", sent: now, status: 401}},
+		"denied though the key is right": {call: call{path: "/get/x", key: "k", sent: now, status: 401}, want: "denied"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := r.untrue(&tc.call, tc.runs)
+			assert.Equal(t, got != "", tc.want != "", got)
+			assert.Assert(t, strings.Contains(got, tc.want), got)
+		})
+	}
+}
+
+func TestInTouch(t *testing.T) {
+	now := time.Now()
+	r := &run{harmed: map[string][]span{"vm": {{from: now, to: now.Add(time.Second)}, {from: now.Add(time.Minute)}}}}
+	for at, want := range map[time.Duration]bool{
+		-time.Second: true, time.Second / 2: false, 3 * time.Second: false, 5 * time.Second: true, 2 * time.Minute: false,
+	} {
+		assert.Equal(t, r.inTouch("vm", now.Add(at)), want, "%s", at)
+	}
+	assert.Assert(t, r.inTouch("another", now))
+}
+
+func TestReadStream(t *testing.T) {
+	whole := ""
+	for n := range standin.Events {
+		whole += fmt.Sprintf("id: %d\ndata: r\n\n", n+1)
+	}
+	for name, tc := range map[string]struct{ stream, want string }{
+		"whole":   {whole, ""},
+		"cut":     {whole[:len(whole)-20], "as whole after"},
+		"doubled": {"id: 1\ndata: r\n\nid: 1\ndata: r\n\n", "event 1 after 1"},
+		"foreign": {"id: 1\ndata: s\n\n", "event of s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &call{id: "r"}
+			c.readStream(strings.NewReader(tc.stream))
+			assert.Equal(t, c.fault != "", tc.want != "", c.fault)
+		})
+	}
+}
+
+// TestProxy puts one connection through every mode.
+func TestProxy(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return nil //nolint:nilerr // the listener was closed
+			}
+			g.Go(func() error {
+				_, _ = io.Copy(c, c)
+				return c.Close()
+			})
+		}
+	})
+	p, err := NewProxy(ln.Addr().String())
+	assert.NilError(t, err)
+	for mode, passes := range map[Mode]bool{Pass: true, Delay: true, Silent: false, OneWay: false, Reset: false} {
+		t.Run(mode.String(), func(t *testing.T) {
+			p.Set(mode)
+			c, err := net.Dial("tcp", p.Addr())
+			assert.NilError(t, err)
+			defer c.Close()
+			_, _ = c.Write([]byte("x"))
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(700*time.Millisecond)))
+			_, err = io.ReadFull(c, make([]byte, 1))
+			assert.Equal(t, err == nil, passes, "%v", err)
+		})
+	}
+	p.Set(Pass)
+	p.Close()
+	_ = ln.Close()
+	_ = g.Wait()
+}
--- a/internal/load/soak/trouble.go
+++ b/internal/load/soak/trouble.go
@@ -195,7 +195,7 @@
 func (r *run) end(b *backend) {
 	r.mu.Lock()
 	b.dead = true
-	r.store.Remove("servers/" + b.server.ID)
+	r.store.RemoveServer(b.server.ID)
 	r.mu.Unlock()
 	r.gone(b)
 }
