Read a stream's length without a race

A move reads the stream's size in a goroutine of its own while events change it. Found on reading the change once more; the race detector of the relay's tests had last run before that size was made to follow the events. It is atomic now.

--- a/internal/route/relay/pump.go
+++ b/internal/route/relay/pump.go
@@ -119,11 +119,12 @@
 	if f.call.Prompt == nil || f.service.Engine == nil {
 		return
 	}
-	f.made = f.record.Events * f.service.Engine.Stride
-	if f.made < f.told+growStep {
+	made := f.record.Events * f.service.Engine.Stride
+	f.made.Store(int64(made))
+	if made < f.told+growStep {
 		return
 	}
-	f.told = f.made
+	f.told = made
 	l := f.seat.Load()
 	l.Tokens = f.need()
 	f.seat.Resize(l)
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,11 +32,11 @@
 	lastID   string
 	unsent   int // engines that could not be connected to
 	ran      refuse.Ran
-	begun    bool // the head was written to the client
-	made     int  // tokens, as far as events tell
-	told     int  // tokens when the stream's size was last told
-	legged   bool // the present leg has brought an event
-	stopping bool // the run is being stopped, so that its end may be no end
+	begun    bool         // the head was written to the client
+	made     atomic.Int64 // tokens, as far as events tell; moves read it beside the events
+	told     int          // tokens when the stream's size was last told
+	legged   bool         // the present leg has brought an event
+	stopping bool         // the run is being stopped, so that its end may be no end
 	lastAt   time.Time
 }
 
@@ -71,7 +72,7 @@
 	if p == nil {
 		return 1
 	}
-	return p.Tokens + min(f.made+ahead, p.Limit)
+	return p.Tokens + min(int(f.made.Load())+ahead, p.Limit)
 }
 
 // start sends the call until an engine has begun to answer it.
