--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -108,7 +108,7 @@
 }
 
 // through sends a byte through a proxy and waits for it to come back. A reset may
-// show as early as at the dialing.
+// show as early as at the dialling.
 func through(addr string) error {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
