--- a/internal/peer/gossip/codec.go
+++ b/internal/peer/gossip/codec.go
@@ -93,7 +93,7 @@
 		b = appendNumber(b, fieldAge, uint64(s.Age))
 	}
 	if s.News != nil {
-		b = appendBytes(b, fieldNews, encodeNews(s.News))
+		b = appendBytes(b, fieldNews, EncodeNews(s.News))
 	}
 	if s.Ask != 0 {
 		b = appendNumber(b, fieldAsk, s.Ask)
@@ -181,7 +181,7 @@
 	case fieldAge:
 		s.Age = time.Duration(v)
 	case fieldNews:
-		s.News, err = decodeNews(text)
+		s.News, err = DecodeNews(text)
 	case fieldAsk:
 		s.Ask = v
 	case fieldReply:
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -36,7 +36,7 @@
 	// Answer answers another VM's question.
 	Answer(ask uint64) Reply
 	// Learn takes the answer to this VM's question.
-	Learn(r Reply)
+	Learn(r Reply, from netip.AddrPort)
 	// Seat takes another VM's ask for room, and answers it.
 	Seat(a homes.Ask, reply func(homes.Answer))
 	// Seated takes the answer to this VM's ask for room.
@@ -137,7 +137,7 @@
 		r := g.local.Answer(s.Ask)
 		g.write(State{VM: g.vm, Reply: &r}, from)
 	case s.Reply != nil:
-		g.local.Learn(*s.Reply)
+		g.local.Learn(*s.Reply, from)
 	case s.Seat != nil:
 		g.local.Seat(*s.Seat, func(a homes.Answer) { g.write(State{VM: g.vm, Answer: &a}, from) })
 	case s.Answer != nil:
--- a/internal/peer/gossip/news.go
+++ b/internal/peer/gossip/news.go
@@ -27,7 +27,8 @@
 	changeLeaving = 8
 )
 
-func encodeNews(n *follow.News) []byte {
+// EncodeNews returns news as a message.
+func EncodeNews(n *follow.News) []byte {
 	b := appendNumber(nil, newsBase, uint64(n.Base))
 	b = appendNumber(b, newsRev, uint64(n.Rev))
 	for _, c := range n.Changes {
@@ -52,7 +53,8 @@
 	return b
 }
 
-func decodeNews(b []byte) (*follow.News, error) {
+// DecodeNews reads news.
+func DecodeNews(b []byte) (*follow.News, error) {
 	n := &follow.News{}
 	err := fields(b, func(num protowire.Number, text []byte, v uint64) error {
 		switch num {
--- /dev/null
+++ b/internal/peer/share/doc.go
@@ -0,0 +1,7 @@
+// Package share lets VMs take the settings and the list of servers from one
+// another instead of from the store.
+//
+// What one VM has read, the others fetch from it: with 62 VMs each change of
+// the settings cost 62 calls to the store. A VM that the store does not answer
+// gets them in the same way, and one that starts in an outage begins to serve.
+package share
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -13,6 +13,7 @@
 
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/link"
+	"umberladder/internal/peer/share"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/edge"
 	"umberladder/internal/proc/sink"
@@ -65,6 +66,7 @@
 		Backend:  platform.NewServers(dialer),
 		Codec:    func(r *relay.Relay) edge.Codec { return platform.NewIngress(r, awake.Now) },
 		Peers:    store,
+		Share:    share.NewClient(dialer),
 		Calls:    store.Calls,
 		Lines:    lines,
 	}, group, log)
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -18,7 +18,7 @@
 	Callers  netip.AddrPort // HTTP for clients
 	Ready    netip.AddrPort // HTTP for the balancer's readiness checks
 	Metrics  netip.AddrPort // HTTP for metrics
-	Peers    netip.AddrPort // UDP for other VMs
+	Peers    netip.AddrPort // UDP and HTTP for other VMs
 	Store    netip.AddrPort
 	LogLevel string
 	LogRate  int           // most log lines a second
--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -12,8 +12,10 @@
 	"umberladder/internal/core/awake"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/gossip"
+	"umberladder/internal/peer/share"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/state/follow"
 )
 
 const (
@@ -26,6 +28,8 @@
 	// deciders is how many VMs are told at once what changes in the loads: the one
 	// that decides, and the one that takes its place.
 	deciders = 2
+	// takeSettingsTime bounds the taking of settings from another VM.
+	takeSettingsTime = 400 * time.Millisecond
 	// newerPause is the least pause after newer settings could not be read.
 	newerPause = 500 * time.Millisecond
 )
@@ -88,18 +92,22 @@
 		v.log.Info("server leaves", zap.String("server", string(id)), zap.String("told-by", string(s.VM)))
 	}
 	if snap := v.settings.Load(); snap != nil && s.Version > snap.Version {
-		l.newer(s.Version)
+		l.newer(s.Version, from)
 	}
 }
 
-// newer reads settings that another VM has already.
-func (l *local) newer(version uint64) {
+// newer takes settings that another VM has already, from it or else from the
+// store.
+func (l *local) newer(version uint64, from netip.AddrPort) {
 	if !l.vm.reading.CompareAndSwap(false, true) {
 		return
 	}
 	l.vm.group.Go(func() error {
 		defer l.vm.reading.Store(false)
-		l.vm.follow.Learn(l.ctx, version, 0)
+		if err := l.vm.takeSettings(l.ctx, from); err != nil {
+			l.vm.log.Info("settings not taken from another VM", zap.Uint64("version", version), zap.Stringer("from", from), zap.Error(err))
+			l.vm.follow.Learn(l.ctx, version, 0)
+		}
 		if snap := l.vm.settings.Load(); snap == nil || snap.Version < version {
 			// Each message of each VM would ask a store that does not answer.
 			retry.Pause(l.ctx, newerPause+rand.N(newerPause))
@@ -108,6 +116,40 @@
 	})
 }
 
+// takeSettings takes the settings in force at another VM. They were the newest
+// their age before it answered, and it answered after it was asked.
+func (v *VM) takeSettings(ctx context.Context, from netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, takeSettingsTime)
+	defer cancel()
+	asked := awake.Now()
+	s, err := v.share.Settings(ctx, from)
+	if err != nil {
+		return err
+	}
+	return v.follow.Adopt(s.Data, asked.Add(-s.Age))
+}
+
+// takeServers takes all servers from a VM that the store answers.
+func (v *VM) takeServers(ctx context.Context) (follow.News, error) {
+	list := v.watch.Asking(time.Now())
+	if len(list) == 0 {
+		return follow.News{}, follow.ErrNobody
+	}
+	return v.share.Servers(ctx, list[rand.IntN(len(list))])
+}
+
+// Settings implements share.Source.
+func (v *VM) Settings() (share.Settings, bool) {
+	fresh, snap := v.settings.Fresh(), v.settings.Load()
+	if snap == nil {
+		return share.Settings{}, false
+	}
+	return share.Settings{Data: snap.Source, Version: snap.Version, Age: awake.Now().Sub(fresh)}, true
+}
+
+// Servers implements share.Source.
+func (v *VM) Servers() (follow.News, bool) { return v.discover.All() }
+
 // Ask implements gossip.Local.
 func (l *local) Ask(now time.Time) (netip.AddrPort, uint64) {
 	list := l.vm.watch.Asking(now)
@@ -129,13 +171,13 @@
 
 // Learn implements gossip.Local. The other VM's settings were the newest Age
 // before it answered, and it answered after it was asked.
-func (l *local) Learn(r gossip.Reply) {
+func (l *local) Learn(r gossip.Reply, from netip.AddrPort) {
 	if r.Version == 0 || awake.Instant(r.Ask) > awake.Now() {
 		return
 	}
 	snap := l.vm.settings.Load()
 	if snap == nil || r.Version > snap.Version {
-		l.newer(r.Version)
+		l.newer(r.Version, from)
 		return
 	}
 	l.vm.follow.Learn(l.ctx, r.Version, awake.Instant(r.Ask).Add(-r.Age))
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -16,6 +16,7 @@
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/gossip"
+	"umberladder/internal/peer/share"
 	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
@@ -61,6 +62,7 @@
 	Backend  port.Backend
 	Codec    func(r *relay.Relay) Codec
 	Peers    peers.Registry
+	Share    *share.Client // fetches what other VMs share
 	Calls    func() uint64 // made to the store
 	Lines    *sink.Sink    // the log's
 }
@@ -75,6 +77,7 @@
 	seats    *seats.Book
 	follow   *follow.Settings
 	discover *follow.Servers
+	share    *share.Client
 	lines    *sink.Sink
 	peers    *peers.Peers
 	watch    *peers.Watch
@@ -101,13 +104,14 @@
 		watch:    peers.NewWatch(cfg.Name),
 		group:    group,
 		lines:    ports.Lines,
+		share:    ports.Share,
 		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
 	v.cfg.Store(cfg)
 	v.servers = backs.NewTable(v.tell)
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, log)
-	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, v.tell, log)
+	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, v.tell, v.takeServers, log)
 	sound := health.New()
 	chooser := homes.NewChooser(v.servers, v.seats, sound)
 	v.home = homes.NewHome(chooser)
@@ -164,6 +168,11 @@
 	if err := v.serveSide(ctx, group); err != nil {
 		return trace.Wrap(err)
 	}
+	shared, err := net.Listen("tcp", v.cfg.Load().Peers.String())
+	if err != nil {
+		return trace.Wrap(err, "/peers-address")
+	}
+	share.NewServer(v, v.log).Serve(ctx, shared, group)
 	g, err := gossip.New(v.cfg.Load().Name, uint64(time.Now().UnixNano()), v.cfg.Load().Peers, &local{vm: v, ctx: ctx}, v.log)
 	if err != nil {
 		return trace.Wrap(err, "/peers-address")
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -46,6 +46,15 @@
 // Server returns a server that is known, or nil; it may be leaving.
 func (v *View) Server(id ident.Server) *Server { return v.servers[id] }
 
+// All returns the entries of all servers that are known.
+func (v *View) All() []Entry {
+	out := make([]Entry, 0, len(v.servers))
+	for _, s := range v.servers {
+		out = append(out, s.Entry)
+	}
+	return out
+}
+
 // Len returns how many servers are known.
 func (v *View) Len() int { return len(v.servers) }
 
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -36,6 +36,8 @@
 	name string
 	wait time.Duration // how long the store holds a wait without changes
 	rest time.Duration // pause after a change, so that several come in one answer
+	// adopt takes everything from another VM; false if that is not possible.
+	adopt func(ctx context.Context) bool
 	// read takes everything, as it was at a moment after sent.
 	read func(ctx context.Context, sent awake.Instant) (Revision, error)
 	// await takes the changes after a revision.
@@ -66,6 +68,9 @@
 			retry.Pause(ctx, toldPause)
 			continue
 		}
+		if l.src.known() == 0 && l.src.adopt(ctx) {
+			continue
+		}
 		_, err := l.read(ctx)
 		if err != nil {
 			l.failed(ctx, "read", err)
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -75,6 +76,14 @@
 	return routes.New(routes.Parts{Version: version}), rev, err
 }
 
+func (s *store) Decode(data []byte) (*routes.Snapshot, error) {
+	version, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return routes.New(routes.Parts{Version: version}), nil
+}
+
 func (s *store) Servers(context.Context) ([]backs.Entry, Revision, error) {
 	rev, _, err := s.state()
 	s.mu.Lock()
@@ -139,9 +148,17 @@
 	servers  *Servers
 	told     atomic.Bool
 	news     atomic.Int64
+	other    atomic.Pointer[News] // what another VM knows of the servers
 	clock    awake.Clock
 }
 
+func (v *vm) ask(context.Context) (News, error) {
+	if n := v.other.Load(); n != nil {
+		return *n, nil
+	}
+	return News{}, ErrNobody
+}
+
 func follow(t *testing.T, s *store, f func(v *vm)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -153,7 +170,7 @@
 		told := v.told.Load
 		first := func() bool { return true }
 		v.settings = NewSettings(s, v.book, v.clock, told, first, zap.NewNop())
-		v.servers = NewServers(s, v.table, v.clock, told, first, func() { v.news.Add(1) }, zap.NewNop())
+		v.servers = NewServers(s, v.table, v.clock, told, first, func() { v.news.Add(1) }, v.ask, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var g errgroup.Group
@@ -286,6 +303,32 @@
 			v.knows(t, 1, "read from the store")
 		})
 	})
+	t.Run("missed news are taken from another VM", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			v.told.Store(true)
+			time.Sleep(2 * time.Second)
+			calls := s.calls.Load()
+			v.other.Store(&News{Rev: 60, Changes: []Change{{Rev: 60, Entry: entry(5)}}})
+			v.servers.Learn(News{Base: 50, Rev: 60}, time.Now())
+			time.Sleep(time.Second)
+			v.knows(t, 1, "taken from the other VM")
+			assert.Equal(t, s.calls.Load(), calls, "the store was not asked")
+			n, ok := v.servers.All()
+			assert.Assert(t, ok && n.Rev == 60 && len(n.Changes) == 1, "%+v", n)
+		})
+	})
+	t.Run("a document of another VM is put in force", func(t *testing.T) {
+		s := newStore()
+		follow(t, s, func(v *vm) {
+			at := v.clock()
+			assert.NilError(t, v.settings.Adopt([]byte("12"), at))
+			assert.Equal(t, v.book.Load().Version, uint64(12))
+			assert.Equal(t, v.book.Fresh(), at)
+			assert.Assert(t, v.settings.Adopt([]byte("x"), at) != nil)
+			assert.Equal(t, v.book.Load().Version, uint64(12), "what can't be read changes nothing")
+		})
+	})
 	t.Run("a word of a version confirms or reads it", func(t *testing.T) {
 		s := newStore()
 		follow(t, s, func(v *vm) {
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	// 1.2 s it cuts the calls of a VM from 13 to 5 a second. It is the longest
 	// time by which a leaving mark is seen later.
 	serversRest = 120 * time.Millisecond
+	// adoptTime bounds the taking of the servers from another VM.
+	adoptTime = 300 * time.Millisecond
 	// expireEvery is how often lapsed entries are looked through.
 	expireEvery = 100 * time.Millisecond
 )
@@ -55,6 +58,7 @@
 	told   func() bool
 	first  func() bool
 	onNews func()
+	ask    func(ctx context.Context) (News, error)
 
 	mu     sync.Mutex
 	down   bool
@@ -78,9 +82,12 @@
 // NewServers makes a follower of the servers. It asks the store while told
 // reports that other VMs do not tell what changes, and first that this VM is to
 // find out soon that the store is back. It calls news once there is something
-// new to tell other VMs.
-func NewServers(src ServerSource, table *backs.Table, clock awake.Clock, told, first func() bool, news func(), log *zap.Logger) *Servers {
-	return &Servers{src: src, table: table, clock: clock, told: told, first: first, onNews: news, log: log}
+// new to tell other VMs. Where it knows no servers, it takes them with ask from
+// another VM that the store answers, and reads them in the store if there is none.
+func NewServers(src ServerSource, table *backs.Table, clock awake.Clock, told, first func() bool, news func(),
+	ask func(ctx context.Context) (News, error), log *zap.Logger,
+) *Servers {
+	return &Servers{src: src, table: table, clock: clock, told: told, first: first, onNews: news, ask: ask, log: log}
 }
 
 // News returns what changed lately; nothing while the store does not answer.
@@ -168,6 +175,7 @@
 		name:  "servers",
 		wait:  serversWait,
 		rest:  serversRest,
+		adopt: s.adopt,
 		read:  s.read,
 		await: s.await,
 		lost:  s.lost,
@@ -232,6 +240,49 @@
 	return rev, nil
 }
 
+// All returns all servers known, as news for a VM that knows none; false while
+// the store does not answer or some are not known.
+func (s *Servers) All() (News, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.rev == 0 {
+		return News{}, false
+	}
+	n := News{Rev: s.rev}
+	for _, e := range s.table.View().All() {
+		n.Changes = append(n.Changes, Change{Rev: s.rev, Entry: e})
+	}
+	return n, true
+}
+
+// ErrNobody says that there is no other VM that knows.
+var ErrNobody = errors.New("follow: no other VM knows")
+
+// adopt takes all servers that another VM knows, if there is one.
+func (s *Servers) adopt(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, adoptTime)
+	defer cancel()
+	n, err := s.ask(ctx)
+	if errors.Is(err, ErrNobody) {
+		return false
+	}
+	if err != nil {
+		s.log.Info("servers not taken from another VM", zap.Error(err))
+		return false
+	}
+	list := make([]backs.Entry, 0, len(n.Changes))
+	for _, c := range n.Changes {
+		list = append(list, c.Entry)
+	}
+	now := time.Now()
+	s.table.Replace(list, s.grace(now), now)
+	s.mu.Lock()
+	s.rev, s.base, s.recent, s.heard = n.Rev, n.Rev, nil, now
+	s.mu.Unlock()
+	s.log.Info("servers taken from another VM", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(n.Rev)))
+	return n.Rev != 0
+}
+
 func (s *Servers) await(ctx context.Context, after Revision, wait time.Duration, _ awake.Instant) (Revision, error) {
 	changes, rev, err := s.src.AwaitServers(ctx, after, wait)
 	if err != nil {
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -23,6 +23,8 @@
 	// AwaitSettings returns the newest settings after a revision, or nil if none
 	// came within wait, and the revision up to which nothing was missed.
 	AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (*routes.Snapshot, Revision, error)
+	// Decode reads a document as the operators wrote it.
+	Decode(data []byte) (*routes.Snapshot, error)
 }
 
 // Settings keeps a book of settings in step with the store.
@@ -58,11 +60,23 @@
 	}
 }
 
+// Adopt puts a document in force that another VM has read, and that was the
+// newest at a moment.
+func (s *Settings) Adopt(data []byte, at awake.Instant) error {
+	snap, err := s.src.Decode(data)
+	if err != nil {
+		return err
+	}
+	s.put(snap, at)
+	return nil
+}
+
 // Run follows the settings until ctx ends.
 func (s *Settings) Run(ctx context.Context) {
 	l := &loop{clock: s.clock, log: s.log, src: source{
 		name:  "settings",
 		wait:  settingsWait,
+		adopt: func(context.Context) bool { return false }, // newer versions are told of
 		read:  s.read,
 		await: s.await,
 		lost:  func(time.Time) {},
--- a/internal/state/routes/snapshot.go
+++ b/internal/state/routes/snapshot.go
@@ -11,6 +11,7 @@
 type Snapshot struct {
 	Version  uint64
 	Limits   Limits
+	Source   []byte // the document that it was read from
 	services map[ident.Service]*Service
 	hosts    map[string][]*Route // longest prefix first
 	keys     map[string]*Workspace
@@ -21,6 +22,7 @@
 type Parts struct {
 	Version    uint64
 	Limits     Limits
+	Source     []byte
 	Routes     []*Route
 	Services   []*Service
 	Workspaces []*Workspace
@@ -31,6 +33,7 @@
 	s := &Snapshot{
 		Version:  p.Version,
 		Limits:   p.Limits,
+		Source:   p.Source,
 		services: make(map[ident.Service]*Service, len(p.Services)),
 		hosts:    make(map[string][]*Route),
 		keys:     make(map[string]*Workspace),
