End a wait for room in time, also behind others that wait

Traced from the lines of the calls that ended as caller-left: queued 5.2 s, nothing sent. Change: waits that are over end in each lane; room alone goes in order.

--- a/internal/route/homes/home.go
+++ b/internal/route/homes/home.go
@@ -194,10 +194,9 @@
 	defer h.mu.Unlock()
 	for _, l := range h.lines {
 		l.fade(now)
+		room := true
 		for lane := range lanes {
-			if !h.serveLane(l, lane, now) {
-				break
-			}
+			room = h.serveLane(l, lane, room, now)
 		}
 	}
 	for key, a := range h.asks {
@@ -212,12 +211,13 @@
 	}
 }
 
-// serveLane reports whether nobody waits in the lane any more.
-func (h *Home) serveLane(l *line, lane int, now time.Time) bool {
+// serveLane ends waits that are over and gives room to the others, if there is
+// any. It reports whether there may be more room.
+func (h *Home) serveLane(l *line, lane int, room bool, now time.Time) bool {
 	for {
 		e := l.queues[lane].Peek()
 		if e == nil {
-			return true
+			return room
 		}
 		a := e.Value
 		switch {
@@ -231,7 +231,7 @@
 		case now.After(a.end):
 			l.drop(a)
 			h.refuse(l, a)
-		case h.try(l, a, now):
+		case room && h.try(l, a, now):
 			l.drop(a)
 		default:
 			return false
--- a/internal/route/homes/homes_test.go
+++ b/internal/route/homes/homes_test.go
@@ -106,6 +106,15 @@
 			return nil
 		})
 	}
+	f.group.Go(func() error {
+		for ctx.Err() == nil {
+			for _, v := range f.vms {
+				f.tell(v)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		return nil
+	})
 	return f
 }
 
@@ -282,6 +291,27 @@
 			assert.DeepEqual(t, order, []string{"new", "back"})
 		})
 	})
+	t.Run("a wait ends in time, also behind others that wait", func(t *testing.T) {
+		trial(t, 3, 1, func(t *testing.T, f *fleet) {
+			f.fill(t, 1, 50*time.Millisecond)
+			var g errgroup.Group
+			for range 300 {
+				g.Go(func() error {
+					w := want()
+					w.Wait = 2 * time.Second
+					start := time.Now()
+					_, err := f.take(f.vms[2], w, 600*time.Millisecond)
+					if err != nil {
+						full(t, err)
+					}
+					assert.Assert(t, time.Since(start) <= w.Wait+20*time.Millisecond, "%s", time.Since(start))
+					return nil
+				})
+				time.Sleep(20 * time.Millisecond)
+			}
+			assert.NilError(t, g.Wait())
+		})
+	})
 	t.Run("a VM that went away holds nobody up", func(t *testing.T) {
 		trial(t, 3, 1, func(t *testing.T, f *fleet) {
 			f.fill(t, 1, 300*time.Millisecond)
