--- /dev/null
+++ b/internal/policy/room/room_test.go
@@ -0,0 +1,51 @@
+package room
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "umberladder/internal/test/check" // fixes the seed
+)
+
+func ExampleNeed() {
+	fmt.Println(Need(3000, 1600, 0), Need(3000, 1600, 1500))
+	// Output: 3250 4600
+}
+
+func ExampleDue() {
+	// A prompt of 3,500 tokens is read in half a second.
+	fmt.Println(Due(1800*time.Millisecond, 100*time.Millisecond, 3500))
+	// Output: 500ms
+}
+
+func TestWait(t *testing.T) {
+	for name, tc := range map[string]struct {
+		due, allowed, since, want time.Duration
+	}{
+		"a long call may begin late":        {due: 600 * time.Millisecond, allowed: 39 * time.Second, want: lateWait},
+		"one that waited already":           {allowed: 39 * time.Second, since: 2 * time.Second, want: time.Second},
+		"a short one waits while in time":   {due: 900 * time.Millisecond, allowed: 6 * time.Second, want: 900 * time.Millisecond},
+		"an eighth of the time that it has": {due: 100 * time.Millisecond, allowed: 6 * time.Second, want: 750 * time.Millisecond},
+		"nothing is left":                   {due: time.Second, allowed: time.Second, since: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, Wait(tc.due, tc.allowed, tc.since), tc.want) })
+	}
+}
+
+// TestBounds holds every wait to the time in which an answer is of use.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		span := rapid.Int64Range(0, int64(time.Minute))
+		target, allowed := time.Duration(span.Draw(t, "target")), time.Duration(span.Draw(t, "allowed"))
+		since := time.Duration(span.Draw(t, "since"))
+		due := Due(target, since, rapid.IntRange(0, 100_000).Draw(t, "read"))
+		wait := Wait(due, allowed, since)
+		assert.Assert(t, due >= 0 && due <= target)
+		assert.Assert(t, wait >= 0 && wait <= max(0, allowed-since))
+		assert.Assert(t, Retry(time.Hour, allowed-since) <= max(0, allowed-since))
+	})
+}
--- a/internal/route/relay/depart.go
+++ b/internal/route/relay/depart.go
@@ -12,6 +12,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/mover"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -23,28 +24,8 @@
 	// moveWait is how long a run whose engine leaves waits for room elsewhere: it
 	// has 1.5 s for all, and copying takes up to 0.4 s.
 	moveWait = 500 * time.Millisecond
-	// moveTime bounds the copying of a whole cache: a gigabyte over a link of 24
-	// Gbit/s takes 0.35 s, twice that across failure domains, and copies queue.
-	moveTime = 1500 * time.Millisecond
-	// quickCopy is the longest time of a copy that met no queue: the delta of a
-	// second is 130 tokens, which take 15 ms across failure domains.
-	quickCopy = 50 * time.Millisecond
-	// settleTime is how long a move waits for the links to be free. The shortest
-	// notice of an engine is 1.5 s.
-	settleTime = 1100 * time.Millisecond
-	// freeTime bounds the order to free a copy.
-	freeTime = 500 * time.Millisecond
-	// stopTime bounds the order that stops a run at an engine that may be dead.
-	stopTime = 250 * time.Millisecond
-	// stopWait is how long the answer to an order to stop is waited for: an engine
-	// that dropped the run says so within 7 ms, and one that did not has stopped
-	// it before it answers.
-	stopWait = 20 * time.Millisecond
 	// tailTime is how long the last events of a stopped run may take to come.
 	tailTime = 250 * time.Millisecond
-	// busyPause is the pause before an order is given again to an engine that is
-	// at another for the same run.
-	busyPause = 50 * time.Millisecond
 )
 
 // departure is a run that was stopped and can go on at another engine.
@@ -100,7 +81,7 @@
 		l.Copies = 1
 		seat := f.relay.Seats.Take(to.ID, l)
 		var m port.Moved
-		m, err = f.moveTo(ctx, from, to)
+		m, err = f.mover.Move(ctx, from, to, f.pay)
 		if err == nil {
 			seat.Resize(f.load(false))
 			return departure{to: to, backup: spot.Backup, seat: seat, copy: port.Copy{At: from.Addr, ID: m.Handle}}
@@ -114,74 +95,10 @@
 	return departure{err: err}
 }
 
-// moveTo copies the cache to an engine. Copies queue on the engines' links, and
-// a stopped run stands still while its last one waits. So what is new is copied
-// again while the run goes on, until a copy comes through at once or the time is
-// over; 8 ms then are the rule for the last one, and were 0.4 s at the median.
-func (f *flight) moveTo(ctx context.Context, from, to *backs.Server) (port.Moved, error) {
-	end := time.Now().Add(settleTime)
-	made := ""
-	for {
-		start := time.Now()
-		m, err := f.copy(ctx, from, to, false, moveTime)
-		if err != nil {
-			f.free(from, made)
-			return m, err
-		}
-		made = m.Handle
-		now := time.Now()
-		if now.Sub(start) < quickCopy || now.After(end) {
-			break
-		}
-	}
-	if !f.pay() {
-		f.free(from, made)
-		return port.Moved{}, errBudget
-	}
-	m, err := f.copy(ctx, from, to, true, moveTime)
-	if err != nil {
-		f.free(from, made)
-	}
-	return m, err
-}
-
 // pay takes the sending that goes on elsewhere out of the budget. It comes
 // before the run is stopped: a stream that can't go on stays where it is.
 func (f *flight) pay() bool { return f.relay.Budget.Spend(f.service.Name, time.Now()) }
 
-// free gives up a copy that is of no use, so that it does not fill its engine
-// until it lapses.
-func (f *flight) free(from *backs.Server, handle string) {
-	if handle == "" {
-		return
-	}
-	f.relay.Group.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTime)
-		defer cancel()
-		if err := f.relay.Backend.Free(ctx, from, handle); err != nil {
-			f.log("copy not freed", zap.String("server", string(from.ID)), zap.Error(err))
-		}
-		return nil
-	})
-}
-
-// copy orders an engine to copy the run's cache.
-func (f *flight) copy(ctx context.Context, from, to *backs.Server, last bool, limit time.Duration) (port.Moved, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	for {
-		m, err := f.relay.Backend.Move(ctx, from, f.call.ID, to.Addr, last)
-		if !errors.Is(err, port.ErrBusy) {
-			return m, err
-		}
-		select {
-		case <-time.After(busyPause):
-		case <-ctx.Done():
-			return m, err
-		}
-	}
-}
-
 // hop goes on at the guard; it has been paid for. The copy is there already, so the stream stands
 // still for the change alone: 0.08 s at the median, against 0.72 s when each
 // stream of a leaving engine waited for its copy on that engine's link.
@@ -193,33 +110,12 @@
 		return nil
 	}
 	f.leg.Close()
-	f.stop(ctx, g.at)
+	f.mover.Stop(ctx, f.server, g.at)
 	g.seat.Resize(f.load(false))
 	f.guard = nil
 	return f.follow(ctx, departure{to: g.at, seat: g.seat, copy: g.copy(f.call.ID)})
 }
 
-// stop makes sure that the engine does not work on the run any more: most drop
-// it with the connection, and the others are ordered to.
-func (f *flight) stop(ctx context.Context, to *backs.Server) {
-	done := make(chan struct{})
-	from := f.server
-	f.relay.Group.Go(func() error {
-		defer close(done)
-		_, err := f.copy(context.WithoutCancel(ctx), from, to, true, stopTime)
-		if !errors.Is(err, port.ErrNoRun) {
-			f.log("run stopped by order", zap.String("server", string(from.ID)), zap.Error(err))
-		}
-		return nil
-	})
-	limit := time.NewTimer(stopWait)
-	defer limit.Stop()
-	select {
-	case <-done:
-	case <-limit.C:
-	}
-}
-
 // rescue stops a run whose connection broke and copies its cache, if its
 // engine still lives.
 func (f *flight) rescue(ctx context.Context) departure {
@@ -234,10 +130,10 @@
 	}
 	to := spot.Server
 	if !f.pay() {
-		return departure{err: errBudget}
+		return departure{err: mover.ErrUnpaid}
 	}
 	seat := f.relay.Seats.Take(to.ID, f.load(false))
-	m, err := f.copy(ctx, f.server, to, true, moveTime)
+	m, err := f.mover.Rescue(ctx, f.server, to)
 	if err != nil {
 		seat.Release()
 		f.log("run not rescued", zap.String("server", string(f.server.ID)), zap.Error(err))
@@ -268,9 +164,6 @@
 	return nil
 }
 
-// errBudget says that a sending had to be left off.
-var errBudget = errors.New("relay: the retry budget is used up")
-
 // goOn sends the call to an engine with the cache to go on from. It has been
 // paid for.
 func (f *flight) goOn(ctx context.Context, to *backs.Server, c port.Copy) error {
--- a/internal/route/relay/pump.go
+++ b/internal/route/relay/pump.go
@@ -14,15 +14,8 @@
 	"umberladder/internal/route/port"
 )
 
-const (
-	// ahead is how many tokens a stream is expected to take beyond what it has: an
-	// engine makes 130 a second for each stream, and one of its streams ends each
-	// 1.3 s. With whole expected lengths, engines counted as full that reported
-	// 0.6 of their memory in use.
-	ahead = 250
-	// growStep is how many tokens a stream makes until others are told.
-	growStep = 128
-)
+// growStep is how many tokens a stream makes until others are told.
+const growStep = 128
 
 // pump passes events on until the stream is whole or lost.
 func (f *flight) pump(ctx context.Context) *refuse.Refusal {
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -16,30 +16,15 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/room"
 	"umberladder/internal/route/events"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/mover"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
 
-const (
-	// lateWait and lateShare bound the wait of a stream that will begin late, in
-	// time and in its share of the time that the client waits: new engines come
-	// each 3 s, and who is refused should have the time to come back.
-	lateWait  = 3 * time.Second
-	lateShare = 0.125
-	// retryShare is the part of the time left after which a client comes back at
-	// most.
-	retryShare = 1.0 / 3
-	// readRate is how many prompt tokens an engine reads in a second beside the
-	// streams of a batch.
-	readRate = 7000.0
-	// startTime is kept of the latency target for the way to the engine and its
-	// first step, and for one prompt that is read before.
-	startTime = 700 * time.Millisecond
-)
-
 // flight is one stream on its way.
 type flight struct {
 	*task
@@ -47,6 +32,7 @@
 	server   *backs.Server
 	seat     *seats.Seat
 	guard    *guard
+	mover    *mover.Mover
 	leg      *events.Leg
 	lastID   string
 	unsent   int // engines that could not be connected to
@@ -60,7 +46,10 @@
 }
 
 func (t *task) stream(ctx context.Context) *refuse.Refusal {
-	f := &flight{task: t, tried: make(map[ident.Server]bool), lastID: t.call.After}
+	f := &flight{
+		task: t, tried: make(map[ident.Server]bool), lastID: t.call.After,
+		mover: mover.New(t.relay.Backend, t.relay.Group, t.call.ID, t.log),
+	}
 	defer f.release()
 	refusal := f.start(ctx)
 	if refusal != nil {
@@ -91,7 +80,7 @@
 	if p == nil {
 		return 1
 	}
-	return p.Tokens + min(int(f.made.Load())+ahead, p.Limit)
+	return room.Need(p.Tokens, p.Limit, int(f.made.Load()))
 }
 
 // start sends the call until an engine has begun to answer it.
@@ -209,9 +198,11 @@
 		return nil, refuse.New(refuse.TooLarge, "the prompt of %d tokens is larger than an engine's memory of %d", f.call.Prompt.Tokens, e.Memory)
 	}
 	w := f.want(homes.Call, f.relay.Config.Domain, slices.Collect(maps.Keys(f.tried)))
-	w.Read, w.Backup, w.Wait = f.read(), f.guardable(), f.longWait()
-	w.Due, w.Mark = f.mayWait(), f.mark()
 	start := time.Now()
+	since := start.Sub(f.call.Arrived)
+	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), f.mark()
+	w.Due = room.Due(f.route.Target, since, w.Read)
+	w.Wait = room.Wait(w.Due, f.end.Sub(f.call.Arrived), since)
 	spot, err := f.relay.Places.Place(ctx, w)
 	f.record.Queued += time.Since(start)
 	var full *homes.NoRoomError
@@ -226,7 +217,7 @@
 		return nil, refuse.New(refuse.NoServer, "no server of service %s takes work", f.service.Name).After(roomRetry)
 	case errors.As(err, &full):
 		return nil, refuse.New(refuse.NoRoom, "no engine of service %s has room for %d tokens within %s, %d calls wait",
-			f.service.Name, w.Need, w.Wait.Round(time.Millisecond), full.Ahead).After(min(full.Retry, time.Duration(retryShare*float64(f.left()))))
+			f.service.Name, w.Need, w.Wait.Round(time.Millisecond), full.Ahead).After(room.Retry(full.Retry, f.left()))
 	default:
 		return nil, f.over(ctx, f.ran)
 	}
@@ -240,19 +231,6 @@
 	return f.call.Prompt.Tokens
 }
 
-// mayWait returns how long the stream may wait for room and still begin in time.
-func (f *flight) mayWait() time.Duration {
-	reading := time.Duration(float64(f.read()) / readRate * float64(time.Second))
-	return max(0, min(f.route.Target-reading-startTime-time.Since(f.call.Arrived), f.left()))
-}
-
-// longWait returns how long the stream may wait for room at all, though it then
-// begins late.
-func (f *flight) longWait() time.Duration {
-	late := min(lateWait, time.Duration(lateShare*float64(f.end.Sub(f.call.Arrived))))
-	return max(f.mayWait(), min(late-time.Since(f.call.Arrived), f.left()))
-}
-
 // mark identifies the request when its client repeats it: its identifier is
 // another one then.
 func (f *flight) mark() uint64 {
--- a/internal/route/relay/watch.go
+++ b/internal/route/relay/watch.go
@@ -9,6 +9,7 @@
 
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/mover"
 )
 
 // ripeWait is how long an engine's notice may pass before a stream leaves for a
@@ -96,7 +97,7 @@
 // change goes on at the guard, or later if the budget does not allow it now.
 func (w *watch) change(ctx context.Context) (*watch, *refuse.Refusal) {
 	if !w.f.pay() {
-		w.f.log("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(errBudget))
+		w.f.log("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(mover.ErrUnpaid))
 		w.hop = time.After(moveRest)
 		return w, nil
 	}
