--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -57,6 +57,9 @@
 	Skip    bool
 }
 
+// Random returns a source of numbers for one choice.
+func Random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // Choose returns the server with the lowest cost for a generation that needs
 // need tokens in an engine filled up to share at most, or -1 if none has room.
 // The weight of the way to another failure domain is far.
--- a/internal/proc/edge/counter.go
+++ b/internal/proc/edge/counter.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 
+	"umberladder/internal/route/task"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
-
-	"umberladder/internal/route/relay"
 )
 
 // counter turns the end of each call into a log line and metrics.
@@ -16,8 +16,8 @@
 	set *metrics.Set
 }
 
-// Ended implements relay.Counter.
-func (c *counter) Ended(e *relay.End) {
+// Ended implements task.Counter.
+func (c *counter) Ended(e *task.End) {
 	kind, reason, ran := "", "", ""
 	if e.Route != nil {
 		kind = e.Route.Kind.String()
@@ -37,7 +37,7 @@
 }
 
 // write logs the end; that of a call that failed is not routine.
-func (c *counter) write(e *relay.End, kind, reason, ran string) {
+func (c *counter) write(e *task.End, kind, reason, ran string) {
 	level := zap.InfoLevel
 	if e.Refusal != nil || e.Status >= fasthttp.StatusInternalServerError {
 		level = zap.WarnLevel
--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -16,6 +16,7 @@
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/state/follow"
+	"umberladder/internal/state/peers"
 )
 
 const (
@@ -221,12 +222,8 @@
 }
 
 // order returns the VMs that decide for a service.
-func (v *VM) order(s ident.Service, now time.Time) []homes.Peer {
-	var out []homes.Peer
-	for _, r := range v.watch.Order(s, deciders, now) {
-		out = append(out, homes.Peer{VM: r.VM, Addr: r.Addr})
-	}
-	return out
+func (v *VM) order(s ident.Service, now time.Time) []peers.Rank {
+	return v.watch.Order(s, deciders, now)
 }
 
 // tell notes that there is something new to tell all others. Those who are told
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -21,10 +21,12 @@
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/sink"
+	"umberladder/internal/route/desk"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/relay"
 	"umberladder/internal/route/seats"
+	"umberladder/internal/route/task"
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/peers"
@@ -85,7 +87,7 @@
 	group    *errgroup.Group
 	reading  atomic.Bool // newer settings are being read
 	home     *homes.Home
-	desk     *homes.Desk
+	desk     *desk.Desk
 	gossip   atomic.Pointer[gossip.Gossip]
 	news     chan struct{} // has an element once there is something to tell all others
 	relay    *relay.Relay
@@ -115,9 +117,9 @@
 	sound := health.New()
 	chooser := homes.NewChooser(v.servers, v.seats, sound)
 	v.home = homes.NewHome(chooser)
-	v.desk = homes.NewDesk(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, log)
-	v.relay = relay.New(relay.Parts{
-		Config:   relay.Config{Domain: cfg.Domain, Revoke: func() time.Duration { return v.cfg.Load().Revoke }},
+	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, log)
+	v.relay = relay.New(task.Parts{
+		Config:   task.Config{Domain: cfg.Domain, Revoke: func() time.Duration { return v.cfg.Load().Revoke }},
 		Settings: v.settings,
 		Refresh:  v.follow,
 		Servers:  v.servers,
@@ -150,10 +152,18 @@
 	return front.Limits{Header: s.Limits.Header, Body: s.Limits.Body, HeaderTime: s.Limits.HeaderTime, Idle: s.Limits.Idle}
 }
 
-// Ready reports whether the balancer should send clients here.
+// Ready reports whether the balancer should send clients here. A VM that the
+// store does not answer while it answers others serves those that it has, with
+// what the others tell it; new ones are better off where the store is in reach.
 func (v *VM) Ready() bool {
-	return !v.stopping.Load() && v.settings.Load() != nil && v.servers.View().Len() > 0 &&
-		v.settings.Age() < v.cfg.Load().Revoke-readyMargin
+	if v.stopping.Load() || v.settings.Load() == nil || v.servers.View().Len() == 0 {
+		return false
+	}
+	now := time.Now()
+	if !v.peers.Touch(now) && len(v.watch.Asking(now)) > 0 {
+		return false
+	}
+	return v.settings.Age() < v.cfg.Load().Revoke-readyMargin
 }
 
 // Run serves until stop is done, and then until every request has ended or the
--- a/internal/route/homes/desk.go
+++ b/internal/route/desk/desk.go
@@ -1,7 +1,8 @@
-package homes
+package desk
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -10,8 +11,13 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/route/homes"
+	"umberladder/internal/state/peers"
 )
 
+// errSilent says that the home does not answer.
+var errSilent = errors.New("desk: the home does not answer")
+
 const (
 	// firstWait is how long a home may take to answer an ask: a millisecond each
 	// way, and more on a VM with a fifth of a core. The ask is repeated twice in
@@ -28,44 +34,38 @@
 	candidates = 2
 )
 
-// Peer is a VM that may be a home.
-type Peer struct {
-	VM   ident.VM
-	Addr netip.AddrPort // not valid: this VM
-}
-
 // Post carries asks to other VMs.
 type Post interface {
-	Ask(to netip.AddrPort, a Ask)
+	Ask(to netip.AddrPort, a homes.Ask)
 }
 
 // Desk places the runs of one VM. It is safe for use by several goroutines.
 type Desk struct {
 	vm      ident.VM
-	chooser *Chooser
-	home    *Home
-	order   func(ident.Service, time.Time) []Peer
+	chooser *homes.Chooser
+	home    *homes.Home
+	order   func(ident.Service, time.Time) []peers.Rank
 	post    Post
 	log     *zap.Logger
 
 	mu      sync.Mutex
 	number  uint64
-	waiting map[uint64]chan Answer
+	waiting map[uint64]chan homes.Answer
 	silent  map[ident.VM]time.Time // until when a VM is not asked
 }
 
-// NewDesk makes a desk. The order is that of the VMs that decide for a service;
+// New makes a desk. The order is that of the VMs that decide for a service;
 // home is this VM's own. Numbers of asks begin after boot.
-func NewDesk(vm ident.VM, boot uint64, c *Chooser, home *Home, order func(ident.Service, time.Time) []Peer, post Post, log *zap.Logger) *Desk {
+func New(vm ident.VM, boot uint64, c *homes.Chooser, home *homes.Home, order func(ident.Service, time.Time) []peers.Rank, post Post, log *zap.Logger) *Desk {
 	return &Desk{
 		vm: vm, chooser: c, home: home, order: order, post: post, log: log,
-		number: boot, waiting: make(map[uint64]chan Answer), silent: make(map[ident.VM]time.Time),
+		number: boot, waiting: make(map[uint64]chan homes.Answer), silent: make(map[ident.VM]time.Time),
 	}
 }
 
-// Place returns where a run goes. Its error is ErrNoServer, a *NoRoomError or
+// Place returns where a run goes. Its error is homes.ErrNoServer, a *homes.NoRoomError or
 // the context's.
-func (d *Desk) Place(ctx context.Context, w Want) (Spot, error) {
+func (d *Desk) Place(ctx context.Context, w homes.Want) (homes.Spot, error) {
 	start := time.Now()
 	want := w
 	want.Skip = append(slices.Clone(w.Skip), d.chooser.Distrusted(w.Service, start)...)
@@ -75,51 +75,52 @@
 			break
 		}
 		switch a.State {
-		case Full:
-			return Spot{}, &NoRoomError{Retry: a.Retry, Ahead: a.Ahead}
-		case NoServer:
+		case homes.Full:
+			return homes.Spot{}, &homes.NoRoomError{Retry: a.Retry, Ahead: a.Ahead}
+		case homes.NoServer:
 			// The home may know less than this VM.
 			return d.alone(ctx, w, start)
 		}
-		view := d.chooser.servers.View()
+		view := d.chooser.View()
 		s, b := view.Server(a.Server), view.Server(a.Backup)
 		if b != nil && b.Leaving {
 			b = nil
 		}
 		if s != nil && !s.Leaving {
-			return Spot{Server: s, Backup: b}, nil
+			return homes.Spot{Server: s, Backup: b}, nil
 		}
 		want.Skip = append(want.Skip, a.Server)
 	}
 	if err := ctx.Err(); err != nil {
-		return Spot{}, err
+		return homes.Spot{}, err
 	}
 	return d.alone(ctx, w, start)
 }
 
 // alone decides by what this VM knows. Nobody orders those who wait, so nobody
 // waits until it begins late.
-func (d *Desk) alone(ctx context.Context, w Want, start time.Time) (Spot, error) {
+func (d *Desk) alone(ctx context.Context, w homes.Want, start time.Time) (homes.Spot, error) {
 	wait := time.NewTimer(max(0, min(w.Due, w.Wait)-time.Since(start)))
 	defer wait.Stop()
 	for {
-		changed := d.chooser.seats.Changed()
-		spot, err := d.chooser.choose(&w, nil, time.Now())
-		if _, full := err.(*NoRoomError); !full { //nolint:errorlint // choose wraps nothing
+		changed := d.chooser.Changed()
+		spot, err := d.chooser.Choose(&w, nil, time.Now())
+		var full *homes.NoRoomError
+		if !errors.As(err, &full) {
 			return spot, err
 		}
 		select {
 		case <-ctx.Done():
-			return Spot{}, ctx.Err()
+			return homes.Spot{}, ctx.Err()
 		case <-changed:
 		case <-wait.C:
-			return Spot{}, &NoRoomError{Retry: leastRetry}
+			return homes.Spot{}, &homes.NoRoomError{Retry: homes.LeastRetry}
 		}
 	}
 }
 
 // ask asks the home, or the VM that takes its place.
-func (d *Desk) ask(ctx context.Context, w Want) (Answer, error) {
+func (d *Desk) ask(ctx context.Context, w homes.Want) (homes.Answer, error) {
 	asked := 0
 	for _, p := range d.order(w.Service, time.Now()) {
 		if d.isSilent(p.VM) {
@@ -134,7 +135,7 @@
 			break
 		}
 	}
-	return Answer{}, errSilent
+	return homes.Answer{}, errSilent
 }
 
 func (d *Desk) isSilent(vm ident.VM) bool {
@@ -150,11 +151,11 @@
 	d.log.Info("home does not answer", zap.String("home", string(vm)))
 }
 
-func (d *Desk) open() (uint64, chan Answer) {
+func (d *Desk) open() (uint64, chan homes.Answer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.number++
-	ch := make(chan Answer, 2*repeats)
+	ch := make(chan homes.Answer, 2*repeats)
 	d.waiting[d.number] = ch
 	return d.number, ch
 }
@@ -166,7 +167,7 @@
 }
 
 // Answered takes an answer to an ask.
-func (d *Desk) Answered(a Answer) {
+func (d *Desk) Answered(a homes.Answer) {
 	d.mu.Lock()
 	ch := d.waiting[a.Number]
 	d.mu.Unlock()
@@ -178,7 +179,7 @@
 }
 
 // askOne asks one VM until it has decided.
-func (d *Desk) askOne(ctx context.Context, p Peer, w Want) (Answer, error) {
+func (d *Desk) askOne(ctx context.Context, p peers.Rank, w homes.Want) (homes.Answer, error) {
 	number, ch := d.open()
 	defer d.close(number)
 	start := time.Now()
@@ -187,12 +188,12 @@
 		w := w
 		w.Wait = max(0, w.Wait-time.Since(start))
 		w.Due = max(0, w.Due-time.Since(start))
-		d.send(p, Ask{VM: d.vm, Number: number, Want: w})
+		d.send(p, homes.Ask{VM: d.vm, Number: number, Want: w})
 		again := time.NewTimer(every)
 		select {
 		case a := <-ch:
 			again.Stop()
-			if a.State != Waiting {
+			if a.State != homes.Waiting {
 				return a, nil
 			}
 			heard, every = time.Now(), renewEvery
@@ -204,33 +205,33 @@
 			again.Stop()
 		}
 		if err := ctx.Err(); err != nil {
-			return Answer{}, err
+			return homes.Answer{}, err
 		}
 		if time.Since(heard) >= repeats*every {
-			return Answer{}, errSilent
+			return homes.Answer{}, errSilent
 		}
 	}
 }
 
 // await waits for the decision on an ask that waits.
-func (d *Desk) await(ctx context.Context, ch chan Answer, limit time.Duration) (Answer, bool) {
+func (d *Desk) await(ctx context.Context, ch chan homes.Answer, limit time.Duration) (homes.Answer, bool) {
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	for {
 		select {
 		case a := <-ch:
-			if a.State != Waiting {
+			if a.State != homes.Waiting {
 				return a, true
 			}
 		case <-t.C:
-			return Answer{}, false
+			return homes.Answer{}, false
 		case <-ctx.Done():
-			return Answer{}, false
+			return homes.Answer{}, false
 		}
 	}
 }
 
-func (d *Desk) send(p Peer, a Ask) {
+func (d *Desk) send(p peers.Rank, a homes.Ask) {
 	if p.Addr.IsValid() {
 		d.post.Ask(p.Addr, a)
 		return
--- a/internal/route/homes/homes_test.go
+++ b/internal/route/desk/desk_test.go
@@ -1,4 +1,4 @@
-package homes
+package desk
 
 import (
 	"context"
@@ -17,8 +17,10 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
+	"umberladder/internal/state/peers"
 )
 
 const (
@@ -33,7 +35,7 @@
 	addr    netip.AddrPort
 	seats   *seats.Book
 	servers *backs.Table
-	home    *Home
+	home    *homes.Home
 	desk    *Desk
 	deaf    atomic.Bool
 	mu      sync.Mutex // orders what is told
@@ -53,7 +55,7 @@
 	from *vm
 }
 
-func (p post) Ask(to netip.AddrPort, a Ask) {
+func (p post) Ask(to netip.AddrPort, a homes.Ask) {
 	p.f.group.Go(func() error {
 		time.Sleep(flight)
 		for _, v := range p.f.vms {
@@ -65,7 +67,7 @@
 	})
 }
 
-func (p post) answer(a Answer) {
+func (p post) answer(a homes.Answer) {
 	p.f.group.Go(func() error {
 		time.Sleep(flight)
 		p.from.desk.Answered(a)
@@ -75,11 +77,11 @@
 
 func newFleet(ctx context.Context, vms, engines int) *fleet {
 	f := &fleet{}
-	order := func(self *vm) func(ident.Service, time.Time) []Peer {
-		return func(ident.Service, time.Time) []Peer {
-			var out []Peer
+	order := func(self *vm) func(ident.Service, time.Time) []peers.Rank {
+		return func(ident.Service, time.Time) []peers.Rank {
+			var out []peers.Rank
 			for _, v := range f.vms[:2] {
-				p := Peer{VM: v.name, Addr: v.addr}
+				p := peers.Rank{VM: v.name, Addr: v.addr}
 				if v == self {
 					p.Addr = netip.AddrPort{}
 				}
@@ -97,9 +99,9 @@
 		for e := range engines {
 			v.servers.Put(backs.Entry{ID: engine(e), Service: service, Domain: "a", Slots: 24})
 		}
-		c := NewChooser(v.servers, v.seats, health.New())
-		v.home = NewHome(c)
-		v.desk = NewDesk(v.name, 0, c, v.home, order(v), post{f, v}, zap.NewNop())
+		c := homes.NewChooser(v.servers, v.seats, health.New())
+		v.home = homes.NewHome(c)
+		v.desk = New(v.name, 0, c, v.home, order(v), post{f, v}, zap.NewNop())
 		f.vms = append(f.vms, v)
 		f.group.Go(func() error {
 			v.home.Run(ctx)
@@ -133,12 +135,12 @@
 }
 
 // want is a call of usual size.
-func want() Want {
-	return Want{Service: service, Rank: 1, Need: 3300, Read: 3000, Memory: memory, From: "a", Due: 600 * time.Millisecond, Wait: 900 * time.Millisecond}
+func want() homes.Want {
+	return homes.Want{Service: service, Rank: 1, Need: 3300, Read: 3000, Memory: memory, From: "a", Due: 600 * time.Millisecond, Wait: 900 * time.Millisecond}
 }
 
 // take places a want of a VM and keeps its seat for d; d < 0: for good.
-func (f *fleet) take(v *vm, w Want, d time.Duration) (Spot, error) {
+func (f *fleet) take(v *vm, w homes.Want, d time.Duration) (homes.Spot, error) {
 	spot, err := v.desk.Place(context.Background(), w)
 	if err != nil {
 		return spot, err
@@ -177,9 +179,9 @@
 }
 
 // full fails the test unless the error says that there is no room.
-func full(t *testing.T, err error) *NoRoomError {
+func full(t *testing.T, err error) *homes.NoRoomError {
 	t.Helper()
-	var e *NoRoomError
+	var e *homes.NoRoomError
 	assert.Assert(t, errors.As(err, &e), "%v", err)
 	return e
 }
@@ -224,7 +226,7 @@
 		trial(t, 3, 1, func(t *testing.T, f *fleet) {
 			f.fill(t, 1, -1)
 			var g errgroup.Group
-			for range 2 * mostLate {
+			for range 40 {
 				g.Go(func() error {
 					_, err := f.take(f.vms[2], want(), 0)
 					full(t, err)
@@ -234,7 +236,7 @@
 			time.Sleep(want().Due + 50*time.Millisecond)
 			start := time.Now()
 			_, err := f.take(f.vms[2], want(), 0)
-			assert.Assert(t, full(t, err).Retry >= leastRetry)
+			assert.Assert(t, full(t, err).Retry >= homes.LeastRetry)
 			assert.Assert(t, time.Since(start) < 10*time.Millisecond, "%s", time.Since(start))
 			assert.NilError(t, g.Wait())
 		})
@@ -252,7 +254,7 @@
 				case "urgent":
 					w.Rank = 0
 				case "move":
-					w.Use, w.Read = Move, 0
+					w.Use, w.Read = homes.Move, 0
 				}
 				g.Go(func() error {
 					_, err := f.take(f.vms[2], w, 50*time.Millisecond)
@@ -277,7 +279,7 @@
 			var mu sync.Mutex
 			var order []string
 			var g errgroup.Group
-			for who, w := range map[string]Want{"back": old, "new": want()} {
+			for who, w := range map[string]homes.Want{"back": old, "new": want()} {
 				w.Need, w.Due, w.Wait = 15_000, 2*time.Second, 3*time.Second
 				g.Go(func() error {
 					_, err := f.take(f.vms[2], w, 50*time.Millisecond)
@@ -396,7 +398,7 @@
 	t.Run("no engine at all", func(t *testing.T) {
 		trial(t, 2, 0, func(t *testing.T, f *fleet) {
 			_, err := f.take(f.vms[1], want(), -1)
-			assert.ErrorIs(t, err, ErrNoServer)
+			assert.ErrorIs(t, err, homes.ErrNoServer)
 		})
 	})
 	t.Run("a server that the asker knows to leave is given back", func(t *testing.T) {
--- a/internal/route/homes/chooser.go
+++ b/internal/route/homes/chooser.go
@@ -1,7 +1,6 @@
 package homes
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,6 +23,12 @@
 	return &Chooser{servers: servers, seats: book, health: h}
 }
 
+// View returns the servers known now.
+func (c *Chooser) View() *backs.View { return c.servers.View() }
+
+// Changed returns a channel that is closed once there may be more room.
+func (c *Chooser) Changed() <-chan struct{} { return c.seats.Changed() }
+
 // Distrusted returns the service's servers that failed calls of this VM lately.
 func (c *Chooser) Distrusted(service ident.Service, now time.Time) []ident.Server {
 	var out []ident.Server
@@ -39,9 +44,9 @@
 // room: two failures in a row without a success.
 const distrust = 0.45
 
-// choose returns the spot of a run, beside loads that no VM tells of yet. It
+// Choose returns the spot of a run, beside loads that no VM tells of yet. It
 // returns ErrNoServer or a *NoRoomError if there is none.
-func (c *Chooser) choose(w *Want, pending map[ident.Server]seats.Load, now time.Time) (Spot, error) {
+func (c *Chooser) Choose(w *Want, pending map[ident.Server]seats.Load, now time.Time) (Spot, error) {
 	loads := c.seats.All(now)
 	for id, l := range pending {
 		loads[id] = loads[id].Plus(l)
@@ -87,7 +92,7 @@
 		}
 		known = known || !servers[i].Skip
 	}
-	if i := assign.Choose(w.Need, share, far, servers, random()); i >= 0 {
+	if i := assign.Choose(w.Need, share, far, servers, assign.Random()); i >= 0 {
 		return list[i], true
 	}
 	return nil, known
@@ -111,5 +116,3 @@
 	}
 	return 0
 }
-
-func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/route/homes/home.go
+++ b/internal/route/homes/home.go
@@ -35,10 +35,10 @@
 	// take the room of one that can still begin in time when it comes back: clients
 	// wait a third of 39 s at most.
 	markTime = 15 * time.Second
-	// leastRetry and mostRetry bound the time after which a refused run comes
+	// LeastRetry and mostRetry bound the time after which a refused run comes
 	// back: a stream ends each 20 ms at 44 engines, and clients wait a third of
 	// their time at most.
-	leastRetry = time.Second
+	LeastRetry = time.Second
 	mostRetry  = 4 * time.Second
 )
 
@@ -136,7 +136,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-h.chooser.seats.Changed():
+		case <-h.chooser.Changed():
 		case <-t.C:
 		}
 		h.serve(time.Now())
@@ -241,7 +241,7 @@
 
 // try gives the ask room if there is any, or tells it that there is no server.
 func (h *Home) try(l *line, a *ask, now time.Time) bool {
-	spot, err := h.chooser.choose(&a.Want, h.pending(now), now)
+	spot, err := h.chooser.Choose(&a.Want, h.pending(now), now)
 	switch {
 	case errors.Is(err, ErrNoServer):
 		a.answer.State = NoServer
@@ -266,7 +266,7 @@
 		h.marks[a.Want.Mark] = a.heard
 	}
 	a.answer.State = Full
-	a.answer.Retry = min(max(l.outlook(a, callsLane), leastRetry), mostRetry)
+	a.answer.Retry = min(max(l.outlook(a, callsLane), LeastRetry), mostRetry)
 	a.reply(a.answer)
 }
 
--- a/internal/route/homes/want.go
+++ b/internal/route/homes/want.go
@@ -86,13 +86,8 @@
 	Backup *backs.Server // keeps a copy of the cache; nil: none
 }
 
-// Errors of a placement.
-var (
-	// ErrNoServer says that no server of the service takes work.
-	ErrNoServer = errors.New("homes: no server takes work")
-	// errSilent says that the home does not answer.
-	errSilent = errors.New("homes: the home does not answer")
-)
+// ErrNoServer says that no server of the service takes work.
+var ErrNoServer = errors.New("homes: no server takes work")
 
 // NoRoomError says that every engine is full.
 type NoRoomError struct {
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -20,10 +20,13 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/route/desk"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
+	"umberladder/internal/route/task"
 	"umberladder/internal/state/backs"
+	"umberladder/internal/state/peers"
 	"umberladder/internal/state/routes"
 )
 
@@ -252,7 +255,7 @@
 	budget  *purse
 	relay   *Relay
 	group   *errgroup.Group
-	ends    []*End
+	ends    []*task.End
 	clock   func() awake.Instant
 	refresh func() error
 }
@@ -267,7 +270,7 @@
 	return p.left >= 0
 }
 
-func (w *world) Ended(e *End) { w.ends = append(w.ends, e) }
+func (w *world) Ended(e *task.End) { w.ends = append(w.ends, e) }
 
 func (w *world) Refresh(context.Context, time.Duration) error {
 	if w.refresh == nil {
@@ -292,12 +295,12 @@
 	w.book.Put(snapshot(1), w.clock())
 	book, sound := seats.New(), health.New()
 	chooser := homes.NewChooser(w.table, book, sound)
-	alone := func(ident.Service, time.Time) []homes.Peer { return nil }
-	w.relay = New(Parts{
-		Config: Config{Domain: "a", Revoke: func() time.Duration { return 5 * time.Second }}, Settings: w.book, Refresh: w, Servers: w.table,
+	alone := func(ident.Service, time.Time) []peers.Rank { return nil }
+	w.relay = New(task.Parts{
+		Config: task.Config{Domain: "a", Revoke: func() time.Duration { return 5 * time.Second }}, Settings: w.book, Refresh: w, Servers: w.table,
 		Seats: book, Budget: w.budget, Health: sound, Backend: w.engines, Clock: w.clock,
 		Log: zap.NewNop(), Group: w.group, Count: w,
-		Places: homes.NewDesk("vm", 0, chooser, homes.NewHome(chooser), alone, nil, zap.NewNop()),
+		Places: desk.New("vm", 0, chooser, homes.NewHome(chooser), alone, nil, zap.NewNop()),
 	})
 	return w
 }
--- a/internal/route/relay/depart.go
+++ b/internal/route/stream/depart.go
@@ -1,4 +1,4 @@
-package relay
+package stream
 
 import (
 	"context"
@@ -54,7 +54,7 @@
 	done := make(chan departure, 1)
 	from := f.server
 	f.stopping = true
-	f.relay.Group.Go(func() error {
+	f.Group.Go(func() error {
 		done <- f.move(ctx, from, u)
 		return nil
 	})
@@ -72,14 +72,14 @@
 	var err error
 	for range moveTries {
 		var spot homes.Spot
-		if spot, err = f.relay.Places.Place(ctx, w); err != nil {
+		if spot, err = f.Places.Place(ctx, w); err != nil {
 			break
 		}
 		to := spot.Server
 		w.Skip = append(w.Skip, to.ID)
 		l := f.load(false)
 		l.Copies = 1
-		seat := f.relay.Seats.Take(to.ID, l)
+		seat := f.Seats.Take(to.ID, l)
 		var m port.Moved
 		m, err = f.mover.Move(ctx, from, to, f.pay)
 		if err == nil {
@@ -87,7 +87,7 @@
 			return departure{to: to, backup: spot.Backup, seat: seat, copy: port.Copy{At: from.Addr, ID: m.Handle}}
 		}
 		seat.Release()
-		f.log("copy failed", zap.String("from", string(from.ID)), zap.String("to", string(to.ID)), zap.Error(err))
+		f.Note("copy failed", zap.String("from", string(from.ID)), zap.String("to", string(to.ID)), zap.Error(err))
 		if errors.Is(err, port.ErrNoRun) || ctx.Err() != nil {
 			break
 		}
@@ -97,7 +97,7 @@
 
 // pay takes the sending that goes on elsewhere out of the budget. It comes
 // before the run is stopped: a stream that can't go on stays where it is.
-func (f *flight) pay() bool { return f.relay.Budget.Spend(f.service.Name, time.Now()) }
+func (f *flight) pay() bool { return f.Budget.Spend(f.Service.Name, time.Now()) }
 
 // hop goes on at the guard; it has been paid for. The copy is there already, so the stream stands
 // still for the change alone: 0.08 s at the median, against 0.72 s when each
@@ -113,7 +113,7 @@
 	f.mover.Stop(ctx, f.server, g.at)
 	g.seat.Resize(f.load(false))
 	f.guard = nil
-	return f.follow(ctx, departure{to: g.at, seat: g.seat, copy: g.copy(f.call.ID)})
+	return f.follow(ctx, departure{to: g.at, seat: g.seat, copy: g.copy(f.Call.ID)})
 }
 
 // rescue stops a run whose connection broke and copies its cache, if its
@@ -124,7 +124,7 @@
 	}
 	w := f.want(homes.Move, f.server.Domain, []ident.Server{f.server.ID})
 	w.Backup = f.guardable()
-	spot, err := f.relay.Places.Place(ctx, w)
+	spot, err := f.Places.Place(ctx, w)
 	if err != nil {
 		return departure{err: err}
 	}
@@ -132,11 +132,11 @@
 	if !f.pay() {
 		return departure{err: mover.ErrUnpaid}
 	}
-	seat := f.relay.Seats.Take(to.ID, f.load(false))
+	seat := f.Seats.Take(to.ID, f.load(false))
 	m, err := f.mover.Rescue(ctx, f.server, to)
 	if err != nil {
 		seat.Release()
-		f.log("run not rescued", zap.String("server", string(f.server.ID)), zap.Error(err))
+		f.Note("run not rescued", zap.String("server", string(f.server.ID)), zap.Error(err))
 		return departure{err: err}
 	}
 	return departure{to: to, backup: spot.Backup, seat: seat, copy: port.Copy{At: f.server.Addr, ID: m.Handle}}
@@ -155,12 +155,12 @@
 	f.seat = d.seat
 	f.setGuard(f.backupFor(ctx, d))
 	if err := f.goOn(ctx, d.to, d.copy); err != nil {
-		f.log("stream did not go on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)),
+		f.Note("stream did not go on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)),
 			zap.String("last-event", f.lastID), zap.Error(err))
 		return f.lost(err)
 	}
-	f.record.Moves++
-	f.log("stream goes on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)), zap.String("last-event", f.lastID))
+	f.Record.Moves++
+	f.Note("stream goes on", zap.String("from", string(from.ID)), zap.String("to", string(d.to.ID)), zap.String("last-event", f.lastID))
 	return nil
 }
 
--- a/internal/route/relay/guard.go
+++ b/internal/route/stream/guard.go
@@ -1,4 +1,4 @@
-package relay
+package stream
 
 import (
 	"context"
@@ -44,15 +44,15 @@
 
 // movable reports whether the stream can go on at another engine from its cache.
 func (f *flight) movable() bool {
-	e := f.service.Engine
-	return e != nil && e.Moves && !f.route.Resumable && f.route.Kind == call.Stream
+	e := f.Service.Engine
+	return e != nil && e.Moves && !f.Route.Resumable && f.Route.Kind == call.Stream
 }
 
 // guardable reports whether the stream is worth a copy of its cache: one that
 // may be resumed is soon read anew.
 func (f *flight) guardable() bool {
-	e := f.service.Engine
-	return e != nil && e.Backups && !f.route.Resumable && f.route.Kind == call.Stream
+	e := f.Service.Engine
+	return e != nil && e.Backups && !f.Route.Resumable && f.Route.Kind == call.Stream
 }
 
 // setGuard makes b the guard of the run that starts; nil: none.
@@ -63,7 +63,7 @@
 	}
 	f.guard = &guard{
 		at:   b,
-		seat: f.relay.Seats.Take(b.ID, seats.Load{Tokens: f.need(), Copies: 1}),
+		seat: f.Seats.Take(b.ID, seats.Load{Tokens: f.need(), Copies: 1}),
 		ripe: time.Now().Add(time.Hour),
 	}
 }
@@ -75,9 +75,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, backupAsk)
 	defer cancel()
-	spot, err := f.relay.Places.Place(ctx, f.want(homes.Keep, d.to.Domain, []ident.Server{d.to.ID, f.server.ID}))
+	spot, err := f.Places.Place(ctx, f.want(homes.Keep, d.to.Domain, []ident.Server{d.to.ID, f.server.ID}))
 	if err != nil {
-		f.log("no backup", zap.String("server", string(d.to.ID)), zap.Error(err))
+		f.Note("no backup", zap.String("server", string(d.to.ID)), zap.Error(err))
 		return nil
 	}
 	return spot.Server
--- a/internal/route/relay/pump.go
+++ b/internal/route/stream/pump.go
@@ -1,4 +1,4 @@
-package relay
+package stream
 
 import (
 	"context"
@@ -49,7 +49,7 @@
 		case <-w.calm.C:
 			w.guardAgain(ctx)
 		case <-ctx.Done():
-			return f.over(ctx, refuse.RanPartial)
+			return f.Over(ctx, refuse.RanPartial)
 		}
 		if refusal != nil {
 			return refusal
@@ -69,10 +69,10 @@
 }
 
 func (f *flight) complete() *refuse.Refusal {
-	if err := f.reply.End(); err != nil {
+	if err := f.Reply.End(); err != nil {
 		return refuse.New(refuse.CallerLeft, "the end could not be written: %v", err).With(refuse.RanPartial)
 	}
-	f.relay.Health.Success(f.server.ID, time.Now())
+	f.Health.Success(f.server.ID, time.Now())
 	return nil
 }
 
@@ -83,11 +83,11 @@
 		f.lastID = id
 	}
 	now := time.Now()
-	if f.record.Events == 0 {
-		f.record.First = now.Sub(f.call.Arrived)
+	if f.Record.Events == 0 {
+		f.Record.First = now.Sub(f.Call.Arrived)
 		f.seat.Resize(f.load(false))
 	} else {
-		f.record.Gap = max(f.record.Gap, now.Sub(f.lastAt))
+		f.Record.Gap = max(f.Record.Gap, now.Sub(f.lastAt))
 	}
 	if g := f.guard; g != nil {
 		if !f.legged {
@@ -97,9 +97,9 @@
 	}
 	f.legged = true
 	f.lastAt = now
-	f.record.Events += n
+	f.Record.Events += n
 	f.grow()
-	if err := f.reply.Piece(p); err != nil {
+	if err := f.Reply.Piece(p); err != nil {
 		return refuse.New(refuse.CallerLeft, "an event could not be written: %v", err).With(refuse.RanPartial)
 	}
 	return nil
@@ -107,10 +107,10 @@
 
 // grow corrects the memory that the stream takes, at its engine and its guard.
 func (f *flight) grow() {
-	if f.call.Prompt == nil || f.service.Engine == nil {
+	if f.Call.Prompt == nil || f.Service.Engine == nil {
 		return
 	}
-	made := f.record.Events * f.service.Engine.Stride
+	made := f.Record.Events * f.Service.Engine.Stride
 	f.made.Store(int64(made))
 	if made < f.told+growStep {
 		return
@@ -130,7 +130,7 @@
 func (f *flight) broken(ctx context.Context, w *watch) *refuse.Refusal {
 	err := f.leg.Err()
 	if ctx.Err() != nil {
-		return f.over(ctx, refuse.RanPartial)
+		return f.Over(ctx, refuse.RanPartial)
 	}
 	if w.moved != nil {
 		// The engine stops the run as the last step of a move.
@@ -142,13 +142,13 @@
 			}
 			err = d.err
 		case <-ctx.Done():
-			return f.over(ctx, refuse.RanPartial)
+			return f.Over(ctx, refuse.RanPartial)
 		}
 	}
-	f.log("stream broke off", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
-	f.relay.Health.Failure(f.server.ID, time.Now())
+	f.Note("stream broke off", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
+	f.Health.Failure(f.server.ID, time.Now())
 	switch {
-	case f.route.Resumable:
+	case f.Route.Resumable:
 		return f.resume(ctx, err)
 	case f.guard != nil && f.pay():
 		return f.hop(ctx)
@@ -175,7 +175,7 @@
 		}
 		f.tried[s.ID] = true
 		a, err := f.open(ctx, s, port.Copy{})
-		f.record.Sent++
+		f.Record.Sent++
 		if err != nil {
 			cause = err
 			continue
@@ -196,5 +196,5 @@
 		f.leg.Close()
 	}
 	f.stopping, f.legged = false, false
-	f.leg = events.New(f.relay.Group, a.Body, a.Framed)
+	f.leg = events.New(f.Group, a.Body, a.Framed)
 }
--- a/internal/route/relay/stream.go
+++ b/internal/route/stream/stream.go
@@ -1,4 +1,4 @@
-package relay
+package stream
 
 import (
 	"context"
@@ -22,12 +22,14 @@
 	"umberladder/internal/route/mover"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
+	"umberladder/internal/route/task"
+	"umberladder/internal/route/whole"
 	"umberladder/internal/state/backs"
 )
 
 // flight is one stream on its way.
 type flight struct {
-	*task
+	*task.Task
 	tried    map[ident.Server]bool
 	server   *backs.Server
 	seat     *seats.Seat
@@ -45,15 +47,16 @@
 	lastAt   time.Time
 }
 
-func (t *task) stream(ctx context.Context) *refuse.Refusal {
+// Serve serves a call whose answer is a stream of events.
+func Serve(ctx context.Context, t *task.Task) *refuse.Refusal {
 	f := &flight{
-		task: t, tried: make(map[ident.Server]bool), lastID: t.call.After,
-		mover: mover.New(t.relay.Backend, t.relay.Group, t.call.ID, t.log),
+		Task: t, tried: make(map[ident.Server]bool), lastID: t.Call.After,
+		mover: mover.New(t.Backend, t.Group, t.Call.ID, t.Note),
 	}
 	defer f.release()
 	refusal := f.start(ctx)
 	if refusal != nil {
-		return truthful(refusal)
+		return task.Truthful(refusal)
 	}
 	if f.leg == nil {
 		// The server's answer was no stream and is delivered whole.
@@ -61,7 +64,7 @@
 	}
 	refusal = f.pump(ctx)
 	if refusal != nil && f.begun {
-		t.reply.Abort()
+		t.Reply.Abort()
 	}
 	return refusal
 }
@@ -76,7 +79,7 @@
 
 // need returns the memory that the stream takes now and soon, in tokens.
 func (f *flight) need() int {
-	p := f.call.Prompt
+	p := f.Call.Prompt
 	if p == nil {
 		return 1
 	}
@@ -98,7 +101,7 @@
 			}
 			continue
 		}
-		f.record.Sent++
+		f.Record.Sent++
 		if a.Status == http.StatusOK && !a.NotRun {
 			f.attach(a)
 			return f.head(a)
@@ -114,19 +117,19 @@
 func (f *flight) unanswered(ctx context.Context, s *backs.Server, err error) *refuse.Refusal {
 	f.seat.Release()
 	f.dropGuard()
-	if !isUnsent(err) {
-		f.record.Sent++
+	if !task.IsUnsent(err) {
+		f.Record.Sent++
 		f.ran = refuse.RanMaybe
 	}
-	f.log("no answer", zap.String("server", string(s.ID)), zap.Bool("unsent", isUnsent(err)), zap.Error(err))
+	f.Note("no answer", zap.String("server", string(s.ID)), zap.Bool("unsent", task.IsUnsent(err)), zap.Error(err))
 	switch {
 	case ctx.Err() != nil:
-		return f.over(ctx, f.ran)
-	case isUnsent(err):
-		if f.unsent++; f.unsent < maxUnsent {
+		return f.Over(ctx, f.ran)
+	case task.IsUnsent(err):
+		if f.unsent++; f.unsent < whole.MaxUnsent {
 			return nil
 		}
-		return refuse.New(refuse.NoServer, "no server of service %s could be reached", f.service.Name).With(f.ran).After(roomRetry)
+		return refuse.New(refuse.NoServer, "no server of service %s could be reached", f.Service.Name).With(f.ran).After(task.RoomRetry)
 	case f.again():
 		return nil
 	}
@@ -135,16 +138,16 @@
 
 // declined judges an answer that is no stream.
 func (f *flight) declined(s *backs.Server, a *port.Answer) (*refuse.Refusal, bool) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBody))
+	body, err := io.ReadAll(io.LimitReader(a.Body, whole.MaxBody))
 	_ = a.Body.Close()
 	f.seat.Release()
 	f.dropGuard()
-	f.log("server declined", zap.String("server", string(s.ID)), zap.Int("status", a.Status), zap.Bool("not-run", a.NotRun))
+	f.Note("server declined", zap.String("server", string(s.ID)), zap.Int("status", a.Status), zap.Bool("not-run", a.NotRun))
 	if a.NotRun {
 		if f.again() {
 			return nil, false
 		}
-		return refuse.New(refuse.ServerRefused, "server %s did not take the call, with status %d", s.ID, a.Status).With(f.ran).After(roomRetry), true
+		return refuse.New(refuse.ServerRefused, "server %s did not take the call, with status %d", s.ID, a.Status).With(f.ran).After(task.RoomRetry), true
 	}
 	f.ran = refuse.RanMaybe
 	if err != nil {
@@ -153,40 +156,40 @@
 	if a.Status >= http.StatusInternalServerError && f.again() {
 		return nil, false
 	}
-	return f.deliver(&whole{status: a.Status, fields: a.Fields, body: body}), true
+	return f.Deliver(&task.Whole{Status: a.Status, Fields: a.Fields, Body: body}), true
 }
 
 // again reports whether the call may be sent once more from its start or from
 // the last event.
 func (f *flight) again() bool {
-	if f.record.Sent >= f.route.Attempts {
+	if f.Record.Sent >= f.Route.Attempts {
 		return false
 	}
-	if f.ran != refuse.RanNo && !f.route.Resumable {
+	if f.ran != refuse.RanNo && !f.Route.Resumable {
 		return false
 	}
-	return f.relay.Budget.Spend(f.service.Name, time.Now())
+	return f.Budget.Spend(f.Service.Name, time.Now())
 }
 
 // open sends the call to an engine.
 func (f *flight) open(ctx context.Context, s *backs.Server, from port.Copy) (*port.Answer, error) {
 	f.server = s
-	f.record.Server = s.ID
-	send := port.Send{Call: f.call, Server: s, Workspace: f.workspace, Left: f.left(), Copy: from, After: f.lastID}
+	f.Record.Server = s.ID
+	send := port.Send{Call: f.Call, Server: s, Workspace: f.Workspace, Left: f.Left(), Copy: from, After: f.lastID}
 	if f.guard != nil {
 		send.Backup = f.guard.at.Addr
 	}
-	a, err := f.relay.Backend.Send(ctx, send)
+	a, err := f.Backend.Send(ctx, send)
 	if err != nil {
-		f.relay.Health.Failure(s.ID, time.Now())
+		f.Health.Failure(s.ID, time.Now())
 	}
 	return a, err
 }
 
 func (f *flight) head(a *port.Answer) *refuse.Refusal {
 	f.begun = true
-	f.record.Status = a.Status
-	if err := f.reply.Start(a.Status, a.Fields); err != nil {
+	f.Record.Status = a.Status
+	if err := f.Reply.Start(a.Status, a.Fields); err != nil {
 		return refuse.New(refuse.CallerLeft, "the answer could not be written: %v", err).With(refuse.RanPartial)
 	}
 	return nil
@@ -194,54 +197,54 @@
 
 // place takes a seat at an engine with room; it waits a little for one.
 func (f *flight) place(ctx context.Context) (*backs.Server, *refuse.Refusal) {
-	if e := f.service.Engine; e != nil && f.call.Prompt != nil && f.call.Prompt.Tokens > e.Memory {
-		return nil, refuse.New(refuse.TooLarge, "the prompt of %d tokens is larger than an engine's memory of %d", f.call.Prompt.Tokens, e.Memory)
+	if e := f.Service.Engine; e != nil && f.Call.Prompt != nil && f.Call.Prompt.Tokens > e.Memory {
+		return nil, refuse.New(refuse.TooLarge, "the prompt of %d tokens is larger than an engine's memory of %d", f.Call.Prompt.Tokens, e.Memory)
 	}
-	w := f.want(homes.Call, f.relay.Config.Domain, slices.Collect(maps.Keys(f.tried)))
+	w := f.want(homes.Call, f.Config.Domain, slices.Collect(maps.Keys(f.tried)))
 	start := time.Now()
-	since := start.Sub(f.call.Arrived)
+	since := start.Sub(f.Call.Arrived)
 	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), f.mark()
-	w.Due = room.Due(f.route.Target, since, w.Read)
-	w.Wait = room.Wait(w.Due, f.end.Sub(f.call.Arrived), since)
-	spot, err := f.relay.Places.Place(ctx, w)
-	f.record.Queued += time.Since(start)
+	w.Due = room.Due(f.Route.Target, since, w.Read)
+	w.Wait = room.Wait(w.Due, f.End.Sub(f.Call.Arrived), since)
+	spot, err := f.Places.Place(ctx, w)
+	f.Record.Queued += time.Since(start)
 	var full *homes.NoRoomError
 	switch {
 	case err == nil:
-		f.seat = f.relay.Seats.Take(spot.Server.ID, f.load(true))
+		f.seat = f.Seats.Take(spot.Server.ID, f.load(true))
 		f.setGuard(spot.Backup)
-		f.log("placed", zap.String("server", string(spot.Server.ID)), zap.Int("tokens", w.Need),
+		f.Note("placed", zap.String("server", string(spot.Server.ID)), zap.Int("tokens", w.Need),
 			zap.Bool("backup", spot.Backup != nil), zap.Duration("waited", time.Since(start)))
 		return spot.Server, nil
 	case errors.Is(err, homes.ErrNoServer):
-		return nil, refuse.New(refuse.NoServer, "no server of service %s takes work", f.service.Name).After(roomRetry)
+		return nil, refuse.New(refuse.NoServer, "no server of service %s takes work", f.Service.Name).After(task.RoomRetry)
 	case errors.As(err, &full):
 		return nil, refuse.New(refuse.NoRoom, "no engine of service %s has room for %d tokens within %s, %d calls wait",
-			f.service.Name, w.Need, w.Wait.Round(time.Millisecond), full.Ahead).After(room.Retry(full.Retry, f.left()))
+			f.Service.Name, w.Need, w.Wait.Round(time.Millisecond), full.Ahead).After(room.Retry(full.Retry, f.Left()))
 	default:
-		return nil, f.over(ctx, f.ran)
+		return nil, f.Over(ctx, f.ran)
 	}
 }
 
 // read returns how many tokens an engine has to read before the first event.
 func (f *flight) read() int {
-	if f.call.Prompt == nil {
+	if f.Call.Prompt == nil {
 		return 0
 	}
-	return f.call.Prompt.Tokens
+	return f.Call.Prompt.Tokens
 }
 
 // mark identifies the request when its client repeats it: its identifier is
 // another one then.
 func (f *flight) mark() uint64 {
 	d := xxhash.New()
-	for _, s := range []string{f.call.Key, f.call.Host, f.call.Target} {
+	for _, s := range []string{f.Call.Key, f.Call.Host, f.Call.Target} {
 		_, _ = d.WriteString(s)
 	}
-	if p := f.call.Prompt; p != nil {
+	if p := f.Call.Prompt; p != nil {
 		_, _ = fmt.Fprint(d, p.Tokens, p.Limit, p.Hint, p.Parts)
 	}
-	_, _ = d.Write(f.call.Body)
+	_, _ = d.Write(f.Call.Body)
 	return d.Sum64()
 }
 
@@ -255,15 +258,15 @@
 
 // want describes the room that the stream needs.
 func (f *flight) want(u homes.Use, from ident.Domain, skip []ident.Server) homes.Want {
-	return homes.Want{Service: f.service.Name, Use: u, Rank: f.rank(), Need: f.need(), Memory: f.memory(), From: from, Skip: skip}
+	return homes.Want{Service: f.Service.Name, Use: u, Rank: f.rank(), Need: f.need(), Memory: f.memory(), From: from, Skip: skip}
 }
 
 // rank returns how urgent the stream is; 0 goes first.
-func (f *flight) rank() int { return f.route.Priority }
+func (f *flight) rank() int { return f.Route.Priority }
 
 func (f *flight) memory() int {
-	if f.service.Engine == nil || f.service.Engine.Memory <= 0 {
+	if f.Service.Engine == nil || f.Service.Engine.Memory <= 0 {
 		return 1 << 30
 	}
-	return f.service.Engine.Memory
+	return f.Service.Engine.Memory
 }
--- a/internal/route/relay/watch.go
+++ b/internal/route/stream/watch.go
@@ -1,4 +1,4 @@
-package relay
+package stream
 
 import (
 	"context"
@@ -58,7 +58,7 @@
 // has made no event yet can't be moved; it is asked for again with each event.
 func (w *watch) depart(ctx context.Context) {
 	w.leave, w.leaving = nil, true
-	if !w.f.movable() || w.f.record.Events == 0 || w.moved != nil || w.hop != nil || time.Now().Before(w.rest) {
+	if !w.f.movable() || w.f.Record.Events == 0 || w.moved != nil || w.hop != nil || time.Now().Before(w.rest) {
 		return
 	}
 	if g := w.f.guard; g != nil && !leaves(g.at) && time.Until(g.ripe) < ripeWait {
@@ -71,7 +71,7 @@
 // unguarded gives up a guard that leaves.
 func (w *watch) unguarded(ctx context.Context) {
 	w.bare = nil
-	w.f.log("backup lost", zap.String("server", string(w.f.guard.at.ID)))
+	w.f.Note("backup lost", zap.String("server", string(w.f.guard.at.ID)))
 	w.f.dropGuard()
 	if w.leaving {
 		w.hop = nil
@@ -87,7 +87,7 @@
 	if w.leaving || w.moved != nil || f.guard != nil || !f.movable() || !f.guardable() {
 		return
 	}
-	if f.record.Events == 0 {
+	if f.Record.Events == 0 {
 		w.later(calmRetry)
 		return
 	}
@@ -97,7 +97,7 @@
 // change goes on at the guard, or later if the budget does not allow it now.
 func (w *watch) change(ctx context.Context) (*watch, *refuse.Refusal) {
 	if !w.f.pay() {
-		w.f.log("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(mover.ErrUnpaid))
+		w.f.Note("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(mover.ErrUnpaid))
 		w.hop = time.After(moveRest)
 		return w, nil
 	}
@@ -125,7 +125,7 @@
 	w.moved = nil
 	w.f.stopping = false
 	w.rest = time.Now().Add(moveRest)
-	w.f.log("stream stays", zap.String("server", string(w.f.server.ID)), zap.Bool("leaving", w.leaving), zap.Error(err))
+	w.f.Note("stream stays", zap.String("server", string(w.f.server.ID)), zap.Bool("leaving", w.leaving), zap.Error(err))
 	if !w.leaving {
 		w.later(calmRetry)
 	}
--- /dev/null
+++ b/internal/route/task/task.go
@@ -0,0 +1,122 @@
+package task
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/call"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/route/port"
+	"umberladder/internal/state/routes"
+)
+
+// RoomRetry is when a call refused for want of a server should come back.
+const RoomRetry = 500 * time.Millisecond
+
+// ErrTimeout is the cause that ends a call's context at its end.
+var ErrTimeout = errors.New("task: the time allowed is over")
+
+// Task is one call on its way, once its route is known.
+type Task struct {
+	Parts
+	Call      *call.Call
+	Reply     port.Reply
+	Route     *routes.Route
+	Service   *routes.Service
+	Workspace ident.Workspace
+	End       time.Time // no answer is of use after it
+	Record    End
+
+	mu   sync.Mutex // guards kept: orders to engines log beside the call
+	kept []kept
+}
+
+// Left returns how long an answer is still of use.
+func (t *Task) Left() time.Duration { return time.Until(t.End) }
+
+// Over returns the refusal of a call whose time or client is gone. The call
+// has not been written to any server that may still run it unless ran says so.
+func (t *Task) Over(ctx context.Context, ran refuse.Ran) *refuse.Refusal {
+	if errors.Is(context.Cause(ctx), ErrTimeout) {
+		r := refuse.New(refuse.TimedOut, "no answer within the %s allowed", t.End.Sub(t.Call.Arrived)).With(ran)
+		if ran == refuse.RanNo {
+			r.Reason = refuse.WaitedOut
+		}
+		return r
+	}
+	return refuse.New(refuse.CallerLeft, "the client closed the connection after %s", time.Since(t.Call.Arrived).Round(time.Millisecond)).With(ran)
+}
+
+// Deliver writes a whole answer to the client.
+func (t *Task) Deliver(a *Whole) *refuse.Refusal {
+	t.Record.Status = a.Status
+	t.Record.First = time.Since(t.Call.Arrived)
+	if err := t.Reply.Whole(a.Status, a.Fields, a.Body); err != nil {
+		return refuse.New(refuse.CallerLeft, "the answer could not be written: %v", err).With(refuse.RanMaybe)
+	}
+	return nil
+}
+
+// Whole is a whole answer.
+type Whole struct {
+	Status int
+	Fields []call.Field
+	NotRun bool // the server says that it did not run the call
+	Body   []byte
+}
+
+// Truthful gives a refusal of a call that may have run a status that promises
+// nothing.
+func Truthful(r *refuse.Refusal) *refuse.Refusal {
+	if r.Ran != refuse.RanNo && r.Reason.Status() == http.StatusServiceUnavailable {
+		r.Reason = refuse.ServerDied
+	}
+	return r
+}
+
+// IsUnsent reports whether nothing of a call left this VM.
+func IsUnsent(err error) bool {
+	var se *port.SendError
+	return errors.As(err, &se) && se.Unsent
+}
+
+// maxKept is how many declined lines a call keeps for its end.
+const maxKept = 32
+
+// kept is a log line that was declined when it was made.
+type kept struct {
+	what   string
+	at     time.Time
+	fields []zap.Field
+}
+
+// Note writes one line about the call. A line that the log declines under load
+// is kept, and written if the call fails.
+func (t *Task) Note(what string, fields ...zap.Field) {
+	fields = append(fields, zap.String("request", string(t.Call.ID)))
+	if ce := t.Parts.Log.Check(zap.InfoLevel, what); ce != nil {
+		ce.Write(fields...)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.kept) < maxKept {
+		t.kept = append(t.kept, kept{what: what, at: time.Now(), fields: fields})
+	}
+}
+
+// Tell writes the declined lines of a call that failed.
+func (t *Task) Tell() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range t.kept {
+		t.Parts.Log.Warn(k.what, append(k.fields, zap.Time("at", k.at))...)
+	}
+	t.kept = nil
+}
--- /dev/null
+++ b/internal/route/whole/whole.go
@@ -0,0 +1,167 @@
+package whole
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/call"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/assign"
+	"umberladder/internal/route/port"
+	"umberladder/internal/route/seats"
+	"umberladder/internal/route/task"
+	"umberladder/internal/state/backs"
+)
+
+const (
+	// MaxBody is the largest whole answer of a server that is taken, in bytes.
+	MaxBody = 16 << 20
+	// MaxUnsent is how many servers that can't be connected to are passed over.
+	MaxUnsent = 3
+	// shedRetry is when a call should come back whose server was full: the
+	// queue of a plain server empties within it at 15 ms a call.
+	shedRetry = 100 * time.Millisecond
+)
+
+// trial is the way of a plain call from server to server.
+type trial struct {
+	*task.Task
+	tried   map[ident.Server]bool
+	unsent  int             // servers that could not be connected to
+	last    *task.Whole     // failure of the last server that answered
+	refusal *refuse.Refusal // what is said if no server answers any more
+}
+
+// Serve serves a call with one whole answer.
+func Serve(ctx context.Context, t *task.Task) *refuse.Refusal {
+	r := &trial{Task: t, tried: make(map[ident.Server]bool)}
+	r.refusal = refuse.New(refuse.NoServer, "no server of service %s takes work", t.Service.Name).After(task.RoomRetry)
+	for r.more() {
+		s := r.pick()
+		if s == nil {
+			break
+		}
+		r.tried[s.ID] = true
+		a, err := r.ask(ctx, s)
+		if err != nil && ctx.Err() != nil {
+			return t.Over(ctx, r.ranBy(err))
+		}
+		if err != nil && !r.broken(s, err) {
+			break
+		}
+		if err == nil && r.answered(s, a) {
+			return t.Deliver(a)
+		}
+		if err == nil && !a.NotRun && t.Route.Kind != call.Idempotent {
+			break
+		}
+	}
+	if r.last != nil {
+		return t.Deliver(r.last)
+	}
+	return task.Truthful(r.refusal)
+}
+
+// more reports whether another server may be asked.
+func (r *trial) more() bool {
+	if r.Record.Sent >= r.Route.Attempts || r.unsent >= MaxUnsent {
+		return false
+	}
+	if r.Record.Sent == 0 || r.Budget.Spend(r.Service.Name, time.Now()) {
+		return true
+	}
+	r.Note("no retry", zap.String("reason", "the retry budget is used up"))
+	return false
+}
+
+// ranBy returns what is known of the call's runs after a sending that failed.
+func (r *trial) ranBy(err error) refuse.Ran {
+	if task.IsUnsent(err) {
+		return r.refusal.Ran
+	}
+	return refuse.RanMaybe
+}
+
+// broken judges a sending without a whole answer; false ends the trial.
+func (r *trial) broken(s *backs.Server, err error) bool {
+	if task.IsUnsent(err) {
+		r.unsent++
+		r.Note("server not reached", zap.String("server", string(s.ID)), zap.Error(err))
+		return true
+	}
+	r.Record.Sent++
+	r.last = nil
+	r.Note("no whole answer", zap.String("server", string(s.ID)), zap.Error(err))
+	r.refusal = refuse.New(refuse.ServerDied, "server %s broke off: %v", s.ID, err).With(refuse.RanMaybe)
+	return r.Route.Kind == call.Idempotent
+}
+
+// answered judges a whole answer; true if it is the client's.
+func (r *trial) answered(s *backs.Server, a *task.Whole) bool {
+	r.Record.Sent++
+	switch {
+	case a.NotRun:
+		r.refusal = refuse.New(refuse.ServerRefused, "server %s did not take the call, with status %d", s.ID, a.Status).With(r.refusal.Ran).After(shedRetry)
+		return false
+	case a.Status < http.StatusInternalServerError:
+		return true
+	}
+	r.last = a
+	r.refusal = refuse.New(refuse.ServerDied, "server %s failed with status %d", s.ID, a.Status).With(refuse.RanMaybe)
+	return false
+}
+
+// ask sends the call to a server and reads the whole answer.
+func (t *trial) ask(ctx context.Context, s *backs.Server) (*task.Whole, error) {
+	seat := t.Seats.Take(s.ID, seats.Load{Seats: 1})
+	defer seat.Release()
+	t.Record.Server = s.ID
+	a, err := t.Backend.Send(ctx, port.Send{Call: t.Call, Server: s, Workspace: t.Workspace, Left: t.Left(), After: t.Call.After})
+	if err != nil {
+		t.Health.Failure(s.ID, time.Now())
+		return nil, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(a.Body, MaxBody+1))
+	if err == nil && len(body) > MaxBody {
+		err = errors.New("the answer is too large")
+	}
+	if err != nil {
+		t.Health.Failure(s.ID, time.Now())
+		return nil, &port.SendError{Err: err}
+	}
+	if a.Status < http.StatusInternalServerError {
+		t.Health.Success(s.ID, time.Now())
+	} else {
+		t.Health.Failure(s.ID, time.Now())
+	}
+	return &task.Whole{Status: a.Status, Fields: a.Fields, NotRun: a.NotRun, Body: body}, nil
+}
+
+// pickPlain chooses a server that was not tried yet.
+func (t *trial) pick() *backs.Server {
+	now := time.Now()
+	list := t.Servers.View().Service(t.Service.Name)
+	loads := t.Seats.All(now)
+	servers := make([]assign.Server, len(list))
+	for i, s := range list {
+		servers[i] = assign.Server{
+			Slots:  s.Slots,
+			Seats:  loads[s.ID].Seats,
+			Far:    s.Domain != t.Config.Domain,
+			Weight: t.Health.Weight(s.ID, now),
+			Skip:   t.tried[s.ID],
+		}
+	}
+	i := assign.ChoosePlain(servers, assign.Random())
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
--- a/internal/state/peers/peers.go
+++ b/internal/state/peers/peers.go
@@ -18,6 +18,9 @@
 	leaseTTL = 10 * time.Second
 	// renewEvery leaves two renewals to fail before the lease ends.
 	renewEvery = 3 * time.Second
+	// touchTime is how long after an answer a VM counts as reaching the store: a
+	// renewal and one more try.
+	touchTime = renewEvery + retryName + 300*time.Millisecond
 	// listEvery is how often the names are read, once they are settled. At the
 	// start and after a change they are read at firstList.
 	listEvery = 2 * time.Second
@@ -52,6 +55,7 @@
 	reg    Registry
 	log    *zap.Logger
 	others atomic.Pointer[[]netip.AddrPort]
+	kept   atomic.Int64 // when the store last took or renewed the name, in Unix nanoseconds
 }
 
 // New makes a list of peers that holds nobody yet.
@@ -64,6 +68,9 @@
 // Others returns the other VMs' addresses.
 func (p *Peers) Others() []netip.AddrPort { return *p.others.Load() }
 
+// Touch reports whether the store itself has answered this VM lately.
+func (p *Peers) Touch(now time.Time) bool { return now.Sub(time.Unix(0, p.kept.Load())) < touchTime }
+
 // Announce keeps this VM's name in the store until ctx ends.
 func (p *Peers) Announce(ctx context.Context) {
 	var lease Lease
@@ -74,6 +81,7 @@
 			retry.Pause(ctx, retryName)
 			continue
 		}
+		p.kept.Store(time.Now().UnixNano())
 		retry.Pause(ctx, renewEvery)
 	}
 }
--- /dev/null
+++ b/internal/state/peers/peers_test.go
@@ -0,0 +1,63 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+)
+
+// registry is a store of names that may be away.
+type registry struct{ away atomic.Bool }
+
+var errAway = errors.New("away")
+
+func (r *registry) Announce(context.Context, ident.VM, netip.AddrPort, time.Duration) (Lease, error) {
+	return 1, r.Renew(context.Background(), 1)
+}
+
+func (r *registry) Renew(context.Context, Lease) error {
+	if r.away.Load() {
+		return errAway
+	}
+	return nil
+}
+
+func (r *registry) VMs(context.Context) (map[ident.VM]netip.AddrPort, error) {
+	return nil, r.Renew(context.Background(), 1)
+}
+
+func TestTouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &registry{}
+		p := New("vm", netip.AddrPort{}, r, zap.NewNop())
+		assert.Assert(t, !p.Touch(time.Now()), "the store has not answered yet")
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error {
+			p.Announce(ctx)
+			return nil
+		})
+		for range 20 {
+			time.Sleep(time.Second)
+			assert.Assert(t, p.Touch(time.Now()))
+		}
+		r.away.Store(true)
+		time.Sleep(touchTime + time.Second)
+		assert.Assert(t, !p.Touch(time.Now()))
+		r.away.Store(false)
+		time.Sleep(retryName + time.Millisecond)
+		assert.Assert(t, p.Touch(time.Now()))
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+}
