Read the settings as a range, and know VMs that speak

Change: the settings are read as a range, whose answer has a revision to wait from also when there are none; a VM that is heard is known without a list, which is read each 5 s.

--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -83,6 +83,7 @@
 	if !s.Asks {
 		age = -1
 	}
+	v.peers.Meet(from)
 	v.watch.Hear(s.VM, from, age, now)
 	v.budget.Hear(s.VM, s.Sent, now)
 	v.seats.Hear(s.VM, s.Boot, s.Seq, s.Loads, now)
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -19,6 +19,8 @@
 
 // SettingsSource reads the settings in the store.
 type SettingsSource interface {
+	// Settings returns the settings and a revision after which changes are to be
+	// awaited; nil if there are none yet.
 	Settings(ctx context.Context) (*routes.Snapshot, Revision, error)
 	// AwaitSettings returns the newest settings after a revision, or nil if none
 	// came within wait, and the revision up to which nothing was missed.
@@ -104,7 +106,9 @@
 	if err != nil {
 		return 0, err
 	}
-	s.put(snap, sent)
+	if snap != nil {
+		s.put(snap, sent)
+	}
 	s.answered(rev)
 	return rev, nil
 }
--- a/internal/state/peers/peers.go
+++ b/internal/state/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +22,11 @@
 	// touchTime is how long after an answer a VM counts as reaching the store: a
 	// renewal and one more try.
 	touchTime = renewEvery + retryName + 300*time.Millisecond
-	// listEvery is how often the names are read, once they are settled. At the
-	// start and after a change they are read at firstList.
-	listEvery = 2 * time.Second
+	// listEvery is how often the names are read, once they are settled; a VM that
+	// speaks is known at once. At the start they are read each firstList.
+	listEvery = 5 * time.Second
 	firstList = 300 * time.Millisecond
-	quickList = 10
+	quickList = 6
 	// retryName is the pause after a failed call. The lease outlives several.
 	retryName = 1200 * time.Millisecond
 	// callTime bounds one call to the store.
@@ -68,6 +69,17 @@
 // Others returns the other VMs' addresses.
 func (p *Peers) Others() []netip.AddrPort { return *p.others.Load() }
 
+// Meet notes the address of a VM that was heard: it may not have been listed yet.
+func (p *Peers) Meet(addr netip.AddrPort) {
+	old := p.others.Load()
+	if addr == p.addr || slices.Contains(*old, addr) {
+		return
+	}
+	more := append(slices.Clone(*old), addr)
+	// A list that was read meanwhile stands; the VM is heard again.
+	p.others.CompareAndSwap(old, &more)
+}
+
 // Touch reports whether the store itself has answered this VM lately.
 func (p *Peers) Touch(now time.Time) bool { return now.Sub(time.Unix(0, p.kept.Load())) < touchTime }
 
--- a/internal/state/peers/peers_test.go
+++ b/internal/state/peers/peers_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -61,3 +62,14 @@
 		assert.NilError(t, g.Wait())
 	})
 }
+
+func TestMeet(t *testing.T) {
+	own, a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
+	p := New("vm", own, &registry{}, zap.NewNop())
+	for _, addr := range []netip.AddrPort{a, own, a, b} {
+		p.Meet(addr)
+	}
+	assert.DeepEqual(t, p.Others(), []netip.AddrPort{a, b}, cmpopts.EquateComparable(netip.AddrPort{}))
+	p.read(t.Context())
+	assert.Equal(t, len(p.Others()), 0, "the list replaces what was heard")
+}
