--- a/internal/proc/cmds/cmds_test.go
+++ b/internal/proc/cmds/cmds_test.go
@@ -48,6 +48,20 @@
 		run(t, ExitInvalid, "no such file", "settings", "check", filepath.Join(dir, "none.json"))
 		run(t, ExitInvalid, "unknown member", "settings", "check", "--as", "workspace", system)
 	})
+	t.Run("check an edge VM's file", func(t *testing.T) {
+		edge := filepath.Join(dir, "edge.json")
+		text := `{"name":"e-1","failure-domain":"a","callers-address":"10.0.0.1:80","ready-address":"10.0.0.1:81",
+"metrics-address":"10.0.0.1:82","peers-address":"10.0.0.1:83","store-address":"10.0.0.2:80"}`
+		assert.NilError(t, os.WriteFile(edge, []byte(text), 0o600))
+		run(t, ExitOK, "valid edge settings", "settings", "check", edge)
+		assert.NilError(t, os.WriteFile(edge, []byte(strings.Replace(text, "10.0.0.1:83", "here", 1)), 0o600))
+		run(t, ExitInvalid, "/peers-address", "settings", "check", edge)
+	})
+	t.Run("help", func(t *testing.T) {
+		run(t, ExitOK, "retry-budget/window", "edge", "--help")
+		run(t, ExitOK, "Exit codes:", "--help")
+		run(t, ExitOK, "commit ", "version")
+	})
 	t.Run("usage", func(t *testing.T) {
 		run(t, ExitUsage, "unknown command", "dance")
 		run(t, ExitUsage, "config", "serve")
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -1,9 +1,13 @@
 package cmds
 
 import (
+	"cmp"
+	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -34,6 +38,7 @@
 	c := &cobra.Command{
 		Use:   "edge [--config FILE]",
 		Short: "Serve a platform's clients on this VM until told to stop",
+		Long:  edgeHelp(),
 		Example: "  umberladder edge --config edge.json\n" +
 			"  kill -TERM PID    # leave gracefully, within the grace time of the settings",
 		Args: cobra.NoArgs,
@@ -49,6 +54,22 @@
 	return c
 }
 
+// edgeHelp says what each member of the settings means.
+func edgeHelp() string {
+	var b strings.Builder
+	b.WriteString("Serve a platform's clients on this VM until told to stop. SIGTERM makes it leave\n" +
+		"within stop-grace; SIGHUP, or a changed file, has it read its settings anew.\n\nMembers of the settings:\n")
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, m := range conf.EdgeMembers() {
+		fmt.Fprintf(t, "  %s\t%s\t%s\n", m.Path, cmp.Or(m.Default, "must be given"), m.Help)
+	}
+	if err := t.Flush(); err != nil {
+		// A builder takes all that is written.
+		panic(err)
+	}
+	return b.String()
+}
+
 func runEdge(c *cobra.Command, cfg *conf.Edge, file string) error {
 	level, err := zapcore.ParseLevel(cfg.LogLevel)
 	if err != nil {
--- a/internal/proc/cmds/root.go
+++ b/internal/proc/cmds/root.go
@@ -58,8 +58,12 @@
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "umberladder",
-		Short:         "Serve generations of unknown length on crowded engines",
+		Use:   "umberladder",
+		Short: "Serve generations of unknown length on crowded engines",
+		Long: "Serve generations of unknown length on crowded engines.\n\n" +
+			"Exit codes: 0 done; 1 the work failed; 2 the command line is wrong; 3 a document or\n" +
+			"file is not valid; 4 another change came first; 5 whether the change took effect is\n" +
+			"not known yet; 6 a refusal code was not made by this system.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/internal/proc/cmds/settings.go
+++ b/internal/proc/cmds/settings.go
@@ -31,9 +31,10 @@
 	c := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Check settings files offline",
-		Long: "Check settings files offline: a node's own settings, the system's document or a\n" +
-			"workspace's. The kind is told by --as, or else by the members of the file.",
-		Example: "  umberladder settings check vm-1.json system.json\n" +
+		Long: "Check settings files offline: those of a node (umberladder serve) or of an edge VM\n" +
+			"(umberladder edge), the system's document or a workspace's. The kind is told by\n" +
+			"--as, or else by the members of the file.",
+		Example: "  umberladder settings check vm-1.json edge-1.json system.json\n" +
 			"  umberladder settings check --as workspace installers.json",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, files []string) error {
@@ -52,7 +53,7 @@
 			return exit(ExitInvalid, first)
 		},
 	}
-	c.Flags().StringVar(&as, "as", "", "kind of the files: node, system or workspace")
+	c.Flags().StringVar(&as, "as", "", "kind of the files: node, edge, system or workspace")
 	return c
 }
 
@@ -68,12 +69,14 @@
 	switch kind {
 	case "node":
 		_, err = conf.Parse(data)
+	case "edge":
+		_, err = conf.ParseEdge(data)
 	case "system":
 		_, err = config.ParseSystem(data, 0)
 	case "workspace":
 		_, err = config.ParseWorkspace("check", data, 0)
 	default:
-		err = trace.BadParameter("--as: want node, system or workspace, got %q", kind)
+		err = trace.BadParameter("--as: want node, edge, system or workspace, got %q", kind)
 	}
 	return kind, err
 }
@@ -81,6 +84,8 @@
 // kindOf guesses a document's kind from a member that only it has.
 func kindOf(data []byte) string {
 	switch {
+	case strings.Contains(string(data), `"ready-address"`):
+		return "edge"
 	case strings.Contains(string(data), `"callers-address"`):
 		return "node"
 	case strings.Contains(string(data), `"classes"`):
--- a/internal/proc/cmds/version.go
+++ b/internal/proc/cmds/version.go
@@ -36,5 +36,14 @@
 	if !ok {
 		return "umberladder (unknown build)"
 	}
-	return fmt.Sprintf("umberladder %s %s", info.Main.Version, info.GoVersion)
+	commit := "unknown"
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			commit = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			commit += " with changes"
+		}
+	}
+	return fmt.Sprintf("umberladder %s, commit %s, %s", info.Main.Version, commit, info.GoVersion)
 }
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -103,3 +104,33 @@
 	}
 	return e, f.Err()
 }
+
+// Member describes one member of a settings file, for its page and the command
+// line's help.
+type Member struct {
+	Path    string
+	Default string // empty: it must be given
+	Help    string
+}
+
+// EdgeMembers lists the members of an edge VM's settings.
+func EdgeMembers() []Member {
+	return []Member{
+		{"name", "", "name of this VM"},
+		{"failure-domain", "", "failure domain of this VM"},
+		{"callers-address", "", "HTTP for clients"},
+		{"ready-address", "", "HTTP for the balancer's readiness checks"},
+		{"metrics-address", "", "HTTP for metrics"},
+		{"peers-address", "", "UDP and HTTP for other VMs"},
+		{"store-address", "", "the platform's store"},
+		{"log-level", DefaultLogLevel, "debug, info, warn or error"},
+		{"log-lines-per-second", strconv.Itoa(DefaultLogRate), "most log lines a second"},
+		{"revoke-bound", DefaultRevoke.String(), "how long after its end an API key may be served"},
+		{"stop-grace", DefaultGrace.String(), "from the signal to stop to the end of the process"},
+		{"retry-budget/ratio", formatFloat(DefaultRatio), "sendings beyond the first of each call, over all VMs, as a share of the first ones"},
+		{"retry-budget/extra", formatFloat(DefaultExtra), "sendings beyond these in each window"},
+		{"retry-budget/window", DefaultWindow.String(), "the window of the retry budget"},
+	}
+}
+
+func formatFloat(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -1,6 +1,9 @@
 package edge
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Names of the metrics.
 const (
@@ -21,6 +24,8 @@
 	metricPeers    = "umberladder_peers_heard"
 	metricWatches  = "umberladder_watches_store"
 	metricReady    = "umberladder_ready"
+	metricPlaced   = "umberladder_placements_total"
+	metricWaiting  = "umberladder_waiting_at_home"
 )
 
 // Metric describes one metric.
@@ -49,6 +54,8 @@
 		{metricAnswered, "gauge", "time since the store last told this VM of servers; it grows on VMs that are told by others"},
 		{metricPeers, "gauge", "other VMs heard in the last 2 s"},
 		{metricWatches, "gauge", "1 if this VM watches the store, 0 if others tell it"},
+		{metricPlaced, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
+		{metricWaiting, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
 	}
 }
@@ -70,6 +77,7 @@
 		metricAnswered: func() float64 { return v.discover.Answered(time.Now()).Seconds() },
 		metricPeers:    func() float64 { return float64(v.seats.Peers(time.Now())) },
 		metricWatches:  func() float64 { return number(!v.serversTold()) },
+		metricWaiting:  func() float64 { return float64(v.home.Waiting()) },
 		metricReady:    func() float64 { return number(v.Ready()) },
 	} {
 		v.set.NewGauge(name, f)
@@ -83,6 +91,11 @@
 	return 0
 }
 
+// countPlacement counts a placement by its outcome.
+func (v *VM) countPlacement(outcome string) {
+	v.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricPlaced, outcome)).Inc()
+}
+
 func number(b bool) float64 {
 	if b {
 		return 1
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -117,7 +117,7 @@
 	sound := health.New()
 	chooser := homes.NewChooser(v.servers, v.seats, sound)
 	v.home = homes.NewHome(chooser)
-	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, log)
+	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, v.countPlacement, log)
 	v.relay = relay.New(task.Parts{
 		Config:   task.Config{Domain: cfg.Domain, Revoke: func() time.Duration { return v.cfg.Load().Revoke }},
 		Settings: v.settings,
--- a/internal/route/desk/desk.go
+++ b/internal/route/desk/desk.go
@@ -46,26 +46,55 @@
 	home    *homes.Home
 	order   func(ident.Service, time.Time) []peers.Rank
 	post    Post
+	count   func(outcome string)
 	log     *zap.Logger
 
 	mu      sync.Mutex
 	number  uint64
 	waiting map[uint64]chan homes.Answer
 	silent  map[ident.VM]time.Time // until when a VM is not asked
+	homes   map[ident.Service]ident.VM
 }
 
 // New makes a desk. The order is that of the VMs that decide for a service;
-// home is this VM's own. Numbers of asks begin after boot.
-func New(vm ident.VM, boot uint64, c *homes.Chooser, home *homes.Home, order func(ident.Service, time.Time) []peers.Rank, post Post, log *zap.Logger) *Desk {
+// home is this VM's own. Numbers of asks begin after boot. Each placement is
+// counted by its outcome.
+func New(vm ident.VM, boot uint64, c *homes.Chooser, home *homes.Home, order func(ident.Service, time.Time) []peers.Rank, post Post, count func(outcome string), log *zap.Logger) *Desk {
 	return &Desk{
-		vm: vm, chooser: c, home: home, order: order, post: post, log: log,
+		vm: vm, chooser: c, home: home, order: order, post: post, count: count, log: log,
 		number: boot, waiting: make(map[uint64]chan homes.Answer), silent: make(map[ident.VM]time.Time),
+		homes: make(map[ident.Service]ident.VM),
 	}
 }
 
+// Outcomes of placements.
+const (
+	byHome   = "by-home"
+	byItself = "alone"
+	noRoom   = "no-room"
+	noOne    = "no-server"
+	left     = "client-left"
+)
+
 // Place returns where a run goes. Its error is homes.ErrNoServer, a *homes.NoRoomError or
 // the context's.
 func (d *Desk) Place(ctx context.Context, w homes.Want) (homes.Spot, error) {
+	spot, outcome, err := d.place(ctx, w)
+	var full *homes.NoRoomError
+	switch {
+	case errors.As(err, &full):
+		outcome = noRoom
+	case errors.Is(err, homes.ErrNoServer):
+		outcome = noOne
+	case err != nil:
+		outcome = left
+	}
+	d.count(outcome)
+	return spot, err
+}
+
+// place returns where a run goes and who decided it.
+func (d *Desk) place(ctx context.Context, w homes.Want) (homes.Spot, string, error) {
 	start := time.Now()
 	want := w
 	want.Skip = append(slices.Clone(w.Skip), d.chooser.Distrusted(w.Service, start)...)
@@ -76,10 +105,11 @@
 		}
 		switch a.State {
 		case homes.Full:
-			return homes.Spot{}, &homes.NoRoomError{Retry: a.Retry, Ahead: a.Ahead}
+			return homes.Spot{}, byHome, &homes.NoRoomError{Retry: a.Retry, Ahead: a.Ahead}
 		case homes.NoServer:
 			// The home may know less than this VM.
-			return d.alone(ctx, w, start)
+			spot, err := d.alone(ctx, w, start)
+			return spot, byItself, err
 		}
 		view := d.chooser.View()
 		s, b := view.Server(a.Server), view.Server(a.Backup)
@@ -87,14 +117,15 @@
 			b = nil
 		}
 		if s != nil && !s.Leaving {
-			return homes.Spot{Server: s, Backup: b}, nil
+			return homes.Spot{Server: s, Backup: b}, byHome, nil
 		}
 		want.Skip = append(want.Skip, a.Server)
 	}
 	if err := ctx.Err(); err != nil {
-		return homes.Spot{}, err
+		return homes.Spot{}, byHome, err
 	}
-	return d.alone(ctx, w, start)
+	spot, err := d.alone(ctx, w, start)
+	return spot, byItself, err
 }
 
 // alone decides by what this VM knows. Nobody orders those who wait, so nobody
@@ -122,7 +153,9 @@
 // ask asks the home, or the VM that takes its place.
 func (d *Desk) ask(ctx context.Context, w homes.Want) (homes.Answer, error) {
 	asked := 0
-	for _, p := range d.order(w.Service, time.Now()) {
+	order := d.order(w.Service, time.Now())
+	d.noteHome(w.Service, order)
+	for _, p := range order {
 		if d.isSilent(p.VM) {
 			continue
 		}
@@ -138,6 +171,21 @@
 	return homes.Answer{}, errSilent
 }
 
+// noteHome logs that another VM decides for a service than did.
+func (d *Desk) noteHome(s ident.Service, order []peers.Rank) {
+	if len(order) == 0 {
+		return
+	}
+	d.mu.Lock()
+	old := d.homes[s]
+	d.homes[s] = order[0].VM
+	d.mu.Unlock()
+	if old != order[0].VM {
+		d.log.Info("home changed", zap.String("service", string(s)), zap.String("from", string(old)),
+			zap.String("to", string(order[0].VM)), zap.Bool("this-vm", !order[0].Addr.IsValid()))
+	}
+}
+
 func (d *Desk) isSilent(vm ident.VM) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/route/desk/desk_test.go
+++ b/internal/route/desk/desk_test.go
@@ -101,7 +101,7 @@
 		}
 		c := homes.NewChooser(v.servers, v.seats, health.New())
 		v.home = homes.NewHome(c)
-		v.desk = New(v.name, 0, c, v.home, order(v), post{f, v}, zap.NewNop())
+		v.desk = New(v.name, 0, c, v.home, order(v), post{f, v}, func(string) {}, zap.NewNop())
 		f.vms = append(f.vms, v)
 		f.group.Go(func() error {
 			v.home.Run(ctx)
--- a/internal/route/homes/home.go
+++ b/internal/route/homes/home.go
@@ -177,6 +177,17 @@
 	reply(n.answer)
 }
 
+// Waiting returns how many asks wait at this home, of all services.
+func (h *Home) Waiting() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, l := range h.lines {
+		n += l.waiting()
+	}
+	return n
+}
+
 func (h *Home) line(s ident.Service) *line {
 	l := h.lines[s]
 	if l == nil {
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -300,7 +300,7 @@
 		Config: task.Config{Domain: "a", Revoke: func() time.Duration { return 5 * time.Second }}, Settings: w.book, Refresh: w, Servers: w.table,
 		Seats: book, Budget: w.budget, Health: sound, Backend: w.engines, Clock: w.clock,
 		Log: zap.NewNop(), Group: w.group, Count: w,
-		Places: desk.New("vm", 0, chooser, homes.NewHome(chooser), alone, nil, zap.NewNop()),
+		Places: desk.New("vm", 0, chooser, homes.NewHome(chooser), alone, nil, func(string) {}, zap.NewNop()),
 	})
 	return w
 }
