Have the test of lapsed entries meet the fault

Now the follower is told before, and the test fails without the change (1 server known where none should be).

--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -333,6 +333,7 @@
 			assert.Assert(t, ok && len(n.Changes) == 1 && n.Changes[0].Lapse > 0, "%+v", n)
 			v.told.Store(true)
 			v.other.Store(&n)
+			time.Sleep(time.Second)
 			v.servers.Learn(News{Base: n.Rev + 5, Rev: n.Rev + 6}, time.Now())
 			time.Sleep(200 * time.Millisecond)
 			v.knows(t, 1, "taken from the other VM")
