--- a/internal/route/desk/desk.go
+++ b/internal/route/desk/desk.go
@@ -76,8 +76,8 @@
 	left     = "client-left"
 )
 
-// Place returns where a run goes. Its error is homes.ErrNoServer, a *homes.NoRoomError or
-// the context's.
+// Place returns where a run goes. Its error is homes.ErrNoServer, a
+// *homes.NoRoomError or the context's.
 func (d *Desk) Place(ctx context.Context, w homes.Want) (homes.Spot, error) {
 	spot, outcome, err := d.place(ctx, w)
 	var full *homes.NoRoomError
--- a/internal/route/homes/home.go
+++ b/internal/route/homes/home.go
@@ -111,7 +111,7 @@
 // line holds the asks that wait for room at a service's engines.
 type line struct {
 	queues [lanes]*queue.Queue[*ask]
-	first  int            // tokens of moves and the most urgent calls
+	urgent int            // tokens that wait of moves and the most urgent calls
 	need   [lanes]int     // tokens that wait
 	rate   [lanes]float64 // tokens granted in a second, lately, while others wait
 	busy   time.Time      // since when there are always some who wait
@@ -343,8 +343,8 @@
 	return l.queues[movesLane].Len() > 0 || l.queues[callsLane].Len() > 0
 }
 
-// first reports whether a goes before the calls that are not urgent.
-func (a *ask) first() bool { return a.Want.Use != Call || a.Want.Rank == 0 }
+// urgent reports whether a goes before the calls that are not urgent.
+func (a *ask) urgent() bool { return a.Want.Use != Call || a.Want.Rank == 0 }
 
 // never is an outlook beyond all waits.
 const never = time.Hour
@@ -357,8 +357,8 @@
 		need += l.need[i]
 		rate += l.rate[i]
 	}
-	if a.first() {
-		need = a.Want.Need + l.first
+	if a.urgent() {
+		need = a.Want.Need + l.urgent
 	}
 	busy := l.at.Sub(l.busy)
 	if busy < leastBusy {
@@ -400,7 +400,7 @@
 
 func (l *line) count(a *ask, need int) {
 	l.need[a.lane] += need
-	if a.first() {
-		l.first += need
+	if a.urgent() {
+		l.urgent += need
 	}
 }
