Do not hold the follower's lock while its table is asked

Cause, found on reading: a VM that hands its list of servers on held the follower's lock while it asked the table, and the table, under its own lock, asks the follower whether the VM is told when a server leaves. Both at once wait for one another for good.

--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -386,3 +386,37 @@
 		})
 	})
 }
+
+// TestCallback has the table call back into the follower, as a VM does to see
+// whether it is told, while other VMs ask it for all servers.
+func TestCallback(t *testing.T) {
+	var v *Servers
+	table := backs.NewTable(func() { v.Heard() })
+	never := func() bool { return false }
+	v = NewServers(newStore(), table, awake.Now, never, never, func() {}, nil, zap.NewNop())
+	v.rev = 1
+	var both, wait errgroup.Group
+	both.Go(func() error {
+		for range 20_000 {
+			v.All()
+		}
+		return nil
+	})
+	both.Go(func() error {
+		for i := range 20_000 {
+			table.Put(entry(i % 10))
+			table.Remove(entry(i%10).ID, time.Time{}, time.Now())
+		}
+		return nil
+	})
+	done := make(chan struct{})
+	wait.Go(func() error {
+		defer close(done)
+		return both.Wait()
+	})
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the follower and its table wait for one another")
+	}
+}
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -245,14 +245,17 @@
 // the store does not answer or some are not known.
 func (s *Servers) All() (News, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down || s.rev == 0 {
+	down, rev := s.down, s.rev
+	s.mu.Unlock()
+	if down || rev == 0 {
 		return News{}, false
 	}
-	n := News{Rev: s.rev}
+	// The table calls back into this follower under its own lock, so that this
+	// one's is not held. What is newer than the revision is told again.
+	n := News{Rev: rev}
 	lapses := s.table.Lapses(time.Now())
 	for _, e := range s.table.View().All() {
-		n.Changes = append(n.Changes, Change{Rev: s.rev, Entry: e, Lapse: lapses[e.ID]})
+		n.Changes = append(n.Changes, Change{Rev: rev, Entry: e, Lapse: lapses[e.ID]})
 	}
 	return n, true
 }
