--- /dev/null
+++ b/internal/route/homes/home_bench_test.go
@@ -0,0 +1,42 @@
+package homes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/health"
+	"umberladder/internal/route/seats"
+	"umberladder/internal/state/backs"
+)
+
+// BenchmarkTake asks a home for room at one of some engines, as 62 VMs use them.
+func BenchmarkTake(b *testing.B) {
+	for _, engines := range []int{12, 44, 357} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			table, book := backs.NewTable(func() {}), seats.New()
+			list := make([]backs.Entry, engines)
+			for i := range list {
+				list[i] = backs.Entry{ID: ident.Server(fmt.Sprint("e", i)), Service: "s", Domain: "a", Slots: 24}
+			}
+			table.Replace(list, time.Time{}, time.Now())
+			for vm := range 62 {
+				load := map[ident.Server]seats.Load{}
+				for i := range 4 {
+					load[list[(vm*4+i)%engines].ID] = seats.Load{Seats: 1, Tokens: 3000}
+				}
+				book.Hear(ident.VM(fmt.Sprint(vm)), 1, 1, load, time.Now().Add(time.Hour))
+			}
+			h := NewHome(NewChooser(table, book, health.New()))
+			w := Want{Service: "s", Need: 3300, Read: 3000, Memory: 1 << 20, From: "a", Due: time.Second, Wait: time.Second}
+			for n := range uint64(b.N) {
+				h.Take(Ask{VM: "vm", Number: n, Want: w}, func(Answer) {}, time.Now())
+				if n%100 == 0 {
+					h.serve(time.Now().Add(2 * time.Second)) // forgets what was answered
+					h.grants = nil
+				}
+			}
+		})
+	}
+}
