Read a counter of the spread's test under its lock

Traced from the report: the test read how often VMs asked one another without the lock that guards the count, while the last asking had just written it. The follower itself is not part of it; what the test demands is the same.

--- a/internal/state/spread/follower_test.go
+++ b/internal/state/spread/follower_test.go
@@ -103,6 +103,13 @@
 	f()
 }
 
+// pulled returns how often VMs have asked one another.
+func (v *village) pulled() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pulls
+}
+
 // heal ends every failure.
 func (v *village) heal() {
 	v.set(func() {
@@ -344,9 +351,9 @@
 			assert.Equal(t, docs["/workspaces/w0"].Version, last, d.self.Name)
 			assert.Equal(t, docs["/workspaces/w1"].Version, last-1, d.self.Name)
 		}
-		pulls := v.pulls
+		pulls := v.pulled()
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, v.pulls, pulls, "all have all, and still ask")
+		assert.Equal(t, v.pulled(), pulls, "all have all, and still ask")
 		v.set(func() { v.down = false })
 		time.Sleep(retryLimit + time.Second)
 		assert.Equal(t, v.behind(last), "")
