--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -22,7 +22,8 @@
 	Service string
 	// Model names a model that backend servers of the platform serve.
 	Model string
-	// Server names a backend server: a model engine or a plain server.
+	// Server identifies one start of a backend server, a model engine or a plain
+	// server; see NewServer.
 	Server string
 	// Class names a priority class.
 	Class string
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -24,7 +24,7 @@
 	Leaving bool
 }
 
-// Server is one start of a backend server. Its fields do not change; a changed
+// Server is one start of a backend server. Its fields never change; a changed
 // entry makes a new Server that shares the channel.
 type Server struct {
 	Entry
@@ -68,6 +68,7 @@
 
 	mu     sync.Mutex
 	all    map[ident.Server]*Server
+	names  map[string]ident.Server    // the latest start of each name
 	lapsed map[ident.Server]time.Time // entries that lapsed in an outage: when they count as gone
 	news   map[ident.Server]time.Time // servers seen to leave, and when
 	view   atomic.Pointer[View]
@@ -78,6 +79,7 @@
 	t := &Table{
 		onLeave: onLeave,
 		all:     make(map[ident.Server]*Server),
+		names:   make(map[string]ident.Server),
 		lapsed:  make(map[ident.Server]time.Time),
 		news:    make(map[ident.Server]time.Time),
 	}
@@ -101,6 +103,9 @@
 }
 
 func (t *Table) put(e Entry) bool {
+	if !t.succeeds(e.ID) {
+		return false
+	}
 	delete(t.lapsed, e.ID)
 	old := t.all[e.ID]
 	if old != nil && old.Entry == e {
@@ -110,7 +115,7 @@
 	if old != nil {
 		s.leave = old.leave
 		if old.Leaving {
-			// A server that leaves does not come back under its name.
+			// A start that leaves does not change its mind.
 			s.Leaving = true
 		}
 	}
@@ -119,24 +124,43 @@
 		t.tell(e.ID)
 	}
 	t.all[e.ID] = s
+	t.names[e.ID.Name()] = e.ID
+	return true
+}
+
+// succeeds ends the earlier start of the server's name, if there is one. It
+// reports false if a later one is known: what is told of id comes late.
+func (t *Table) succeeds(id ident.Server) bool {
+	known, ok := t.names[id.Name()]
+	if !ok || known == id {
+		return true
+	}
+	if id.Born().Before(known.Born()) {
+		return false
+	}
+	t.drop(known)
+	t.tell(known)
 	return true
 }
 
-// Remove takes the end of a server's entry. Within an outage of the store, or
-// until ReturnTime after it, the server stays usable until then.
-func (t *Table) Remove(id ident.Server, until time.Time, now time.Time) {
+// Remove takes the end of the entry of a name. Within an outage of the store, or
+// until ReturnTime after it, the server stays usable until then. It reports
+// whether a server was known by that name.
+func (t *Table) Remove(name string, until time.Time, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.all[id] == nil {
-		return
+	id, ok := t.names[name]
+	if !ok {
+		return false
 	}
 	if now.Before(until) {
 		t.lapsed[id] = until
-		return
+		return true
 	}
 	t.drop(id)
 	t.tell(id)
 	t.publish()
+	return true
 }
 
 // Hear takes another VM's word that servers leave. It reports which were not
@@ -182,13 +206,13 @@
 func (t *Table) Replace(list []Entry, until time.Time, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	seen := make(map[ident.Server]struct{}, len(list))
+	seen := make(map[string]struct{}, len(list))
 	for _, e := range list {
-		seen[e.ID] = struct{}{}
+		seen[e.ID.Name()] = struct{}{}
 		t.put(e)
 	}
 	for id := range t.all {
-		if _, ok := seen[id]; ok {
+		if _, ok := seen[id.Name()]; ok {
 			continue
 		}
 		if now.Before(until) {
@@ -235,6 +259,7 @@
 	delete(t.lapsed, id)
 	s := t.all[id]
 	delete(t.all, id)
+	delete(t.names, id.Name())
 	if s != nil && !s.Leaving {
 		close(s.leave)
 	}
--- a/internal/state/backs/table_test.go
+++ b/internal/state/backs/table_test.go
@@ -96,3 +96,58 @@
 		assert.Equal(t, len(tab.Leaving(now)), 0, "hearsay is not told on")
 	})
 }
+
+// start is the entry of one start of the server a.
+func start(ms int64) Entry {
+	return Entry{ID: ident.NewServer("a", time.UnixMilli(ms)), Service: "s", Slots: 6}
+}
+
+func TestStartsUnderOneName(t *testing.T) {
+	now := time.Now()
+	first, second := start(1000), start(2000)
+	full := func() (*Table, *Server) {
+		tab := NewTable(func() {})
+		tab.Put(first)
+		return tab, tab.View().Server(first.ID)
+	}
+	t.Run("a later start ends the earlier one", func(t *testing.T) {
+		tab, old := full()
+		assert.Assert(t, tab.Put(second))
+		usable(t, tab, string(second.ID))
+		assert.Assert(t, left(old), "runs at the earlier start are over")
+		assert.Assert(t, !left(tab.View().Server(second.ID)))
+		assert.DeepEqual(t, tab.Leaving(now), []ident.Server{first.ID})
+	})
+	t.Run("news of the earlier start come late", func(t *testing.T) {
+		tab, _ := full()
+		tab.Put(second)
+		assert.Assert(t, !tab.Put(first))
+		tab.Hear([]ident.Server{first.ID})
+		tab.Replace([]Entry{first}, time.Time{}, now)
+		usable(t, tab, string(second.ID))
+	})
+	t.Run("a server that was leaving starts again", func(t *testing.T) {
+		tab, _ := full()
+		e := first
+		e.Leaving = true
+		tab.Put(e)
+		usable(t, tab)
+		tab.Put(second)
+		usable(t, tab, string(second.ID))
+	})
+	t.Run("an entry lapses in an outage and comes back with a later start", func(t *testing.T) {
+		tab, old := full()
+		until := now.Add(ReturnTime)
+		tab.Remove("a", until, now)
+		tab.Put(second)
+		assert.Equal(t, len(tab.Expire(until)), 0)
+		usable(t, tab, string(second.ID))
+		assert.Assert(t, left(old))
+	})
+	t.Run("the entry is removed whatever the start", func(t *testing.T) {
+		tab, _ := full()
+		tab.Put(second)
+		tab.Remove("a", time.Time{}, now)
+		usable(t, tab)
+	})
+}
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -29,7 +29,7 @@
 // Change is one change of the servers' entries.
 type Change struct {
 	Rev   Revision
-	Entry backs.Entry // only the ID if Gone
+	Entry backs.Entry // only the ID, without its start, if Gone
 	Gone  bool
 	Lapse time.Duration // after which an entry that lapsed in an outage counts as gone; zero: it did not
 }
@@ -285,7 +285,7 @@
 		if c.Lapse > 0 {
 			// Nobody tells when it is over: three engines that had crashed stayed
 			// usable for 30 s at 57 of 62 VMs.
-			s.table.Remove(c.Entry.ID, now.Add(c.Lapse), now)
+			s.table.Remove(c.Entry.ID.Name(), now.Add(c.Lapse), now)
 		}
 	}
 	s.mu.Lock()
@@ -329,9 +329,7 @@
 	id := zap.String("server", string(c.Entry.ID))
 	if c.Gone {
 		now := time.Now()
-		known := s.table.View().Server(c.Entry.ID) != nil
-		s.table.Remove(c.Entry.ID, s.grace(now), now)
-		if known {
+		if s.table.Remove(c.Entry.ID.Name(), s.grace(now), now) {
 			s.log.Info("server entry removed", id)
 		}
 		return true
