Move the runs of a leaving engine one after the other

Change: the home grants a move only while no other cache is on its way from the same engine; VMs tell what they send (seats.Load.Sends). Moves that wait for a link hold up nobody else. A run whose engine ends before its turn waits no more, and one whose turn comes late has the whole notice (2 s for 0.5 s).

TestLeavingEngine replays the load; without the bound its six caches share the link.

--- a/internal/peer/gossip/codec.go
+++ b/internal/peer/gossip/codec.go
@@ -63,6 +63,7 @@
 	loadTokens  = 3
 	loadBacklog = 4
 	loadCopies  = 5
+	loadSends   = 6
 
 	replyAsk     = 1
 	replyVersion = 2
@@ -121,7 +122,11 @@
 	b = appendNumber(b, loadSeats, uint64(l.Seats))
 	b = appendNumber(b, loadTokens, uint64(l.Tokens))
 	b = appendNumber(b, loadBacklog, uint64(l.Backlog))
-	return appendNumber(b, loadCopies, uint64(l.Copies))
+	b = appendNumber(b, loadCopies, uint64(l.Copies))
+	if l.Sends == 0 {
+		return b
+	}
+	return appendNumber(b, loadSends, uint64(l.Sends))
 }
 
 func encodeSent(name ident.Service, n retry.Sent) []byte {
@@ -225,6 +230,8 @@
 			l.Backlog = int(v)
 		case loadCopies:
 			l.Copies = int(v)
+		case loadSends:
+			l.Sends = int(v)
 		}
 		return nil
 	})
--- a/internal/peer/gossip/codec_test.go
+++ b/internal/peer/gossip/codec_test.go
@@ -27,7 +27,7 @@
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "loads") {
 		s.Loads[ident.Server(name.Draw(t, "server"))] = seats.Load{
-			Seats: n.Draw(t, "seats"), Tokens: n.Draw(t, "tokens"), Backlog: n.Draw(t, "backlog"), Copies: n.Draw(t, "copies"),
+			Seats: n.Draw(t, "seats"), Tokens: n.Draw(t, "tokens"), Backlog: n.Draw(t, "backlog"), Copies: n.Draw(t, "copies"), Sends: n.Draw(t, "sends"),
 		}
 		s.Sent[ident.Service(name.Draw(t, "service"))] = retry.Sent{First: n.Draw(t, "first"), Again: n.Draw(t, "again")}
 		s.Leaving = append(s.Leaving, ident.Server(name.Draw(t, "leaving")))
@@ -49,7 +49,7 @@
 	if rapid.Bool().Draw(t, "seat") {
 		s.Seat = &homes.Ask{VM: s.VM, Number: 8, Want: homes.Want{
 			Service: "s", Use: homes.Calm, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Read: n.Draw(t, "read"), Memory: n.Draw(t, "memory"),
-			From: "a", Skip: []ident.Server{"x", "y"}, Failed: []ident.Server{"z"}, Backup: rapid.Bool().Draw(t, "backup"), Wait: time.Duration(n.Draw(t, "wait")), Due: time.Second, Mark: rapid.Uint64().Draw(t, "mark"),
+			From: "a", Source: "s", Skip: []ident.Server{"x", "y"}, Failed: []ident.Server{"z"}, Backup: rapid.Bool().Draw(t, "backup"), Wait: time.Duration(n.Draw(t, "wait")), Due: time.Second, Mark: rapid.Uint64().Draw(t, "mark"),
 		}}
 		s.Answer = &homes.Answer{Number: 9, State: homes.Full, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), Retry: time.Second}
 	}
--- a/internal/peer/gossip/seat.go
+++ b/internal/peer/gossip/seat.go
@@ -26,6 +26,7 @@
 	seatDue     = 12
 	seatMark    = 13
 	seatFailed  = 14
+	seatSource  = 15
 
 	answerNumber = 1
 	answerState  = 2
@@ -51,6 +52,9 @@
 	for _, id := range w.Failed {
 		b = appendString(b, seatFailed, string(id))
 	}
+	if w.Source != "" {
+		b = appendString(b, seatSource, string(w.Source))
+	}
 	if w.Backup {
 		b = appendNumber(b, seatBackup, 1)
 	}
@@ -84,6 +88,8 @@
 			w.Skip = append(w.Skip, ident.Server(text))
 		case seatFailed:
 			w.Failed = append(w.Failed, ident.Server(text))
+		case seatSource:
+			w.Source = ident.Server(text)
 		case seatBackup:
 			w.Backup = v != 0
 		case seatMark:
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -51,6 +52,18 @@
 	return q.heap[0]
 }
 
+// Sorted returns the entries in the order in which they go.
+func (q *Queue[T]) Sorted() []*Entry[T] {
+	out := slices.Clone(q.heap)
+	slices.SortFunc(out, func(a, b *Entry[T]) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
 // Remove takes an entry out, wherever it stands; false if it is not queued.
 func (q *Queue[T]) Remove(e *Entry[T]) bool {
 	if e.at < 0 {
--- a/internal/route/desk/desk_test.go
+++ b/internal/route/desk/desk_test.go
@@ -438,3 +438,67 @@
 		})
 	})
 }
+
+// TestLeavingEngine replays an engine of six runs that leaves in 1.8 s, and
+// whose link carries one cache in 0.25 s. Of caches that share the link none
+// has arrived in time.
+func TestLeavingEngine(t *testing.T) {
+	const (
+		copying = 250 * time.Millisecond
+		notice  = 1800 * time.Millisecond
+	)
+	move := want()
+	move.Use, move.Read, move.Due, move.Wait = homes.Move, 0, 0, 2*time.Second
+	move.Source, move.Skip = engine(0), []ident.Server{engine(0)}
+	t.Run("its runs move one after the other", func(t *testing.T) {
+		trial(t, 6, 4, func(t *testing.T, f *fleet) {
+			var g errgroup.Group
+			var under, most, moved atomic.Int64
+			start := time.Now()
+			for _, v := range f.vms {
+				g.Go(func() error {
+					if _, err := f.take(v, move, -1); err != nil {
+						return err
+					}
+					most.Store(max(most.Load(), under.Add(1)))
+					link := v.seats.Take(engine(0), seats.Load{Sends: 1})
+					f.tell(v)
+					time.Sleep(copying)
+					under.Add(-1)
+					link.Release()
+					f.tell(v)
+					if time.Since(start) < notice {
+						moved.Add(1)
+					}
+					return nil
+				})
+			}
+			assert.NilError(t, g.Wait())
+			assert.Equal(t, most.Load(), int64(1), "caches share the link")
+			assert.Equal(t, moved.Load(), int64(6))
+		})
+	})
+	t.Run("one that waits for the link holds up no other engine's", func(t *testing.T) {
+		trial(t, 3, 4, func(t *testing.T, f *fleet) {
+			f.vms[1].seats.Take(engine(0), seats.Load{Sends: 1})
+			f.tell(f.vms[1])
+			ctx, cancel := context.WithCancel(context.Background())
+			var g errgroup.Group
+			g.Go(func() error {
+				_, err := f.vms[1].desk.Place(ctx, move)
+				return err
+			})
+			time.Sleep(50 * time.Millisecond)
+			other := move
+			other.Source, other.Skip = engine(1), []ident.Server{engine(1)}
+			start := time.Now()
+			_, err := f.take(f.vms[2], other, -1)
+			assert.NilError(t, err)
+			_, err = f.take(f.vms[2], want(), -1)
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(start) < firstWait, "waited for %s", time.Since(start))
+			cancel()
+			assert.ErrorIs(t, g.Wait(), context.Canceled)
+		})
+	})
+}
--- a/internal/route/homes/chooser.go
+++ b/internal/route/homes/chooser.go
@@ -82,6 +82,9 @@
 	for id, l := range pending {
 		loads[id] = loads[id].Plus(l)
 	}
+	if w.Source != "" && loads[w.Source].Sends > 0 {
+		return Spot{}, &NoRoomError{Link: true}
+	}
 	if (w.Use == Calm || w.Use == Keep) && c.fill(w, loads) >= assign.SpareFill {
 		return Spot{}, &NoRoomError{}
 	}
--- a/internal/route/homes/home.go
+++ b/internal/route/homes/home.go
@@ -111,6 +111,7 @@
 // line holds the asks that wait for room at a service's engines.
 type line struct {
 	queues [lanes]*queue.Queue[*ask]
+	short  bool           // moves wait for room, not for a link
 	urgent int            // tokens that wait of moves and the most urgent calls
 	need   [lanes]int     // tokens that wait
 	rate   [lanes]float64 // tokens granted in a second, lately, while others wait
@@ -167,8 +168,10 @@
 	h.chooser.failed(a.Want.Failed, now)
 	l := h.line(a.Want.Service)
 	l.fade(now)
-	if !l.before(n) && h.try(l, n, now) {
-		return
+	if !l.before(n) {
+		if done, _ := h.try(l, n, now); done {
+			return
+		}
 	}
 	n.answer.Ahead = l.waiting()
 	if !l.enter(n, now) {
@@ -207,8 +210,9 @@
 	defer h.mu.Unlock()
 	for _, l := range h.lines {
 		l.fade(now)
-		room := true
-		for lane := range lanes {
+		l.short = !h.serveMoves(l, now)
+		room := !l.short
+		for lane := callsLane; lane < lanes; lane++ {
 			room = h.serveLane(l, lane, room, now)
 		}
 	}
@@ -224,6 +228,30 @@
 	}
 }
 
+// serveMoves gives room to the runs that leave their engines, one of each
+// engine at a time: caches that share a link all arrive late. It reports
+// whether none lacks room.
+func (h *Home) serveMoves(l *line, now time.Time) bool {
+	room := true
+	for _, e := range l.queues[movesLane].Sorted() {
+		a := e.Value
+		switch {
+		case now.Sub(a.heard) > askTime:
+			l.drop(a)
+		case now.After(a.end):
+			l.drop(a)
+			h.refuse(l, a)
+		case room:
+			granted, short := h.try(l, a, now)
+			if granted {
+				l.drop(a)
+			}
+			room = !short
+		}
+	}
+	return room
+}
+
 // serveLane ends waits that are over and gives room to the others, if there is
 // any. It reports whether there may be more room.
 func (h *Home) serveLane(l *line, lane int, room bool, now time.Time) bool {
@@ -244,7 +272,10 @@
 		case now.After(a.end):
 			l.drop(a)
 			h.refuse(l, a)
-		case room && h.try(l, a, now):
+		case room:
+			if granted, _ := h.try(l, a, now); !granted {
+				return false
+			}
 			l.drop(a)
 		default:
 			return false
@@ -253,16 +284,22 @@
 }
 
 // try gives the ask room if there is any, or tells it that there is no server.
-func (h *Home) try(l *line, a *ask, now time.Time) bool {
+// It reports whether the ask was answered, and if not, whether it is for want
+// of room.
+func (h *Home) try(l *line, a *ask, now time.Time) (done, short bool) {
 	spot, err := h.chooser.Choose(&a.Want, h.pending(now), now)
+	var full *NoRoomError
 	switch {
 	case errors.Is(err, ErrNoServer):
 		a.answer.State = NoServer
-	case err != nil:
-		return false
+	case errors.As(err, &full):
+		return false, !full.Link
 	default:
 		a.answer.State, a.answer.Server = Granted, spot.Server.ID
 		h.grants = append(h.grants, grant{server: spot.Server.ID, load: a.Want.load(), until: now.Add(grantTime)})
+		if a.Want.Source != "" {
+			h.grants = append(h.grants, grant{server: a.Want.Source, load: seats.Load{Sends: 1}, until: now.Add(grantTime)})
+		}
 		if spot.Backup != nil {
 			a.answer.Backup = spot.Backup.ID
 			h.grants = append(h.grants, grant{server: spot.Backup.ID, load: a.Want.backupLoad(), until: now.Add(grantTime)})
@@ -270,7 +307,7 @@
 		l.rate[a.laneAt(now)] += float64(a.Want.Need) / rateSpan.Seconds()
 	}
 	a.reply(a.answer)
-	return true
+	return true, false
 }
 
 // refuse tells the ask that there will be no room in time.
@@ -338,9 +375,9 @@
 // before reports whether others have to be served before a new ask.
 func (l *line) before(a *ask) bool {
 	if a.Want.Use != Call {
-		return l.queues[movesLane].Len() > 0
+		return l.short
 	}
-	return l.queues[movesLane].Len() > 0 || l.queues[callsLane].Len() > 0
+	return l.short || l.queues[callsLane].Len() > 0
 }
 
 // urgent reports whether a goes before the calls that are not urgent.
--- a/internal/route/homes/want.go
+++ b/internal/route/homes/want.go
@@ -38,6 +38,7 @@
 	Read    int            // prompt tokens that the engine has to read first
 	Memory  int            // of each engine, in tokens
 	From    ident.Domain   // failure domain of the VM for a call, of the engine for others
+	Source  ident.Server   // engine whose link carries the run's cache; empty: none has to
 	Skip    []ident.Server // not to be chosen
 	Failed  []ident.Server // that could not be connected to for this run just now
 	Backup  bool           // a second engine is to keep a copy of the cache
@@ -94,8 +95,12 @@
 type NoRoomError struct {
 	Retry time.Duration // when there is likely to be room
 	Ahead int           // runs that wait for room before this one
+	Link  bool          // it is the link of the run's engine that is taken
 }
 
 func (e *NoRoomError) Error() string {
+	if e.Link {
+		return "homes: another cache is on its way from the engine"
+	}
 	return fmt.Sprintf("homes: no engine has room, %d wait for it", e.Ahead)
 }
--- a/internal/route/mover/mover.go
+++ b/internal/route/mover/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,8 +51,13 @@
 	group   Group
 	run     ident.Request
 	log     func(what string, fields ...zap.Field)
+
+	stopped atomic.Bool
 }
 
+// Stopped reports whether the run's engine was told to stop it.
+func (m *Mover) Stopped() bool { return m.stopped.Load() }
+
 // New makes a mover of a run.
 func New(b port.Backend, g Group, run ident.Request, log func(string, ...zap.Field)) *Mover {
 	return &Mover{backend: b, group: g, run: run, log: log}
@@ -62,6 +68,7 @@
 // once or the time is over; 8 ms then are the rule for the last one, and were
 // 0.4 s at the median. Before the run is stopped, pay has to allow it.
 func (m *Mover) Move(ctx context.Context, from, to *backs.Server, pay func() bool) (port.Moved, error) {
+	m.stopped.Store(false)
 	end := time.Now().Add(settleTime)
 	made := ""
 	for {
@@ -81,6 +88,7 @@
 		m.free(from, made)
 		return port.Moved{}, ErrUnpaid
 	}
+	m.stopped.Store(true)
 	c, err := m.order(ctx, from, to, true, copyTime)
 	if err != nil {
 		m.free(from, made)
--- a/internal/route/seats/book.go
+++ b/internal/route/seats/book.go
@@ -22,15 +22,16 @@
 	Tokens  int // memory they are expected to take at their end
 	Backlog int // prompt tokens that are not known to be read yet
 	Copies  int // caches under way to it
+	Sends   int // caches under way from it, beside those that grow with their runs
 }
 
 // Plus returns the loads together.
 func (l Load) Plus(o Load) Load {
-	return Load{Seats: l.Seats + o.Seats, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog, Copies: l.Copies + o.Copies}
+	return Load{Seats: l.Seats + o.Seats, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog, Copies: l.Copies + o.Copies, Sends: l.Sends + o.Sends}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Seats: l.Seats - o.Seats, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog, Copies: l.Copies - o.Copies}
+	return Load{Seats: l.Seats - o.Seats, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog, Copies: l.Copies - o.Copies, Sends: l.Sends - o.Sends}
 }
 
 // Book holds the loads. It is safe for use by several goroutines.
@@ -121,7 +122,7 @@
 // mark notes that own loads changed. Calls of plain servers are over before
 // others could act on them; they are told with the next regular message.
 func (b *Book) mark(l Load) {
-	if l.Tokens == 0 {
+	if l.Tokens == 0 && l.Sends == 0 {
 		return
 	}
 	select {
--- a/internal/route/stream/depart.go
+++ b/internal/route/stream/depart.go
@@ -21,9 +21,10 @@
 const (
 	// moveTries is how many engines are asked to take a copy.
 	moveTries = 3
-	// moveWait is how long a run whose engine leaves waits for room elsewhere: it
-	// has 1.5 s for all, and copying takes up to 0.4 s.
-	moveWait = 500 * time.Millisecond
+	// moveWait is how long a run whose engine leaves waits for its turn on the
+	// engine's link and for room elsewhere. Notices are 1.5 to 2.1 s; a run whose
+	// engine ends before waits no more.
+	moveWait = 2 * time.Second
 	// tailTime is how long the last events of a stopped run may take to come.
 	tailTime = 250 * time.Millisecond
 )
@@ -54,7 +55,10 @@
 	done := make(chan departure, 1)
 	from := f.server
 	f.stopping = true
+	ctx, cancel := context.WithCancel(ctx)
+	f.stay = cancel
 	f.Group.Go(func() error {
+		defer cancel()
 		done <- f.move(ctx, from, u)
 		return nil
 	})
@@ -66,6 +70,7 @@
 func (f *flight) move(ctx context.Context, from *backs.Server, u homes.Use) departure {
 	w := f.want(u, from.Domain, []ident.Server{from.ID})
 	w.Backup = f.guardable()
+	w.Source = from.ID
 	if u == homes.Move {
 		w.Wait = moveWait
 	}
@@ -80,8 +85,10 @@
 		l := f.load(false)
 		l.Copies = 1
 		seat := f.Seats.Take(to.ID, l)
+		link := f.Seats.Take(from.ID, seats.Load{Sends: 1})
 		var m port.Moved
 		m, err = f.mover.Move(ctx, from, to, f.pay)
+		link.Release()
 		if err == nil {
 			seat.Resize(f.load(false))
 			return departure{to: to, backup: spot.Backup, seat: seat, copy: port.Copy{At: from.Addr, ID: m.Handle}}
--- a/internal/route/stream/pump.go
+++ b/internal/route/stream/pump.go
@@ -133,6 +133,10 @@
 		return f.Over(ctx, refuse.RanPartial)
 	}
 	if w.moved != nil {
+		if !f.mover.Stopped() {
+			// The engine is lost: there is nothing left to wait for.
+			f.stay()
+		}
 		// The engine stops the run as the last step of a move.
 		select {
 		case d := <-w.moved:
@@ -140,7 +144,6 @@
 			if d.err == nil {
 				return f.follow(ctx, d)
 			}
-			err = d.err
 		case <-ctx.Done():
 			return f.Over(ctx, refuse.RanPartial)
 		}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -46,6 +46,7 @@
 	legged   bool         // the present leg has brought an event
 	stopping bool         // the run is being stopped, so that its end may be no end
 	lastAt   time.Time
+	stay     context.CancelFunc // ends the move under way; nil: there was none
 }
 
 // Serve serves a call whose answer is a stream of events.
