--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -6,9 +6,6 @@
 	// Full is the share of an engine's memory that streams may fill with what they
 	// have and take soon. One day of 62 VMs was worth 0.490 at 0.9, 0.504 at 0.95, 0.512 here.
 	Full = 1.0
-	// Tight is the share up to which streams that would be lost may fill it: the
-	// engine itself says whether it has room, within 3 ms.
-	Tight = 1.3
 	// Spare is the share up to which copies kept for a loss may fill it. Without
 	// that room new streams wait at the engines: at 1.05 the first event came
 	// after 1.5 s or more for 56 of 363 streams, at 0.7 for 5.
--- a/internal/route/homes/want.go
+++ b/internal/route/homes/want.go
@@ -50,8 +50,6 @@
 // share returns how full the run may make an engine.
 func (w *Want) share() float64 {
 	switch w.Use {
-	case Move:
-		return assign.Tight
 	case Calm, Keep:
 		return assign.Spare
 	default:
