--- a/internal/peer/gossip/codec_test.go
+++ b/internal/peer/gossip/codec_test.go
@@ -48,7 +48,7 @@
 	}
 	if rapid.Bool().Draw(t, "seat") {
 		s.Seat = &homes.Ask{VM: s.VM, Number: 8, Want: homes.Want{
-			Service: "s", Use: homes.Calm, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Read: n.Draw(t, "read"), Memory: n.Draw(t, "memory"),
+			Service: "s", Use: homes.Move, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Read: n.Draw(t, "read"), Memory: n.Draw(t, "memory"),
 			From: "a", Source: "s", Skip: []ident.Server{"x", "y"}, Failed: []ident.Server{"z"}, Backup: rapid.Bool().Draw(t, "backup"), Wait: time.Duration(n.Draw(t, "wait")), Due: time.Second, Mark: rapid.Uint64().Draw(t, "mark"),
 		}}
 		s.Answer = &homes.Answer{Number: 9, State: homes.Full, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), Retry: time.Second}
--- a/internal/route/homes/chooser.go
+++ b/internal/route/homes/chooser.go
@@ -99,7 +99,7 @@
 		return Spot{}, &NoRoomError{Link: true}
 	}
 	copies := c.fill(w, loads) < assign.CopyFill(c.risky(now))
-	if (w.Use == Calm || w.Use == Keep) && !copies {
+	if w.Use == Keep && !copies {
 		return Spot{}, &NoRoomError{}
 	}
 	s, known := c.pick(w, loads, w.share(), w.far(), w.From, w.Skip, now)
@@ -114,9 +114,6 @@
 		skip := append(slices.Clone(w.Skip), s.ID)
 		spot.Backup, _ = c.pick(w, loads, assign.Spare, assign.FarCopy, s.Domain, skip, now)
 	}
-	if w.Use == Calm && spot.Backup == nil {
-		return Spot{}, &NoRoomError{}
-	}
 	return spot, nil
 }
 
--- a/internal/route/homes/want.go
+++ b/internal/route/homes/want.go
@@ -18,7 +18,6 @@
 const (
 	Call Use = iota // a run that begins
 	Move            // a run whose engine leaves or is lost
-	Calm            // a run that may as well stay where it is
 	Keep            // a copy of a run's cache, kept in case its engine is lost
 )
 
@@ -43,7 +42,7 @@
 // share returns how full the run may make an engine.
 func (w *Want) share() float64 {
 	switch w.Use {
-	case Calm, Keep:
+	case Keep:
 		return assign.Spare
 	default:
 		return assign.Full
--- a/internal/route/stream/depart.go
+++ b/internal/route/stream/depart.go
@@ -48,7 +48,7 @@
 }
 
 // depart moves the stream away from an engine that is leaving, while it goes on.
-func (f *flight) depart(ctx context.Context, u homes.Use) <-chan departure {
+func (f *flight) depart(ctx context.Context) <-chan departure {
 	if !f.movable() {
 		return nil
 	}
@@ -59,7 +59,7 @@
 	f.stay = cancel
 	f.Group.Go(func() error {
 		defer cancel()
-		done <- f.move(ctx, from, u)
+		done <- f.move(ctx, from)
 		return nil
 	})
 	return done
@@ -67,13 +67,11 @@
 
 // move copies the cache while the run goes on, and then stops it and copies
 // what is new.
-func (f *flight) move(ctx context.Context, from *backs.Server, u homes.Use) departure {
-	w := f.want(u, from.Domain, []ident.Server{from.ID})
+func (f *flight) move(ctx context.Context, from *backs.Server) departure {
+	w := f.want(homes.Move, from.Domain, []ident.Server{from.ID})
 	w.Backup = f.guardable()
 	w.Source = from.ID
-	if u == homes.Move {
-		w.Wait = moveWait
-	}
+	w.Wait = moveWait
 	var err error
 	for range moveTries {
 		var spot homes.Spot
--- a/internal/route/stream/guard.go
+++ b/internal/route/stream/guard.go
@@ -20,16 +20,9 @@
 	// queues behind other copies; at 0.8 s the backup had none for streams that left
 	// with 27 events, and these were cut off.
 	backupLag = 1300 * time.Millisecond
-	// calmDelay is the pause before a stream without a guard moves to get one.
-	// Guards are lost when engines leave, and then the links are needed for
-	// streams of those engines. calmSpread keeps such moves from coming together.
-	calmDelay  = 1600 * time.Millisecond
-	calmSpread = 1200 * time.Millisecond
 	// backupAsk bounds the question for a backup while the stream stands still:
 	// the answer takes 2 to 4 ms.
 	backupAsk = 25 * time.Millisecond
-	// calmRetry is the pause after a move for a guard that was not possible.
-	calmRetry = time.Second
 )
 
 // guard is an engine to which the run's engine sends the cache as it grows.
--- a/internal/route/stream/pump.go
+++ b/internal/route/stream/pump.go
@@ -20,7 +20,6 @@
 // pump passes events on until the stream is whole or lost.
 func (f *flight) pump(ctx context.Context) *refuse.Refusal {
 	w := f.watch()
-	defer func() { w.stop() }()
 	for {
 		var refusal *refuse.Refusal
 		select {
@@ -36,7 +35,7 @@
 				return f.complete()
 			}
 			if refusal = f.broken(ctx, w); refusal == nil {
-				w = w.again()
+				w = f.watch()
 			}
 		case <-w.leave:
 			w.depart(ctx)
@@ -46,8 +45,6 @@
 			w, refusal = w.arrived(ctx, d)
 		case <-w.bare:
 			w.unguarded(ctx)
-		case <-w.calm.C:
-			w.guardAgain(ctx)
 		case <-ctx.Done():
 			return f.Over(ctx, refuse.RanPartial)
 		}
--- a/internal/route/stream/watch.go
+++ b/internal/route/stream/watch.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/route/homes"
 	"umberladder/internal/route/mover"
 )
 
@@ -27,33 +25,19 @@
 	hop     <-chan time.Time // it is time to go on at the guard
 	moved   <-chan departure // a move has come to its end
 	bare    <-chan struct{}  // the guard begins to leave
-	calm    *time.Timer      // a stream without a guard is to move to get one
 	leaving bool
 	rest    time.Time // no move is tried before it
 }
 
 // watch returns what the present leg waits for.
 func (f *flight) watch() *watch {
-	w := &watch{f: f, leave: f.server.Leave(), calm: time.NewTimer(time.Hour)}
+	w := &watch{f: f, leave: f.server.Leave()}
 	if f.guard != nil {
 		w.bare = f.guard.at.Leave()
-	} else {
-		w.later(calmDelay)
 	}
 	return w
 }
 
-func (w *watch) stop() { w.calm.Stop() }
-
-// again returns what the next leg waits for.
-func (w *watch) again() *watch {
-	w.stop()
-	return w.f.watch()
-}
-
-// later sets the time to move for a guard.
-func (w *watch) later(d time.Duration) { w.calm.Reset(d + rand.N(calmSpread)) }
-
 // depart begins to take the stream away from an engine that leaves. A run that
 // has made no event yet can't be moved; it is asked for again with each event.
 func (w *watch) depart(ctx context.Context) {
@@ -65,7 +49,7 @@
 		w.hop = time.After(time.Until(g.ripe))
 		return
 	}
-	w.moved = w.f.depart(ctx, homes.Move)
+	w.moved = w.f.depart(ctx)
 }
 
 // unguarded gives up a guard that leaves.
@@ -76,22 +60,7 @@
 	if w.leaving {
 		w.hop = nil
 		w.depart(ctx)
-		return
-	}
-	w.later(calmDelay)
-}
-
-// guardAgain moves a stream without a guard to where it gets one.
-func (w *watch) guardAgain(ctx context.Context) {
-	f := w.f
-	if w.leaving || w.moved != nil || f.guard != nil || !f.movable() || !f.guardable() {
-		return
 	}
-	if f.Record.Events == 0 {
-		w.later(calmRetry)
-		return
-	}
-	w.moved = f.depart(ctx, homes.Calm)
 }
 
 // change goes on at the guard, or later if the budget does not allow it now.
@@ -104,7 +73,7 @@
 	if refusal := w.f.hop(ctx); refusal != nil {
 		return w, refusal
 	}
-	return w.again(), nil
+	return w.f.watch(), nil
 }
 
 // arrived goes on where a move has led, and returns what the next leg waits for.
@@ -117,7 +86,7 @@
 	if refusal := w.f.follow(ctx, d); refusal != nil {
 		return w, refusal
 	}
-	return w.again(), nil
+	return w.f.watch(), nil
 }
 
 // stays notes a move that failed.
@@ -125,8 +94,5 @@
 	w.moved = nil
 	w.f.stopping = false
 	w.rest = time.Now().Add(moveRest)
-	w.f.Note("stream stays", zap.String("server", string(w.f.server.ID)), zap.Bool("leaving", w.leaving), zap.Error(err))
-	if !w.leaving {
-		w.later(calmRetry)
-	}
+	w.f.Note("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(err))
 }
