--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/wire"
 	"umberladder/internal/route/homes"
 )
 
@@ -27,16 +28,16 @@
 // Local is what this VM tells, and where it puts what others tell.
 type Local interface {
 	// Tell fills in what this VM tells of itself.
-	Tell(s *State, now time.Time)
+	Tell(s *wire.State, now time.Time)
 	// Hear takes another VM's state.
-	Hear(s *State, from netip.AddrPort, now time.Time)
+	Hear(s *wire.State, from netip.AddrPort, now time.Time)
 	// Ask returns whom to ask for the age of the settings, and this VM's clock;
 	// not valid: nobody.
 	Ask(now time.Time) (netip.AddrPort, uint64)
 	// Answer answers another VM's question.
-	Answer(ask uint64) Reply
+	Answer(ask uint64) wire.Reply
 	// Learn takes the answer to this VM's question.
-	Learn(r Reply, from netip.AddrPort)
+	Learn(r wire.Reply, from netip.AddrPort)
 	// Seat takes another VM's ask for room, and answers it.
 	Seat(a homes.Ask, reply func(homes.Answer))
 	// Seated takes the answer to this VM's ask for room.
@@ -102,7 +103,7 @@
 		return
 	}
 	g.seq++
-	s := State{VM: g.vm, Boot: g.boot, Seq: g.seq}
+	s := wire.State{VM: g.vm, Boot: g.boot, Seq: g.seq}
 	g.local.Tell(&s, time.Now())
 	b := s.Encode()
 	for _, a := range others {
@@ -116,30 +117,30 @@
 func (g *Gossip) ask() {
 	to, clock := g.local.Ask(time.Now())
 	if to.IsValid() {
-		g.write(State{VM: g.vm, Ask: clock}, to)
+		g.write(wire.State{VM: g.vm, Ask: clock}, to)
 	}
 }
 
-func (g *Gossip) write(s State, to netip.AddrPort) {
+func (g *Gossip) write(s wire.State, to netip.AddrPort) {
 	if _, err := g.conn.WriteToUDPAddrPort(s.Encode(), to); err != nil {
 		g.log.Debug("message not sent", zap.Stringer("to", to), zap.Error(err))
 	}
 }
 
 // Ask asks another VM for room.
-func (g *Gossip) Ask(to netip.AddrPort, a homes.Ask) { g.write(State{VM: g.vm, Seat: &a}, to) }
+func (g *Gossip) Ask(to netip.AddrPort, a homes.Ask) { g.write(wire.State{VM: g.vm, Seat: &a}, to) }
 
 // take sorts a message by what it holds.
-func (g *Gossip) take(s *State, from netip.AddrPort) {
+func (g *Gossip) take(s *wire.State, from netip.AddrPort) {
 	switch {
 	case s.VM == g.vm:
 	case s.Ask != 0:
 		r := g.local.Answer(s.Ask)
-		g.write(State{VM: g.vm, Reply: &r}, from)
+		g.write(wire.State{VM: g.vm, Reply: &r}, from)
 	case s.Reply != nil:
 		g.local.Learn(*s.Reply, from)
 	case s.Seat != nil:
-		g.local.Seat(*s.Seat, func(a homes.Answer) { g.write(State{VM: g.vm, Answer: &a}, from) })
+		g.local.Seat(*s.Seat, func(a homes.Answer) { g.write(wire.State{VM: g.vm, Answer: &a}, from) })
 	case s.Answer != nil:
 		g.local.Seated(*s.Answer)
 	default:
@@ -158,7 +159,7 @@
 			}
 			return
 		}
-		s, err := Decode(buf[:n])
+		s, err := wire.Decode(buf[:n])
 		if err != nil {
 			g.log.Warn("message not readable", zap.Stringer("from", from), zap.Error(err))
 			continue
--- a/internal/peer/share/client.go
+++ b/internal/peer/share/client.go
@@ -12,8 +12,8 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
-	"umberladder/internal/peer/gossip"
 	"umberladder/internal/peer/link"
+	"umberladder/internal/peer/wire"
 	"umberladder/internal/state/follow"
 )
 
@@ -74,7 +74,7 @@
 	if err != nil {
 		return follow.News{}, err
 	}
-	n, err := gossip.DecodeNews(resp.Body())
+	n, err := wire.DecodeNews(resp.Body())
 	if err != nil {
 		return follow.News{}, trace.Wrap(err)
 	}
--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"umberladder/internal/peer/gossip"
+	"umberladder/internal/peer/wire"
 	"umberladder/internal/state/follow"
 )
 
@@ -90,7 +90,7 @@
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 			return
 		}
-		ctx.SetBody(gossip.EncodeNews(&n))
+		ctx.SetBody(wire.EncodeNews(&n))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/internal/peer/gossip/seat.go
+++ b/internal/peer/wire/seat.go
@@ -1,4 +1,4 @@
-package gossip
+package wire
 
 import (
 	"math"
@@ -8,6 +8,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 )
 
 // Field numbers of an ask for room and of its answer.
@@ -73,7 +74,7 @@
 		case seatService:
 			w.Service = ident.Service(text)
 		case seatUse:
-			w.Use = homes.Use(min(v, math.MaxUint8))
+			w.Use = pick.Use(min(v, math.MaxUint8))
 		case seatRank:
 			w.Rank = int(v)
 		case seatNeed:
--- a/internal/peer/gossip/codec.go
+++ b/internal/peer/wire/state.go
@@ -1,4 +1,4 @@
-package gossip
+package wire
 
 import (
 	"time"
--- a/internal/peer/gossip/codec_test.go
+++ b/internal/peer/wire/state_test.go
@@ -1,4 +1,4 @@
-package gossip
+package wire
 
 import (
 	"net/netip"
@@ -12,6 +12,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/follow"
@@ -47,8 +48,8 @@
 		s.Reply = &Reply{Ask: s.Ask, Version: 7, Age: time.Second}
 	}
 	if rapid.Bool().Draw(t, "seat") {
-		s.Seat = &homes.Ask{VM: s.VM, Number: 8, Want: homes.Want{
-			Service: "s", Use: homes.Move, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Read: n.Draw(t, "read"), Memory: n.Draw(t, "memory"),
+		s.Seat = &homes.Ask{VM: s.VM, Number: 8, Want: pick.Want{
+			Service: "s", Use: pick.Move, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Read: n.Draw(t, "read"), Memory: n.Draw(t, "memory"),
 			From: "a", Source: "s", Skip: []ident.Server{"x", "y"}, Failed: []ident.Server{"z"}, Backup: rapid.Bool().Draw(t, "backup"), Wait: time.Duration(n.Draw(t, "wait")), Due: time.Second, Mark: rapid.Uint64().Draw(t, "mark"),
 		}}
 		s.Answer = &homes.Answer{Number: 9, State: homes.Full, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), Retry: time.Second}
--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -11,8 +11,8 @@
 
 	"umberladder/internal/core/awake"
 	"umberladder/internal/core/ident"
-	"umberladder/internal/peer/gossip"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/peer/wire"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/state/follow"
@@ -64,7 +64,7 @@
 }
 
 // Tell implements gossip.Local.
-func (l *local) Tell(s *gossip.State, now time.Time) {
+func (l *local) Tell(s *wire.State, now time.Time) {
 	v := l.vm
 	s.Loads = v.seats.Own()
 	s.Sent = v.budget.Sent(now)
@@ -83,7 +83,7 @@
 }
 
 // Hear implements gossip.Local.
-func (l *local) Hear(s *gossip.State, from netip.AddrPort, now time.Time) {
+func (l *local) Hear(s *wire.State, from netip.AddrPort, now time.Time) {
 	v := l.vm
 	age := s.Age
 	if !s.Asks {
@@ -168,9 +168,9 @@
 }
 
 // Answer implements gossip.Local.
-func (l *local) Answer(ask uint64) gossip.Reply {
+func (l *local) Answer(ask uint64) wire.Reply {
 	fresh := l.vm.settings.Fresh()
-	r := gossip.Reply{Ask: ask}
+	r := wire.Reply{Ask: ask}
 	if snap := l.vm.settings.Load(); snap != nil {
 		r.Version, r.Age = snap.Version, awake.Now().Sub(fresh)
 	}
@@ -179,7 +179,7 @@
 
 // Learn implements gossip.Local. The other VM's settings were the newest Age
 // before it answered, and it answered after it was asked.
-func (l *local) Learn(r gossip.Reply, from netip.AddrPort) {
+func (l *local) Learn(r wire.Reply, from netip.AddrPort) {
 	if r.Version == 0 || awake.Instant(r.Ask) > awake.Now() {
 		return
 	}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -23,6 +23,7 @@
 	"umberladder/internal/proc/sink"
 	"umberladder/internal/route/desk"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/probe"
 	"umberladder/internal/route/relay"
@@ -123,7 +124,7 @@
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, log)
 	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, v.tell, v.takeServers, log)
 	sound := health.New()
-	chooser := homes.NewChooser(v.servers, v.seats, sound)
+	chooser := pick.NewChooser(v.servers, v.seats, sound)
 	v.home = homes.NewHome(chooser)
 	v.probe = probe.New(v.servers, ports.Backend, v.probed, chooser.Failed, group, log)
 	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, v.countPlacement, log)
--- a/internal/route/desk/desk.go
+++ b/internal/route/desk/desk.go
@@ -12,6 +12,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/state/peers"
 )
 
@@ -42,7 +43,7 @@
 // Desk places the runs of one VM. It is safe for use by several goroutines.
 type Desk struct {
 	vm      ident.VM
-	chooser *homes.Chooser
+	chooser *pick.Chooser
 	home    *homes.Home
 	order   func(ident.Service, time.Time) []peers.Rank
 	post    Post
@@ -59,7 +60,7 @@
 // New makes a desk. The order is that of the VMs that decide for a service;
 // home is this VM's own. Numbers of asks begin after boot. Each placement is
 // counted by its outcome.
-func New(vm ident.VM, boot uint64, c *homes.Chooser, home *homes.Home, order func(ident.Service, time.Time) []peers.Rank, post Post, count func(outcome string), log *zap.Logger) *Desk {
+func New(vm ident.VM, boot uint64, c *pick.Chooser, home *homes.Home, order func(ident.Service, time.Time) []peers.Rank, post Post, count func(outcome string), log *zap.Logger) *Desk {
 	return &Desk{
 		vm: vm, chooser: c, home: home, order: order, post: post, count: count, log: log,
 		number: boot, waiting: make(map[uint64]chan homes.Answer), silent: make(map[ident.VM]time.Time),
@@ -76,15 +77,15 @@
 	left     = "client-left"
 )
 
-// Place returns where a run goes. Its error is homes.ErrNoServer, a
-// *homes.NoRoomError or the context's.
-func (d *Desk) Place(ctx context.Context, w homes.Want) (homes.Spot, error) {
+// Place returns where a run goes. Its error is pick.ErrNoServer, a
+// *pick.NoRoomError or the context's.
+func (d *Desk) Place(ctx context.Context, w pick.Want) (pick.Spot, error) {
 	spot, outcome, err := d.place(ctx, w)
-	var full *homes.NoRoomError
+	var full *pick.NoRoomError
 	switch {
 	case errors.As(err, &full):
 		outcome = noRoom
-	case errors.Is(err, homes.ErrNoServer):
+	case errors.Is(err, pick.ErrNoServer):
 		outcome = noOne
 	case err != nil:
 		outcome = left
@@ -94,7 +95,7 @@
 }
 
 // place returns where a run goes and who decided it.
-func (d *Desk) place(ctx context.Context, w homes.Want) (homes.Spot, string, error) {
+func (d *Desk) place(ctx context.Context, w pick.Want) (pick.Spot, string, error) {
 	start := time.Now()
 	want := w
 	want.Skip = append(slices.Clone(w.Skip), d.chooser.Distrusted(w.Service, start)...)
@@ -105,7 +106,7 @@
 		}
 		switch a.State {
 		case homes.Full:
-			return homes.Spot{}, byHome, &homes.NoRoomError{Retry: a.Retry, Ahead: a.Ahead}
+			return pick.Spot{}, byHome, &pick.NoRoomError{Retry: a.Retry, Ahead: a.Ahead}
 		case homes.NoServer:
 			// The home may know less than this VM.
 			spot, err := d.alone(ctx, w, start)
@@ -117,12 +118,12 @@
 			b = nil
 		}
 		if s != nil && !s.Leaving {
-			return homes.Spot{Server: s, Backup: b}, byHome, nil
+			return pick.Spot{Server: s, Backup: b}, byHome, nil
 		}
 		want.Skip = append(want.Skip, a.Server)
 	}
 	if err := ctx.Err(); err != nil {
-		return homes.Spot{}, byHome, err
+		return pick.Spot{}, byHome, err
 	}
 	spot, err := d.alone(ctx, w, start)
 	return spot, byItself, err
@@ -130,28 +131,28 @@
 
 // alone decides by what this VM knows. Nobody orders those who wait, so nobody
 // waits until it begins late.
-func (d *Desk) alone(ctx context.Context, w homes.Want, start time.Time) (homes.Spot, error) {
+func (d *Desk) alone(ctx context.Context, w pick.Want, start time.Time) (pick.Spot, error) {
 	wait := time.NewTimer(max(0, min(w.Due, w.Wait)-time.Since(start)))
 	defer wait.Stop()
 	for {
 		changed := d.chooser.Changed()
 		spot, err := d.chooser.Choose(&w, nil, time.Now())
-		var full *homes.NoRoomError
+		var full *pick.NoRoomError
 		if !errors.As(err, &full) {
 			return spot, err
 		}
 		select {
 		case <-ctx.Done():
-			return homes.Spot{}, ctx.Err()
+			return pick.Spot{}, ctx.Err()
 		case <-changed:
 		case <-wait.C:
-			return homes.Spot{}, &homes.NoRoomError{Retry: homes.LeastRetry}
+			return pick.Spot{}, &pick.NoRoomError{Retry: homes.LeastRetry}
 		}
 	}
 }
 
 // ask asks the home, or the VM that takes its place.
-func (d *Desk) ask(ctx context.Context, w homes.Want) (homes.Answer, error) {
+func (d *Desk) ask(ctx context.Context, w pick.Want) (homes.Answer, error) {
 	asked := 0
 	order := d.order(w.Service, time.Now())
 	d.noteHome(w.Service, order)
@@ -227,7 +228,7 @@
 }
 
 // askOne asks one VM until it has decided.
-func (d *Desk) askOne(ctx context.Context, p peers.Rank, w homes.Want) (homes.Answer, error) {
+func (d *Desk) askOne(ctx context.Context, p peers.Rank, w pick.Want) (homes.Answer, error) {
 	number, ch := d.open()
 	defer d.close(number)
 	start := time.Now()
--- a/internal/route/desk/desk_test.go
+++ b/internal/route/desk/desk_test.go
@@ -18,6 +18,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/health"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/peers"
@@ -99,7 +100,7 @@
 		for e := range engines {
 			v.servers.Put(backs.Entry{ID: engine(e), Service: service, Domain: "a", Slots: 24})
 		}
-		c := homes.NewChooser(v.servers, v.seats, health.New())
+		c := pick.NewChooser(v.servers, v.seats, health.New())
 		v.home = homes.NewHome(c)
 		v.desk = New(v.name, 0, c, v.home, order(v), post{f, v}, func(string) {}, zap.NewNop())
 		f.vms = append(f.vms, v)
@@ -135,12 +136,12 @@
 }
 
 // want is a call of usual size.
-func want() homes.Want {
-	return homes.Want{Service: service, Rank: 1, Need: 3300, Read: 3000, Memory: memory, From: "a", Due: 600 * time.Millisecond, Wait: 900 * time.Millisecond}
+func want() pick.Want {
+	return pick.Want{Service: service, Rank: 1, Need: 3300, Read: 3000, Memory: memory, From: "a", Due: 600 * time.Millisecond, Wait: 900 * time.Millisecond}
 }
 
 // take places a want of a VM and keeps its seat for d; d < 0: for good.
-func (f *fleet) take(v *vm, w homes.Want, d time.Duration) (homes.Spot, error) {
+func (f *fleet) take(v *vm, w pick.Want, d time.Duration) (pick.Spot, error) {
 	spot, err := v.desk.Place(context.Background(), w)
 	if err != nil {
 		return spot, err
@@ -179,9 +180,9 @@
 }
 
 // full fails the test unless the error says that there is no room.
-func full(t *testing.T, err error) *homes.NoRoomError {
+func full(t *testing.T, err error) *pick.NoRoomError {
 	t.Helper()
-	var e *homes.NoRoomError
+	var e *pick.NoRoomError
 	assert.Assert(t, errors.As(err, &e), "%v", err)
 	return e
 }
@@ -254,7 +255,7 @@
 				case "urgent":
 					w.Rank = 0
 				case "move":
-					w.Use, w.Read = homes.Move, 0
+					w.Use, w.Read = pick.Move, 0
 				}
 				g.Go(func() error {
 					_, err := f.take(f.vms[2], w, 50*time.Millisecond)
@@ -279,7 +280,7 @@
 			var mu sync.Mutex
 			var order []string
 			var g errgroup.Group
-			for who, w := range map[string]homes.Want{"back": old, "new": want()} {
+			for who, w := range map[string]pick.Want{"back": old, "new": want()} {
 				w.Need, w.Due, w.Wait = 15_000, 2*time.Second, 3*time.Second
 				g.Go(func() error {
 					_, err := f.take(f.vms[2], w, 50*time.Millisecond)
@@ -367,9 +368,9 @@
 // that streams need when their engines leave, unless engines are lost without
 // notice.
 func TestCopiesByRisk(t *testing.T) {
-	place := func(t *testing.T, lost bool) homes.Spot {
+	place := func(t *testing.T, lost bool) pick.Spot {
 		t.Helper()
-		var spot homes.Spot
+		var spot pick.Spot
 		trial(t, 2, 4, func(t *testing.T, f *fleet) {
 			for e := range 4 {
 				f.vms[1].seats.Take(engine(e), seats.Load{Tokens: memory * 2 / 5})
@@ -455,7 +456,7 @@
 	t.Run("no engine at all", func(t *testing.T) {
 		trial(t, 2, 0, func(t *testing.T, f *fleet) {
 			_, err := f.take(f.vms[1], want(), -1)
-			assert.ErrorIs(t, err, homes.ErrNoServer)
+			assert.ErrorIs(t, err, pick.ErrNoServer)
 		})
 	})
 	t.Run("a server that the asker knows to leave is given back", func(t *testing.T) {
@@ -479,7 +480,7 @@
 		notice  = 1800 * time.Millisecond
 	)
 	move := want()
-	move.Use, move.Read, move.Due, move.Wait = homes.Move, 0, 0, 2*time.Second
+	move.Use, move.Read, move.Due, move.Wait = pick.Move, 0, 0, 2*time.Second
 	move.Source, move.Skip = engine(0), []ident.Server{engine(0)}
 	t.Run("its runs move one after the other", func(t *testing.T) {
 		trial(t, 6, 4, func(t *testing.T, f *fleet) {
--- a/internal/route/homes/home.go
+++ b/internal/route/homes/home.go
@@ -9,6 +9,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/queue"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/seats"
 )
 
@@ -47,7 +48,7 @@
 type Ask struct {
 	VM     ident.VM
 	Number uint64 // of the ask, within all that the VM asks
-	Want   Want
+	Want   pick.Want
 }
 
 // State is what becomes of an ask.
@@ -74,7 +75,7 @@
 // Home decides for all VMs that ask it. It is safe for use by several
 // goroutines.
 type Home struct {
-	chooser *Chooser
+	chooser *pick.Chooser
 
 	mu     sync.Mutex
 	asks   map[askKey]*ask
@@ -127,7 +128,7 @@
 }
 
 // NewHome makes a home at which nobody waits.
-func NewHome(c *Chooser) *Home {
+func NewHome(c *pick.Chooser) *Home {
 	return &Home{chooser: c, asks: make(map[askKey]*ask), lines: make(map[ident.Service]*line), marks: make(map[uint64]time.Time)}
 }
 
@@ -288,21 +289,21 @@
 // of room.
 func (h *Home) try(l *line, a *ask, now time.Time) (done, short bool) {
 	spot, err := h.chooser.Choose(&a.Want, h.pending(now), now)
-	var full *NoRoomError
+	var full *pick.NoRoomError
 	switch {
-	case errors.Is(err, ErrNoServer):
+	case errors.Is(err, pick.ErrNoServer):
 		a.answer.State = NoServer
 	case errors.As(err, &full):
 		return false, !full.Link
 	default:
 		a.answer.State, a.answer.Server = Granted, spot.Server.ID
-		h.grants = append(h.grants, grant{server: spot.Server.ID, load: a.Want.load(), until: now.Add(grantTime)})
+		h.grants = append(h.grants, grant{server: spot.Server.ID, load: a.Want.Load(), until: now.Add(grantTime)})
 		if a.Want.Source != "" {
 			h.grants = append(h.grants, grant{server: a.Want.Source, load: seats.Load{Sends: 1}, until: now.Add(grantTime)})
 		}
 		if spot.Backup != nil {
 			a.answer.Backup = spot.Backup.ID
-			h.grants = append(h.grants, grant{server: spot.Backup.ID, load: a.Want.backupLoad(), until: now.Add(grantTime)})
+			h.grants = append(h.grants, grant{server: spot.Backup.ID, load: a.Want.BackupLoad(), until: now.Add(grantTime)})
 		}
 		l.rate[a.laneAt(now)] += float64(a.Want.Need) / rateSpan.Seconds()
 	}
@@ -363,7 +364,7 @@
 // laneAt returns the lane of an ask at a moment.
 func (a *ask) laneAt(now time.Time) int {
 	switch {
-	case a.Want.Use != Call:
+	case a.Want.Use != pick.Call:
 		return movesLane
 	case !now.Before(a.due):
 		return lateLane
@@ -374,14 +375,14 @@
 
 // before reports whether others have to be served before a new ask.
 func (l *line) before(a *ask) bool {
-	if a.Want.Use != Call {
+	if a.Want.Use != pick.Call {
 		return l.short
 	}
 	return l.short || l.queues[callsLane].Len() > 0
 }
 
 // urgent reports whether a goes before the calls that are not urgent.
-func (a *ask) urgent() bool { return a.Want.Use != Call || a.Want.Rank == 0 }
+func (a *ask) urgent() bool { return a.Want.Use != pick.Call || a.Want.Rank == 0 }
 
 // never is an outlook beyond all waits.
 const never = time.Hour
--- a/internal/route/homes/home_bench_test.go
+++ b/internal/route/homes/home_bench_test.go
@@ -7,6 +7,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
@@ -28,8 +29,8 @@
 				}
 				book.Hear(ident.VM(fmt.Sprint(vm)), 1, 1, load, time.Now().Add(time.Hour))
 			}
-			h := NewHome(NewChooser(table, book, health.New()))
-			w := Want{Service: "s", Need: 3300, Read: 3000, Memory: 1 << 20, From: "a", Due: time.Second, Wait: time.Second}
+			h := NewHome(pick.NewChooser(table, book, health.New()))
+			w := pick.Want{Service: "s", Need: 3300, Read: 3000, Memory: 1 << 20, From: "a", Due: time.Second, Wait: time.Second}
 			for n := range uint64(b.N) {
 				h.Take(Ask{VM: "vm", Number: n, Want: w}, func(Answer) {}, time.Now())
 				if n%100 == 0 {
--- a/internal/route/homes/chooser.go
+++ b/internal/route/pick/pick.go
@@ -1,4 +1,4 @@
-package homes
+package pick
 
 import (
 	"slices"
--- a/internal/route/homes/want.go
+++ b/internal/route/pick/want.go
@@ -1,4 +1,4 @@
-package homes
+package pick
 
 import (
 	"errors"
@@ -57,10 +57,10 @@
 	return assign.FarCopy
 }
 
-// load returns what the run takes at its engine.
-func (w *Want) load() seats.Load {
+// Load returns what the run takes at its engine.
+func (w *Want) Load() seats.Load {
 	if w.Use == Keep {
-		return w.backupLoad()
+		return w.BackupLoad()
 	}
 	l := seats.Load{Seats: 1, Tokens: w.Need, Backlog: w.Read}
 	if w.Use != Call {
@@ -69,8 +69,8 @@
 	return l
 }
 
-// backupLoad returns what the copy of the run's cache takes.
-func (w *Want) backupLoad() seats.Load { return seats.Load{Tokens: w.Need, Copies: 1} }
+// BackupLoad returns what the copy of the run's cache takes.
+func (w *Want) BackupLoad() seats.Load { return seats.Load{Tokens: w.Need, Copies: 1} }
 
 // Spot is where a run goes.
 type Spot struct {
@@ -79,7 +79,7 @@
 }
 
 // ErrNoServer says that no server of the service takes work.
-var ErrNoServer = errors.New("homes: no server takes work")
+var ErrNoServer = errors.New("pick: no server takes work")
 
 // NoRoomError says that every engine is full.
 type NoRoomError struct {
@@ -90,7 +90,7 @@
 
 func (e *NoRoomError) Error() string {
 	if e.Link {
-		return "homes: another cache is on its way from the engine"
+		return "pick: another cache is on its way from the engine"
 	}
-	return fmt.Sprintf("homes: no engine has room, %d wait for it", e.Ahead)
+	return fmt.Sprintf("pick: no engine has room, %d wait for it", e.Ahead)
 }
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -22,6 +22,7 @@
 	"umberladder/internal/policy/health"
 	"umberladder/internal/route/desk"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/route/task"
@@ -294,7 +295,7 @@
 	w.book = routes.NewBook(w.clock)
 	w.book.Put(snapshot(1), w.clock())
 	book, sound := seats.New(), health.New()
-	chooser := homes.NewChooser(w.table, book, sound)
+	chooser := pick.NewChooser(w.table, book, sound)
 	alone := func(ident.Service, time.Time) []peers.Rank { return nil }
 	w.relay = New(task.Parts{
 		Config: task.Config{Domain: "a", Revoke: func() time.Duration { return 5 * time.Second }}, Settings: w.book, Refresh: w, Servers: w.table,
--- a/internal/route/stream/depart.go
+++ b/internal/route/stream/depart.go
@@ -11,8 +11,8 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/route/homes"
 	"umberladder/internal/route/mover"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -68,13 +68,13 @@
 // move copies the cache while the run goes on, and then stops it and copies
 // what is new.
 func (f *flight) move(ctx context.Context, from *backs.Server) departure {
-	w := f.want(homes.Move, from.Domain, []ident.Server{from.ID})
+	w := f.want(pick.Move, from.Domain, []ident.Server{from.ID})
 	w.Backup = f.guardable()
 	w.Source = from.ID
 	w.Wait = moveWait
 	var err error
 	for range moveTries {
-		var spot homes.Spot
+		var spot pick.Spot
 		if spot, err = f.Places.Place(ctx, w); err != nil {
 			break
 		}
@@ -127,7 +127,7 @@
 	if !f.movable() {
 		return departure{err: errors.New("nothing is kept of the run")}
 	}
-	w := f.want(homes.Move, f.server.Domain, []ident.Server{f.server.ID})
+	w := f.want(pick.Move, f.server.Domain, []ident.Server{f.server.ID})
 	w.Backup = f.guardable()
 	spot, err := f.Places.Place(ctx, w)
 	if err != nil {
--- a/internal/route/stream/guard.go
+++ b/internal/route/stream/guard.go
@@ -8,7 +8,7 @@
 
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
-	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -68,7 +68,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, backupAsk)
 	defer cancel()
-	spot, err := f.Places.Place(ctx, f.want(homes.Keep, d.to.Domain, []ident.Server{d.to.ID, f.server.ID}))
+	spot, err := f.Places.Place(ctx, f.want(pick.Keep, d.to.Domain, []ident.Server{d.to.ID, f.server.ID}))
 	if err != nil {
 		f.Note("no backup", zap.String("server", string(d.to.ID)), zap.Error(err))
 		return nil
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -18,8 +18,8 @@
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/room"
 	"umberladder/internal/route/events"
-	"umberladder/internal/route/homes"
 	"umberladder/internal/route/mover"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/route/task"
@@ -208,7 +208,7 @@
 	if e := f.Service.Engine; e != nil && f.Call.Prompt != nil && f.Call.Prompt.Tokens > e.Memory {
 		return nil, refuse.New(refuse.TooLarge, "the prompt of %d tokens is larger than an engine's memory of %d", f.Call.Prompt.Tokens, e.Memory)
 	}
-	w := f.want(homes.Call, f.Config.Domain, slices.Collect(maps.Keys(f.tried)))
+	w := f.want(pick.Call, f.Config.Domain, slices.Collect(maps.Keys(f.tried)))
 	start := time.Now()
 	since := start.Sub(f.Call.Arrived)
 	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), f.mark()
@@ -217,7 +217,7 @@
 	w.Wait = room.Wait(w.Due, f.End.Sub(f.Call.Arrived), since)
 	spot, err := f.Places.Place(ctx, w)
 	f.Record.Queued += time.Since(start)
-	var full *homes.NoRoomError
+	var full *pick.NoRoomError
 	switch {
 	case err == nil:
 		f.seat = f.Seats.Take(spot.Server.ID, f.load(true))
@@ -225,7 +225,7 @@
 		f.Note("placed", zap.String("server", string(spot.Server.ID)), zap.Int("tokens", w.Need),
 			zap.Bool("backup", spot.Backup != nil), zap.Duration("waited", time.Since(start)))
 		return spot.Server, nil
-	case errors.Is(err, homes.ErrNoServer):
+	case errors.Is(err, pick.ErrNoServer):
 		return nil, refuse.New(refuse.NoServer, "no server of service %s takes work", f.Service.Name).After(task.RoomRetry)
 	case errors.As(err, &full):
 		return nil, refuse.New(refuse.NoRoom, "no engine of service %s has room for %d tokens within %s, %d calls wait",
@@ -266,8 +266,8 @@
 }
 
 // want describes the room that the stream needs.
-func (f *flight) want(u homes.Use, from ident.Domain, skip []ident.Server) homes.Want {
-	return homes.Want{Service: f.Service.Name, Use: u, Rank: f.rank(), Need: f.need(), Memory: f.memory(), From: from, Skip: skip}
+func (f *flight) want(u pick.Use, from ident.Domain, skip []ident.Server) pick.Want {
+	return pick.Want{Service: f.Service.Name, Use: u, Rank: f.rank(), Need: f.need(), Memory: f.memory(), From: from, Skip: skip}
 }
 
 // rank returns how urgent the stream is; 0 goes first.
--- a/internal/route/task/parts.go
+++ b/internal/route/task/parts.go
@@ -12,7 +12,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/route/homes"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -49,10 +49,10 @@
 	Spend(service ident.Service, now time.Time) bool
 }
 
-// Placer decides where runs go. Its error is homes.ErrNoServer, a
-// *homes.NoRoomError or the context's.
+// Placer decides where runs go. Its error is pick.ErrNoServer, a
+// *pick.NoRoomError or the context's.
 type Placer interface {
-	Place(ctx context.Context, w homes.Want) (homes.Spot, error)
+	Place(ctx context.Context, w pick.Want) (pick.Spot, error)
 }
 
 // Counter counts how calls end.
