--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -107,13 +107,15 @@
 // newer takes settings that another VM has already, from it or else from the
 // store.
 func (l *local) newer(version uint64, from netip.AddrPort) {
+	l.vm.settings.Hear(version, awake.Now())
 	if !l.vm.reading.CompareAndSwap(false, true) {
 		return
 	}
 	l.vm.group.Go(func() error {
 		defer l.vm.reading.Store(false)
 		if err := l.vm.takeSettings(l.ctx, from); err != nil {
-			l.vm.log.Info("settings not taken from another VM", zap.Uint64("version", version), zap.Stringer("from", from), zap.Error(err))
+			l.vm.log.Info("settings not taken from another VM", zap.Uint64("version", version), zap.Stringer("from", from),
+				zap.Duration("behind", l.vm.settings.Behind()), zap.Error(err))
 			l.vm.follow.Learn(l.ctx, version, 0)
 		}
 		if snap := l.vm.settings.Load(); snap == nil || snap.Version < version {
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -19,6 +19,8 @@
 	metricConns    = "umberladder_client_connections"
 	metricVersion  = "umberladder_settings_version"
 	metricAge      = "umberladder_settings_age_seconds"
+	metricKnown    = "umberladder_settings_known_version"
+	metricBehind   = "umberladder_settings_behind_seconds"
 	metricServers  = "umberladder_servers"
 	metricAnswered = "umberladder_store_answered_seconds"
 	metricPeers    = "umberladder_peers_heard"
@@ -50,6 +52,8 @@
 		{metricConns, "gauge", "open connections of clients"},
 		{metricVersion, "gauge", "version of the settings in force"},
 		{metricAge, "gauge", "time since the settings were known to be the newest"},
+		{metricKnown, "gauge", "newest version of the settings that this VM has in force or has heard of"},
+		{metricBehind, "gauge", "for how long a version newer than the one in force has been known; 0: none is"},
 		{metricServers, "gauge", "backend servers known"},
 		{metricAnswered, "gauge", "time since the store last told this VM of servers; it grows on VMs that are told by others"},
 		{metricPeers, "gauge", "other VMs heard in the last 2 s"},
@@ -73,6 +77,8 @@
 		metricConns:    func() float64 { return float64(v.front.Open()) },
 		metricVersion:  v.version,
 		metricAge:      func() float64 { return v.settings.Age().Seconds() },
+		metricKnown:    func() float64 { return float64(v.settings.Known()) },
+		metricBehind:   func() float64 { return v.settings.Behind().Seconds() },
 		metricServers:  func() float64 { return float64(v.servers.View().Len()) },
 		metricAnswered: func() float64 { return v.discover.Answered(time.Now()).Seconds() },
 		metricPeers:    func() float64 { return float64(v.seats.Peers(time.Now())) },
--- a/internal/state/routes/book.go
+++ b/internal/state/routes/book.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,15 @@
 	mu    sync.Mutex // orders writes
 	now   atomic.Pointer[Snapshot]
 	fresh atomic.Int64 // Instant at which the snapshot was known to be the newest
+	heard []rumour     // of newer versions, by rising version
+	since atomic.Int64 // Instant of the first of heard; zero: there is none
+	known atomic.Uint64 // newest version in force or heard of
+}
+
+// rumour is a version that another VM has in force.
+type rumour struct {
+	version uint64
+	at      awake.Instant
 }
 
 // NewBook makes a book without a snapshot.
@@ -34,6 +44,7 @@
 	if old != nil && s.Version < old.Version {
 		return false
 	}
+	defer b.settle()
 	b.confirm(at)
 	if old != nil && s.Version == old.Version {
 		return false
@@ -42,11 +53,58 @@
 	return true
 }
 
+// Hear notes that another VM has a version in force at a moment. It changes
+// nothing in force.
+func (b *Book) Hear(version uint64, at awake.Instant) {
+	if version <= b.known.Load() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version <= b.known.Load() {
+		return
+	}
+	b.known.Store(version)
+	b.heard = append(b.heard, rumour{version: version, at: at})
+	b.settle()
+}
+
+// settle forgets versions that are in force, and those that were heard of before
+// the one in force was known to be the newest: there were none then.
+func (b *Book) settle() {
+	var version uint64
+	if s := b.now.Load(); s != nil {
+		version = s.Version
+	}
+	b.known.Store(max(b.known.Load(), version))
+	b.heard = slices.DeleteFunc(b.heard, func(r rumour) bool { return r.version <= version || int64(r.at) <= b.fresh.Load() })
+	if len(b.heard) == 0 {
+		b.since.Store(0)
+		b.known.Store(version)
+		return
+	}
+	b.since.Store(int64(b.heard[0].at))
+}
+
+// Known returns the newest version that this VM has in force or has heard of.
+func (b *Book) Known() uint64 { return b.known.Load() }
+
+// Behind returns for how long a version newer than the one in force has been
+// known; zero if none is.
+func (b *Book) Behind() time.Duration {
+	since := b.since.Load()
+	if since == 0 {
+		return 0
+	}
+	return b.clock().Sub(awake.Instant(since))
+}
+
 // Confirm notes that the snapshot in force was the newest at a moment.
 func (b *Book) Confirm(at awake.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.confirm(at)
+	b.settle()
 }
 
 func (b *Book) confirm(at awake.Instant) {
--- a/internal/state/routes/routes_test.go
+++ b/internal/state/routes/routes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -71,3 +72,37 @@
 		}
 	})
 }
+
+// TestBehind follows a book that hears of versions it does not have.
+func TestBehind(t *testing.T) {
+	now := awake.Instant(time.Second)
+	b := NewBook(func() awake.Instant { return now })
+	put := func(version uint64) { b.Put(New(Parts{Version: version}), now) }
+	expect := func(version uint64, behind time.Duration) {
+		t.Helper()
+		assert.Equal(t, b.Known(), version)
+		assert.Equal(t, b.Behind(), behind)
+	}
+	pass := func() { now = now.Add(time.Second) }
+	put(3)
+	expect(3, 0)
+	pass()
+	b.Hear(3, now)
+	expect(3, 0)
+	b.Hear(5, now)
+	pass()
+	b.Hear(5, now)
+	b.Hear(8, now)
+	pass()
+	expect(8, 2*time.Second)
+	b.Put(New(Parts{Version: 5}), 0)
+	expect(8, time.Second)
+	put(8)
+	expect(8, 0)
+	pass()
+	b.Hear(1<<60, now)
+	pass()
+	expect(1<<60, time.Second)
+	b.Confirm(now)
+	expect(8, 0)
+}
