--- a/internal/state/routes/book.go
+++ b/internal/state/routes/book.go
@@ -14,9 +14,9 @@
 	clock awake.Clock
 	mu    sync.Mutex // orders writes
 	now   atomic.Pointer[Snapshot]
-	fresh atomic.Int64 // Instant at which the snapshot was known to be the newest
-	heard []rumour     // of newer versions, by rising version
-	since atomic.Int64 // Instant of the first of heard; zero: there is none
+	fresh atomic.Int64  // Instant at which the snapshot was known to be the newest
+	heard []rumour      // of newer versions, by rising version
+	since atomic.Int64  // Instant of the first of heard; zero: there is none
 	known atomic.Uint64 // newest version in force or heard of
 }
 
