--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -168,7 +168,7 @@
 			left = append(left, k)
 		}
 	}
-	r.store.Configure(r.version, left)
+	r.store.Configure(r.version, left, 0)
 }
 
 func (r *run) addServer(service string) error {
