Refuse calls by settings that are known to be old

Cause: a VM that had heard of newer settings and could not get them went on by those that it had: calls without a key were served by version 17 3.2 s after version 20 had been confirmed, and would have been for ever. Change: a VM that has known of a newer version for longer than the bound on changes, less 0.7 s, refuses calls (503 settings-stale, not run, come back at once: another VM is likely to have it), and asks for no new clients 1 s before the bound. The bound is a setting, apply-bound. Word of a version counts for nothing once the one in force is known to have been the newest after it.

--- a/internal/load/soak/fleet.go
+++ b/internal/load/soak/fleet.go
@@ -49,7 +49,7 @@
 }
 
 const settings = `{"name":%q,"failure-domain":"a","callers-address":%q,"ready-address":%q,"metrics-address":%q,
-"peers-address":%q,"store-address":%q,"stop-grace":%q,"revoke-bound":"5s","retry-budget":{"ratio":0.2,"extra":54,"window":"10s"}}`
+"peers-address":%q,"store-address":%q,"stop-grace":%q,"revoke-bound":"5s","apply-bound":"2s","retry-budget":{"ratio":0.2,"extra":54,"window":"10s"}}`
 
 // newVM writes a VM's settings; its store is reached through a proxy.
 func newVM(program, dir string, n int, store string) (*vm, error) {
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -24,6 +24,7 @@
 	LogLevel string
 	LogRate  int           // most log lines a second
 	Revoke   time.Duration // how long after its end an API key may be served
+	Apply    time.Duration // how long a change of the settings may take to be in force
 	Grace    time.Duration // from the signal to stop to the end of the process
 	Retry    RetryShare
 }
@@ -46,6 +47,7 @@
 	LogLevel *string        `json:"log-level,omitzero"`
 	LogRate  *int           `json:"log-lines-per-second,omitzero"`
 	Revoke   *string        `json:"revoke-bound,omitzero"`
+	Apply    *string        `json:"apply-bound,omitzero"`
 	Grace    *string        `json:"stop-grace,omitzero"`
 	Retry    retryShareWire `json:"retry-budget,omitzero"`
 }
@@ -61,6 +63,7 @@
 	// DefaultLogRate is three lines a call at 100 calls a second.
 	DefaultLogRate = 300
 	DefaultRevoke  = 5 * time.Second
+	DefaultApply   = 3 * time.Second
 	DefaultGrace   = 8 * time.Second
 	DefaultRatio   = 0.2
 	DefaultExtra   = 20.0
@@ -95,6 +98,7 @@
 		LogLevel: oneOf(f, "/log-level", w.LogLevel, DefaultLogLevel, logLevels),
 		LogRate:  f.Int("/log-lines-per-second", w.LogRate, DefaultLogRate, 1, 1_000_000),
 		Revoke:   f.Duration("/revoke-bound", w.Revoke, DefaultRevoke, 500*time.Millisecond, time.Hour),
+		Apply:    f.Duration("/apply-bound", w.Apply, DefaultApply, 1500*time.Millisecond, time.Hour),
 		Grace:    f.Duration("/stop-grace", w.Grace, DefaultGrace, 500*time.Millisecond, time.Hour),
 		Retry: RetryShare{
 			Ratio:  f.Float("/retry-budget/ratio", w.Retry.Ratio, DefaultRatio, 0, 10),
@@ -126,6 +130,7 @@
 		{"log-level", DefaultLogLevel, "debug, info, warn or error"},
 		{"log-lines-per-second", strconv.Itoa(DefaultLogRate), "most log lines a second"},
 		{"revoke-bound", DefaultRevoke.String(), "how long after its end an API key may be served"},
+		{"apply-bound", DefaultApply.String(), "how long a change of the settings may take to be in force"},
 		{"stop-grace", DefaultGrace.String(), "from the signal to stop to the end of the process"},
 		{"retry-budget/ratio", formatFloat(DefaultRatio), "sendings beyond the first of each call, over all VMs, as a share of the first ones"},
 		{"retry-budget/extra", formatFloat(DefaultExtra), "sendings beyond these in each window"},
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -39,7 +39,7 @@
 	values := map[string]string{
 		"nodeName|json": `"edge-a-1"`, "zone|json": `"a"`, "listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`,
 		"ip": "10.0.0.1", "internalPorts.0": "7200", "internalPorts.1": "7215", "platform.address|json": `"10.0.0.2:80"`,
-		"bounds.revokeMs": "5000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
+		"bounds.revokeMs": "5000", "bounds.configApplyMs": "3000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
 	}
 	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(data), func(s string) string {
 		v, ok := values[strings.Trim(s, "{}")]
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -129,7 +129,11 @@
 	v.probe = probe.New(v.servers, ports.Backend, v.probed, chooser.Failed, group, log)
 	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, v.countPlacement, log)
 	v.relay = relay.New(task.Parts{
-		Config:   task.Config{Domain: cfg.Domain, Revoke: func() time.Duration { return v.cfg.Load().Revoke }},
+		Config: task.Config{
+			Domain: cfg.Domain,
+			Revoke: func() time.Duration { return v.cfg.Load().Revoke },
+			Apply:  func() time.Duration { return v.cfg.Load().Apply },
+		},
 		Settings: v.settings,
 		Refresh:  v.follow,
 		Servers:  v.servers,
@@ -173,7 +177,8 @@
 	if !v.peers.Touch(now) && len(v.watch.Asking(now)) > 0 {
 		return false
 	}
-	return v.settings.Age() < v.cfg.Load().Revoke-readyMargin
+	cfg := v.cfg.Load()
+	return v.settings.Age() < cfg.Revoke-readyMargin && v.settings.Behind() < cfg.Apply-readyMargin
 }
 
 // Run serves until stop is done, and then until every request has ended or the
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -298,7 +298,12 @@
 	chooser := pick.NewChooser(w.table, book, sound)
 	alone := func(ident.Service, time.Time) []peers.Rank { return nil }
 	w.relay = New(task.Parts{
-		Config: task.Config{Domain: "a", Revoke: func() time.Duration { return 5 * time.Second }}, Settings: w.book, Refresh: w, Servers: w.table,
+		Config: task.Config{
+			Domain: "a",
+			Revoke: func() time.Duration { return 5 * time.Second },
+			Apply:  func() time.Duration { return 3 * time.Second },
+		},
+		Settings: w.book, Refresh: w, Servers: w.table,
 		Seats: book, Budget: w.budget, Health: sound, Backend: w.engines, Clock: w.clock,
 		Log: zap.NewNop(), Group: w.group, Count: w,
 		Places: desk.New("vm", 0, chooser, homes.NewHome(chooser), alone, nil, func(string) {}, zap.NewNop()),
--- a/internal/route/relay/plain_test.go
+++ b/internal/route/relay/plain_test.go
@@ -129,6 +129,17 @@
 			}
 			w.book.Put(revoked, w.clock())
 		}},
+		// VMs that knew of newer settings, and could not get them, served calls by the
+		// old ones 3.2 s after the change had been confirmed.
+		"newer settings that can't be had": {path: "/get/x", reason: refuse.SettingsStale, before: func(w *world) {
+			w.book.Hear(2, w.clock())
+			time.Sleep(2400 * time.Millisecond)
+		}},
+		"newer settings of which there is no word any more": {path: "/new/x", reason: refuse.NotFound, before: func(w *world) {
+			w.book.Hear(2, w.clock())
+			time.Sleep(2400 * time.Millisecond)
+			w.book.Confirm(w.clock())
+		}},
 		"keys of unknown age": {path: "/get/x", reason: refuse.SettingsStale, before: func(*world) { time.Sleep(4800 * time.Millisecond) }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -28,6 +28,9 @@
 	// staleMargin is kept from the bound on revoked keys: the clocks' rates and
 	// the time to answer are well inside it.
 	staleMargin = 300 * time.Millisecond
+	// behindMargin is kept from the bound on changes: VMs tell one another of a
+	// version twice a second, so that it is heard of up to 0.5 s after it was written.
+	behindMargin = 700 * time.Millisecond
 	// settingsRetry is when a call refused for missing or stale settings should
 	// come back: another VM is likely to know better.
 	settingsRetry = 200 * time.Millisecond
@@ -146,6 +149,9 @@
 	if snap == nil {
 		return refuse.New(refuse.SettingsMissing, "no settings have reached this VM").After(settingsRetry)
 	}
+	if refusal := t.superseded(snap); refusal != nil {
+		return refusal
+	}
 	age := t.Clock().Sub(fresh)
 	t.Record.Version, t.Record.Age = snap.Version, age
 	route := snap.Find(t.Call.Host, t.Call.Path)
@@ -171,6 +177,18 @@
 	return nil
 }
 
+// superseded refuses what would be served by settings that are known to be old. A
+// VM that can't get newer ones must not go on by those that it has: calls on a
+// removed route, or to a service that a route had left, ran 3.2 s after the change.
+func (t *entrant) superseded(snap *routes.Snapshot) *refuse.Refusal {
+	behind := t.Settings.Behind()
+	if behind <= t.Config.Apply()-behindMargin {
+		return nil
+	}
+	return refuse.New(refuse.SettingsStale, "version %d of the settings has been known for %s, and this VM has version %d only",
+		t.Settings.Known(), behind.Round(time.Millisecond), snap.Version).After(settingsRetry)
+}
+
 // open checks the API key.
 func (t *entrant) open(snap *routes.Snapshot, age time.Duration) *refuse.Refusal {
 	if !snap.Keyed(t.Route) {
--- a/internal/route/task/parts.go
+++ b/internal/route/task/parts.go
@@ -24,6 +24,8 @@
 	Domain ident.Domain
 	// Revoke returns how long after its end an API key may still be served.
 	Revoke func() time.Duration
+	// Apply returns how long a change of the settings may take to be in force.
+	Apply func() time.Duration
 }
 
 // Parts are what calls are served with.
--- a/internal/state/routes/book.go
+++ b/internal/state/routes/book.go
@@ -77,7 +77,7 @@
 		version = s.Version
 	}
 	b.known.Store(max(b.known.Load(), version))
-	b.heard = slices.DeleteFunc(b.heard, func(r rumour) bool { return r.version <= version || int64(r.at) <= b.fresh.Load() })
+	b.heard = slices.DeleteFunc(b.heard, func(r rumour) bool { return r.version <= version || int64(r.at) < b.fresh.Load() })
 	if len(b.heard) == 0 {
 		b.since.Store(0)
 		b.known.Store(version)
