Soak VMs with settings that grow; ask no VM again that has nothing to share

Cause: no soak had settings larger than 1 KB. And a VM that does not have what others take from it, such as a list of servers in an outage, was asked again for 1.2 s.

--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -30,6 +30,9 @@
 	contact = 3 * time.Second
 	// settle is how long VMs have before the first failure.
 	settle = 1500 * time.Millisecond
+	// routesStep is how many routes a version of growing settings has more than the
+	// one before.
+	routesStep = 700
 	// heartbeat is how often servers write their entries.
 	heartbeat = 400 * time.Millisecond
 )
@@ -41,6 +44,7 @@
 	VMs      int
 	Servers  int // engines; half as many plain servers
 	Clients  int
+	Routes   int // that the settings grow to, by routesStep with each version
 	Program  string
 	Dir      string
 }
@@ -168,7 +172,7 @@
 			left = append(left, k)
 		}
 	}
-	r.store.Configure(r.version, left, 0)
+	r.store.Configure(r.version, left, min(r.version*routesStep, r.cfg.Routes))
 }
 
 func (r *run) addServer(service string) error {
--- a/internal/peer/share/take.go
+++ b/internal/peer/share/take.go
@@ -33,7 +33,7 @@
 		if err == nil {
 			return v, nil
 		}
-		list = next(list, from, err)
+		list = next(list, from, err, slices.Contains(first, from))
 		if len(list) == 0 || ctx.Err() != nil || time.Now().After(end) {
 			return v, err
 		}
@@ -41,10 +41,11 @@
 	}
 }
 
-// next returns whom to ask after from did not give it.
-func next(list []netip.AddrPort, from netip.AddrPort, err error) []netip.AddrPort {
-	if errors.Is(err, ErrNotYet) {
-		return list // it may be taking it itself
+// next returns whom to ask after from did not give it. A VM that was named by a busy
+// one may still be taking it itself; one that was to have it never will.
+func next(list []netip.AddrPort, from netip.AddrPort, err error, first bool) []netip.AddrPort {
+	if errors.Is(err, ErrNotYet) && !first {
+		return list
 	}
 	var busy *BusyError
 	if errors.As(err, &busy) {
