--- a/internal/state/routes/book.go
+++ b/internal/state/routes/book.go
@@ -15,13 +15,13 @@
 	mu    sync.Mutex // orders writes
 	now   atomic.Pointer[Snapshot]
 	fresh atomic.Int64  // Instant at which the snapshot was known to be the newest
-	heard []rumour      // of newer versions, by rising version
+	heard []announced   // of newer versions, by rising version
 	since atomic.Int64  // Instant of the first of heard; zero: there is none
 	known atomic.Uint64 // newest version in force or heard of
 }
 
-// rumour is a version that another VM has in force.
-type rumour struct {
+// announced is a version that another VM says it has in force.
+type announced struct {
 	version uint64
 	at      awake.Instant
 }
@@ -65,7 +65,7 @@
 		return
 	}
 	b.known.Store(version)
-	b.heard = append(b.heard, rumour{version: version, at: at})
+	b.heard = append(b.heard, announced{version: version, at: at})
 	b.settle()
 }
 
@@ -77,7 +77,7 @@
 		version = s.Version
 	}
 	b.known.Store(max(b.known.Load(), version))
-	b.heard = slices.DeleteFunc(b.heard, func(r rumour) bool { return r.version <= version || int64(r.at) < b.fresh.Load() })
+	b.heard = slices.DeleteFunc(b.heard, func(a announced) bool { return a.version <= version || int64(a.at) < b.fresh.Load() })
 	if len(b.heard) == 0 {
 		b.since.Store(0)
 		b.known.Store(version)
