--- a/internal/state/routes/document.go
+++ b/internal/state/routes/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/binary"
 	"io"
 	"sync"
 
@@ -31,11 +32,21 @@
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxDocument))
-	if err != nil {
+	raw := bytes.NewBuffer(make([]byte, 0, length(packed)+bytes.MinRead))
+	if _, err := raw.ReadFrom(io.LimitReader(r, maxDocument)); err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	return &Document{packed: packed}, raw, nil
+	return &Document{packed: packed}, raw.Bytes(), nil
+}
+
+// length returns how long a document says it is, in bytes: the last four bytes of
+// the format, by RFC 1952. It spares growing buffers of 3 MB for 0.9.
+func length(packed []byte) int {
+	const size = 4
+	if len(packed) < size {
+		return 0
+	}
+	return min(int(binary.LittleEndian.Uint32(packed[len(packed)-size:])), maxDocument)
 }
 
 // Packed returns the compressed form. It is made at the first call.
