--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -136,7 +136,9 @@
 	}
 	var list []string
 	for _, a := range h.of(version) {
-		list = append(list, a.String())
+		if a != from { // it has started anew since
+			list = append(list, a.String())
+		}
 	}
 	ctx.Response.Header.Set(headerOthers, strings.Join(list, ","))
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
