Take out a moment that nobody reads, and test the soak's addresses

Cause: since one reading of the settings serves all that wait for it, the loop handed readings a moment that neither of its two sources used, and the follower of servers a clock that nothing asked. The fault that soaks took each other's ports had no test. Change: the settings take the moment themselves, where it is used; both are gone from the loop. TestAddressesOfItsOwn.

--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,23 @@
 	_, err = io.ReadFull(c, make([]byte, 1))
 	return err
 }
+
+// Soaks that ran at a time chose ports on one address, and while a VM was down another
+// soak's VM took its port and answered its clients ("ready", metrics, 404).
+//
+//	listen tcp 127.0.0.1:32878: bind: address already in use
+func TestAddressesOfItsOwn(t *testing.T) {
+	seen := make(map[netip.Addr]bool)
+	for n := range 4 {
+		ports, err := freePorts(host(n), 4)
+		assert.NilError(t, err)
+		for _, p := range ports {
+			addr := netip.MustParseAddrPort(p).Addr()
+			assert.Equal(t, addr, host(n))
+			assert.Assert(t, addr.IsLoopback())
+		}
+		assert.Assert(t, !seen[host(n)], "VM %d shares its address", n)
+		seen[host(n)] = true
+	}
+	assert.Assert(t, !seen[netip.MustParseAddr("127.0.0.1")], "the address that all have")
+}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -122,7 +122,7 @@
 	v.servers = backs.NewTable(v.tell)
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, v.tell, log)
-	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, v.tell, v.takeServers, log)
+	v.discover = follow.NewServers(ports.Servers, v.servers, v.serversTold, v.first, v.tell, v.takeServers, log)
 	sound := health.New()
 	chooser := pick.NewChooser(v.servers, v.seats, sound)
 	v.home = homes.NewHome(chooser)
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"umberladder/internal/core/awake"
 	"umberladder/internal/policy/retry"
 )
 
@@ -40,10 +39,10 @@
 	rest time.Duration // pause after a change, so that several come in one answer
 	// adopt takes everything from another VM; false if that is not possible.
 	adopt func(ctx context.Context) bool
-	// read takes everything, as it was at a moment after sent.
-	read func(ctx context.Context, sent awake.Instant) (Revision, error)
+	// read takes everything.
+	read func(ctx context.Context) (Revision, error)
 	// await takes the changes after a revision.
-	await func(ctx context.Context, after Revision, wait time.Duration, sent awake.Instant) (Revision, error)
+	await func(ctx context.Context, after Revision, wait time.Duration) (Revision, error)
 	lost  func(now time.Time)
 	back  func(now time.Time)
 	// known returns the revision up to which everything is known; zero: all has
@@ -58,10 +57,9 @@
 
 // loop follows a source until ctx ends.
 type loop struct {
-	src   source
-	clock awake.Clock
-	log   *zap.Logger
-	down  bool
+	src  source
+	log  *zap.Logger
+	down bool
 }
 
 func (l *loop) run(ctx context.Context) {
@@ -109,7 +107,7 @@
 func (l *loop) read(ctx context.Context) (Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
-	return l.src.read(ctx, l.clock())
+	return l.src.read(ctx)
 }
 
 // follow waits for changes until something fails.
@@ -137,7 +135,7 @@
 func (l *loop) await(ctx context.Context, rev Revision) (Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.src.wait+readLimit)
 	defer cancel()
-	return l.src.await(ctx, rev, l.src.wait, l.clock())
+	return l.src.await(ctx, rev, l.src.wait)
 }
 
 // failed notes a failure; the first of several in a row is a dependency lost.
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -170,7 +170,7 @@
 		told := v.told.Load
 		first := func() bool { return true }
 		v.settings = NewSettings(s, v.book, v.clock, told, first, func() { v.news.Add(1) }, zap.NewNop())
-		v.servers = NewServers(s, v.table, v.clock, told, first, func() { v.news.Add(1) }, v.ask, zap.NewNop())
+		v.servers = NewServers(s, v.table, told, first, func() { v.news.Add(1) }, v.ask, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var g errgroup.Group
@@ -420,7 +420,7 @@
 	var v *Servers
 	table := backs.NewTable(func() { v.Heard() })
 	never := func() bool { return false }
-	v = NewServers(newStore(), table, awake.Now, never, never, func() {}, nil, zap.NewNop())
+	v = NewServers(newStore(), table, never, never, func() {}, nil, zap.NewNop())
 	v.rev = 1
 	var both, wait errgroup.Group
 	both.Go(func() error {
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"umberladder/internal/core/awake"
 	"umberladder/internal/state/backs"
 )
 
@@ -52,7 +51,6 @@
 type Servers struct {
 	src   ServerSource
 	table *backs.Table
-	clock awake.Clock
 	log   *zap.Logger
 
 	told   func() bool
@@ -90,10 +88,10 @@
 // find out soon that the store is back. It calls news once there is something
 // new to tell other VMs. Where it knows no servers, it takes them with ask from
 // another VM that the store answers, and reads them in the store if there is none.
-func NewServers(src ServerSource, table *backs.Table, clock awake.Clock, told, first func() bool, news func(),
+func NewServers(src ServerSource, table *backs.Table, told, first func() bool, news func(),
 	ask func(ctx context.Context) (News, error), log *zap.Logger,
 ) *Servers {
-	return &Servers{src: src, table: table, clock: clock, told: told, first: first, onNews: news, ask: ask, log: log}
+	return &Servers{src: src, table: table, told: told, first: first, onNews: news, ask: ask, log: log}
 }
 
 // News returns what changed lately; nothing while the store does not answer.
@@ -177,7 +175,7 @@
 
 // Run follows the servers until ctx ends.
 func (s *Servers) Run(ctx context.Context) {
-	l := &loop{clock: s.clock, log: s.log, src: source{
+	l := &loop{log: s.log, src: source{
 		name:  "servers",
 		wait:  serversWait,
 		rest:  serversRest,
@@ -232,7 +230,7 @@
 	return s.until
 }
 
-func (s *Servers) read(ctx context.Context, _ awake.Instant) (Revision, error) {
+func (s *Servers) read(ctx context.Context) (Revision, error) {
 	list, rev, err := s.src.Servers(ctx)
 	if err != nil {
 		return 0, err
@@ -300,7 +298,7 @@
 	return n.Rev != 0
 }
 
-func (s *Servers) await(ctx context.Context, after Revision, wait time.Duration, _ awake.Instant) (Revision, error) {
+func (s *Servers) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
 	changes, rev, err := s.src.AwaitServers(ctx, after, wait)
 	if err != nil {
 		return 0, err
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -84,11 +84,11 @@
 
 // Run follows the settings until ctx ends.
 func (s *Settings) Run(ctx context.Context) {
-	l := &loop{clock: s.clock, log: s.log, src: source{
+	l := &loop{log: s.log, src: source{
 		name:  "settings",
 		wait:  settingsWait,
 		adopt: func(context.Context) bool { return false }, // newer versions are told of
-		read:  func(ctx context.Context, _ awake.Instant) (Revision, error) { return s.shared(ctx, readLimit) },
+		read:  func(ctx context.Context) (Revision, error) { return s.shared(ctx, readLimit) },
 		await: s.await,
 		lost:  func(time.Time) {},
 		back:  func(time.Time) {},
@@ -118,7 +118,7 @@
 	reading := s.once.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readLimit)
 		defer cancel()
-		return s.read(ctx, s.clock())
+		return s.read(ctx)
 	})
 	select {
 	case r := <-reading:
@@ -129,7 +129,8 @@
 	}
 }
 
-func (s *Settings) read(ctx context.Context, sent awake.Instant) (Revision, error) {
+func (s *Settings) read(ctx context.Context) (Revision, error) {
+	sent := s.clock()
 	snap, rev, err := s.src.Settings(ctx)
 	if err != nil {
 		return 0, err
@@ -145,7 +146,8 @@
 	s.rev.Store(uint64(rev))
 }
 
-func (s *Settings) await(ctx context.Context, after Revision, wait time.Duration, sent awake.Instant) (Revision, error) {
+func (s *Settings) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
+	sent := s.clock()
 	snap, rev, err := s.src.AwaitSettings(ctx, after, wait)
 	if err != nil {
 		return 0, err
