--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -166,6 +166,11 @@
 // configure writes the next version of the settings, with the keys that are left.
 func (r *run) configure() {
 	r.version++
+	r.write()
+}
+
+// write writes the settings of the present version.
+func (r *run) write() {
 	var left []string
 	for n := range keys {
 		if k := fmt.Sprintf("key-%d", n); r.revoked[k].IsZero() {
--- a/internal/load/soak/trouble.go
+++ b/internal/load/soak/trouble.go
@@ -20,6 +20,7 @@
 		{"vm-pause", r.pauseVM},
 		{"store-link", r.storeLink},
 		{"store-away", r.storeAway},
+		{"store-back", r.storeBack},
 		{"server-link", r.serverLink},
 		{"server-leave", r.leaveServer},
 		{"server-crash", r.crashServer},
@@ -136,6 +137,37 @@
 	})
 }
 
+// lapseTime is after how much silence the store drops a server's entry.
+const lapseTime = 3 * heartbeat
+
+// storeBack has the store come back from a copy that is some time old. Operators and
+// servers write what they had written again; entries of servers that have ended lapse.
+func (r *run) storeBack(ctx context.Context) {
+	copied := r.store.Copy()
+	r.later(ctx, func() {
+		var whole []func()
+		for _, v := range r.vms {
+			whole = append(whole, r.harm(v.name))
+		}
+		r.store.Restore(copied)
+		r.sleep(ctx, heartbeat)
+		r.mu.Lock()
+		r.write()
+		r.mu.Unlock()
+		r.sleep(ctx, lapseTime-heartbeat)
+		r.mu.Lock()
+		for _, b := range r.backends {
+			if b.dead {
+				r.store.RemoveServer(b.server.ID)
+			}
+		}
+		r.mu.Unlock()
+		for _, f := range whole {
+			f()
+		}
+	})
+}
+
 // pick returns a server that has not left.
 func (r *run) pick() *backend {
 	r.mu.Lock()
--- a/internal/peer/gossip/doc.go
+++ b/internal/peer/gossip/doc.go
@@ -1,5 +1,8 @@
-// Package gossip tells the other VMs, by datagrams, what this VM has under way
-// at each backend server and which servers it knows to be leaving.
+// Package gossip tells a few VMs, the hubs, by datagrams what this VM has under way
+// at each backend server and what it knows; as a hub it tells those that report to it
+// what all of them know.
 //
-// Each datagram holds the whole of it, so a lost one costs only time.
+// Each report holds the whole of a VM's state, so that a lost one costs only time. A
+// VM that is no hub sends and receives the same number of messages whatever the number
+// of VMs.
 package gossip
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -12,11 +13,10 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/wire"
 	"umberladder/internal/route/homes"
+	"umberladder/internal/state/hubs"
 )
 
 const (
-	// beat is how often a VM tells all others its state though nothing changed.
-	beat = 500 * time.Millisecond
 	// gather is the least time between two messages for each VM told, and
 	// leastGather the least of all: what changes together is told together.
 	gather      = 150 * time.Microsecond
@@ -27,31 +27,50 @@
 
 // Local is what this VM tells, and where it puts what others tell.
 type Local interface {
-	// Tell fills in what this VM tells of itself.
-	Tell(s *wire.State, now time.Time)
-	// Hear takes another VM's state.
+	// Report fills in what this VM tells of itself.
+	Report(s *wire.State, now time.Time)
+	// Answer fills in what this VM, as a hub, tells a VM that reports to it.
+	Answer(s *wire.State, to ident.VM, now time.Time)
+	// Hear takes another VM's report.
 	Hear(s *wire.State, from netip.AddrPort, now time.Time)
-	// Ask returns whom to ask for the age of the settings, and this VM's clock;
-	// not valid: nobody.
-	Ask(now time.Time) (netip.AddrPort, uint64)
-	// Answer answers another VM's question.
-	Answer(ask uint64) wire.Reply
-	// Learn takes the answer to this VM's question.
-	Learn(r wire.Reply, from netip.AddrPort)
+	// Learn takes a hub's answer.
+	Learn(s *wire.State, from netip.AddrPort, now time.Time)
+	// Clock returns what a report asks the hubs to answer to.
+	Clock() uint64
+	// Reply replies to what another VM asks.
+	Reply(ask uint64) *wire.Reply
 	// Seat takes another VM's ask for room, and answers it.
 	Seat(a homes.Ask, reply func(homes.Answer))
 	// Seated takes the answer to this VM's ask for room.
 	Seated(a homes.Answer)
 	// Dirty has an element once there is something new to tell all others.
 	Dirty() <-chan struct{}
-	// Others returns the other VMs' addresses.
-	Others() []netip.AddrPort
 	// Moved has an element once this VM's loads changed.
 	Moved() <-chan struct{}
 	// Homes returns the addresses of the VMs that decide by the loads.
 	Homes() []netip.AddrPort
 }
 
+// Kind is a kind of message.
+type Kind uint8
+
+// The kinds.
+const (
+	Reports Kind = iota // of a VM's own state, to the hubs and the homes
+	Answers             // of hubs to reports, and what they tell unasked
+	Seats               // asks for room, and their answers
+	Kinds
+)
+
+// String returns the kind's name.
+func (k Kind) String() string { return [...]string{"reports", "answers", "seats"}[k] }
+
+// Traffic counts messages sent.
+type Traffic struct {
+	Messages uint64
+	Bytes    uint64
+}
+
 // Gossip is one VM's socket.
 type Gossip struct {
 	vm    ident.VM
@@ -59,96 +78,150 @@
 	seq   uint64
 	conn  *net.UDPConn
 	local Local
+	hubs  *hubs.Hubs
+	now   chan struct{} // has an element if a report is to be sent before its time
+	sent  [Kinds]struct{ messages, bytes atomic.Uint64 }
 	log   *zap.Logger
 }
 
 // New opens the socket at addr. The boot must rise from start to start of a VM.
-func New(vm ident.VM, boot uint64, addr netip.AddrPort, local Local, log *zap.Logger) (*Gossip, error) {
+func New(vm ident.VM, boot uint64, addr netip.AddrPort, local Local, h *hubs.Hubs, log *zap.Logger) (*Gossip, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Gossip{vm: vm, boot: boot, conn: conn, local: local, log: log}, nil
+	return &Gossip{vm: vm, boot: boot, conn: conn, local: local, hubs: h, now: make(chan struct{}, 1), log: log}, nil
 }
 
-// Send tells the others until ctx ends.
+// Sent returns the messages of a kind that were sent since the start.
+func (g *Gossip) Sent(k Kind) Traffic {
+	return Traffic{Messages: g.sent[k].messages.Load(), Bytes: g.sent[k].bytes.Load()}
+}
+
+// Send tells others until ctx ends.
 func (g *Gossip) Send(ctx context.Context) {
-	t := time.NewTicker(beat)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
-		var others []netip.AddrPort
+		n := 0
 		select {
 		case <-ctx.Done():
 			_ = g.conn.Close()
 			return
 		case <-t.C:
-			g.ask()
+			n = g.beat(time.Now(), false)
+			t.Reset(g.hubs.Next(time.Now()))
+		case <-g.now:
+			n = g.beat(time.Now(), true)
 		case <-g.local.Dirty():
+			n = g.spread(time.Now())
 		case <-g.local.Moved():
-			others = g.local.Homes()
-		}
-		if others == nil {
-			others = g.local.Others()
+			n = g.move(time.Now())
 		}
-		g.tell(others)
 		select {
 		case <-ctx.Done():
-		case <-time.After(max(leastGather, gather*time.Duration(len(others)))):
+		case <-time.After(max(leastGather, gather*time.Duration(n))):
 		}
 	}
 }
 
-func (g *Gossip) tell(others []netip.AddrPort) {
-	if len(others) == 0 {
-		return
+// Beat has this VM report to the hubs at once.
+func (g *Gossip) Beat() {
+	select {
+	case g.now <- struct{}{}:
+	default:
 	}
+}
+
+// report returns what this VM tells of itself now.
+func (g *Gossip) report(now time.Time) *wire.State {
 	g.seq++
-	s := wire.State{VM: g.vm, Boot: g.boot, Seq: g.seq}
-	g.local.Tell(&s, time.Now())
-	b := s.Encode()
-	if len(b) > maxMessage {
-		g.log.Error("state too large to be told", zap.Int("bytes", len(b)), zap.Int("servers", len(s.Loads)))
-		return
+	s := &wire.State{VM: g.vm, Boot: g.boot, Seq: g.seq}
+	g.local.Report(s, now)
+	return s
+}
+
+// beat reports to the hubs, to all or to those that are due, and asks them for what
+// they know. It returns to how many.
+func (g *Gossip) beat(now time.Time, all bool) int {
+	targets := g.hubs.Targets(now, all)
+	if len(targets) == 0 {
+		return 0
 	}
-	for _, a := range others {
-		if _, err := g.conn.WriteToUDPAddrPort(b, a); err != nil {
-			g.log.Debug("state not told", zap.Stringer("to", a), zap.Error(err))
-		}
+	s := g.report(now)
+	for _, c := range targets {
+		s.Ask = g.local.Clock()
+		s.Digest = g.hubs.Named(c.VM)
+		g.write(Reports, s, c.Addr)
 	}
+	return len(targets)
 }
 
-// ask asks one VM for the age of the settings.
-func (g *Gossip) ask() {
-	to, clock := g.local.Ask(time.Now())
-	if to.IsValid() {
-		g.write(wire.State{VM: g.vm, Ask: clock}, to)
+// spread tells what is new to the hubs, and as a hub to all that report to this VM.
+func (g *Gossip) spread(now time.Time) int {
+	n := g.beat(now, true)
+	reporters := g.hubs.Reporters(now)
+	digest := hubs.Digest(g.hubs.Names(now)) // VMs take new names with the next answer
+	for _, c := range reporters {
+		g.answer(c.VM, c.Addr, &wire.State{VM: g.vm, Boot: g.boot}, digest, now)
 	}
+	return n + len(reporters)
 }
 
-func (g *Gossip) write(s wire.State, to netip.AddrPort) {
-	if _, err := g.conn.WriteToUDPAddrPort(s.Encode(), to); err != nil {
-		g.log.Debug("message not sent", zap.Stringer("to", to), zap.Error(err))
+// move tells the homes of this VM's loads.
+func (g *Gossip) move(now time.Time) int {
+	s := g.report(now)
+	s.News = nil
+	list := g.local.Homes()
+	for _, addr := range list {
+		g.write(Reports, s, addr)
+	}
+	return len(list)
+}
+
+// answer tells a VM that reports to this one what this one knows of all. The
+// candidates that this one names are left out if the VM has them.
+func (g *Gossip) answer(to ident.VM, addr netip.AddrPort, s *wire.State, has uint64, now time.Time) {
+	names := g.hubs.Names(now)
+	s.Hub = &wire.Hub{Digest: hubs.Digest(names)}
+	if has != s.Hub.Digest {
+		s.Hub.Names = names
+	}
+	g.local.Answer(s, to, now)
+	g.write(Answers, s, addr)
+}
+
+func (g *Gossip) write(k Kind, s *wire.State, to netip.AddrPort) {
+	for _, b := range s.Parts(maxMessage) {
+		if _, err := g.conn.WriteToUDPAddrPort(b, to); err != nil {
+			g.log.Debug("message not sent", zap.Stringer("kind", k), zap.Stringer("to", to), zap.Error(err))
+			continue
+		}
+		g.sent[k].messages.Add(1)
+		g.sent[k].bytes.Add(uint64(len(b)))
 	}
 }
 
 // Ask asks another VM for room.
-func (g *Gossip) Ask(to netip.AddrPort, a homes.Ask) { g.write(wire.State{VM: g.vm, Seat: &a}, to) }
+func (g *Gossip) Ask(to netip.AddrPort, a homes.Ask) {
+	g.write(Seats, &wire.State{VM: g.vm, Seat: &a}, to)
+}
 
 // take sorts a message by what it holds.
 func (g *Gossip) take(s *wire.State, from netip.AddrPort) {
 	switch {
 	case s.VM == g.vm:
-	case s.Ask != 0:
-		r := g.local.Answer(s.Ask)
-		g.write(wire.State{VM: g.vm, Reply: &r}, from)
-	case s.Reply != nil:
-		g.local.Learn(*s.Reply, from)
 	case s.Seat != nil:
-		g.local.Seat(*s.Seat, func(a homes.Answer) { g.write(wire.State{VM: g.vm, Answer: &a}, from) })
+		g.local.Seat(*s.Seat, func(a homes.Answer) { g.write(Seats, &wire.State{VM: g.vm, Answer: &a}, from) })
 	case s.Answer != nil:
 		g.local.Seated(*s.Answer)
+	case s.Hub != nil:
+		g.local.Learn(s, from, time.Now())
 	default:
 		g.local.Hear(s, from, time.Now())
+		if s.Ask != 0 {
+			g.answer(s.VM, from, &wire.State{VM: g.vm, Boot: g.boot, Reply: g.local.Reply(s.Ask)}, s.Digest, time.Now())
+		}
 	}
 }
 
--- a/internal/peer/wire/news.go
+++ b/internal/peer/wire/news.go
@@ -17,6 +17,7 @@
 	newsBase   = 1
 	newsRev    = 2
 	newsChange = 3
+	newsAge    = 4
 
 	changeRev     = 1
 	changeServer  = 2
@@ -33,6 +34,7 @@
 func EncodeNews(n *follow.News) []byte {
 	b := appendNumber(nil, newsBase, uint64(n.Base))
 	b = appendNumber(b, newsRev, uint64(n.Rev))
+	b = appendNumber(b, newsAge, uint64(n.Age))
 	for _, c := range n.Changes {
 		b = appendBytes(b, newsChange, encodeChange(c))
 	}
@@ -42,6 +44,9 @@
 func encodeChange(c follow.Change) []byte {
 	b := appendNumber(nil, changeRev, uint64(c.Rev))
 	b = appendString(b, changeServer, string(c.Entry.ID))
+	if c.Lapse > 0 {
+		b = appendNumber(b, changeLapse, uint64(c.Lapse))
+	}
 	if c.Gone {
 		return appendNumber(b, changeGone, 1)
 	}
@@ -52,9 +57,6 @@
 	if c.Entry.Leaving {
 		b = appendNumber(b, changeLeaving, 1)
 	}
-	if c.Lapse > 0 {
-		b = appendNumber(b, changeLapse, uint64(c.Lapse))
-	}
 	return b
 }
 
@@ -67,6 +69,8 @@
 			n.Base = follow.Revision(v)
 		case newsRev:
 			n.Rev = follow.Revision(v)
+		case newsAge:
+			n.Age = time.Duration(v)
 		case newsChange:
 			c, err := decodeChange(text)
 			if err != nil {
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,6 +12,7 @@
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/follow"
+	"umberladder/internal/state/hubs"
 )
 
 // State is what one VM tells.
@@ -18,16 +20,20 @@
 	VM      ident.VM
 	Boot    uint64 // of the process; a later one replaces all that was told before
 	Seq     uint64 // of the message within its boot
+	Part    int    // of the loads: those of parts with the same number belong together
 	Loads   map[ident.Server]seats.Load
 	Sent    map[ident.Service]retry.Sent // in the window of the retry budget
 	Leaving []ident.Server               // servers seen to leave lately
 	Version uint64                       // of the settings in force
-	Asks    bool                         // the VM asks the store for changes
-	Age     time.Duration                // since the store answered it
+	Word    hubs.Word                    // of its way to the store
 	News    *follow.News                 // changes of servers; nil: none are told
-	// Ask and Reply are of messages that hold nothing else.
-	Ask   uint64 // moment of the asking VM's clock, sent back in the reply; zero: none
-	Reply *Reply
+
+	Capacity hubs.Capacity
+	Digest   uint64 // of the candidates that the VM told has named; zero: none
+	Ask      uint64 // moment of the VM's clock, sent back in the reply; zero: none is wanted
+	Reply    *Reply
+	Hub      *Hub // in answers to those that report to the VM
+
 	// Seat and Answer are of messages that hold nothing else.
 	Seat   *homes.Ask
 	Answer *homes.Answer
@@ -56,6 +62,10 @@
 	fieldReply   = 12
 	fieldSeat    = 13
 	fieldAnswer  = 14
+	fieldHub     = 15
+	fieldCap     = 16
+	fieldDigest  = 17
+	fieldPart    = 18
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -78,6 +88,9 @@
 	b := appendString(nil, fieldVM, string(s.VM))
 	b = appendNumber(b, fieldBoot, s.Boot)
 	b = appendNumber(b, fieldSeq, s.Seq)
+	if s.Part > 0 {
+		b = appendNumber(b, fieldPart, uint64(s.Part))
+	}
 	for id, l := range s.Loads {
 		b = appendBytes(b, fieldLoad, encodeLoad(id, l))
 	}
@@ -88,9 +101,13 @@
 		b = appendString(b, fieldLeaving, string(id))
 	}
 	b = appendNumber(b, fieldVersion, s.Version)
-	if s.Asks {
+	if s.Word.Asks {
 		b = appendNumber(b, fieldAsks, 1)
-		b = appendNumber(b, fieldAge, uint64(s.Age))
+	}
+	b = appendNumber(b, fieldAge, uint64(s.Word.Age))
+	b = appendNumber(b, fieldCap, uint64(s.Capacity))
+	if s.Digest != 0 {
+		b = appendNumber(b, fieldDigest, s.Digest)
 	}
 	if s.News != nil {
 		b = appendBytes(b, fieldNews, EncodeNews(s.News))
@@ -101,6 +118,9 @@
 	if s.Reply != nil {
 		b = appendBytes(b, fieldReply, s.Reply.encode())
 	}
+	if s.Hub != nil {
+		b = appendBytes(b, fieldHub, s.Hub.encode())
+	}
 	if s.Seat != nil {
 		b = appendBytes(b, fieldSeat, encodeSeat(s.Seat))
 	}
@@ -166,6 +186,8 @@
 		s.Boot = v
 	case fieldSeq:
 		s.Seq = v
+	case fieldPart:
+		s.Part = int(min(v, math.MaxInt32))
 	case fieldLoad:
 		var id ident.Server
 		var l seats.Load
@@ -181,9 +203,15 @@
 	case fieldVersion:
 		s.Version = v
 	case fieldAsks:
-		s.Asks = v != 0
+		s.Word.Asks = v != 0
 	case fieldAge:
-		s.Age = time.Duration(v)
+		s.Word.Age = time.Duration(v)
+	case fieldCap:
+		s.Capacity = hubs.Capacity(min(v, math.MaxUint8))
+	case fieldDigest:
+		s.Digest = v
+	case fieldHub:
+		s.Hub, err = decodeHub(text)
 	case fieldNews:
 		s.News, err = DecodeNews(text)
 	case fieldAsk:
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -17,13 +17,16 @@
 	// leastVMs is how many VMs at least are taken to share the extra while not
 	// all are heard: one that starts knows none, and each would take the whole.
 	leastVMs = 12
+	// totalTime is how long a hub's word counts: two of its answers may be lost.
+	totalTime = 1300 * time.Millisecond
 )
 
 // Window is a budget that all VMs share: in any window, the calls sent beyond
 // the first sending of each stay under a share of the first ones and an extra.
 //
-// VMs tell each other what they sent. A VM that hears all others spends from
-// what is left of the whole; one that does not keeps to its part of the extra
+// VMs report what they sent to hubs, which tell each the sum of the others. A VM
+// spends from what is left of the whole, less an even part of the extra for each VM
+// that the hub does not hear; one that hears no hub keeps to its part of the extra
 // and to its own first sendings. It is safe for use by several goroutines.
 type Window struct {
 	ratio float64
@@ -34,12 +37,22 @@
 	mu       sync.Mutex
 	services map[ident.Service]*spans
 	heard    map[ident.VM]told
+	totals   map[ident.VM]Total // by the hub that told them
+	known    int                // VMs that the hubs told of last
 }
 
-// Peers tells how many other VMs there are, by all that is known, and how many
-// of them were heard lately.
+// Peers tells how many other VMs report to this one or did of late, and how many
+// do now.
 type Peers interface {
-	Others() (known, heard int)
+	Count(now time.Time) (known, heard int)
+}
+
+// Total is what a hub knows of what VMs sent.
+type Total struct {
+	At    time.Time // when it was told
+	Known int       // VMs that the hub knows of, the one that is told left out
+	Heard int       // VMs of these whose sendings are counted
+	Sent  map[ident.Service]Sent
 }
 
 // Sent counts the sendings of a VM in a window.
@@ -68,6 +81,7 @@
 		peers:    peers,
 		services: make(map[ident.Service]*spans),
 		heard:    make(map[ident.VM]told),
+		totals:   make(map[ident.VM]Total),
 	}
 }
 
@@ -96,21 +110,75 @@
 	return out
 }
 
-// others sums what the other VMs sent. A VM that fell silent counts until what
-// it sent has left the window.
-func (w *Window) others(s ident.Service, now time.Time) Sent {
-	var sum Sent
+// Learn takes what a hub knows of the other VMs.
+func (w *Window) Learn(hub ident.VM, t Total) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.totals[hub] = t
+	w.known = t.Known
+	for _, o := range w.totals {
+		if t.At.Sub(o.At) < totalTime {
+			w.known = max(w.known, o.Known)
+		}
+	}
+}
+
+// Rest returns what a VM that reports to this one is told: what all others sent,
+// this VM among them.
+func (w *Window) Rest(vm ident.VM, now time.Time) Total {
+	known, heard := w.peers.Count(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := Total{At: now, Known: known, Heard: heard, Sent: make(map[ident.Service]Sent)}
+	w.sum(t.Sent, vm, now)
+	for s := range w.services {
+		t.Sent[s] = t.Sent[s].plus(w.turn(s, now).sum())
+	}
+	return t
+}
+
+// sum adds up what the VMs but one sent that report to this one. A VM that fell
+// silent counts until what it sent has left the window.
+func (w *Window) sum(out map[ident.Service]Sent, but ident.VM, now time.Time) {
 	for vm, t := range w.heard {
 		if now.Sub(t.at) > w.span {
 			delete(w.heard, vm)
 			continue
 		}
-		sum.First += t.sent[s].First
-		sum.Again += t.sent[s].Again
+		if vm == but {
+			continue
+		}
+		for s, n := range t.sent {
+			out[s] = out[s].plus(n)
+		}
 	}
-	return sum
 }
 
+// others returns the widest knowledge of the other VMs: that of a hub, or this VM's
+// own if more report to it.
+func (w *Window) others(now time.Time) Total {
+	known, heard := w.peers.Count(now)
+	best := Total{Known: max(known, w.known), Heard: heard}
+	own := true
+	for hub, t := range w.totals {
+		if now.Sub(t.At) > totalTime {
+			delete(w.totals, hub)
+			continue
+		}
+		if t.Heard > best.Heard {
+			best, own = t, false
+		}
+		best.Known = max(best.Known, t.Known)
+	}
+	if own {
+		best.Sent = make(map[ident.Service]Sent)
+		w.sum(best.Sent, "", now)
+	}
+	return best
+}
+
+func (n Sent) plus(o Sent) Sent { return Sent{First: n.First + o.First, Again: n.Again + o.Again} }
+
 func (p *spans) sum() Sent {
 	var sum Sent
 	for i := range p.first {
@@ -134,11 +202,12 @@
 	defer w.mu.Unlock()
 	p := w.turn(s, now)
 	own := p.sum()
-	extra, others := w.extra, w.others(s, now)
-	if known, heard := w.peers.Others(); heard < known || known == 0 {
-		// What a silent VM sends isn't known.
-		extra /= float64(max(known+1, leastVMs))
-		others = Sent{}
+	t := w.others(now)
+	others := t.Sent[s]
+	extra := w.extra
+	if t.Heard < t.Known || t.Known == 0 {
+		// Each VM that isn't heard may spend its part.
+		extra *= float64(t.Heard+1) / float64(max(t.Known+1, leastVMs))
 	}
 	left := safety*(w.ratio*float64(own.First+others.First)+extra) - float64(others.Again)
 	if float64(own.Again+1) > left {
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -86,7 +86,7 @@
 		Servers:  store,
 		Backend:  platform.NewServers(dialer),
 		Codec:    func(r *relay.Relay) edge.Codec { return platform.NewIngress(r, awake.Now) },
-		Peers:    store,
+		Names:    store,
 		Share:    share.NewClient(dialer, cfg.Peers),
 		Calls:    store.Calls,
 		Lines:    lines,
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -21,6 +21,8 @@
 	Metrics  netip.AddrPort // HTTP for metrics
 	Peers    netip.AddrPort // UDP and HTTP for other VMs
 	Store    netip.AddrPort
+	Cores    float64 // share of processor cores that the VM has
+	Link     float64 // rate of its link, in bits a second
 	LogLevel string
 	LogRate  int           // most log lines a second
 	Revoke   time.Duration // how long after its end an API key may be served
@@ -44,6 +46,8 @@
 	Metrics  string         `json:"metrics-address"`
 	Peers    string         `json:"peers-address"`
 	Store    string         `json:"store-address"`
+	Cores    *float64       `json:"processor-cores,omitzero"`
+	Link     *float64       `json:"link-mbit-per-second,omitzero"`
 	LogLevel *string        `json:"log-level,omitzero"`
 	LogRate  *int           `json:"log-lines-per-second,omitzero"`
 	Revoke   *string        `json:"revoke-bound,omitzero"`
@@ -60,6 +64,8 @@
 
 // Defaults of the members that may be left out.
 const (
+	DefaultCores = 1.0
+	DefaultLink  = 1000.0 // in Mbit/s
 	// DefaultLogRate is three lines a call at 100 calls a second.
 	DefaultLogRate = 300
 	DefaultRevoke  = 5 * time.Second
@@ -70,6 +76,9 @@
 	DefaultWindow  = 10 * time.Second
 )
 
+// megabit is a Mbit/s in bits a second.
+const megabit = 1e6
+
 // ReadEdge reads the settings of an edge VM in a file.
 func ReadEdge(path string) (*Edge, error) {
 	data, err := os.ReadFile(path)
@@ -95,6 +104,8 @@
 		Metrics:  f.Address("/metrics-address", w.Metrics),
 		Peers:    f.Address("/peers-address", w.Peers),
 		Store:    f.Address("/store-address", w.Store),
+		Cores:    f.Float("/processor-cores", w.Cores, DefaultCores, 0.001, 10_000),
+		Link:     f.Float("/link-mbit-per-second", w.Link, DefaultLink, 0.001, 1e7) * megabit,
 		LogLevel: oneOf(f, "/log-level", w.LogLevel, DefaultLogLevel, logLevels),
 		LogRate:  f.Int("/log-lines-per-second", w.LogRate, DefaultLogRate, 1, 1_000_000),
 		Revoke:   f.Duration("/revoke-bound", w.Revoke, DefaultRevoke, 500*time.Millisecond, time.Hour),
@@ -127,6 +138,8 @@
 		{"metrics-address", "", "HTTP for metrics"},
 		{"peers-address", "", "UDP and HTTP for other VMs"},
 		{"store-address", "", "the platform's store"},
+		{"processor-cores", formatFloat(DefaultCores), "share of processor cores that the VM has; those with most work for all others"},
+		{"link-mbit-per-second", formatFloat(DefaultLink), "rate of the VM's link; as for processor-cores"},
 		{"log-level", DefaultLogLevel, "debug, info, warn or error"},
 		{"log-lines-per-second", strconv.Itoa(DefaultLogRate), "most log lines a second"},
 		{"revoke-bound", DefaultRevoke.String(), "how long after its end an API key may be served"},
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"umberladder/internal/peer/gossip"
 )
 
 // Names of the metrics.
@@ -23,7 +25,11 @@
 	metricBehind   = "umberladder_settings_behind_seconds"
 	metricServers  = "umberladder_servers"
 	metricAnswered = "umberladder_store_answered_seconds"
-	metricPeers    = "umberladder_peers_heard"
+	metricPeers    = "umberladder_vms_heard"
+	metricHub      = "umberladder_hub"
+	metricReports  = "umberladder_reporting_vms"
+	metricSaid     = "umberladder_messages_total"
+	metricBytes    = "umberladder_message_bytes_total"
 	metricWatches  = "umberladder_watches_store"
 	metricReady    = "umberladder_ready"
 	metricPlaced   = "umberladder_placements_total"
@@ -46,7 +52,7 @@
 		{metricGap, "histogram", "longest pause between two events of a stream, by service and kind"},
 		{metricMoves, "counter", "times a stream went on at another engine, by service and kind"},
 		{metricSent, "counter", "sendings of calls to servers, by service and kind"},
-		{metricStore, "gauge", "calls to the store since the start"},
+		{metricStore, "gauge", "calls to the store since the start, by kind"},
 		{metricLines, "gauge", "log lines written since the start"},
 		{metricLeftOut, "gauge", "log lines left out since the start"},
 		{metricConns, "gauge", "open connections of clients"},
@@ -55,8 +61,12 @@
 		{metricKnown, "gauge", "newest version of the settings that this VM has in force or has heard of"},
 		{metricBehind, "gauge", "for how long a version newer than the one in force has been known; 0: none is"},
 		{metricServers, "gauge", "backend servers known"},
-		{metricAnswered, "gauge", "time since the store last told this VM of servers; it grows on VMs that are told by others"},
-		{metricPeers, "gauge", "other VMs heard in the last 2 s"},
+		{metricAnswered, "gauge", "age of what is known of the servers, from the store or from other VMs"},
+		{metricPeers, "gauge", "other VMs that are heard; one that is no hub hears the hubs"},
+		{metricHub, "gauge", "1 if this VM is one of the hubs, to which the others report"},
+		{metricReports, "gauge", "VMs that report to this one"},
+		{metricSaid, "gauge", "messages sent to other VMs since the start, by kind: reports, answers, seats"},
+		{metricBytes, "gauge", "bytes of these messages, by kind"},
 		{metricWatches, "gauge", "1 if this VM watches the store, 0 if others tell it"},
 		{metricPlaced, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
 		{metricWaiting, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
@@ -71,7 +81,6 @@
 		return float64(written), float64(left)
 	}
 	for name, f := range map[string]func() float64{
-		metricStore:    func() float64 { return float64(ports.Calls()) },
 		metricLines:    func() float64 { n, _ := lines(); return n },
 		metricLeftOut:  func() float64 { _, n := lines(); return n },
 		metricConns:    func() float64 { return float64(v.front.Open()) },
@@ -80,14 +89,37 @@
 		metricKnown:    func() float64 { return float64(v.settings.Known()) },
 		metricBehind:   func() float64 { return v.settings.Behind().Seconds() },
 		metricServers:  func() float64 { return float64(v.servers.View().Len()) },
-		metricAnswered: func() float64 { return v.discover.Answered(time.Now()).Seconds() },
-		metricPeers:    func() float64 { return float64(v.seats.Peers(time.Now())) },
-		metricWatches:  func() float64 { return number(!v.serversTold()) },
-		metricWaiting:  func() float64 { return float64(v.home.Waiting()) },
-		metricReady:    func() float64 { return number(v.Ready()) },
+		metricAnswered: func() float64 { return v.discover.Age().Seconds() },
+		metricPeers:    func() float64 { return float64(v.hubs.Heard(time.Now())) },
+		metricHub:      func() float64 { return number(v.hubs.Hub(time.Now())) },
+		metricReports: func() float64 {
+			_, n := v.hubs.Count(time.Now())
+			return float64(n)
+		},
+		metricWatches: func() float64 { return number(!v.serversTold()) },
+		metricWaiting: func() float64 { return float64(v.home.Waiting()) },
+		metricReady:   func() float64 { return number(v.Ready()) },
 	} {
 		v.set.NewGauge(name, f)
 	}
+	v.counts(ports)
+}
+
+// counts exports what the VM has sent, by kind.
+func (v *VM) counts(ports Ports) {
+	for kind := range ports.Calls() {
+		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricStore, kind), func() float64 { return float64(ports.Calls()[kind]) })
+	}
+	sent := func(k gossip.Kind) gossip.Traffic {
+		if g := v.gossip.Load(); g != nil {
+			return g.Sent(k)
+		}
+		return gossip.Traffic{}
+	}
+	for k := range gossip.Kinds {
+		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricSaid, k), func() float64 { return float64(sent(k).Messages) })
+		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricBytes, k), func() float64 { return float64(sent(k).Bytes) })
+	}
 }
 
 // version returns the version of the settings in force; zero: there are none.
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -31,7 +31,7 @@
 	"umberladder/internal/route/task"
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/follow"
-	"umberladder/internal/state/peers"
+	"umberladder/internal/state/hubs"
 	"umberladder/internal/state/routes"
 )
 
@@ -71,10 +71,10 @@
 	Servers  follow.ServerSource
 	Backend  Backend
 	Codec    func(r *relay.Relay) Codec
-	Peers    peers.Registry
-	Share    *share.Client // fetches what other VMs share
-	Calls    func() uint64 // made to the store
-	Lines    *sink.Sink    // the log's
+	Names    hubs.Registry
+	Share    *share.Client            // fetches what other VMs share
+	Calls    func() map[string]uint64 // made to the store, by kind
+	Lines    *sink.Sink               // the log's
 }
 
 // VM is one edge VM.
@@ -89,8 +89,8 @@
 	discover *follow.Servers
 	share    *share.Client
 	lines    *sink.Sink
-	peers    *peers.Peers
-	watch    *peers.Watch
+	hubs     *hubs.Hubs
+	names    *hubs.Names
 	budget   *retry.Window
 	group    *errgroup.Group
 	reading  atomic.Bool // newer settings are being read
@@ -112,17 +112,17 @@
 		news:     make(chan struct{}, 1),
 		settings: routes.NewBook(awake.Now),
 		seats:    seats.New(),
-		watch:    peers.NewWatch(cfg.Name),
+		hubs:     hubs.New(hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.Link)}, time.Now()),
 		group:    group,
 		lines:    ports.Lines,
 		share:    ports.Share,
-		peers:    peers.New(cfg.Name, cfg.Peers, ports.Peers, log),
 	}
 	v.cfg.Store(cfg)
+	v.names = hubs.NewNames(v.hubs, ports.Names, log)
 	v.servers = backs.NewTable(v.tell)
-	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v)
+	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v.hubs)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, v.tell, log)
-	v.discover = follow.NewServers(ports.Servers, v.servers, v.serversTold, v.first, v.tell, v.takeServers, log)
+	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, v.lead, v.tell, v.takeServers, log)
 	sound := health.New()
 	chooser := pick.NewChooser(v.servers, v.seats, sound)
 	v.home = homes.NewHome(chooser)
@@ -135,7 +135,7 @@
 			Apply:  func() time.Duration { return v.cfg.Load().Apply },
 		},
 		Settings: v.settings,
-		Refresh:  v.follow,
+		Refresh:  v,
 		Servers:  v.servers,
 		Seats:    v.seats,
 		Budget:   v.budget,
@@ -153,11 +153,6 @@
 	return v
 }
 
-// Others implements retry.Peers.
-func (v *VM) Others() (known, heard int) {
-	return len(v.peers.Others()), v.seats.Peers(time.Now())
-}
-
 func (v *VM) limits() front.Limits {
 	s := v.settings.Load()
 	if s == nil {
@@ -174,7 +169,7 @@
 		return false
 	}
 	now := time.Now()
-	if !v.peers.Touch(now) && len(v.watch.Asking(now)) > 0 {
+	if !v.hubs.Touch(now) && len(v.hubs.Asking(now)) > 0 {
 		return false
 	}
 	cfg := v.cfg.Load()
@@ -198,13 +193,13 @@
 		return trace.Wrap(err, "/peers-address")
 	}
 	share.NewServer(v, v.log).Serve(ctx, shared, group)
-	g, err := gossip.New(v.cfg.Load().Name, uint64(time.Now().UnixNano()), v.cfg.Load().Peers, &local{vm: v, ctx: ctx}, v.log)
+	g, err := gossip.New(v.cfg.Load().Name, uint64(time.Now().UnixNano()), v.cfg.Load().Peers, &local{vm: v, ctx: ctx}, v.hubs, v.log)
 	if err != nil {
 		return trace.Wrap(err, "/peers-address")
 	}
 	v.gossip.Store(g)
 	for _, loop := range []func(context.Context){
-		v.home.Run, v.follow.Run, v.discover.Run, v.discover.Expire, v.probe.Run, v.peers.Announce, v.peers.Follow, g.Send, g.Receive,
+		v.home.Run, v.follow.Run, v.discover.Run, v.discover.Expire, v.probe.Run, v.names.Run, g.Send, g.Receive,
 	} {
 		group.Go(func() error {
 			loop(ctx)
@@ -235,6 +230,7 @@
 	start := time.Now()
 	v.log.Info("stopping", zap.Int64("connections", v.front.Open()))
 	v.stopping.Store(true)
+	v.hubs.Leave()
 	v.front.Drain()
 	end := start.Add(v.cfg.Load().Grace - stopReserve)
 	v.relay.Stop(end)
--- a/internal/route/desk/desk.go
+++ b/internal/route/desk/desk.go
@@ -13,7 +13,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/pick"
-	"umberladder/internal/state/peers"
+	"umberladder/internal/state/hubs"
 )
 
 // errSilent says that the home does not answer.
@@ -45,7 +45,7 @@
 	vm      ident.VM
 	chooser *pick.Chooser
 	home    *homes.Home
-	order   func(ident.Service, time.Time) []peers.Rank
+	order   func(ident.Service, time.Time) []hubs.Rank
 	post    Post
 	count   func(outcome string)
 	log     *zap.Logger
@@ -60,7 +60,7 @@
 // New makes a desk. The order is that of the VMs that decide for a service;
 // home is this VM's own. Numbers of asks begin after boot. Each placement is
 // counted by its outcome.
-func New(vm ident.VM, boot uint64, c *pick.Chooser, home *homes.Home, order func(ident.Service, time.Time) []peers.Rank, post Post, count func(outcome string), log *zap.Logger) *Desk {
+func New(vm ident.VM, boot uint64, c *pick.Chooser, home *homes.Home, order func(ident.Service, time.Time) []hubs.Rank, post Post, count func(outcome string), log *zap.Logger) *Desk {
 	return &Desk{
 		vm: vm, chooser: c, home: home, order: order, post: post, count: count, log: log,
 		number: boot, waiting: make(map[uint64]chan homes.Answer), silent: make(map[ident.VM]time.Time),
@@ -173,7 +173,7 @@
 }
 
 // noteHome logs that another VM decides for a service than did.
-func (d *Desk) noteHome(s ident.Service, order []peers.Rank) {
+func (d *Desk) noteHome(s ident.Service, order []hubs.Rank) {
 	if len(order) == 0 {
 		return
 	}
@@ -228,7 +228,7 @@
 }
 
 // askOne asks one VM until it has decided.
-func (d *Desk) askOne(ctx context.Context, p peers.Rank, w pick.Want) (homes.Answer, error) {
+func (d *Desk) askOne(ctx context.Context, p hubs.Rank, w pick.Want) (homes.Answer, error) {
 	number, ch := d.open()
 	defer d.close(number)
 	start := time.Now()
@@ -280,7 +280,7 @@
 	}
 }
 
-func (d *Desk) send(p peers.Rank, a homes.Ask) {
+func (d *Desk) send(p hubs.Rank, a homes.Ask) {
 	if p.Addr.IsValid() {
 		d.post.Ask(p.Addr, a)
 		return
--- a/internal/route/seats/book.go
+++ b/internal/route/seats/book.go
@@ -153,18 +153,24 @@
 	return maps.Clone(b.own)
 }
 
-// Hear takes another VM's loads, unless later ones were heard already.
-func (b *Book) Hear(vm ident.VM, boot, seq uint64, load map[ident.Server]Load, now time.Time) {
+// Hear takes another VM's loads, unless later ones were heard already. Those of
+// further parts of the same message are added.
+func (b *Book) Hear(vm ident.VM, boot, seq uint64, part int, load map[ident.Server]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[vm]
-	if boot < p.boot || boot == p.boot && seq <= p.seq {
+	more := boot == p.boot && seq == p.seq && part > 0
+	if boot < p.boot || boot == p.boot && seq <= p.seq && !more {
 		return
 	}
-	b.forget(p)
 	for s, l := range load {
 		b.others[s] = b.others[s].Plus(l)
 	}
+	if more {
+		maps.Copy(load, p.load)
+	} else {
+		b.forget(p)
+	}
 	b.peers[vm] = peer{at: now, boot: boot, seq: seq, load: load}
 	b.wake()
 }
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -91,7 +91,7 @@
 func (t *Table) View() *View { return t.view.Load() }
 
 // Put takes a server's entry. It reports whether what is known of the server
-// changed.
+// changed, or its entry had lapsed.
 func (t *Table) Put(e Entry) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -106,10 +106,11 @@
 	if !t.succeeds(e.ID) {
 		return false
 	}
+	_, lapsed := t.lapsed[e.ID]
 	delete(t.lapsed, e.ID)
 	old := t.all[e.ID]
 	if old != nil && old.Entry == e {
-		return false
+		return lapsed
 	}
 	s := &Server{Entry: e, leave: make(chan struct{})}
 	if old != nil {
@@ -162,15 +163,20 @@
 }
 
 // Hear takes another VM's word that servers leave. It reports which were not
-// known to.
-func (t *Table) Hear(ids []ident.Server) []ident.Server {
+// known to. A VM that passes on tells others of them as if it had seen it itself.
+func (t *Table) Hear(ids []ident.Server, pass bool) []ident.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var left []ident.Server
 	for _, id := range ids {
-		if s := t.all[id]; s != nil && !s.Leaving {
-			t.drop(id)
-			left = append(left, id)
+		s := t.all[id]
+		if s == nil || s.Leaving {
+			continue
+		}
+		t.drop(id)
+		left = append(left, id)
+		if pass {
+			t.tell(id)
 		}
 	}
 	if left != nil {
@@ -218,19 +224,23 @@
 }
 
 // Replace takes the whole list of entries. Servers that are missing from it
-// are removed as by Remove.
-func (t *Table) Replace(list []Entry, until time.Time, now time.Time) {
+// are removed as by Remove. It returns the entries that changed, and the servers
+// that were missing.
+func (t *Table) Replace(list []Entry, until time.Time, now time.Time) (changed []Entry, missing []ident.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := make(map[string]struct{}, len(list))
 	for _, e := range list {
 		seen[e.ID.Name()] = struct{}{}
-		t.put(e)
+		if t.put(e) {
+			changed = append(changed, e)
+		}
 	}
 	for id := range t.all {
 		if _, ok := seen[id.Name()]; ok {
 			continue
 		}
+		missing = append(missing, id)
 		if now.Before(until) {
 			t.lapsed[id] = until
 			continue
@@ -238,6 +248,7 @@
 		t.drop(id)
 	}
 	t.publish()
+	return changed, missing
 }
 
 // Expire drops the servers whose entries lapsed in an outage and did not come
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -27,16 +27,17 @@
 	slowPause = 1500 * time.Millisecond
 	// toldPause is how often a VM that is told of changes looks whether it still is.
 	toldPause = 100 * time.Millisecond
+	// startTime is how long a VM that is told, and knows nothing yet, waits for other
+	// VMs before it reads the store itself.
+	startTime = 3 * time.Second
 )
 
-// Revision counts the store's changes.
-type Revision uint64
-
 // source is the part of the store that a loop follows.
 type source struct {
 	name string
 	wait time.Duration // how long the store holds a wait without changes
-	rest time.Duration // pause after a change, so that several come in one answer
+	// rest returns the pause after a change, so that several come in one answer.
+	rest func() time.Duration
 	// adopt takes everything from another VM; false if that is not possible.
 	adopt func(ctx context.Context) bool
 	// read takes everything.
@@ -48,6 +49,9 @@
 	// known returns the revision up to which everything is known; zero: all has
 	// to be read.
 	known func() Revision
+	// empty reports whether nothing is known that this VM could go on with while it
+	// is told.
+	empty func() bool
 	// told reports whether other VMs tell what changes, so that the store need
 	// not be asked.
 	told func() bool
@@ -60,11 +64,13 @@
 	src  source
 	log  *zap.Logger
 	down bool
+	// lacking is since when nothing is known; zero: something is.
+	lacking time.Time
 }
 
 func (l *loop) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		if l.src.known() != 0 && l.src.told() {
+		if l.leave(ctx) {
 			retry.Pause(ctx, toldPause)
 			continue
 		}
@@ -87,6 +93,24 @@
 	}
 }
 
+// leave reports whether this VM leaves it to others to ask the store. What it lacks
+// it takes from them.
+func (l *loop) leave(ctx context.Context) bool {
+	if !l.src.empty() {
+		l.lacking = time.Time{}
+		return l.src.told()
+	}
+	now := time.Now()
+	if l.lacking.IsZero() {
+		l.lacking = now
+	}
+	if !l.src.told() || now.Sub(l.lacking) > startTime {
+		return false
+	}
+	l.src.adopt(ctx)
+	return true
+}
+
 // errGap says that changes were told of which some are missing.
 var errGap = errors.New("follow: some changes were not told")
 
@@ -113,6 +137,9 @@
 // follow waits for changes until something fails.
 func (l *loop) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if l.src.empty() {
+			return errGap
+		}
 		if l.src.told() {
 			retry.Pause(ctx, toldPause)
 			continue
@@ -125,8 +152,8 @@
 		if err != nil {
 			return err
 		}
-		if next != rev && l.src.rest > 0 {
-			retry.Pause(ctx, l.src.rest)
+		if next != rev {
+			retry.Pause(ctx, l.src.rest())
 		}
 	}
 	return ctx.Err()
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"umberladder/internal/core/awake"
+	"umberladder/internal/core/ident"
 	"umberladder/internal/state/backs"
 )
 
@@ -15,10 +18,11 @@
 	// serversWait is how long a wait for changes of servers is held. Others take
 	// the place of a VM that the store has not answered for 0.9 s.
 	serversWait = 700 * time.Millisecond
-	// serversRest gathers the servers' heartbeats: at 16 servers with one each
-	// 1.2 s it cuts the calls of a VM from 13 to 5 a second. It is the longest
+	// serversRest gathers the servers' heartbeats in one answer. It is the longest
 	// time by which a leaving mark is seen later.
-	serversRest = 120 * time.Millisecond
+	serversRest = 200 * time.Millisecond
+	// standbyRest is the same for a VM that watches in case the first one fails.
+	standbyRest = 500 * time.Millisecond
 	// expireEvery is how often lapsed entries are looked through.
 	expireEvery = 100 * time.Millisecond
 )
@@ -31,10 +35,19 @@
 	Lapse time.Duration // after which an entry that lapsed in an outage counts as gone; zero: it did not
 }
 
+// until returns the moment at which a server whose entry is gone counts as gone.
+func (c *Change) until(grace, now time.Time) time.Time {
+	if c.Lapse > 0 {
+		return now.Add(c.Lapse)
+	}
+	return grace
+}
+
 // News are the changes in a span of revisions, for VMs that do not ask the store.
 type News struct {
-	Base    Revision // of which the VM told must know at least
-	Rev     Revision // up to which the changes are complete
+	Base    Revision      // of which the VM told must know at least
+	Rev     Revision      // up to which the changes are complete
+	Age     time.Duration // since the store answered with the last revision, or with that there is none later
 	Changes []Change
 }
 
@@ -51,10 +64,12 @@
 type Servers struct {
 	src   ServerSource
 	table *backs.Table
+	clock awake.Clock
 	log   *zap.Logger
 
 	told   func() bool
 	first  func() bool
+	lead   func() bool
 	onNews func()
 	ask    func(ctx context.Context) (News, error)
 
@@ -64,8 +79,10 @@
 	rev    Revision  // up to which everything is known
 	base   Revision  // from which recent is complete
 	recent []dated   // changes that are still told
-	heard  time.Time // when other VMs last told all that changed
-	okAt   time.Time // when the store last answered
+	heard  time.Time // when other VMs last told what changed
+	// fresh is when what is known was the newest, by the store or by other VMs; zero:
+	// nothing is known.
+	fresh awake.Instant
 }
 
 // dated is a change and when it was seen.
@@ -81,48 +98,62 @@
 	// a datagram: 60 KB hold 250 entries of 240 bytes. VMs that lack earlier ones take
 	// the whole list.
 	toldMost = 250
+	// passTime is how long after another VM's news a VM whose store is away has news.
+	passTime = time.Second
 )
 
 // NewServers makes a follower of the servers. It asks the store while told
-// reports that other VMs do not tell what changes, and first that this VM is to
-// find out soon that the store is back. It calls news once there is something
+// reports that other VMs do not tell what changes, more often if lead reports that no
+// other VM does, and first reports that this VM is to find out soon that the store is
+// back. It calls news once there is something
 // new to tell other VMs. Where it knows no servers, it takes them with ask from
 // another VM that the store answers, and reads them in the store if there is none.
-func NewServers(src ServerSource, table *backs.Table, told, first func() bool, news func(),
+func NewServers(src ServerSource, table *backs.Table, clock awake.Clock, told, first, lead func() bool, news func(),
 	ask func(ctx context.Context) (News, error), log *zap.Logger,
 ) *Servers {
-	return &Servers{src: src, table: table, told: told, first: first, onNews: news, ask: ask, log: log}
+	return &Servers{src: src, table: table, clock: clock, told: told, first: first, lead: lead, onNews: news, ask: ask, log: log}
 }
 
-// News returns what changed lately; nothing while the store does not answer.
+// News returns what changed lately; nothing if neither the store nor other VMs tell
+// this one.
 func (s *Servers) News(now time.Time) (News, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down || s.rev == 0 {
+	if s.rev == 0 || s.down && now.Sub(s.heard) > passTime {
 		return News{}, false
 	}
-	keep := 0
-	for keep < len(s.recent) && (now.Sub(s.recent[keep].at) > newsTime || len(s.recent)-keep > toldMost) {
-		s.base = s.recent[keep].Rev
-		keep++
-	}
-	s.recent = s.recent[keep:]
-	n := News{Base: s.base, Rev: s.rev}
+	s.prune(now)
+	n := News{Base: s.base, Rev: s.rev, Age: s.age()}
 	for _, d := range s.recent {
+		if d.Lapse > 0 {
+			d.Lapse = max(d.Lapse-now.Sub(d.at), 1)
+		}
 		n.Changes = append(n.Changes, d.Change)
 	}
 	return n, true
 }
 
+// prune forgets changes that have been told for long enough, and those that are too
+// many.
+func (s *Servers) prune(now time.Time) {
+	old := 0
+	for old < len(s.recent) && (now.Sub(s.recent[old].at) > newsTime || len(s.recent)-old > toldMost) {
+		s.base = s.recent[old].Rev
+		old++
+	}
+	s.recent = s.recent[old:]
+}
+
 // Learn takes another VM's news. If some are missing, everything is read anew.
 func (s *Servers) Learn(n News, now time.Time) {
 	changes := s.news(n, now)
 	for _, c := range changes {
-		s.take(c)
+		s.take(&c)
 	}
 }
 
-// news returns the changes of n that are new, and notes that they are known.
+// news returns the changes of n that are new, and notes that they are known. They
+// are told on, for VMs that do not hear the one that told them.
 func (s *Servers) news(n News, now time.Time) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,39 +164,30 @@
 		s.rev = 0
 		return nil
 	}
+	s.prune(now)
 	var out []Change
 	for _, c := range n.Changes {
 		if c.Rev > s.rev {
 			out = append(out, c)
+			s.recent = append(s.recent, dated{Change: c, at: now})
 		}
 	}
 	s.rev = n.Rev
-	s.heard = now
-	// What is told now was not seen in the store, so it is not told on.
-	s.base, s.recent = s.rev, nil
+	s.fresh = max(s.fresh, s.clock().Add(-n.Age))
+	if n.Age < passTime {
+		s.heard = now
+	}
 	return out
 }
 
-// Answered returns how long ago the store last answered this VM.
-func (s *Servers) Answered(now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.okAt)
-}
-
-// Down reports whether the store did not answer when it was last asked.
-func (s *Servers) Down() bool {
+// Age returns how long ago what is known of the servers was the newest.
+func (s *Servers) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.down
+	return s.age()
 }
 
-// Heard returns when other VMs last told all that changed.
-func (s *Servers) Heard() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.heard
-}
+func (s *Servers) age() time.Duration { return s.clock().Sub(s.fresh) }
 
 func (s *Servers) known() Revision {
 	s.mu.Lock()
@@ -178,19 +200,27 @@
 	l := &loop{log: s.log, src: source{
 		name:  "servers",
 		wait:  serversWait,
-		rest:  serversRest,
+		rest:  s.rest,
 		adopt: s.adopt,
 		read:  s.read,
 		await: s.await,
 		lost:  s.lost,
 		back:  s.back,
 		known: s.known,
-		told:  func() bool { return s.known() != 0 && s.told() },
+		empty: func() bool { return s.known() == 0 },
+		told:  s.told,
 		first: s.first,
 	}}
 	l.run(ctx)
 }
 
+func (s *Servers) rest() time.Duration {
+	if s.lead() {
+		return serversRest
+	}
+	return standbyRest
+}
+
 // Expire drops servers whose entries lapsed in an outage, until ctx ends.
 func (s *Servers) Expire(ctx context.Context) {
 	t := time.NewTicker(expireEvery)
@@ -231,31 +261,65 @@
 }
 
 func (s *Servers) read(ctx context.Context) (Revision, error) {
+	asked := s.clock()
 	list, rev, err := s.src.Servers(ctx)
 	if err != nil {
 		return 0, err
 	}
 	now := time.Now()
-	s.table.Replace(list, s.grace(now), now)
+	grace := s.grace(now)
+	if known := s.known(); known != 0 && rev.Era() > known.Era() {
+		list = s.confirmedOf(list)
+	}
+	changed, missing := s.table.Replace(list, grace, now)
 	s.mu.Lock()
-	s.rev, s.base, s.recent, s.okAt = rev, rev, nil, now
+	told := s.rev != 0
+	if told {
+		s.noteAll(rev, changed, missing, grace, now)
+	} else {
+		s.base, s.recent = rev, nil
+	}
+	s.rev, s.fresh = rev, max(s.fresh, asked)
 	s.mu.Unlock()
+	if told && len(changed)+len(missing) > 0 {
+		s.onNews()
+	}
 	s.log.Info("servers read", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(rev)))
 	return rev, nil
 }
 
-// All returns all servers known, as news for a VM that knows none; false while
-// the store does not answer or some are not known.
+// confirmedOf returns the entries of servers that are known. The first list of a new
+// era may hold entries of servers that have gone since the copy was made; those that
+// live write theirs again, and are known then.
+func (s *Servers) confirmedOf(list []backs.Entry) []backs.Entry {
+	view := s.table.View()
+	return slices.DeleteFunc(list, func(e backs.Entry) bool { return view.Server(e.ID) == nil })
+}
+
+// noteAll notes what a reading of all servers changed, so that VMs that are told
+// need not take the whole list.
+func (s *Servers) noteAll(rev Revision, changed []backs.Entry, missing []ident.Server, grace, now time.Time) {
+	for _, e := range changed {
+		s.recent = append(s.recent, dated{Change: Change{Rev: rev, Entry: e}, at: now})
+	}
+	for _, id := range missing {
+		gone := Change{Rev: rev, Gone: true, Entry: backs.Entry{ID: ident.NewServer(id.Name(), time.Time{})}, Lapse: max(grace.Sub(now), 0)}
+		s.recent = append(s.recent, dated{Change: gone, at: now})
+	}
+}
+
+// All returns all servers known, as news for a VM that knows none; false if some
+// are not known.
 func (s *Servers) All() (News, bool) {
 	s.mu.Lock()
-	down, rev := s.down, s.rev
+	rev, age := s.rev, s.age()
 	s.mu.Unlock()
-	if down || rev == 0 {
+	if rev == 0 {
 		return News{}, false
 	}
 	// The table calls back into this follower under its own lock, so that this
 	// one's is not held. What is newer than the revision is told again.
-	n := News{Rev: rev}
+	n := News{Rev: rev, Age: age}
 	lapses := s.table.Lapses(time.Now())
 	for _, e := range s.table.View().All() {
 		n.Changes = append(n.Changes, Change{Rev: rev, Entry: e, Lapse: lapses[e.ID]})
@@ -286,36 +350,39 @@
 	s.table.Replace(list, s.grace(now), now)
 	for _, c := range n.Changes {
 		if c.Lapse > 0 {
-			// Nobody tells when it is over: three engines that had crashed stayed
-			// usable for 30 s at 57 of 62 VMs.
+			// Nobody tells when it is over.
 			s.table.Remove(c.Entry.ID.Name(), now.Add(c.Lapse), now)
 		}
 	}
 	s.mu.Lock()
 	s.rev, s.base, s.recent, s.heard = n.Rev, n.Rev, nil, now
+	s.fresh = max(s.fresh, s.clock().Add(-n.Age))
 	s.mu.Unlock()
 	s.log.Info("servers taken from another VM", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(n.Rev)))
 	return n.Rev != 0
 }
 
 func (s *Servers) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
+	asked := s.clock()
 	changes, rev, err := s.src.AwaitServers(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
 	now, noted := time.Now(), false
 	for _, c := range changes {
-		if s.take(c) {
+		if c.Gone {
+			c.Lapse = max(s.grace(now).Sub(now), 0)
+		}
+		if s.take(&c) {
 			s.note(c, now)
 			noted = true
 		}
 	}
 	s.mu.Lock()
-	s.rev, s.okAt = rev, now
+	s.rev, s.fresh = rev, max(s.fresh, confirmed(s.clock, asked, wait))
 	s.mu.Unlock()
 	if noted {
-		// A new engine is of use from its first moment: told twice a second, it
-		// was known 0.25 s later, of the 3 s that engines were known for.
+		// A new engine is of use from its first moment.
 		s.onNews()
 	}
 	return rev, nil
@@ -328,11 +395,11 @@
 }
 
 // take applies a change and reports whether it says anything new.
-func (s *Servers) take(c Change) bool {
+func (s *Servers) take(c *Change) bool {
 	id := zap.String("server", string(c.Entry.ID))
 	if c.Gone {
 		now := time.Now()
-		if s.table.Remove(c.Entry.ID.Name(), s.grace(now), now) {
+		if s.table.Remove(c.Entry.ID.Name(), c.until(s.grace(now), now), now) {
 			s.log.Info("server entry removed", id)
 		}
 		return true
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"umberladder/internal/core/awake"
+	"umberladder/internal/state/backs"
 	"umberladder/internal/state/routes"
 )
 
@@ -42,6 +43,11 @@
 	news  func()
 	once  singleflight.Group
 	rev   atomic.Uint64
+	// stored is the version that the store held when it last answered.
+	stored atomic.Uint64
+	// calm is an awake.Instant until which the store, back from a copy, may lack
+	// settings that the operators write again.
+	calm atomic.Int64
 }
 
 // NewSettings makes a follower of the settings. It asks the store while told
@@ -87,12 +93,14 @@
 	l := &loop{log: s.log, src: source{
 		name:  "settings",
 		wait:  settingsWait,
+		rest:  func() time.Duration { return 0 },
 		adopt: func(context.Context) bool { return false }, // newer versions are told of
 		read:  func(ctx context.Context) (Revision, error) { return s.shared(ctx, readLimit) },
 		await: s.await,
 		lost:  func(time.Time) {},
 		back:  func(time.Time) {},
 		known: func() Revision { return Revision(s.rev.Load()) },
+		empty: func() bool { return s.book.Load() == nil },
 		told:  s.told,
 		first: s.first,
 	}}
@@ -135,17 +143,37 @@
 	if err != nil {
 		return 0, err
 	}
-	if snap != nil && s.put(snap, sent) {
-		s.news()
-	}
 	s.answered(rev)
+	s.stored.Store(0)
+	if snap != nil {
+		s.adopt(snap, sent)
+	}
 	return rev, nil
 }
 
+// adopt puts settings in force that the store held at a moment.
+func (s *Settings) adopt(snap *routes.Snapshot, at awake.Instant) {
+	s.stored.Store(snap.Version)
+	if !s.isCalm(at) {
+		at = 0 // newer ones may have been lost
+	}
+	if s.put(snap, at) {
+		s.news()
+	}
+}
+
+// answered notes the revision of an answer.
 func (s *Settings) answered(rev Revision) {
-	s.rev.Store(uint64(rev))
+	old := Revision(s.rev.Swap(uint64(rev)))
+	if old != 0 && rev.Era() > old.Era() {
+		s.calm.Store(int64(s.clock().Add(backs.ReturnTime)))
+		s.log.Warn("store back from a copy", zap.Uint64("era", rev.Era()))
+	}
 }
 
+// isCalm reports whether the settings that the store held at a moment were the newest.
+func (s *Settings) isCalm(at awake.Instant) bool { return int64(at) >= s.calm.Load() }
+
 func (s *Settings) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
 	sent := s.clock()
 	snap, rev, err := s.src.AwaitSettings(ctx, after, wait)
@@ -154,20 +182,21 @@
 	}
 	s.answered(rev)
 	if snap != nil {
-		if s.put(snap, sent) {
-			s.news()
-		}
+		s.adopt(snap, sent)
 		return rev, nil
 	}
-	s.book.Confirm(s.confirmed(sent, wait))
+	at := confirmed(s.clock, sent, wait)
+	if now := s.book.Load(); now != nil && s.stored.Load() >= now.Version && s.isCalm(at) {
+		s.book.Confirm(at)
+	}
 	return rev, nil
 }
 
 // confirmed returns the moment at which a wait that brought nothing shows that
 // nothing had changed: the store held it for the whole wait, unless the answer
 // came sooner.
-func (s *Settings) confirmed(sent awake.Instant, wait time.Duration) awake.Instant {
-	if s.clock().Sub(sent) < wait {
+func confirmed(clock awake.Clock, sent awake.Instant, wait time.Duration) awake.Instant {
+	if clock().Sub(sent) < wait {
 		return sent
 	}
 	return sent.Add(wait)
