--- a/internal/proc/edge/local.go
+++ b/internal/proc/edge/local.go
@@ -124,7 +124,9 @@
 // Learn implements gossip.Local.
 func (l *local) Learn(s *wire.State, from netip.AddrPort, now time.Time) {
 	v := l.vm
-	v.hubs.Answered(reportOf(s, from), s.Hub.Names, s.Hub.Digest, now)
+	if v.hubs.Answered(reportOf(s, from), s.Hub.Names, s.Hub.Digest, now) {
+		v.beat()
+	}
 	v.budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
 	l.take(s, from, false, now)
 	if s.Reply != nil {
@@ -202,11 +204,16 @@
 	return v.follow.Refresh(ctx, limit)
 }
 
-// confirmed reports whether the hubs confirm the settings.
-func (v *VM) confirmed(ctx context.Context) bool {
+// beat has the VM report to the hubs at once.
+func (v *VM) beat() {
 	if g := v.gossip.Load(); g != nil {
 		g.Beat()
 	}
+}
+
+// confirmed reports whether the hubs confirm the settings.
+func (v *VM) confirmed(ctx context.Context) bool {
+	v.beat()
 	for end := time.Now().Add(askTime); ctx.Err() == nil && time.Now().Before(end); {
 		if v.settings.Age() < confirmAge {
 			return true
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -118,7 +118,7 @@
 		share:    ports.Share,
 	}
 	v.cfg.Store(cfg)
-	v.names = hubs.NewNames(v.hubs, ports.Names, log)
+	v.names = hubs.NewNames(v.hubs, ports.Names, v.beat, log)
 	v.servers = backs.NewTable(v.tell)
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v.hubs)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, v.tell, log)
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -27,6 +27,8 @@
 	slowPause = 1500 * time.Millisecond
 	// toldPause is how often a VM that is told of changes looks whether it still is.
 	toldPause = 100 * time.Millisecond
+	// lackPause is the same for a VM that knows nothing yet.
+	lackPause = 20 * time.Millisecond
 	// startTime is how long a VM that is told, and knows nothing yet, waits for other
 	// VMs before it reads the store itself.
 	startTime = 3 * time.Second
@@ -71,7 +73,11 @@
 func (l *loop) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		if l.leave(ctx) {
-			retry.Pause(ctx, toldPause)
+			pause := toldPause
+			if l.src.empty() {
+				pause = lackPause
+			}
+			retry.Pause(ctx, pause)
 			continue
 		}
 		if l.src.known() == 0 && l.src.adopt(ctx) {
--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -29,6 +29,9 @@
 	forget = 15 * time.Second
 	// startTime is how long a VM that starts looks for others before it acts by itself.
 	startTime = 1500 * time.Millisecond
+	// joinTime is how long a VM that has heard the first other one waits until it has
+	// heard of the hubs, and does not take itself for one.
+	joinTime = 100 * time.Millisecond
 	// orderTime is how long the first places are taken to be unchanged, so that
 	// they need not be sought for each message.
 	orderTime = 50 * time.Millisecond
@@ -75,7 +78,7 @@
 	mu      sync.Mutex
 	vms     map[ident.VM]*vm
 	named   map[ident.VM]naming // by who named them
-	joined  bool                // another VM was heard, or none is to be looked for
+	joined  time.Time           // when another VM was first heard, or none was to be looked for
 	store   time.Time           // when the store last answered this VM
 	first   []Candidate         // of the order
 	firstAt time.Time
@@ -99,7 +102,9 @@
 	}
 	v.Candidate, v.word = r.Candidate, r.Word
 	v.heard, v.unheard = now, time.Time{}
-	h.joined = true
+	if h.joined.IsZero() {
+		h.joined = now
+	}
 	return v
 }
 
@@ -111,8 +116,9 @@
 }
 
 // Answered takes a hub's answer to a report. The hub leaves out the candidates that
-// it names if they are those of the digest that this VM told it.
-func (h *Hubs) Answered(r Report, list []Candidate, digest uint64, now time.Time) {
+// it names if they are those of the digest that this VM told it. It returns whether
+// this VM has to report to others than before, which it should do at once.
+func (h *Hubs) Answered(r Report, list []Candidate, digest uint64, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.hear(r, now)
@@ -126,6 +132,12 @@
 		h.named[r.VM] = naming{at: now, digest: digest, list: list}
 		h.firstAt = time.Time{}
 	}
+	for _, c := range h.others(now) {
+		if v := h.vms[c.VM]; v == nil || v.heard.IsZero() && v.tried.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 // again gives VMs that did not answer another chance: those that a hub names now and
@@ -154,10 +166,10 @@
 }
 
 // Alone has this VM act though it has heard nobody: nobody is there to be heard.
-func (h *Hubs) Alone() {
+func (h *Hubs) Alone(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.joined = true
+	h.joined = now.Add(-joinTime)
 }
 
 // Leave has this VM stand last in the order, so that another takes its place as a
--- a/internal/state/hubs/names.go
+++ b/internal/state/hubs/names.go
@@ -63,15 +63,17 @@
 type Names struct {
 	hubs  *Hubs
 	reg   Registry
+	found func()
 	log   *zap.Logger
 	lease Lease // zero: there is none
 	until time.Time
 	wrote time.Time // when the name was written
 }
 
-// NewNames makes the keeper of a VM's name.
-func NewNames(h *Hubs, reg Registry, log *zap.Logger) *Names {
-	return &Names{hubs: h, reg: reg, log: log}
+// NewNames makes the keeper of a VM's name. It calls found once it has read names
+// while no other VM is heard.
+func NewNames(h *Hubs, reg Registry, found func(), log *zap.Logger) *Names {
+	return &Names{hubs: h, reg: reg, found: found, log: log}
 }
 
 // Touch reports whether the store itself has answered this VM lately.
@@ -132,7 +134,7 @@
 		if names, err = n.read(ctx, true); err != nil || n.enough(names, time.Now()) {
 			return err
 		}
-		n.hubs.Alone()
+		n.hubs.Alone(now)
 	}
 	n.lease, err = n.reg.Announce(ctx, n.hubs.own.VM, n.hubs.own.Addr, leaseTTL)
 	n.until, n.wrote = now.Add(renewEvery), now
@@ -141,10 +143,15 @@
 
 func (n *Names) read(ctx context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
 	names, err := n.reg.VMs(ctx, fresh)
-	if err == nil {
-		n.hubs.Listed(names, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	n.hubs.Listed(names, now)
+	if n.hubs.Heard(now) == 0 {
+		n.found()
 	}
-	return names, err
+	return names, nil
 }
 
 // enough reports whether as many others as there are hubs can be found.
--- a/internal/state/hubs/watch.go
+++ b/internal/state/hubs/watch.go
@@ -28,7 +28,7 @@
 func (h *Hubs) Asks(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.joined && now.Sub(h.start) < startTime {
+	if h.starts(now) {
 		return false
 	}
 	fresh := h.fresh(now)
@@ -38,6 +38,14 @@
 	return fresh < watchers
 }
 
+// starts reports whether this VM still looks for others.
+func (h *Hubs) starts(now time.Time) bool {
+	if h.joined.IsZero() {
+		return now.Sub(h.start) < startTime
+	}
+	return now.Sub(h.joined) < joinTime
+}
+
 // fresh returns how many VMs before this one ask the store and are answered.
 func (h *Hubs) fresh(now time.Time) int {
 	n := 0
