Divide the names in the store and the following of it from what they serve

The loop that reads, waits and reads again is generic over revisions now (state/loop), and names have their own package (state/names). A VM that is told applies what is gone at once; who tells it has allowed for an outage.

--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -23,6 +23,7 @@
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/names"
 	_ "umberladder/internal/test/check" // fixes the seed
 )
 
@@ -57,7 +58,7 @@
 	from netip.AddrPort
 }
 
-// node is a VM and its socket. It implements conn, Local and hubs.Registry.
+// node is a VM and its socket. It implements conn, Local and names.Registry.
 type node struct {
 	net      *network
 	own      hubs.Candidate
@@ -162,16 +163,16 @@
 	}
 }
 
-func (v *node) Clock() uint64                           { return 1 }
-func (v *node) Reply(ask uint64) *wire.Reply            { return &wire.Reply{Ask: ask, Version: v.version.Load()} }
-func (v *node) Seat(homes.Ask, func(homes.Answer))      {}
-func (v *node) Seated(homes.Answer)                     {}
-func (v *node) Dirty() <-chan struct{}                  { return v.dirty }
-func (v *node) Moved() <-chan struct{}                  { return nil }
-func (v *node) Homes() []netip.AddrPort                 { return nil }
-func (v *node) Renew(context.Context, hubs.Lease) error { return nil }
+func (v *node) Clock() uint64                            { return 1 }
+func (v *node) Reply(ask uint64) *wire.Reply             { return &wire.Reply{Ask: ask, Version: v.version.Load()} }
+func (v *node) Seat(homes.Ask, func(homes.Answer))       {}
+func (v *node) Seated(homes.Answer)                      {}
+func (v *node) Dirty() <-chan struct{}                   { return v.dirty }
+func (v *node) Moved() <-chan struct{}                   { return nil }
+func (v *node) Homes() []netip.AddrPort                  { return nil }
+func (v *node) Renew(context.Context, names.Lease) error { return nil }
 
-func (v *node) Announce(_ context.Context, vm ident.VM, addr netip.AddrPort, _ time.Duration) (hubs.Lease, error) {
+func (v *node) Announce(_ context.Context, vm ident.VM, addr netip.AddrPort, _ time.Duration) (names.Lease, error) {
 	v.net.mu.Lock()
 	defer v.net.mu.Unlock()
 	v.net.calls += 2
@@ -179,7 +180,7 @@
 	return 1, nil
 }
 
-// VMs implements hubs.Registry. What need not be fresh is a second old here: nothing.
+// VMs implements names.Registry. What need not be fresh is a second old here: nothing.
 func (v *node) VMs(_ context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
 	time.Sleep(4 * time.Millisecond)
 	v.net.mu.Lock()
@@ -235,11 +236,11 @@
 	v.hubs, v.stop, v.down = hubs.New(v.own, time.Now().Add(after)), stop, false
 	v.version.Store(0)
 	v.gossip = over(v, v.own.VM, 1, v, v.hubs, zap.NewNop())
-	names := hubs.NewNames(v.hubs, v, v.gossip.Beat, zap.NewNop())
+	keeper := names.New(v.own, time.Now().Add(after), v.hubs, v, v.gossip.Beat, zap.NewNop())
 	f.mu.Lock()
 	f.nodes[v.own.Addr] = v
 	f.mu.Unlock()
-	for _, run := range []func(context.Context){names.Run, v.gossip.Send, v.gossip.Receive} {
+	for _, run := range []func(context.Context){keeper.Run, v.gossip.Send, v.gossip.Receive} {
 		f.group.Go(func() error {
 			retry.Pause(ctx, after)
 			run(ctx)
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -32,6 +32,7 @@
 	"umberladder/internal/state/backs"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/names"
 	"umberladder/internal/state/routes"
 )
 
@@ -71,7 +72,7 @@
 	Servers  follow.ServerSource
 	Backend  Backend
 	Codec    func(r *relay.Relay) Codec
-	Names    hubs.Registry
+	Names    names.Registry
 	Share    *share.Client            // fetches what other VMs share
 	Calls    func() map[string]uint64 // made to the store, by kind
 	Lines    *sink.Sink               // the log's
@@ -90,7 +91,7 @@
 	share    *share.Client
 	lines    *sink.Sink
 	hubs     *hubs.Hubs
-	names    *hubs.Names
+	names    *names.Keeper
 	budget   *retry.Window
 	group    *errgroup.Group
 	reading  atomic.Bool // newer settings are being read
@@ -106,19 +107,21 @@
 
 // New makes a VM from its settings and the platform's side.
 func New(cfg *conf.Edge, ports Ports, group *errgroup.Group, log *zap.Logger) *VM {
+	start := time.Now()
+	own := hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.Link)}
 	v := &VM{
 		log:      log,
 		set:      metrics.NewSet(),
 		news:     make(chan struct{}, 1),
 		settings: routes.NewBook(awake.Now),
 		seats:    seats.New(),
-		hubs:     hubs.New(hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.Link)}, time.Now()),
+		hubs:     hubs.New(own, start),
 		group:    group,
 		lines:    ports.Lines,
 		share:    ports.Share,
 	}
 	v.cfg.Store(cfg)
-	v.names = hubs.NewNames(v.hubs, ports.Names, v.beat, log)
+	v.names = names.New(own, start, v.hubs, ports.Names, v.beat, log)
 	v.servers = backs.NewTable(v.tell)
 	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v.hubs)
 	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, v.tell, log)
@@ -169,7 +172,7 @@
 		return false
 	}
 	now := time.Now()
-	if !v.hubs.Touch(now) && len(v.hubs.Asking(now)) > 0 {
+	if !v.hubs.Touch(names.TouchTime, now) && len(v.hubs.Asking(now)) > 0 {
 		return false
 	}
 	cfg := v.cfg.Load()
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -19,6 +19,7 @@
 	"umberladder/internal/core/awake"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/state/backs"
+	"umberladder/internal/state/loop"
 	"umberladder/internal/state/routes"
 )
 
@@ -264,8 +265,8 @@
 			time.Sleep(5 * time.Second)
 			assert.Assert(t, v.book.Age() >= 5*time.Second, "nothing is known of a store that is down")
 			s.setDown(false)
-			time.Sleep(lastPause + time.Millisecond)
-			assert.Assert(t, v.book.Age() <= lastPause)
+			time.Sleep(loop.LastPause + time.Millisecond)
+			assert.Assert(t, v.book.Age() <= loop.LastPause)
 		})
 	})
 	t.Run("entries that lapse in an outage stay until 2 s after it", func(t *testing.T) {
@@ -279,7 +280,7 @@
 			s.servers = map[ident.Server]backs.Entry{}
 			s.mu.Unlock()
 			s.setDown(false)
-			time.Sleep(lastPause + 100*time.Millisecond)
+			time.Sleep(loop.LastPause + 100*time.Millisecond)
 			v.knows(t, 2, "the store has just come back")
 			s.put(entry(1))
 			time.Sleep(backs.ReturnTime)
@@ -448,7 +449,7 @@
 			s.servers = map[ident.Server]backs.Entry{}
 			s.mu.Unlock()
 			s.setDown(false)
-			time.Sleep(lastPause + 100*time.Millisecond)
+			time.Sleep(loop.LastPause + 100*time.Millisecond)
 			n, ok := v.servers.All()
 			assert.Assert(t, ok && len(n.Changes) == 1 && n.Changes[0].Lapse > 0, "%+v", n)
 			v.told.Store(true)
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -12,6 +12,7 @@
 	"umberladder/internal/core/awake"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/state/backs"
+	"umberladder/internal/state/loop"
 )
 
 const (
@@ -148,7 +149,7 @@
 func (s *Servers) Learn(n News, now time.Time) {
 	changes := s.news(n, now)
 	for _, c := range changes {
-		s.take(&c)
+		s.take(&c, time.Time{}) // who told it has allowed for an outage
 	}
 }
 
@@ -197,21 +198,21 @@
 
 // Run follows the servers until ctx ends.
 func (s *Servers) Run(ctx context.Context) {
-	l := &loop{log: s.log, src: source{
-		name:  "servers",
-		wait:  serversWait,
-		rest:  s.rest,
-		adopt: s.adopt,
-		read:  s.read,
-		await: s.await,
-		lost:  s.lost,
-		back:  s.back,
-		known: s.known,
-		empty: func() bool { return s.known() == 0 },
-		told:  s.told,
-		first: s.first,
-	}}
-	l.run(ctx)
+	l := loop.New(loop.Source[Revision]{
+		Name:  "servers",
+		Wait:  serversWait,
+		Rest:  s.rest,
+		Adopt: s.adopt,
+		Read:  s.read,
+		Await: s.await,
+		Lost:  s.lost,
+		Back:  s.back,
+		Known: s.known,
+		Empty: func() bool { return s.known() == 0 },
+		Told:  s.told,
+		First: s.first,
+	}, s.log)
+	l.Run(ctx)
 }
 
 func (s *Servers) rest() time.Duration {
@@ -332,7 +333,7 @@
 
 // adopt takes all servers that another VM knows, if there is one.
 func (s *Servers) adopt(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	ctx, cancel := context.WithTimeout(ctx, loop.ReadLimit)
 	defer cancel()
 	n, err := s.ask(ctx)
 	if errors.Is(err, ErrNobody) {
@@ -347,7 +348,7 @@
 		list = append(list, c.Entry)
 	}
 	now := time.Now()
-	s.table.Replace(list, s.grace(now), now)
+	s.table.Replace(list, time.Time{}, now)
 	for _, c := range n.Changes {
 		if c.Lapse > 0 {
 			// Nobody tells when it is over.
@@ -373,7 +374,7 @@
 		if c.Gone {
 			c.Lapse = max(s.grace(now).Sub(now), 0)
 		}
-		if s.take(&c) {
+		if s.take(&c, s.grace(now)) {
 			s.note(c, now)
 			noted = true
 		}
@@ -394,12 +395,13 @@
 	s.recent = append(s.recent, dated{Change: c, at: now})
 }
 
-// take applies a change and reports whether it says anything new.
-func (s *Servers) take(c *Change) bool {
+// take applies a change and reports whether it says anything new. Until grace a
+// missing entry says nothing.
+func (s *Servers) take(c *Change, grace time.Time) bool {
 	id := zap.String("server", string(c.Entry.ID))
 	if c.Gone {
 		now := time.Now()
-		if s.table.Remove(c.Entry.ID.Name(), c.until(s.grace(now), now), now) {
+		if s.table.Remove(c.Entry.ID.Name(), c.until(grace, now), now) {
 			s.log.Info("server entry removed", id)
 		}
 		return true
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -11,6 +11,7 @@
 
 	"umberladder/internal/core/awake"
 	"umberladder/internal/state/backs"
+	"umberladder/internal/state/loop"
 	"umberladder/internal/state/routes"
 )
 
@@ -64,7 +65,7 @@
 	snap := s.book.Load()
 	switch {
 	case snap == nil || version > snap.Version:
-		if err := s.Refresh(ctx, readLimit); err != nil {
+		if err := s.Refresh(ctx, loop.ReadLimit); err != nil {
 			s.log.Info("newer settings not read", zap.Uint64("version", version), zap.Error(err))
 		}
 	case version == snap.Version:
@@ -90,21 +91,21 @@
 
 // Run follows the settings until ctx ends.
 func (s *Settings) Run(ctx context.Context) {
-	l := &loop{log: s.log, src: source{
-		name:  "settings",
-		wait:  settingsWait,
-		rest:  func() time.Duration { return 0 },
-		adopt: func(context.Context) bool { return false }, // newer versions are told of
-		read:  func(ctx context.Context) (Revision, error) { return s.shared(ctx, readLimit) },
-		await: s.await,
-		lost:  func(time.Time) {},
-		back:  func(time.Time) {},
-		known: func() Revision { return Revision(s.rev.Load()) },
-		empty: func() bool { return s.book.Load() == nil },
-		told:  s.told,
-		first: s.first,
-	}}
-	l.run(ctx)
+	l := loop.New(loop.Source[Revision]{
+		Name:  "settings",
+		Wait:  settingsWait,
+		Rest:  func() time.Duration { return 0 },
+		Adopt: func(context.Context) bool { return false }, // newer versions are told of
+		Read:  func(ctx context.Context) (Revision, error) { return s.shared(ctx, loop.ReadLimit) },
+		Await: s.await,
+		Lost:  func(time.Time) {},
+		Back:  func(time.Time) {},
+		Known: func() Revision { return Revision(s.rev.Load()) },
+		Empty: func() bool { return s.book.Load() == nil },
+		Told:  s.told,
+		First: s.first,
+	}, s.log)
+	l.Run(ctx)
 }
 
 // ErrSlow says that a reading takes longer than was to be waited for.
@@ -124,7 +125,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, limit, ErrSlow)
 	defer cancel()
 	reading := s.once.DoChan("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readLimit)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loop.ReadLimit)
 		defer cancel()
 		return s.read(ctx)
 	})
--- a/internal/state/hubs/doc.go
+++ b/internal/state/hubs/doc.go
@@ -6,6 +6,4 @@
 // with the first VMs of the order that it hears. A VM that does not answer is passed
 // over, so that nothing has to be elected, and VMs that disagree for a while cost
 // messages and nothing else.
-//
-// Names in the store are for VMs that know nobody: hubs keep theirs there.
 package hubs
--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -29,8 +29,8 @@
 	retryAfter = 3 * time.Second
 	// forget is how long a silent VM counts as one that may still be there.
 	forget = 15 * time.Second
-	// startTime is how long a VM that starts looks for others before it acts by itself.
-	startTime = 1500 * time.Millisecond
+	// StartTime is how long a VM that starts looks for others before it acts by itself.
+	StartTime = 1500 * time.Millisecond
 	// joinTime is how long a VM that has heard the first other one waits until it has
 	// heard of the hubs, and does not take itself for one.
 	joinTime = 100 * time.Millisecond
@@ -170,6 +170,19 @@
 	h.firstAt = time.Time{}
 }
 
+// Answering returns how many of the other VMs that the store names may answer.
+func (h *Hubs) Answering(names map[ident.VM]netip.AddrPort, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for name := range names {
+		if name != h.own.VM && !h.vms[name].silent(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Alone has this VM act though it has heard nobody: nobody is there to be heard.
 func (h *Hubs) Alone(now time.Time) {
 	h.mu.Lock()
--- a/internal/state/hubs/watch.go
+++ b/internal/state/hubs/watch.go
@@ -41,7 +41,7 @@
 // starts reports whether this VM still looks for others.
 func (h *Hubs) starts(now time.Time) bool {
 	if h.joined.IsZero() {
-		return now.Sub(h.start) < startTime
+		return now.Sub(h.start) < StartTime
 	}
 	return now.Sub(h.joined) < joinTime
 }
@@ -82,6 +82,13 @@
 	return h.rank < Count
 }
 
+// Touch reports whether the store has answered this VM within a time.
+func (h *Hubs) Touch(within time.Duration, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.store) < within
+}
+
 // Answers reports whether the store has answered this VM just now.
 func (h *Hubs) Answers(now time.Time) bool {
 	h.mu.Lock()
--- a/internal/state/follow/follow.go
+++ b/internal/state/loop/loop.go
@@ -1,4 +1,4 @@
-package follow
+package loop
 
 import (
 	"context"
@@ -12,16 +12,15 @@
 )
 
 const (
-	// readLimit bounds a read as a whole, so that none goes on for ever. What ends
+	// ReadLimit bounds a read as a whole, so that none goes on for ever. What ends
 	// one that makes no progress is the source's limit on silence: how long a read
-	// takes depends on how much there is to read, and on the VM's link. The largest
-	// page of the store needs 6.7 s at 10 Mbit/s.
-	readLimit = 15 * time.Second
-	// firstPause and lastPause are the bounds of the pause between failed reads.
+	// takes depends on how much there is to read, and on the VM's link.
+	ReadLimit = 15 * time.Second
+	// firstPause and LastPause are the bounds of the pause between failed reads.
 	// The last one keeps the return of a store within a third of the 2 s in which
 	// a change has to be in force.
 	firstPause = 50 * time.Millisecond
-	lastPause  = 400 * time.Millisecond
+	LastPause  = 400 * time.Millisecond
 	// slowPause is the least pause of VMs that leave it to the first ones to find
 	// out that the store is back.
 	slowPause = 1500 * time.Millisecond
@@ -34,53 +33,61 @@
 	startTime = 3 * time.Second
 )
 
-// source is the part of the store that a loop follows.
-type source struct {
-	name string
-	wait time.Duration // how long the store holds a wait without changes
-	// rest returns the pause after a change, so that several come in one answer.
-	rest func() time.Duration
-	// adopt takes everything from another VM; false if that is not possible.
-	adopt func(ctx context.Context) bool
-	// read takes everything.
-	read func(ctx context.Context) (Revision, error)
-	// await takes the changes after a revision.
-	await func(ctx context.Context, after Revision, wait time.Duration) (Revision, error)
-	lost  func(now time.Time)
-	back  func(now time.Time)
-	// known returns the revision up to which everything is known; zero: all has
+// Source is the part of the store that a loop follows, with revisions of its changes;
+// the zero revision stands for none.
+type Source[R comparable] struct {
+	Name string
+	Wait time.Duration // how long the store holds a wait without changes
+	// Rest returns the pause after a change, so that several come in one answer.
+	Rest func() time.Duration
+	// Adopt takes everything from another VM; false if that is not possible.
+	Adopt func(ctx context.Context) bool
+	// Read takes everything.
+	Read func(ctx context.Context) (R, error)
+	// Await takes the changes after a revision.
+	Await func(ctx context.Context, after R, wait time.Duration) (R, error)
+	Lost  func(now time.Time)
+	Back  func(now time.Time)
+	// Known returns the revision up to which everything is known; zero: all has
 	// to be read.
-	known func() Revision
-	// empty reports whether nothing is known that this VM could go on with while it
+	Known func() R
+	// Empty reports whether nothing is known that this VM could go on with while it
 	// is told.
-	empty func() bool
-	// told reports whether other VMs tell what changes, so that the store need
+	Empty func() bool
+	// Told reports whether other VMs tell what changes, so that the store need
 	// not be asked.
-	told func() bool
-	// first reports whether this VM is to find out soon that the store is back.
-	first func() bool
+	Told func() bool
+	// First reports whether this VM is to find out soon that the store is back.
+	First func() bool
 }
 
-// loop follows a source until ctx ends.
-type loop struct {
-	src  source
+// Loop follows a source.
+type Loop[R comparable] struct {
+	src  Source[R]
 	log  *zap.Logger
 	down bool
 	// lacking is since when nothing is known; zero: something is.
 	lacking time.Time
 }
 
-func (l *loop) run(ctx context.Context) {
+// New makes a loop over a source.
+func New[R comparable](src Source[R], log *zap.Logger) *Loop[R] {
+	return &Loop[R]{src: src, log: log}
+}
+
+// Run follows the source until ctx ends.
+func (l *Loop[R]) Run(ctx context.Context) {
+	var none R
 	for n := 0; ctx.Err() == nil; n++ {
 		if l.leave(ctx) {
 			pause := toldPause
-			if l.src.empty() {
+			if l.src.Empty() {
 				pause = lackPause
 			}
 			retry.Pause(ctx, pause)
 			continue
 		}
-		if l.src.known() == 0 && l.src.adopt(ctx) {
+		if l.src.Known() == none && l.src.Adopt(ctx) {
 			continue
 		}
 		_, err := l.read(ctx)
@@ -101,57 +108,58 @@
 
 // leave reports whether this VM leaves it to others to ask the store. What it lacks
 // it takes from them.
-func (l *loop) leave(ctx context.Context) bool {
-	if !l.src.empty() {
+func (l *Loop[R]) leave(ctx context.Context) bool {
+	if !l.src.Empty() {
 		l.lacking = time.Time{}
-		return l.src.told()
+		return l.src.Told()
 	}
 	now := time.Now()
 	if l.lacking.IsZero() {
 		l.lacking = now
 	}
-	if !l.src.told() || now.Sub(l.lacking) > startTime {
+	if !l.src.Told() || now.Sub(l.lacking) > startTime {
 		return false
 	}
-	l.src.adopt(ctx)
+	l.src.Adopt(ctx)
 	return true
 }
 
 // errGap says that changes were told of which some are missing.
-var errGap = errors.New("follow: some changes were not told")
+var errGap = errors.New("loop: some changes were not told")
 
 // rest pauses after failed read n. What others tell ends it.
-func (l *loop) rest(ctx context.Context, n int) {
-	d := min(firstPause<<min(n, 8), lastPause)
-	if n > 0 && !l.src.first() {
+func (l *Loop[R]) rest(ctx context.Context, n int) {
+	d := min(firstPause<<min(n, 8), LastPause)
+	if n > 0 && !l.src.First() {
 		d = slowPause + rand.N(slowPause)
 	}
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
-		if l.src.told() {
+		if l.src.Told() {
 			return
 		}
 		retry.Pause(ctx, min(toldPause, time.Until(end)))
 	}
 }
 
-func (l *loop) read(ctx context.Context) (Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, readLimit)
+func (l *Loop[R]) read(ctx context.Context) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, ReadLimit)
 	defer cancel()
-	return l.src.read(ctx)
+	return l.src.Read(ctx)
 }
 
 // follow waits for changes until something fails.
-func (l *loop) follow(ctx context.Context) error {
+func (l *Loop[R]) follow(ctx context.Context) error {
+	var none R
 	for ctx.Err() == nil {
-		if l.src.empty() {
+		if l.src.Empty() {
 			return errGap
 		}
-		if l.src.told() {
+		if l.src.Told() {
 			retry.Pause(ctx, toldPause)
 			continue
 		}
-		rev := l.src.known()
-		if rev == 0 {
+		rev := l.src.Known()
+		if rev == none {
 			return errGap
 		}
 		next, err := l.await(ctx, rev)
@@ -159,36 +167,36 @@
 			return err
 		}
 		if next != rev {
-			retry.Pause(ctx, l.src.rest())
+			retry.Pause(ctx, l.src.Rest())
 		}
 	}
 	return ctx.Err()
 }
 
-func (l *loop) await(ctx context.Context, rev Revision) (Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.src.wait+readLimit)
+func (l *Loop[R]) await(ctx context.Context, rev R) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.src.Wait+ReadLimit)
 	defer cancel()
-	return l.src.await(ctx, rev, l.src.wait)
+	return l.src.Await(ctx, rev, l.src.Wait)
 }
 
 // failed notes a failure; the first of several in a row is a dependency lost.
-func (l *loop) failed(ctx context.Context, call string, err error) {
+func (l *Loop[R]) failed(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil || err == nil {
 		return
 	}
-	l.src.lost(time.Now())
+	l.src.Lost(time.Now())
 	if l.down {
 		return
 	}
 	l.down = true
-	l.log.Warn("store lost", zap.String("source", l.src.name), zap.String("call", call), zap.Error(err))
+	l.log.Warn("store lost", zap.String("source", l.src.Name), zap.String("call", call), zap.Error(err))
 }
 
-func (l *loop) recovered() {
+func (l *Loop[R]) recovered() {
 	if !l.down {
 		return
 	}
 	l.down = false
-	l.src.back(time.Now())
-	l.log.Info("store back", zap.String("source", l.src.name))
+	l.src.Back(time.Now())
+	l.log.Info("store back", zap.String("source", l.src.Name))
 }
--- a/internal/state/hubs/names.go
+++ b/internal/state/names/names.go
@@ -1,4 +1,4 @@
-package hubs
+package names
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/state/hubs"
 )
 
 const (
@@ -26,9 +27,9 @@
 	firstRead = 300 * time.Millisecond
 	// retryName is the pause after a failed call.
 	retryName = 1200 * time.Millisecond
-	// touchTime is how long after an answer a VM counts as reaching the store: a
+	// TouchTime is how long after an answer a VM counts as reaching the store: a
 	// reading and one more try.
-	touchTime = readEvery + retryName + 300*time.Millisecond
+	TouchTime = readEvery + retryName + 300*time.Millisecond
 	// staleTime is how old the names may be that are read.
 	staleTime = 8 * time.Second
 	// callTime bounds one call to the store.
@@ -39,11 +40,11 @@
 	firstDelay    = 400 * time.Millisecond
 	capacityDelay = 100 * time.Millisecond
 	// noDelay is the capacity from which a VM need not wait.
-	noDelay Capacity = 16
+	noDelay hubs.Capacity = 16
 )
 
 // ErrLapsed says that a lease has ended.
-var ErrLapsed = errors.New("hubs: the lease has ended")
+var ErrLapsed = errors.New("names: the lease has ended")
 
 // Lease identifies a lease in the store.
 type Lease uint64
@@ -59,9 +60,11 @@
 	VMs(ctx context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error)
 }
 
-// Names reads the names in the store, and keeps this VM's there while it is a hub.
-type Names struct {
-	hubs  *Hubs
+// Keeper reads the names in the store, and keeps this VM's there while it is a hub.
+type Keeper struct {
+	own   hubs.Candidate
+	start time.Time
+	hubs  *hubs.Hubs
 	reg   Registry
 	found func()
 	log   *zap.Logger
@@ -70,41 +73,34 @@
 	wrote time.Time // when the name was written
 }
 
-// NewNames makes the keeper of a VM's name. It calls found once it has read names
+// New makes the keeper of a VM's name, which starts at a moment. It calls found once it has read names
 // while no other VM is heard.
-func NewNames(h *Hubs, reg Registry, found func(), log *zap.Logger) *Names {
-	return &Names{hubs: h, reg: reg, found: found, log: log}
-}
-
-// Touch reports whether the store itself has answered this VM lately.
-func (h *Hubs) Touch(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return now.Sub(h.store) < touchTime
+func New(own hubs.Candidate, start time.Time, h *hubs.Hubs, reg Registry, found func(), log *zap.Logger) *Keeper {
+	return &Keeper{own: own, start: start, hubs: h, reg: reg, found: found, log: log}
 }
 
 // Run keeps and reads names until ctx ends.
-func (n *Names) Run(ctx context.Context) {
-	open := time.Now().Add(delay(n.hubs.own.Capacity))
+func (k *Keeper) Run(ctx context.Context) {
+	open := time.Now().Add(delay(k.own.Capacity))
 	for ctx.Err() == nil {
-		err := n.step(ctx, open)
+		err := k.step(ctx, open)
 		if err != nil {
-			n.log.Info("names of VMs not kept or read in the store", zap.Error(err))
+			k.log.Info("names of VMs not kept or read in the store", zap.Error(err))
 		}
-		retry.Pause(ctx, n.pause(err, time.Now()))
+		retry.Pause(ctx, k.pause(err, time.Now()))
 	}
 }
 
 // delay returns how long a VM that starts waits before it writes its name.
-func delay(c Capacity) time.Duration {
+func delay(c hubs.Capacity) time.Duration {
 	return time.Duration(noDelay-min(c, noDelay))*capacityDelay + rand.N(firstDelay)
 }
 
-func (n *Names) pause(err error, now time.Time) time.Duration {
+func (k *Keeper) pause(err error, now time.Time) time.Duration {
 	switch {
 	case err != nil:
 		return retryName
-	case n.hubs.Heard(now) == 0 && now.Sub(n.hubs.start) < touchTime:
+	case k.hubs.Heard(now) == 0 && now.Sub(k.start) < TouchTime:
 		return firstRead
 	default:
 		return readEvery
@@ -112,76 +108,63 @@
 }
 
 // step reads the names once, and writes this VM's if it has to be found by others.
-func (n *Names) step(ctx context.Context, open time.Time) error {
+func (k *Keeper) step(ctx context.Context, open time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	names, err := n.read(ctx, false)
+	names, err := k.read(ctx, false)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	if _, there := names[n.hubs.own.VM]; !there && now.Sub(n.wrote) > staleTime {
-		n.lease = 0 // the store has lost it
+	if _, there := names[k.own.VM]; !there && now.Sub(k.wrote) > staleTime {
+		k.lease = 0 // the store has lost it
 	}
-	if n.lease != 0 {
-		return n.renew(ctx, now)
+	if k.lease != 0 {
+		return k.renew(ctx, now)
 	}
-	if now.Before(open) || !n.hubs.Hub(now) {
+	if now.Before(open) || !k.hubs.Hub(now) {
 		return nil
 	}
-	if n.hubs.Heard(now) == 0 {
+	if k.hubs.Heard(now) == 0 {
 		// Those that began to look at the same time may have written theirs.
-		if names, err = n.read(ctx, true); err != nil || n.enough(names, time.Now()) {
+		if names, err = k.read(ctx, true); err != nil || k.hubs.Answering(names, time.Now()) >= hubs.Count {
 			return err
 		}
-		n.hubs.Alone(now)
+		k.hubs.Alone(now)
 	}
-	n.lease, err = n.reg.Announce(ctx, n.hubs.own.VM, n.hubs.own.Addr, leaseTTL)
-	n.until, n.wrote = now.Add(renewEvery), now
+	k.lease, err = k.reg.Announce(ctx, k.own.VM, k.own.Addr, leaseTTL)
+	k.until, k.wrote = now.Add(renewEvery), now
 	return err
 }
 
-func (n *Names) read(ctx context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
-	names, err := n.reg.VMs(ctx, fresh)
+func (k *Keeper) read(ctx context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
+	names, err := k.reg.VMs(ctx, fresh)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	n.hubs.Listed(names, now)
-	if n.hubs.Heard(now) == 0 {
-		n.found()
+	k.hubs.Listed(names, now)
+	if k.hubs.Heard(now) == 0 {
+		k.found()
 	}
 	return names, nil
 }
 
-// enough reports whether as many others as there are hubs can be found.
-func (n *Names) enough(names map[ident.VM]netip.AddrPort, now time.Time) bool {
-	n.hubs.mu.Lock()
-	defer n.hubs.mu.Unlock()
-	left := 0
-	for name := range names {
-		if name != n.hubs.own.VM && !n.hubs.vms[name].silent(now) {
-			left++
-		}
-	}
-	return left >= Count
-}
-
 // renew prolongs the lease, or lets it end once others are the hubs.
-func (n *Names) renew(ctx context.Context, now time.Time) error {
-	if now.Before(n.until) {
+func (k *Keeper) renew(ctx context.Context, now time.Time) error {
+	if now.Before(k.until) {
 		return nil
 	}
-	if !n.hubs.Hub(now) {
-		n.lease = 0
+	if !k.hubs.Hub(now) {
+		k.lease = 0
 		return nil
 	}
-	err := n.reg.Renew(ctx, n.lease)
+	err := k.reg.Renew(ctx, k.lease)
 	if errors.Is(err, ErrLapsed) {
-		n.lease = 0
+		k.lease = 0
 	}
 	if err == nil {
-		n.until = now.Add(renewEvery)
+		k.until = now.Add(renewEvery)
 	}
 	return err
 }
--- /dev/null
+++ b/internal/state/names/names_test.go
@@ -0,0 +1,113 @@
+package names
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/state/hubs"
+)
+
+func candidate(n int) hubs.Candidate {
+	return hubs.Candidate{VM: ident.VM(fmt.Sprint("vm-", n)), Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+n)), Capacity: 12}
+}
+
+// registry is a store of names that may be away, or lose them.
+type registry struct {
+	away   bool
+	lost   bool
+	names  map[ident.VM]netip.AddrPort
+	writes int
+	fresh  int
+}
+
+var errAway = errors.New("away")
+
+func (r *registry) Announce(_ context.Context, vm ident.VM, a netip.AddrPort, _ time.Duration) (Lease, error) {
+	r.writes++
+	r.names[vm] = a
+	return Lease(r.writes), nil
+}
+
+func (r *registry) Renew(context.Context, Lease) error {
+	if r.lost {
+		return ErrLapsed
+	}
+	return nil
+}
+
+func (r *registry) VMs(_ context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
+	if r.away {
+		return nil, errAway
+	}
+	if fresh {
+		r.fresh++
+	}
+	return r.names, nil
+}
+
+func TestNames(t *testing.T) {
+	run := func(t *testing.T, r *registry, f func(h *hubs.Hubs)) {
+		synctest.Test(t, func(t *testing.T) {
+			if r.names == nil {
+				r.names = make(map[ident.VM]netip.AddrPort)
+			}
+			h := hubs.New(candidate(1), time.Now())
+			ctx, cancel := context.WithCancel(t.Context())
+			var g errgroup.Group
+			g.Go(func() error {
+				New(candidate(1), time.Now(), h, r, func() {}, zap.NewNop()).Run(ctx)
+				return nil
+			})
+			f(h)
+			cancel()
+			assert.NilError(t, g.Wait())
+		})
+	}
+	t.Run("a VM that finds nobody can be found", func(t *testing.T) {
+		r := &registry{}
+		run(t, r, func(h *hubs.Hubs) {
+			time.Sleep(hubs.StartTime)
+			assert.Equal(t, r.writes, 1)
+			assert.Assert(t, h.Asks(time.Now()))
+			r.names, r.lost = map[ident.VM]netip.AddrPort{}, true
+			time.Sleep(staleTime + readEvery + retryName)
+			assert.Equal(t, r.writes, 2, "a name that the store has lost is written again")
+		})
+	})
+	t.Run("one that finds enough others need not be found", func(t *testing.T) {
+		r := &registry{names: make(map[ident.VM]netip.AddrPort)}
+		for n := range hubs.Count {
+			r.names[candidate(10+n).VM] = candidate(10 + n).Addr
+		}
+		run(t, r, func(*hubs.Hubs) {
+			time.Sleep(hubs.StartTime)
+			assert.Equal(t, r.writes, 0)
+		})
+	})
+	t.Run("a VM knows whether the store is in reach", func(t *testing.T) {
+		r := &registry{}
+		run(t, r, func(h *hubs.Hubs) {
+			time.Sleep(time.Second)
+			for range 20 {
+				time.Sleep(time.Second)
+				assert.Assert(t, h.Touch(TouchTime, time.Now()))
+			}
+			r.away = true
+			time.Sleep(TouchTime + time.Second)
+			assert.Assert(t, !h.Touch(TouchTime, time.Now()))
+			r.away = false
+			time.Sleep(retryName + time.Millisecond)
+			assert.Assert(t, h.Touch(TouchTime, time.Now()))
+		})
+	})
+}
