Let VMs that start together hear of one another before they ask the store

Change: a VM that has just joined reports often, and asks the store only once its hubs are the same for a while; names are read each 4 s, and no more often by VMs that the store refuses.

--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -33,7 +33,9 @@
 	StartTime = 1500 * time.Millisecond
 	// joinTime is how long a VM that has heard the first other one waits until it has
 	// heard of the hubs, and does not take itself for one.
-	joinTime = 100 * time.Millisecond
+	joinTime = 250 * time.Millisecond
+	// youngEvery is how often it reports meanwhile: others hear of one another, too.
+	youngEvery = 80 * time.Millisecond
 	// orderTime is how long the first places are taken to be unchanged, so that
 	// they need not be sought for each message.
 	orderTime = 50 * time.Millisecond
@@ -351,6 +353,8 @@
 	switch {
 	case v == nil:
 		return time.Time{}
+	case !h.joined.IsZero() && v.tried.Sub(h.joined) < joinTime:
+		return v.tried.Add(youngEvery)
 	case !v.unheard.IsZero():
 		return v.tried.Add(seekEvery)
 	default:
--- a/internal/state/hubs/hubs_test.go
+++ b/internal/state/hubs/hubs_test.go
@@ -73,6 +73,7 @@
 func TestTargets(t *testing.T) {
 	now := time.Now()
 	h := New(candidate(99, 12), now)
+	h.Alone(now) // it has looked for others long enough
 	h.Listed(map[ident.VM]netip.AddrPort{"vm-0": candidate(0, 0).Addr}, now)
 	assert.Equal(t, len(h.Targets(now, true)), 1, "the one that the store names")
 	list := []Candidate{candidate(0, 14), candidate(1, 14), candidate(2, 14), candidate(3, 14), candidate(4, 13)}
--- a/internal/state/names/names.go
+++ b/internal/state/names/names.go
@@ -22,10 +22,11 @@
 	renewEvery = 30 * time.Second
 	// readEvery is how often the names are read: by the answer a VM knows that the
 	// store is in reach.
-	readEvery = 3 * time.Second
+	readEvery = 4 * time.Second
 	// firstRead is the pause between readings while nobody is heard.
 	firstRead = 300 * time.Millisecond
-	// retryName is the pause after a failed call.
+	// retryName is the pause after a failed call. Where the store turns a VM away, the
+	// next ones are as far apart as other readings.
 	retryName = 1200 * time.Millisecond
 	// TouchTime is how long after an answer a VM counts as reaching the store: a
 	// reading and one more try.
@@ -71,10 +72,11 @@
 	lease Lease // zero: there is none
 	until time.Time
 	wrote time.Time // when the name was written
+	fails int       // calls that failed in a row
 }
 
-// New makes the keeper of a VM's name, which starts at a moment. It calls found once it has read names
-// while no other VM is heard.
+// New makes the keeper of a VM's name, which starts at a moment. It calls found once
+// it has read names while no other VM is heard.
 func New(own hubs.Candidate, start time.Time, h *hubs.Hubs, reg Registry, found func(), log *zap.Logger) *Keeper {
 	return &Keeper{own: own, start: start, hubs: h, reg: reg, found: found, log: log}
 }
@@ -84,7 +86,10 @@
 	open := time.Now().Add(delay(k.own.Capacity))
 	for ctx.Err() == nil {
 		err := k.step(ctx, open)
-		if err != nil {
+		k.fails++
+		if err == nil {
+			k.fails = 0
+		} else {
 			k.log.Info("names of VMs not kept or read in the store", zap.Error(err))
 		}
 		retry.Pause(ctx, k.pause(err, time.Now()))
@@ -98,7 +103,7 @@
 
 func (k *Keeper) pause(err error, now time.Time) time.Duration {
 	switch {
-	case err != nil:
+	case err != nil && k.fails == 1:
 		return retryName
 	case k.hubs.Heard(now) == 0 && now.Sub(k.start) < TouchTime:
 		return firstRead
--- a/internal/state/names/names_test.go
+++ b/internal/state/names/names_test.go
@@ -106,7 +106,7 @@
 			time.Sleep(TouchTime + time.Second)
 			assert.Assert(t, !h.Touch(TouchTime, time.Now()))
 			r.away = false
-			time.Sleep(retryName + time.Millisecond)
+			time.Sleep(readEvery + time.Millisecond)
 			assert.Assert(t, h.Touch(TouchTime, time.Now()))
 		})
 	})
