--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -115,7 +115,7 @@
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
-		n := 0
+		var n int
 		select {
 		case <-ctx.Done():
 			_ = g.conn.Close()
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -182,12 +182,6 @@
 	switch n {
 	case fieldVM:
 		s.VM = ident.VM(text)
-	case fieldBoot:
-		s.Boot = v
-	case fieldSeq:
-		s.Seq = v
-	case fieldPart:
-		s.Part = int(min(v, math.MaxInt32))
 	case fieldLoad:
 		var id ident.Server
 		var l seats.Load
@@ -200,6 +194,31 @@
 		s.Sent[name] = sent
 	case fieldLeaving:
 		s.Leaving = append(s.Leaving, ident.Server(text))
+	case fieldNews:
+		s.News, err = DecodeNews(text)
+	case fieldReply:
+		s.Reply, err = decodeReply(text)
+	case fieldHub:
+		s.Hub, err = decodeHub(text)
+	case fieldSeat:
+		s.Seat, err = decodeSeat(s.VM, text)
+	case fieldAnswer:
+		s.Answer, err = decodeAnswer(text)
+	default:
+		s.takeNumber(n, v)
+	}
+	return err
+}
+
+// takeNumber maps one field of a message that holds a number.
+func (s *State) takeNumber(n protowire.Number, v uint64) {
+	switch n {
+	case fieldBoot:
+		s.Boot = v
+	case fieldSeq:
+		s.Seq = v
+	case fieldPart:
+		s.Part = int(min(v, math.MaxInt32))
 	case fieldVersion:
 		s.Version = v
 	case fieldAsks:
@@ -210,20 +229,9 @@
 		s.Capacity = hubs.Capacity(min(v, math.MaxUint8))
 	case fieldDigest:
 		s.Digest = v
-	case fieldHub:
-		s.Hub, err = decodeHub(text)
-	case fieldNews:
-		s.News, err = DecodeNews(text)
 	case fieldAsk:
 		s.Ask = v
-	case fieldReply:
-		s.Reply, err = decodeReply(text)
-	case fieldSeat:
-		s.Seat, err = decodeSeat(s.VM, text)
-	case fieldAnswer:
-		s.Answer, err = decodeAnswer(text)
 	}
-	return err
 }
 
 func decodeReply(b []byte) (*Reply, error) {
--- a/internal/state/loop/loop.go
+++ b/internal/state/loop/loop.go
@@ -16,11 +16,11 @@
 	// one that makes no progress is the source's limit on silence: how long a read
 	// takes depends on how much there is to read, and on the VM's link.
 	ReadLimit = 15 * time.Second
-	// firstPause and LastPause are the bounds of the pause between failed reads.
-	// The last one keeps the return of a store within a third of the 2 s in which
-	// a change has to be in force.
+	// firstPause is the pause after the first failed read.
 	firstPause = 50 * time.Millisecond
-	LastPause  = 400 * time.Millisecond
+	// LastPause is the longest pause between failed reads. It keeps the return of a
+	// store within a third of the 2 s in which a change has to be in force.
+	LastPause = 400 * time.Millisecond
 	// slowPause is the least pause of VMs that leave it to the first ones to find
 	// out that the store is back.
 	slowPause = 1500 * time.Millisecond
