Give a VM that knows nobody some seeds to ask

Change: settings name seeds, the peers' addresses of three VMs; VMs speak to each other at the address that the platform lists. A VM that hears nobody leaves it to others to find out that the store is back.

--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -49,6 +49,8 @@
 	nodes map[netip.AddrPort]*node
 	cut   func(a, b *node) bool // nil: no VMs are cut off from one another
 	names map[ident.VM]netip.AddrPort
+	away  bool // the store answers nobody
+	seeds []netip.AddrPort
 	calls int // to the store, fresh readings and writings
 	group errgroup.Group
 }
@@ -185,7 +187,7 @@
 	time.Sleep(4 * time.Millisecond)
 	v.net.mu.Lock()
 	defer v.net.mu.Unlock()
-	if v.cutStore.Load() {
+	if v.cutStore.Load() || v.net.away {
 		return nil, fmt.Errorf("cut off")
 	}
 	if fresh {
@@ -233,7 +235,7 @@
 func (f *fleet) start(v *node, after time.Duration) {
 	ctx, stop := context.WithCancel(f.ctx)
 	v.in, v.closed, v.dirty = make(chan datagram, 1000), make(chan struct{}), make(chan struct{}, 1)
-	v.hubs, v.stop, v.down = hubs.New(v.own, time.Now().Add(after)), stop, false
+	v.hubs, v.stop, v.down = hubs.New(v.own, f.seeds, time.Now().Add(after)), stop, false
 	v.version.Store(0)
 	v.gossip = over(v, v.own.VM, 1, v, v.hubs, zap.NewNop())
 	keeper := names.New(v.own, time.Now().Add(after), v.hubs, v, v.gossip.Beat, zap.NewNop())
@@ -367,6 +369,25 @@
 			assert.Assert(t, f.calls-before <= vms/4, "%d calls to the store", f.calls-before)
 		})
 	})
+	t.Run("VMs that start while the store is away find the others by their seeds", func(t *testing.T) {
+		play(t, vms, loss, func(t *testing.T, f *fleet) {
+			time.Sleep(4 * time.Second)
+			f.mu.Lock()
+			f.away = true
+			f.mu.Unlock()
+			f.seeds = []netip.AddrPort{f.all[5].own.Addr, f.all[7].own.Addr, f.all[9].own.Addr}
+			f.kill(f.all[5]) // one is out of date
+			for _, v := range f.all[100:200] {
+				f.kill(v)
+			}
+			time.Sleep(hubs.Beat)
+			for _, v := range f.all[100:200] {
+				f.start(v, 0)
+			}
+			time.Sleep(time.Second)
+			f.agree(t, "a second after the start")
+		})
+	})
 	t.Run("a third is cut off from the others", func(t *testing.T) {
 		play(t, vms, loss, func(t *testing.T, f *fleet) {
 			time.Sleep(4 * time.Second)
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -21,8 +21,9 @@
 	Metrics  netip.AddrPort // HTTP for metrics
 	Peers    netip.AddrPort // UDP and HTTP for other VMs
 	Store    netip.AddrPort
-	Cores    float64 // share of processor cores that the VM has
-	Link     float64 // rate of its link, in bits a second
+	Seeds    []netip.AddrPort // VMs that one that knows nobody asks for others
+	Cores    float64          // share of processor cores that the VM has
+	Link     float64          // rate of its link, in bits a second
 	LogLevel string
 	LogRate  int           // most log lines a second
 	Revoke   time.Duration // how long after its end an API key may be served
@@ -46,6 +47,7 @@
 	Metrics  string         `json:"metrics-address"`
 	Peers    string         `json:"peers-address"`
 	Store    string         `json:"store-address"`
+	Seeds    []string       `json:"seeds,omitzero"`
 	Cores    *float64       `json:"processor-cores,omitzero"`
 	Link     *float64       `json:"link-mbit-per-second,omitzero"`
 	LogLevel *string        `json:"log-level,omitzero"`
@@ -104,6 +106,7 @@
 		Metrics:  f.Address("/metrics-address", w.Metrics),
 		Peers:    f.Address("/peers-address", w.Peers),
 		Store:    f.Address("/store-address", w.Store),
+		Seeds:    seeds(f, w.Seeds),
 		Cores:    f.Float("/processor-cores", w.Cores, DefaultCores, 0.001, 10_000),
 		Link:     f.Float("/link-mbit-per-second", w.Link, DefaultLink, 0.001, 1e7) * megabit,
 		LogLevel: oneOf(f, "/log-level", w.LogLevel, DefaultLogLevel, logLevels),
@@ -120,6 +123,15 @@
 	return e, f.Err()
 }
 
+// seeds reads the addresses of other VMs.
+func seeds(f *config.Fields, list []string) []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(list))
+	for i, text := range list {
+		out = append(out, f.Address("/seeds/"+strconv.Itoa(i), text))
+	}
+	return out
+}
+
 // Member describes one member of a settings file, for its page and the command
 // line's help.
 type Member struct {
@@ -138,6 +150,7 @@
 		{"metrics-address", "", "HTTP for metrics"},
 		{"peers-address", "", "UDP and HTTP for other VMs"},
 		{"store-address", "", "the platform's store"},
+		{"seeds", "[]", "peers-addresses of some VMs, for one that knows nobody; they may be out of date"},
 		{"processor-cores", formatFloat(DefaultCores), "share of processor cores that the VM has; those with most work for all others"},
 		{"link-mbit-per-second", formatFloat(DefaultLink), "rate of the VM's link; as for processor-cores"},
 		{"log-level", DefaultLogLevel, "debug, info, warn or error"},
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -25,6 +25,7 @@
 		"/ready-address":   {`"10.0.0.1:81"`, `"10.0.0.1"`},
 		"/stop-grace":      {`{"name"`, `{"stop-grace":"soon","name"`},
 		"/retry-budget":    {`{"name"`, `{"retry-budget":3,"name"`},
+		"/seeds/1":         {`{"name"`, `{"seeds":["10.0.0.1:80","x"],"name"`},
 		"/processor-cores": {`{"name"`, `{"processor-cores":0,"name"`},
 		"/retry-budget/x":  {`{"name"`, `{"retry-budget":{"x":1},"name"`},
 	} {
@@ -39,7 +40,7 @@
 	assert.NilError(t, err)
 	values := map[string]string{
 		"nodeName|json": `"edge-a-1"`, "zone|json": `"a"`, "listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`,
-		"ip": "10.0.0.1", "internalPorts.0": "7200", "internalPorts.1": "7215", "platform.address|json": `"10.0.0.2:80"`,
+		"ip": "10.0.0.1", "internalPorts.0": "7200", "listen.control|json": `"10.0.0.1:7215"`, "seeds|json": `["10.0.0.3:7215"]`, "platform.address|json": `"10.0.0.2:80"`,
 		"bounds.revokeMs": "5000", "bounds.configApplyMs": "3000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
 		"limits.cpuShare": "0.4", "limits.linkMbps": "20.0",
 	}
@@ -53,4 +54,5 @@
 	assert.Equal(t, e.Grace, 8*time.Second)
 	assert.Equal(t, e.Retry.Extra, 54.0)
 	assert.Equal(t, e.Link, 20e6)
+	assert.Equal(t, len(e.Seeds), 1)
 }
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -115,7 +115,7 @@
 		news:     make(chan struct{}, 1),
 		settings: routes.NewBook(awake.Now),
 		seats:    seats.New(),
-		hubs:     hubs.New(own, start),
+		hubs:     hubs.New(own, cfg.Seeds, start),
 		group:    group,
 		lines:    ports.Lines,
 		share:    ports.Share,
--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -80,6 +80,7 @@
 // goroutines.
 type Hubs struct {
 	own   Candidate
+	seeds []netip.AddrPort
 	start time.Time
 
 	mu      sync.Mutex
@@ -93,9 +94,10 @@
 	changed time.Time // when another VM came to be a hub
 }
 
-// New makes the knowledge of a VM that has heard nobody, at its start.
-func New(own Candidate, start time.Time) *Hubs {
-	return &Hubs{own: own, start: start, vms: make(map[ident.VM]*vm), named: make(map[ident.VM]naming)}
+// New makes the knowledge of a VM that has heard nobody, at its start. The seeds are
+// addresses of VMs that it asks for others while it hears nobody.
+func New(own Candidate, seeds []netip.AddrPort, start time.Time) *Hubs {
+	return &Hubs{own: own, seeds: seeds, start: start, vms: make(map[ident.VM]*vm), named: make(map[ident.VM]naming)}
 }
 
 // hear takes a message of another VM.
@@ -329,14 +331,34 @@
 	for _, c := range out {
 		h.try(c, now)
 	}
+	if h.alone(now) {
+		for _, addr := range h.seeds {
+			if addr != h.own.Addr {
+				out = append(out, Candidate{Addr: addr})
+			}
+		}
+	}
 	return out
 }
 
+// alone reports whether no other VM is heard.
+func (h *Hubs) alone(now time.Time) bool {
+	for _, v := range h.vms {
+		if v.hears(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // Next returns when the next report is due.
 func (h *Hubs) Next(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := Beat
+	if h.alone(now) {
+		next = seekEvery
+	}
 	for _, c := range h.others(now) {
 		next = min(next, h.due(c.VM).Sub(now))
 	}
--- a/internal/state/hubs/hubs_test.go
+++ b/internal/state/hubs/hubs_test.go
@@ -20,7 +20,7 @@
 
 // among returns what a VM knows that has heard so many of more capacity.
 func among(hubs int, w Word, now time.Time) *Hubs {
-	h := New(candidate(99, 12), now.Add(-time.Minute))
+	h := New(candidate(99, 12), nil, now.Add(-time.Minute))
 	h.Alone(now)
 	for n := range hubs {
 		h.Reported(Report{Candidate: candidate(n, 14), Word: w}, now)
@@ -60,7 +60,7 @@
 		assert.Assert(t, h.Lead(now.Add(watchSilence)))
 	})
 	t.Run("a VM that starts waits to hear others", func(t *testing.T) {
-		h := New(candidate(1, 12), now)
+		h := New(candidate(1, 12), nil, now)
 		assert.Assert(t, !h.Asks(now.Add(StartTime-1)))
 		assert.Assert(t, h.Asks(now.Add(StartTime)))
 		h.Reported(Report{Candidate: candidate(2, 10)}, now)
@@ -72,7 +72,7 @@
 // TestTargets follows one VM that reports to those of a hub's list.
 func TestTargets(t *testing.T) {
 	now := time.Now()
-	h := New(candidate(99, 12), now)
+	h := New(candidate(99, 12), nil, now)
 	h.Alone(now) // it has looked for others long enough
 	h.Listed(map[ident.VM]netip.AddrPort{"vm-0": candidate(0, 0).Addr}, now)
 	assert.Equal(t, len(h.Targets(now, true)), 1, "the one that the store names")
--- a/internal/state/hubs/watch.go
+++ b/internal/state/hubs/watch.go
@@ -72,12 +72,13 @@
 }
 
 // First reports whether this VM is one of the first hubs. While the store is down,
-// the others leave it to them to find out that it is back.
+// the others leave it to them to find out that it is back; VMs that hear nobody are
+// many, and each would take itself for the first.
 func (h *Hubs) First(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.order(now)
-	return h.rank < watchers
+	return h.rank < watchers && !h.alone(now)
 }
 
 // Hub reports whether this VM is a hub.
--- a/internal/state/names/names_test.go
+++ b/internal/state/names/names_test.go
@@ -61,7 +61,7 @@
 			if r.names == nil {
 				r.names = make(map[ident.VM]netip.AddrPort)
 			}
-			h := hubs.New(candidate(1), time.Now())
+			h := hubs.New(candidate(1), nil, time.Now())
 			ctx, cancel := context.WithCancel(t.Context())
 			var g errgroup.Group
 			g.Go(func() error {
