--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -103,6 +103,9 @@
 
 func (s *store) Settings(context.Context) (*routes.Snapshot, Revision, error) {
 	rev, version, err := s.state()
+	if version == 0 {
+		return nil, rev, err
+	}
 	return routes.New(routes.Parts{Version: version}), rev, err
 }
 
@@ -383,6 +386,22 @@
 	})
 }
 
+// TestNoSettings has a VM wait for the first settings, rather than read on and on.
+func TestNoSettings(t *testing.T) {
+	s := newStore()
+	s.version = 0
+	follow(t, s, func(v *vm) {
+		before := s.calls.Load()
+		time.Sleep(10 * time.Second)
+		most := int64(2*10*time.Second/settingsWait) + 2 // both followers wait
+		assert.Assert(t, s.calls.Load()-before <= 2*most, "%d calls", s.calls.Load()-before)
+		assert.Assert(t, v.book.Load() == nil)
+		s.change(func() { s.version = 3 })
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, v.book.Load().Version, uint64(3))
+	})
+}
+
 func TestTold(t *testing.T) {
 	t.Run("a VM that is told asks nothing", func(t *testing.T) {
 		s := newStore()
--- a/internal/state/loop/loop.go
+++ b/internal/state/loop/loop.go
@@ -151,10 +151,10 @@
 func (l *Loop[R]) follow(ctx context.Context) error {
 	var none R
 	for ctx.Err() == nil {
-		if l.src.Empty() {
-			return errGap
-		}
 		if l.src.Told() {
+			if l.src.Empty() {
+				return errGap
+			}
 			retry.Pause(ctx, toldPause)
 			continue
 		}
