Divide what a VM knows with others from the process

What a VM knows of settings, servers, loads and other VMs, and what it tells, is proc/peers now; edge leads the process from start to stop.

--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -84,19 +84,19 @@
 		metricLines:    func() float64 { n, _ := lines(); return n },
 		metricLeftOut:  func() float64 { _, n := lines(); return n },
 		metricConns:    func() float64 { return float64(v.front.Open()) },
-		metricVersion:  func() float64 { return float64(v.version()) },
-		metricAge:      func() float64 { return v.settings.Age().Seconds() },
-		metricKnown:    func() float64 { return float64(v.settings.Known()) },
-		metricBehind:   func() float64 { return v.settings.Behind().Seconds() },
-		metricServers:  func() float64 { return float64(v.servers.View().Len()) },
-		metricAnswered: func() float64 { return v.discover.Age().Seconds() },
-		metricPeers:    func() float64 { return float64(v.hubs.Heard(time.Now())) },
-		metricHub:      func() float64 { return number(v.hubs.Hub(time.Now())) },
+		metricVersion:  func() float64 { return float64(v.node.Version()) },
+		metricAge:      func() float64 { return v.node.Settings.Age().Seconds() },
+		metricKnown:    func() float64 { return float64(v.node.Settings.Known()) },
+		metricBehind:   func() float64 { return v.node.Settings.Behind().Seconds() },
+		metricServers:  func() float64 { return float64(v.node.Servers.View().Len()) },
+		metricAnswered: func() float64 { return v.node.Discover.Age().Seconds() },
+		metricPeers:    func() float64 { return float64(v.node.Hubs.Heard(time.Now())) },
+		metricHub:      func() float64 { return number(v.node.Hubs.Hub(time.Now())) },
 		metricReports: func() float64 {
-			_, n := v.hubs.Count(time.Now())
+			_, n := v.node.Hubs.Count(time.Now())
 			return float64(n)
 		},
-		metricWatches: func() float64 { return number(!v.serversTold()) },
+		metricWatches: func() float64 { return number(v.node.Watches()) },
 		metricWaiting: func() float64 { return float64(v.home.Waiting()) },
 		metricReady:   func() float64 { return number(v.Ready()) },
 	} {
@@ -110,26 +110,12 @@
 	for kind := range ports.Calls() {
 		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricStore, kind), func() float64 { return float64(ports.Calls()[kind]) })
 	}
-	sent := func(k gossip.Kind) gossip.Traffic {
-		if g := v.gossip.Load(); g != nil {
-			return g.Sent(k)
-		}
-		return gossip.Traffic{}
-	}
 	for k := range gossip.Kinds {
-		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricSaid, k), func() float64 { return float64(sent(k).Messages) })
-		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricBytes, k), func() float64 { return float64(sent(k).Bytes) })
+		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricSaid, k), func() float64 { return float64(v.node.Sent(k).Messages) })
+		v.set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricBytes, k), func() float64 { return float64(v.node.Sent(k).Bytes) })
 	}
 }
 
-// version returns the version of the settings in force; zero: there are none.
-func (v *VM) version() uint64 {
-	if s := v.settings.Load(); s != nil {
-		return s.Version
-	}
-	return 0
-}
-
 // countPlacement counts a placement by its outcome.
 func (v *VM) countPlacement(outcome string) {
 	v.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricPlaced, outcome)).Inc()
--- a/internal/proc/edge/reload.go
+++ b/internal/proc/edge/reload.go
@@ -65,6 +65,6 @@
 	kept := *old
 	kept.Revoke, kept.Grace, kept.Retry = cfg.Revoke, cfg.Grace, cfg.Retry
 	v.cfg.Store(&kept)
-	v.budget.Set(cfg.Retry.Ratio, cfg.Retry.Extra)
+	v.node.Budget.Set(cfg.Retry.Ratio, cfg.Retry.Extra)
 	v.log.Info("settings reloaded", zap.String("why", why), zap.Bool("needs-restart", restart))
 }
--- a/internal/proc/edge/reload_test.go
+++ b/internal/proc/edge/reload_test.go
@@ -12,6 +12,7 @@
 
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
+	"umberladder/internal/proc/peers"
 )
 
 const file = `{"name":"edge-1","failure-domain":"a","callers-address":"10.0.0.1:80","ready-address":"10.0.0.1:81",
@@ -25,7 +26,7 @@
 	path := filepath.Join(t.TempDir(), "edge.json")
 	cfg, err := conf.ParseEdge([]byte(file))
 	assert.NilError(t, err)
-	v := &VM{log: zap.NewNop(), budget: retry.NewWindow(0, 0, time.Second, nobody{})}
+	v := &VM{log: zap.NewNop(), node: &peers.Node{Budget: retry.NewWindow(0, 0, time.Second, nobody{})}}
 	v.cfg.Store(cfg)
 	for _, tc := range []struct {
 		old, new string
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -15,11 +15,10 @@
 
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/front"
-	"umberladder/internal/peer/gossip"
 	"umberladder/internal/peer/share"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
+	"umberladder/internal/proc/peers"
 	"umberladder/internal/proc/sink"
 	"umberladder/internal/route/desk"
 	"umberladder/internal/route/homes"
@@ -27,13 +26,9 @@
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/probe"
 	"umberladder/internal/route/relay"
-	"umberladder/internal/route/seats"
 	"umberladder/internal/route/task"
-	"umberladder/internal/state/backs"
 	"umberladder/internal/state/follow"
-	"umberladder/internal/state/hubs"
 	"umberladder/internal/state/names"
-	"umberladder/internal/state/routes"
 )
 
 const (
@@ -83,23 +78,11 @@
 	cfg      atomic.Pointer[conf.Edge]
 	log      *zap.Logger
 	set      *metrics.Set
-	settings *routes.Book
-	servers  *backs.Table
-	seats    *seats.Book
-	follow   *follow.Settings
-	discover *follow.Servers
-	share    *share.Client
 	lines    *sink.Sink
-	hubs     *hubs.Hubs
-	names    *names.Keeper
-	budget   *retry.Window
-	group    *errgroup.Group
-	reading  atomic.Bool // newer settings are being read
+	node     *peers.Node
 	home     *homes.Home
 	desk     *desk.Desk
 	probe    *probe.Prober
-	gossip   atomic.Pointer[gossip.Gossip]
-	news     chan struct{} // has an element once there is something to tell all others
 	relay    *relay.Relay
 	front    *front.Server
 	stopping atomic.Bool
@@ -107,41 +90,25 @@
 
 // New makes a VM from its settings and the platform's side.
 func New(cfg *conf.Edge, ports Ports, group *errgroup.Group, log *zap.Logger) *VM {
-	start := time.Now()
-	own := hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.Link)}
-	v := &VM{
-		log:      log,
-		set:      metrics.NewSet(),
-		news:     make(chan struct{}, 1),
-		settings: routes.NewBook(awake.Now),
-		seats:    seats.New(),
-		hubs:     hubs.New(own, cfg.Seeds, start),
-		group:    group,
-		lines:    ports.Lines,
-		share:    ports.Share,
-	}
+	node := peers.New(cfg, peers.Ports{Settings: ports.Settings, Servers: ports.Servers, Names: ports.Names, Share: ports.Share}, group, log)
+	v := &VM{log: log, set: metrics.NewSet(), lines: ports.Lines, node: node}
 	v.cfg.Store(cfg)
-	v.names = names.New(own, start, v.hubs, ports.Names, v.beat, log)
-	v.servers = backs.NewTable(v.tell)
-	v.budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, v.hubs)
-	v.follow = follow.NewSettings(ports.Settings, v.settings, awake.Now, v.settingsTold, v.first, v.tell, log)
-	v.discover = follow.NewServers(ports.Servers, v.servers, awake.Now, v.serversTold, v.first, v.lead, v.tell, v.takeServers, log)
 	sound := health.New()
-	chooser := pick.NewChooser(v.servers, v.seats, sound)
+	chooser := pick.NewChooser(node.Servers, node.Seats, sound)
 	v.home = homes.NewHome(chooser)
-	v.probe = probe.New(v.servers, ports.Backend, v.probed, chooser.Failed, group, log)
-	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, v.order, v, v.countPlacement, log)
+	v.probe = probe.New(node.Servers, ports.Backend, node.Probed, chooser.Failed, group, log)
+	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, node.Order, node, v.countPlacement, log)
 	v.relay = relay.New(task.Parts{
 		Config: task.Config{
 			Domain: cfg.Domain,
 			Revoke: func() time.Duration { return v.cfg.Load().Revoke },
 			Apply:  func() time.Duration { return v.cfg.Load().Apply },
 		},
-		Settings: v.settings,
-		Refresh:  v,
-		Servers:  v.servers,
-		Seats:    v.seats,
-		Budget:   v.budget,
+		Settings: node.Settings,
+		Refresh:  node,
+		Servers:  node.Servers,
+		Seats:    node.Seats,
+		Budget:   node.Budget,
 		Health:   sound,
 		Places:   v.desk,
 		Backend:  ports.Backend,
@@ -157,7 +124,7 @@
 }
 
 func (v *VM) limits() front.Limits {
-	s := v.settings.Load()
+	s := v.node.Settings.Load()
 	if s == nil {
 		return front.Limits{Header: defaultHeader, Body: defaultBody, HeaderTime: defaultHeaderTime, Idle: defaultIdle}
 	}
@@ -168,15 +135,15 @@
 // store does not answer while it answers others serves those that it has, with
 // what the others tell it; new ones are better off where the store is in reach.
 func (v *VM) Ready() bool {
-	if v.stopping.Load() || v.settings.Load() == nil || v.servers.View().Len() == 0 {
+	if v.stopping.Load() || v.node.Settings.Load() == nil || v.node.Servers.View().Len() == 0 {
 		return false
 	}
 	now := time.Now()
-	if !v.hubs.Touch(names.TouchTime, now) && len(v.hubs.Asking(now)) > 0 {
+	if !v.node.Hubs.Touch(names.TouchTime, now) && len(v.node.Hubs.Asking(now)) > 0 {
 		return false
 	}
 	cfg := v.cfg.Load()
-	return v.settings.Age() < cfg.Revoke-readyMargin && v.settings.Behind() < cfg.Apply-readyMargin
+	return v.node.Settings.Age() < cfg.Revoke-readyMargin && v.node.Settings.Behind() < cfg.Apply-readyMargin
 }
 
 // Run serves until stop is done, and then until every request has ended or the
@@ -191,19 +158,10 @@
 	if err := v.serveSide(ctx, group); err != nil {
 		return trace.Wrap(err)
 	}
-	shared, err := net.Listen("tcp", v.cfg.Load().Peers.String())
-	if err != nil {
-		return trace.Wrap(err, "/peers-address")
-	}
-	share.NewServer(v, v.cfg.Load().Link, v.log).Serve(ctx, shared, group)
-	g, err := gossip.New(v.cfg.Load().Name, uint64(time.Now().UnixNano()), v.cfg.Load().Peers, &local{vm: v, ctx: ctx}, v.hubs, v.log)
-	if err != nil {
-		return trace.Wrap(err, "/peers-address")
+	if err := v.node.Run(ctx, v.home, v.desk); err != nil {
+		return trace.Wrap(err)
 	}
-	v.gossip.Store(g)
-	for _, loop := range []func(context.Context){
-		v.home.Run, v.follow.Run, v.discover.Run, v.discover.Expire, v.probe.Run, v.names.Run, g.Send, g.Receive,
-	} {
+	for _, loop := range []func(context.Context){v.home.Run, v.probe.Run} {
 		group.Go(func() error {
 			loop(ctx)
 			return nil
@@ -233,7 +191,7 @@
 	start := time.Now()
 	v.log.Info("stopping", zap.Int64("connections", v.front.Open()))
 	v.stopping.Store(true)
-	v.hubs.Leave()
+	v.node.Hubs.Leave()
 	v.front.Drain()
 	end := start.Add(v.cfg.Load().Grace - stopReserve)
 	v.relay.Stop(end)
--- a/internal/proc/edge/local.go
+++ b/internal/proc/peers/told.go
@@ -1,4 +1,4 @@
-package edge
+package peers
 
 import (
 	"context"
@@ -42,40 +42,40 @@
 
 // local is what the VM tells the others. It implements gossip.Local.
 type local struct {
-	vm *VM
+	node *Node
 	// ctx ends with the VM.
 	ctx context.Context
 }
 
 // settingsTold reports whether other VMs tell what changes in the settings. A VM
 // whose settings grow old though the store answers it reads them itself.
-func (v *VM) settingsTold() bool {
+func (n *Node) settingsTold() bool {
 	now := time.Now()
-	if v.hubs.Asks(now) {
+	if n.Hubs.Asks(now) {
 		return false
 	}
-	return v.settings.Load() == nil || v.settings.Age() < settingsAge || !v.hubs.Answers(now)
+	return n.Settings.Load() == nil || n.Settings.Age() < settingsAge || !n.Hubs.Answers(now)
 }
 
 // first reports whether this VM is to find out soon that the store is back.
-func (v *VM) first() bool { return v.hubs.First(time.Now()) }
+func (n *Node) first() bool { return n.Hubs.First(time.Now()) }
 
 // lead reports whether no other VM asks the store before this one.
-func (v *VM) lead() bool { return v.hubs.Lead(time.Now()) }
+func (n *Node) lead() bool { return n.Hubs.Lead(time.Now()) }
 
 // serversTold reports whether other VMs tell what changes among the servers.
-func (v *VM) serversTold() bool { return !v.hubs.Asks(time.Now()) }
+func (n *Node) serversTold() bool { return !n.Hubs.Asks(time.Now()) }
 
 // word returns what this VM says of its way to the store.
-func (v *VM) word(now time.Time) hubs.Word {
-	return hubs.Word{Asks: v.hubs.Asks(now), Age: v.discover.Age()}
+func (n *Node) word(now time.Time) hubs.Word {
+	return hubs.Word{Asks: n.Hubs.Asks(now), Age: n.Discover.Age()}
 }
 
 // Report implements gossip.Local.
 func (l *local) Report(s *wire.State, now time.Time) {
-	v := l.vm
-	s.Loads = v.seats.Own()
-	s.Sent = v.budget.Sent(now)
+	n := l.node
+	s.Loads = n.Seats.Own()
+	s.Sent = n.Budget.Sent(now)
 	l.tell(s, now)
 	if s.Word.Asks {
 		l.news(s, now)
@@ -84,7 +84,7 @@
 
 // Answer implements gossip.Local.
 func (l *local) Answer(s *wire.State, to ident.VM, now time.Time) {
-	t := l.vm.budget.Rest(to, now)
+	t := l.node.Budget.Rest(to, now)
 	s.Hub.Known, s.Hub.Heard, s.Hub.Rest = t.Known, t.Heard, t.Sent
 	l.tell(s, now)
 	l.news(s, now)
@@ -92,15 +92,15 @@
 
 // tell fills in what this VM tells of itself to hubs and as a hub.
 func (l *local) tell(s *wire.State, now time.Time) {
-	v := l.vm
-	s.Capacity = v.hubs.Own().Capacity
-	s.Leaving = v.servers.Leaving(now)
-	s.Version = v.version()
-	s.Word = v.word(now)
+	n := l.node
+	s.Capacity = n.Hubs.Own().Capacity
+	s.Leaving = n.Servers.Leaving(now)
+	s.Version = n.Version()
+	s.Word = n.word(now)
 }
 
 func (l *local) news(s *wire.State, now time.Time) {
-	if n, ok := l.vm.discover.News(now); ok {
+	if n, ok := l.node.Discover.News(now); ok {
 		s.News = &n
 	}
 }
@@ -112,22 +112,22 @@
 
 // Hear implements gossip.Local.
 func (l *local) Hear(s *wire.State, from netip.AddrPort, now time.Time) {
-	v := l.vm
-	v.hubs.Reported(reportOf(s, from), now)
-	v.budget.Hear(s.VM, s.Sent, now)
+	n := l.node
+	n.Hubs.Reported(reportOf(s, from), now)
+	n.Budget.Hear(s.VM, s.Sent, now)
 	if s.HasLoads() {
-		v.seats.Hear(s.VM, s.Boot, s.Seq, s.Part, s.Loads, now)
+		n.Seats.Hear(s.VM, s.Boot, s.Seq, s.Part, s.Loads, now)
 	}
 	l.take(s, from, true, now)
 }
 
 // Learn implements gossip.Local.
 func (l *local) Learn(s *wire.State, from netip.AddrPort, now time.Time) {
-	v := l.vm
-	if v.hubs.Answered(reportOf(s, from), s.Hub.Names, s.Hub.Digest, now) {
-		v.beat()
+	n := l.node
+	if n.Hubs.Answered(reportOf(s, from), s.Hub.Names, s.Hub.Digest, now) {
+		n.beat()
 	}
-	v.budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
+	n.Budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
 	l.take(s, from, false, now)
 	if s.Reply != nil {
 		l.confirm(*s.Reply, from)
@@ -137,14 +137,14 @@
 // take takes what another VM knows of servers and settings. What a VM reports is
 // passed on to those that report to this one.
 func (l *local) take(s *wire.State, from netip.AddrPort, pass bool, now time.Time) {
-	v := l.vm
+	n := l.node
 	if s.News != nil {
-		v.discover.Learn(*s.News, now)
+		n.Discover.Learn(*s.News, now)
 	}
-	for _, id := range v.servers.Hear(s.Leaving, pass) {
-		v.log.Info("server leaves", zap.String("server", string(id)), zap.String("told-by", string(s.VM)))
+	for _, id := range n.Servers.Hear(s.Leaving, pass) {
+		n.log.Info("server leaves", zap.String("server", string(id)), zap.String("told-by", string(s.VM)))
 	}
-	if s.Version > v.version() {
+	if s.Version > n.Version() {
 		l.newer(s.Version, from)
 	}
 }
@@ -152,18 +152,18 @@
 // newer takes settings that another VM has already, from it or else from the
 // store.
 func (l *local) newer(version uint64, from netip.AddrPort) {
-	l.vm.settings.Hear(version, awake.Now())
-	if !l.vm.reading.CompareAndSwap(false, true) {
+	l.node.Settings.Hear(version, awake.Now())
+	if !l.node.reading.CompareAndSwap(false, true) {
 		return
 	}
-	l.vm.group.Go(func() error {
-		defer l.vm.reading.Store(false)
-		if err := l.vm.takeSettings(l.ctx, version, from); err != nil {
-			l.vm.log.Info("settings not taken from another VM", zap.Uint64("version", version), zap.Stringer("from", from),
-				zap.Duration("behind", l.vm.settings.Behind()), zap.Error(err))
-			l.vm.follow.Learn(l.ctx, version, 0)
+	l.node.group.Go(func() error {
+		defer l.node.reading.Store(false)
+		if err := l.node.takeSettings(l.ctx, version, from); err != nil {
+			l.node.log.Info("settings not taken from another VM", zap.Uint64("version", version), zap.Stringer("from", from),
+				zap.Duration("behind", l.node.Settings.Behind()), zap.Error(err))
+			l.node.follow.Learn(l.ctx, version, 0)
 		}
-		if l.vm.version() < version {
+		if l.node.Version() < version {
 			// Each message of each VM would ask a store that does not answer.
 			retry.Pause(l.ctx, newerPause+rand.N(newerPause))
 		}
@@ -174,48 +174,48 @@
 // takeSettings takes a version of the settings, or a later one, from another VM, or
 // from one that it names. They were the newest their age before it answered, and it
 // answered after it was asked.
-func (v *VM) takeSettings(ctx context.Context, version uint64, from netip.AddrPort) error {
+func (n *Node) takeSettings(ctx context.Context, version uint64, from netip.AddrPort) error {
 	_, err := share.Take(ctx, []netip.AddrPort{from}, func(ctx context.Context, from netip.AddrPort) (uint64, error) {
 		asked := awake.Now()
-		s, err := v.share.Settings(ctx, from, version)
+		s, err := n.share.Settings(ctx, from, version)
 		if err != nil {
 			return 0, err
 		}
-		return s.Version, v.follow.Adopt(s.Packed, asked.Add(-s.Age))
+		return s.Version, n.follow.Adopt(s.Packed, asked.Add(-s.Age))
 	})
 	return err
 }
 
 // takeServers takes all servers from a hub.
-func (v *VM) takeServers(ctx context.Context) (follow.News, error) {
-	list := v.hubs.Teachers(time.Now())
+func (n *Node) takeServers(ctx context.Context) (follow.News, error) {
+	list := n.Hubs.Teachers(time.Now())
 	if len(list) == 0 {
 		return follow.News{}, follow.ErrNobody
 	}
-	return share.Take(ctx, list, v.share.Servers)
+	return share.Take(ctx, list, n.share.Servers)
 }
 
 // Refresh implements port.Refresher: it has the hubs confirm that the settings are
 // the newest, and reads them in the store if they don't at once.
-func (v *VM) Refresh(ctx context.Context, limit time.Duration) error {
-	if v.settings.Load() != nil && !v.hubs.Asks(time.Now()) && v.confirmed(ctx) {
+func (n *Node) Refresh(ctx context.Context, limit time.Duration) error {
+	if n.Settings.Load() != nil && !n.Hubs.Asks(time.Now()) && n.confirmed(ctx) {
 		return nil
 	}
-	return v.follow.Refresh(ctx, limit)
+	return n.follow.Refresh(ctx, limit)
 }
 
 // beat has the VM report to the hubs at once.
-func (v *VM) beat() {
-	if g := v.gossip.Load(); g != nil {
+func (n *Node) beat() {
+	if g := n.gossip.Load(); g != nil {
 		g.Beat()
 	}
 }
 
 // confirmed reports whether the hubs confirm the settings.
-func (v *VM) confirmed(ctx context.Context) bool {
-	v.beat()
+func (n *Node) confirmed(ctx context.Context) bool {
+	n.beat()
 	for end := time.Now().Add(askTime); ctx.Err() == nil && time.Now().Before(end); {
-		if v.settings.Age() < confirmAge {
+		if n.Settings.Age() < confirmAge {
 			return true
 		}
 		retry.Pause(ctx, askLook)
@@ -223,31 +223,14 @@
 	return false
 }
 
-// Settings implements share.Source.
-func (v *VM) Settings() (share.Settings, bool) {
-	fresh, snap := v.settings.Fresh(), v.settings.Load()
-	if snap == nil {
-		return share.Settings{}, false
-	}
-	packed, err := snap.Source.Packed()
-	if err != nil {
-		v.log.Error("settings not packed", zap.Uint64("version", snap.Version), zap.Error(err))
-		return share.Settings{}, false
-	}
-	return share.Settings{Packed: packed, Version: snap.Version, Age: awake.Now().Sub(fresh)}, true
-}
-
-// Servers implements share.Source.
-func (v *VM) Servers() (follow.News, bool) { return v.discover.All() }
-
 // Clock implements gossip.Local.
 func (l *local) Clock() uint64 { return uint64(awake.Now()) }
 
 // Reply implements gossip.Local.
 func (l *local) Reply(ask uint64) *wire.Reply {
-	fresh := l.vm.settings.Fresh()
+	fresh := l.node.Settings.Fresh()
 	r := &wire.Reply{Ask: ask}
-	if snap := l.vm.settings.Load(); snap != nil {
+	if snap := l.node.Settings.Load(); snap != nil {
 		r.Version, r.Age = snap.Version, awake.Now().Sub(fresh)
 	}
 	return r
@@ -259,29 +242,29 @@
 	if r.Version == 0 || awake.Instant(r.Ask) > awake.Now() {
 		return
 	}
-	if r.Version > l.vm.version() {
+	if r.Version > l.node.Version() {
 		l.newer(r.Version, from)
 		return
 	}
-	l.vm.follow.Learn(l.ctx, r.Version, awake.Instant(r.Ask).Add(-r.Age))
+	l.node.follow.Learn(l.ctx, r.Version, awake.Instant(r.Ask).Add(-r.Age))
 }
 
 // Dirty implements gossip.Local.
-func (l *local) Dirty() <-chan struct{} { return l.vm.news }
+func (l *local) Dirty() <-chan struct{} { return l.node.news }
 
 // Moved implements gossip.Local.
-func (l *local) Moved() <-chan struct{} { return l.vm.seats.Dirty() }
+func (l *local) Moved() <-chan struct{} { return l.node.Seats.Dirty() }
 
 // Homes implements gossip.Local.
 func (l *local) Homes() []netip.AddrPort {
 	out := []netip.AddrPort{}
-	snap := l.vm.settings.Load()
+	snap := l.node.Settings.Load()
 	if snap == nil {
 		return out
 	}
 	now := time.Now()
 	for _, s := range snap.Engines() {
-		for _, p := range l.vm.hubs.Order(s, deciders, now) {
+		for _, p := range l.node.Hubs.Order(s, deciders, now) {
 			if p.Addr.IsValid() && !slices.Contains(out, p.Addr) {
 				out = append(out, p.Addr)
 			}
@@ -291,33 +274,33 @@
 }
 
 // Seat implements gossip.Local.
-func (l *local) Seat(a homes.Ask, reply func(homes.Answer)) { l.vm.home.Take(a, reply, time.Now()) }
+func (l *local) Seat(a homes.Ask, reply func(homes.Answer)) { l.node.home.Take(a, reply, time.Now()) }
 
 // Seated implements gossip.Local.
-func (l *local) Seated(a homes.Answer) { l.vm.desk.Answered(a) }
+func (l *local) Seated(a homes.Answer) { l.node.desk.Answered(a) }
 
 // Ask implements desk.Post. What is asked before the VM speaks to others is lost.
-func (v *VM) Ask(to netip.AddrPort, a homes.Ask) {
-	if g := v.gossip.Load(); g != nil {
+func (n *Node) Ask(to netip.AddrPort, a homes.Ask) {
+	if g := n.gossip.Load(); g != nil {
 		g.Ask(to, a)
 	}
 }
 
-// order returns the VMs that decide for a service.
-func (v *VM) order(s ident.Service, now time.Time) []hubs.Rank {
-	return v.hubs.Order(s, hubs.Count, now)
+// Order returns the VMs that decide for a service.
+func (n *Node) Order(s ident.Service, now time.Time) []hubs.Rank {
+	return n.Hubs.Order(s, hubs.Count, now)
 }
 
-// probed returns the services whose engines this VM has to ask whether they
+// Probed returns the services whose engines this VM has to ask whether they
 // leave: those for which it decides, while no VM hears the store.
-func (v *VM) probed(now time.Time) []ident.Service {
-	snap := v.settings.Load()
-	if snap == nil || min(v.discover.Age(), v.hubs.Quiet(now)) < storeQuiet {
+func (n *Node) Probed(now time.Time) []ident.Service {
+	snap := n.Settings.Load()
+	if snap == nil || min(n.Discover.Age(), n.Hubs.Quiet(now)) < storeQuiet {
 		return nil
 	}
 	var out []ident.Service
 	for _, s := range snap.Engines() {
-		if order := v.order(s, now); len(order) > 0 && !order[0].Addr.IsValid() {
+		if order := n.Order(s, now); len(order) > 0 && !order[0].Addr.IsValid() {
 			out = append(out, s)
 		}
 	}
@@ -326,12 +309,12 @@
 
 // tell notes that there is something new to tell all others. VMs that are no hubs,
 // and are told themselves, tell it with their next report.
-func (v *VM) tell() {
-	if now := time.Now(); !v.hubs.Asks(now) && !v.hubs.Hub(now) {
+func (n *Node) tell() {
+	if now := time.Now(); !n.Hubs.Asks(now) && !n.Hubs.Hub(now) {
 		return
 	}
 	select {
-	case v.news <- struct{}{}:
+	case n.news <- struct{}{}:
 	default:
 	}
 }
