--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// limit bounds one question. An engine that is silent for longer is asked again
 	// rather than waited for.
 	limit = 500 * time.Millisecond
+	// most is how many questions a round asks: among thousands of engines, those that
+	// were asked longest ago, so that the VM has its link and descriptors for calls.
+	most = 100
 )
 
 // Engines answers for engines what they say of themselves.
@@ -42,7 +46,8 @@
 	log      *zap.Logger
 
 	mu    sync.Mutex
-	asked map[ident.Server]struct{} // a question is under way
+	asked map[ident.Server]struct{}  // a question is under way
+	last  map[ident.Server]time.Time // when engines were last asked
 }
 
 // New makes a prober of the services that are to be asked at a moment. It calls
@@ -52,7 +57,7 @@
 ) *Prober {
 	return &Prober{
 		table: table, engines: engines, services: services, dead: dead, group: group, log: log,
-		asked: make(map[ident.Server]struct{}),
+		asked: make(map[ident.Server]struct{}), last: make(map[ident.Server]time.Time),
 	}
 }
 
@@ -70,30 +75,41 @@
 	}
 }
 
-// round asks all engines that do not owe an answer.
+// round asks engines that do not owe an answer.
 func (p *Prober) round(ctx context.Context, now time.Time) {
-	for _, name := range p.services(now) {
-		for _, s := range p.table.View().Service(name) {
-			if !p.begin(s.ID) {
-				continue
-			}
-			p.group.Go(func() error {
-				defer p.end(s.ID)
-				p.ask(ctx, s)
-				return nil
-			})
-		}
+	for _, s := range p.due(now) {
+		p.group.Go(func() error {
+			defer p.end(s.ID)
+			p.ask(ctx, s)
+			return nil
+		})
 	}
 }
 
-func (p *Prober) begin(id ident.Server) bool {
+// due returns the engines to be asked now, and notes that they are.
+func (p *Prober) due(now time.Time) []*backs.Server {
+	var list []*backs.Server
+	view := p.table.View()
+	for _, name := range p.services(now) {
+		list = append(list, view.Service(name)...)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.asked[id]; ok {
-		return false
+	list = slices.DeleteFunc(list, func(s *backs.Server) bool {
+		_, owes := p.asked[s.ID]
+		return owes
+	})
+	slices.SortStableFunc(list, func(a, b *backs.Server) int { return p.last[a.ID].Compare(p.last[b.ID]) })
+	list = list[:min(len(list), most)]
+	for _, s := range list {
+		p.asked[s.ID], p.last[s.ID] = struct{}{}, now
+	}
+	for id := range p.last {
+		if view.Server(id) == nil {
+			delete(p.last, id)
+		}
 	}
-	p.asked[id] = struct{}{}
-	return true
+	return list
 }
 
 func (p *Prober) end(id ident.Server) {
--- a/internal/route/probe/probe_test.go
+++ b/internal/route/probe/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,3 +86,28 @@
 		})
 	}
 }
+
+// TestMany has a VM ask thousands of engines: a bounded number at a time, and all of
+// them in turn.
+func TestMany(t *testing.T) {
+	const engines = 3000
+	tab := backs.NewTable(func() {})
+	var list []backs.Entry
+	for n := range engines {
+		list = append(list, backs.Entry{ID: ident.NewServer(fmt.Sprint("e-", n), time.UnixMilli(1000)), Service: service, Slots: 1})
+	}
+	now := time.Now()
+	tab.Replace(list, time.Time{}, now)
+	p := New(tab, nil, func(time.Time) []ident.Service { return []ident.Service{service} }, nil, nil, zap.NewNop())
+	seen := make(map[ident.Server]bool)
+	for range engines / most {
+		now = now.Add(Every)
+		round := p.due(now)
+		assert.Assert(t, len(round) <= most, "%d questions in a round", len(round))
+		for _, s := range round {
+			seen[s.ID] = true
+			p.end(s.ID)
+		}
+	}
+	assert.Equal(t, len(seen), engines)
+}
