--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -185,6 +185,7 @@
 	news     atomic.Int64
 	other    atomic.Pointer[News] // what another VM knows of the servers
 	clock    awake.Clock
+	slept    atomic.Int64 // how long the VM was suspended, which other clocks do not count
 }
 
 func (v *vm) ask(context.Context) (News, error) {
@@ -199,7 +200,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s.changed = make(chan struct{}) // of the bubble, so that its time goes on
 		start := time.Now()
-		v := &vm{clock: func() awake.Instant { return awake.Instant(time.Since(start) + time.Hour) }}
+		v := &vm{}
+		v.clock = func() awake.Instant {
+			return awake.Instant(time.Since(start) + time.Hour + time.Duration(v.slept.Load()))
+		}
 		v.book = routes.NewBook(v.clock)
 		v.table = backs.NewTable(func() {})
 		told := v.told.Load
@@ -386,6 +390,27 @@
 	})
 }
 
+// TestWakes has a VM wake that was suspended for some seconds, before it has spoken
+// with anybody: it does not take what it knew for new, nor tell it to others as new.
+func TestWakes(t *testing.T) {
+	const sleep = 4 * time.Second
+	s := newStore()
+	s.put(entry(1))
+	follow(t, s, func(v *vm) {
+		told := NewServers(s, backs.NewTable(func() {}), v.clock, func() bool { return true }, nil, nil, func() {}, nil, zap.NewNop())
+		told.rev = 1
+		v.slept.Store(int64(sleep))
+		assert.Assert(t, v.book.Age() >= sleep, "%s", v.book.Age())
+		assert.Assert(t, v.servers.Age() >= sleep, "%s", v.servers.Age())
+		n, ok := v.servers.News(time.Now())
+		assert.Assert(t, ok && n.Age >= sleep, "%s", n.Age)
+		told.Learn(n, time.Now())
+		assert.Assert(t, told.Age() >= sleep, "%s", told.Age())
+		time.Sleep(2*settingsWait + 100*time.Millisecond)
+		assert.Assert(t, v.book.Age() < sleep && v.servers.Age() < sleep, "the store has answered since")
+	})
+}
+
 // TestNoSettings has a VM wait for the first settings, rather than read on and on.
 func TestNoSettings(t *testing.T) {
 	s := newStore()
