--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -44,7 +44,8 @@
 	VMs      int
 	Servers  int // engines; half as many plain servers
 	Clients  int
-	Routes   int // that the settings grow to, by routesStep with each version
+	Routes   int  // that the settings grow to, by routesStep with each version
+	Drills   bool // the store comes back from copies, too
 	Program  string
 	Dir      string
 }
--- a/internal/load/soak/trouble.go
+++ b/internal/load/soak/trouble.go
@@ -9,18 +9,20 @@
 // restartPause is between a process's end and its next start.
 const restartPause = 300 * time.Millisecond
 
+// failure is a kind of failure that the soak starts.
+type failure struct {
+	name string
+	do   func(ctx context.Context)
+}
+
 // trouble starts failures until ctx ends; several are under way at a time.
 func (r *run) trouble(ctx context.Context) {
-	kinds := []struct {
-		name string
-		do   func(ctx context.Context)
-	}{
+	kinds := []failure{
 		{"vm-stop", r.stopVM},
 		{"vm-kill", r.killVM},
 		{"vm-pause", r.pauseVM},
 		{"store-link", r.storeLink},
 		{"store-away", r.storeAway},
-		{"store-back", r.storeBack},
 		{"server-link", r.serverLink},
 		{"server-leave", r.leaveServer},
 		{"server-crash", r.crashServer},
@@ -28,6 +30,9 @@
 		{"settings", func(context.Context) { r.mu.Lock(); defer r.mu.Unlock(); r.configure() }},
 		{"revoke", r.revoke},
 	}
+	if r.cfg.Drills {
+		kinds = append(kinds, failure{"store-back", r.storeBack})
+	}
 	for ctx.Err() == nil {
 		k := kinds[r.rng.IntN(len(kinds))]
 		r.mu.Lock()
