Log a request's fingerprint, and whether its server ended

No line told that two calls are the same request of one client, nor whether an engine ended or only a connection to it broke, so the hypotheses on engines that end under repeated requests could not be told apart from logs alone.

Each call's last line has a fingerprint of its client, path and body. An answer that breaks off has it checked whether the server's address refuses connections.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -1,8 +1,11 @@
 package call
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"umberladder/internal/core/awake"
 	"umberladder/internal/core/ident"
 )
@@ -72,3 +75,21 @@
 	}
 	return p.Tokens + out
 }
+
+// Fingerprint identifies a request by its client, path and body. A client's retry has
+// the same one under another identifier; zero: none is known.
+type Fingerprint uint64
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
+// Fingerprint returns the call's fingerprint.
+func (c *Call) Fingerprint() Fingerprint {
+	d := xxhash.New()
+	for _, s := range []string{c.Method, c.Key, c.Host, c.Target} {
+		_, _ = d.WriteString(s)      // never fails
+		_, _ = d.Write([]byte{0xff}) // no byte of valid text: parts can't run together
+	}
+	_, _ = d.Write(c.Body)
+	return Fingerprint(d.Sum64())
+}
--- a/internal/peer/link/dialer.go
+++ b/internal/peer/link/dialer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -104,15 +105,29 @@
 			return c, nil
 		}
 	}
+	c, err := d.dial(ctx, addr)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
+	}
+	return newConn(c, idle), nil
+}
+
+func (d *Dialer) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: d.connect, KeepAliveConfig: keepAlive()}
 	if d.from.IsValid() && !d.from.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.from, 0))
 	}
-	c, err := dialer.DialContext(ctx, "tcp", addr.String())
-	if err != nil {
-		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
+	return dialer.DialContext(ctx, "tcp", addr.String())
+}
+
+// Refused reports whether nobody listens at addr. It opens a connection for it, which
+// it closes at once.
+func (d *Dialer) Refused(ctx context.Context, addr netip.AddrPort) bool {
+	c, err := d.dial(ctx, addr)
+	if err == nil {
+		_ = c.Close()
 	}
-	return newConn(c, idle), nil
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (d *Dialer) take(addr netip.AddrPort) *conn {
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -85,6 +85,9 @@
 	Move(ctx context.Context, from *backs.Server, id ident.Request, to netip.AddrPort, last bool) (Moved, error)
 	// Free gives up a copy that is not used.
 	Free(ctx context.Context, from *backs.Server, handle string) error
+	// Refuses reports whether the server's address refuses connections: its process has
+	// ended. A connection that fails in another way proves nothing.
+	Refuses(ctx context.Context, s *backs.Server) bool
 }
 
 // Reply writes the answer to the client.
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -45,6 +45,7 @@
 	noRoom bool // no engine takes an ordered copy
 	noCopy bool // copies are not there
 	copyIn time.Duration
+	ended  map[ident.Server]bool
 	lag    time.Duration // from a run's first event until its guard has a copy
 	group  errgroup.Group
 }
@@ -168,12 +169,19 @@
 	}
 }
 
+func (e *engines) Refuses(_ context.Context, s *backs.Server) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended[s.ID]
+}
+
 func (e *engines) Free(context.Context, *backs.Server, string) error { return nil }
 
 // crash ends all runs of a server.
 func (e *engines) crash(id ident.Server) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.ended[id] = true
 	for _, r := range e.runs {
 		if r.server.ID == id {
 			r.stop()
@@ -287,6 +295,7 @@
 	w.engines = &engines{
 		step: 30 * time.Millisecond, events: 100, copyIn: 200 * time.Millisecond,
 		plain: make(map[ident.Server]func() (*port.Answer, error)), runs: make(map[string]*run),
+		ended: make(map[ident.Server]bool),
 	}
 	w.table = backs.NewTable(func() {})
 	for i := range servers {
--- a/internal/route/stream/depart.go
+++ b/internal/route/stream/depart.go
@@ -37,15 +37,6 @@
 	err    error
 }
 
-func leaves(s *backs.Server) bool {
-	select {
-	case <-s.Leave():
-		return true
-	default:
-		return false
-	}
-}
-
 // depart moves the stream away from an engine that is leaving, while it goes on.
 func (f *flight) depart(ctx context.Context) <-chan departure {
 	if !f.movable() {
--- a/internal/route/stream/pump.go
+++ b/internal/route/stream/pump.go
@@ -147,6 +147,7 @@
 	}
 	f.Note("stream broke off", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
 	f.Health.Failure(f.server.ID, time.Now())
+	f.Broke(f.server)
 	switch {
 	case f.Route.Resumable:
 		return f.resume(ctx, err)
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -122,6 +122,9 @@
 	if !task.IsUnsent(err) {
 		f.Record.Sent++
 		f.ran = refuse.RanMaybe
+		if ctx.Err() == nil {
+			f.Broke(s)
+		}
 	}
 	if task.IsUnsent(err) {
 		f.failed = append(f.failed, s.ID)
--- a/internal/route/whole/whole.go
+++ b/internal/route/whole/whole.go
@@ -96,6 +96,7 @@
 	r.Record.Sent++
 	r.last = nil
 	r.Note("no whole answer", zap.String("server", string(s.ID)), zap.Error(err))
+	r.Broke(s)
 	r.refusal = refuse.New(refuse.ServerDied, "server %s broke off: %v", s.ID, err).With(refuse.RanMaybe)
 	return r.Route.Kind == call.Idempotent
 }
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -34,6 +34,16 @@
 // Leave returns a channel that is closed once the server takes no new work.
 func (s *Server) Leave() <-chan struct{} { return s.leave }
 
+// Left reports whether the server takes no new work.
+func (s *Server) Left() bool {
+	select {
+	case <-s.leave:
+		return true
+	default:
+		return false
+	}
+}
+
 // View is the set of servers at a moment. It never changes.
 type View struct {
 	servers  map[ident.Server]*Server
