Quarantine requests under which three servers have crashed

What callers saw: one client's request ended each engine that began to run it, and came again at other VMs under new identifiers. Calls of others that were running there broke off with each engine, on two or three engines one after the other.

Cause: attempts, tried servers and the retry budget are counted for a call or a service. A client's retry is a new call, so nothing knew that servers had ended under the same request, on one VM or among VMs.

Why this works: a server whose address refuses connections once its answer broke off has ended; that is evidence against a call that had just begun to run there. Evidence is a set that VMs merge by way of the hubs, so that order, loss and repetition don't matter, and verdicts lie in the store beside the VMs' names. Three servers quarantine a request for ten minutes: 503, not run, with the time left.

Callers wrongly held back: a request that completes is cleared; an engine that ran a call for a second clears it of the crash; a crash that a quarantined request explains counts against no other.

--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -32,6 +32,7 @@
 	NoRoom                 // every backend server is full
 	CallerLeft             // the caller closed the connection
 	VMStopping             // this VM stops before the request would be served
+	Quarantined            // backend servers crashed each time that they ran the request
 	reasons
 )
 
@@ -67,6 +68,7 @@
 	TimedOut:        {"timed-out", 504, "The time allowed for the request is over"},
 	NoRoom:          {"no-room", 503, "Every backend server of the service is full"},
 	VMStopping:      {"vm-stopping", 503, "This VM is being stopped"},
+	Quarantined:     {"quarantined", 503, "Backend servers crashed when they ran this request"},
 	CallerLeft:      {"caller-left", 499, "The caller closed the connection"},
 }
 
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/wire"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
@@ -53,7 +54,8 @@
 	nodes map[netip.AddrPort]*node
 	cut   func(a, b *node) bool // nil: no VMs are cut off from one another
 	names map[ident.VM]netip.AddrPort
-	away  bool // the store answers nobody
+	held  []poison.Entry // quarantined requests in the store
+	away  bool           // the store answers nobody
 	seeds []netip.AddrPort
 	calls int // to the store, fresh readings and writings
 }
@@ -69,6 +71,9 @@
 	own      hubs.Candidate
 	hubs     *hubs.Hubs
 	gossip   *Gossip
+	keeper   *names.Keeper
+	poison   *poison.Book
+	boot     uint64
 	stop     context.CancelFunc
 	in       chan datagram
 	out      chan passage
@@ -153,6 +158,7 @@
 func (v *node) Report(s *wire.State, now time.Time) {
 	s.Loads = loads
 	s.Sent = map[ident.Service]retry.Sent{"engines": {First: 12}, "plain": {First: 8, Again: 1}}
+	s.Findings = v.poison.Report(now)
 	v.tell(s, now)
 }
 
@@ -167,6 +173,7 @@
 func (v *node) Answer(s *wire.State, _ ident.VM, now time.Time) {
 	s.Hub.Known, s.Hub.Heard = 100, 100
 	s.Hub.Rest = map[ident.Service]retry.Sent{"engines": {First: 1700}, "plain": {First: 2200, Again: 120}}
+	s.Findings = v.poison.Answer(now)
 	v.tell(s, now)
 }
 
@@ -179,12 +186,28 @@
 
 func (v *node) Hear(s *wire.State, from netip.AddrPort, now time.Time) {
 	v.hubs.Reported(v.report(s, from), now)
+	v.poison.Merge(s.Findings, now)
 }
 
 func (v *node) Learn(s *wire.State, from netip.AddrPort, now time.Time) {
 	if v.hubs.Answered(v.report(s, from), s.Hub.Names, s.Hub.Digest, now) {
 		v.gossip.Beat()
 	}
+	v.poison.Met(s.VM, s.Boot, now)
+	v.poison.Merge(s.Findings, now)
+}
+
+// judged has the VM announce its own evidence, and verdicts.
+func (v *node) judged(c poison.Change) {
+	v.gossip.Beat()
+	if c.Empty() || !v.hubs.Hub(time.Now()) {
+		return
+	}
+	v.keeper.Wake()
+	select {
+	case v.dirty <- struct{}{}:
+	default:
+	}
 }
 
 func (v *node) Clock() uint64                            { return 1 }
@@ -204,13 +227,25 @@
 	return 1, nil
 }
 
-// VMs implements names.Registry. What need not be fresh is a second old here: nothing.
-func (v *node) VMs(_ context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
+// Quarantine implements names.Registry.
+func (v *node) Quarantine(_ context.Context, e poison.Entry) error {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	if v.cutStore.Load() || v.net.away {
+		return fmt.Errorf("cut off")
+	}
+	v.net.calls += 2
+	v.net.held = append(v.net.held, e)
+	return nil
+}
+
+// Read implements names.Registry. What need not be fresh is a second old here: nothing.
+func (v *node) Read(_ context.Context, fresh bool) (names.Records, error) {
 	time.Sleep(4 * time.Millisecond)
 	v.net.mu.Lock()
 	defer v.net.mu.Unlock()
 	if v.cutStore.Load() || v.net.away {
-		return nil, fmt.Errorf("cut off")
+		return names.Records{}, fmt.Errorf("cut off")
 	}
 	if fresh {
 		v.net.calls++
@@ -219,7 +254,7 @@
 	for name, addr := range v.net.names {
 		out[name] = addr
 	}
-	return out, nil
+	return names.Records{VMs: out, Quarantined: slices.Clone(v.net.held)}, nil
 }
 
 // fleet is some VMs on a network.
@@ -274,8 +309,11 @@
 	f.mu.Unlock()
 	v.hubs, v.stop, v.down = hubs.New(v.own, f.seeds, time.Now().Add(after)), stop, false
 	v.version.Store(0)
-	v.gossip = over(v, v.own.VM, 1, v, v.hubs, zap.NewNop())
-	keeper := names.New(v.own, time.Now().Add(after), v.hubs, v, v.gossip.Beat, zap.NewNop())
+	v.boot++
+	v.gossip = over(v, v.own.VM, v.boot, v, v.hubs, zap.NewNop())
+	v.poison = poison.New(poison.Config{Crashes: 3, Time: 10 * time.Minute}, v.judged)
+	v.keeper = names.New(v.own, time.Now().Add(after), v.hubs, v, v.poison, v.gossip.Beat, zap.NewNop())
+	keeper := v.keeper
 	f.mu.Lock()
 	f.nodes[v.own.Addr] = v
 	f.mu.Unlock()
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
@@ -27,6 +28,8 @@
 	Version uint64                       // of the settings in force
 	Store   hubs.StoreStatus             // of its way to the store
 	News    *follow.News                 // changes of servers; nil: none are told
+	// Findings are of requests that crash servers.
+	Findings []poison.Finding
 
 	Capacity hubs.Capacity
 	Digest   uint64 // of the candidates that the VM told has named; zero: none
@@ -66,6 +69,7 @@
 	fieldCap     = 16
 	fieldDigest  = 17
 	fieldPart    = 18
+	fieldFinding = 19
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -112,6 +116,10 @@
 	if s.News != nil {
 		b = appendBytes(b, fieldNews, EncodeNews(s.News))
 	}
+	now := time.Now()
+	for i := range s.Findings {
+		b = appendBytes(b, fieldFinding, encodeFinding(&s.Findings[i], now))
+	}
 	if s.Ask != 0 {
 		b = appendNumber(b, fieldAsk, s.Ask)
 	}
@@ -196,6 +204,10 @@
 		s.Leaving = append(s.Leaving, ident.Server(text))
 	case fieldNews:
 		s.News, err = DecodeNews(text)
+	case fieldFinding:
+		var f poison.Finding
+		f, err = decodeFinding(text, time.Now())
+		s.Findings = append(s.Findings, f)
 	case fieldReply:
 		s.Reply, err = decodeReply(text)
 	case fieldHub:
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/state/config"
 )
 
@@ -30,6 +31,8 @@
 	Apply    time.Duration // how long a change of the settings may take to be in force
 	Grace    time.Duration // from the signal to stop to the end of the process
 	Retry    RetryShare
+	// Quarantine is of requests that crash the servers that run them.
+	Quarantine poison.Config
 }
 
 // RetryShare bounds the sendings beyond the first of each call, over all VMs.
@@ -56,6 +59,13 @@
 	Apply    *string        `json:"apply-bound,omitzero"`
 	Grace    *string        `json:"stop-grace,omitzero"`
 	Retry    retryShareWire `json:"retry-budget,omitzero"`
+
+	Quarantine quarantineWire `json:"quarantine,omitzero"`
+}
+
+type quarantineWire struct {
+	Crashes *int    `json:"crashes,omitzero"`
+	Time    *string `json:"time,omitzero"`
 }
 
 type retryShareWire struct {
@@ -76,6 +86,20 @@
 	DefaultRatio   = 0.2
 	DefaultExtra   = 20.0
 	DefaultWindow  = 10 * time.Second
+	// DefaultCrashes and DefaultQuarantineTime are of the quarantine of requests.
+	DefaultCrashes        = 3
+	DefaultQuarantineTime = 10 * time.Minute
+)
+
+// DefaultQuarantine returns the quarantine of settings that say nothing of it.
+func DefaultQuarantine() poison.Config {
+	return poison.Config{Crashes: DefaultCrashes, Time: DefaultQuarantineTime}
+}
+
+// A quarantine lasts as long as a lease of the store at most.
+const (
+	minQuarantine = 10 * time.Second
+	maxQuarantine = 10 * time.Minute
 )
 
 // megabit is a Mbit/s in bits a second.
@@ -119,6 +143,10 @@
 			Extra:  f.Float("/retry-budget/extra", w.Retry.Extra, DefaultExtra, 0, 1e6),
 			Window: f.Duration("/retry-budget/window", w.Retry.Window, DefaultWindow, 100*time.Millisecond, time.Hour),
 		},
+		Quarantine: poison.Config{
+			Crashes: f.Int("/quarantine/crashes", w.Quarantine.Crashes, DefaultCrashes, 1, 1000),
+			Time:    f.Duration("/quarantine/time", w.Quarantine.Time, DefaultQuarantineTime, minQuarantine, maxQuarantine),
+		},
 	}
 	return e, f.Err()
 }
@@ -161,6 +189,8 @@
 		{"retry-budget/ratio", formatFloat(DefaultRatio), "sendings beyond the first of each call, over all VMs, as a share of the first ones"},
 		{"retry-budget/extra", formatFloat(DefaultExtra), "sendings beyond these in each window"},
 		{"retry-budget/window", DefaultWindow.String(), "the window of the retry budget"},
+		{"quarantine/crashes", strconv.Itoa(DefaultCrashes), "servers that crash while they begin to run a request until it is quarantined"},
+		{"quarantine/time", DefaultQuarantineTime.String(), "how long a request is quarantined, and for how long a crash counts against it"},
 	}
 }
 
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -34,6 +34,7 @@
 	metricReady    = "umberladder_ready"
 	metricPlaced   = "umberladder_placements_total"
 	metricWaiting  = "umberladder_waiting_at_home"
+	metricHeld     = "umberladder_quarantined_requests"
 )
 
 // Metric describes one metric.
@@ -70,6 +71,7 @@
 		{metricWatches, "gauge", "1 if this VM watches the store, 0 if others tell it"},
 		{metricPlaced, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
 		{metricWaiting, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
+		{metricHeld, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
 	}
 }
@@ -99,6 +101,7 @@
 		metricWatches: func() float64 { return number(v.node.Watches()) },
 		metricWaiting: func() float64 { return float64(v.home.Waiting()) },
 		metricReady:   func() float64 { return number(v.Ready()) },
+		metricHeld:    func() float64 { return float64(v.node.Poison.Len(time.Now())) },
 	} {
 		v.set.NewGauge(name, f)
 	}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -110,6 +110,7 @@
 		Seats:    node.Seats,
 		Budget:   node.Budget,
 		Health:   sound,
+		Poison:   node.Poison,
 		Places:   v.desk,
 		Backend:  ports.Backend,
 		Clock:    awake.Now,
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -13,6 +13,7 @@
 	"umberladder/internal/core/awake"
 	"umberladder/internal/peer/gossip"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/route/desk"
@@ -40,6 +41,7 @@
 	Seats    *seats.Book
 	Hubs     *hubs.Hubs
 	Budget   *retry.Window
+	Poison   *poison.Book
 	Discover *follow.Servers
 
 	cfg     *conf.Edge
@@ -71,7 +73,8 @@
 	}
 	n.Servers = backs.NewTable(n.tell)
 	n.Budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, n.Hubs)
-	n.names = names.New(own, start, n.Hubs, ports.Names, n.beat, log)
+	n.Poison = poison.New(cfg.Quarantine, n.judged)
+	n.names = names.New(own, start, n.Hubs, ports.Names, n.Poison, n.beat, log)
 	n.follow = follow.NewSettings(ports.Settings, n.Settings, awake.Now, n.settingsTold, n.first, n.tell, log)
 	n.Discover = follow.NewServers(ports.Servers, n.Servers, awake.Now, n.serversTold, n.first, n.lead, n.tell, n.takeServers, log)
 	return n
--- a/internal/proc/peers/told.go
+++ b/internal/proc/peers/told.go
@@ -76,6 +76,7 @@
 	n := l.node
 	s.Loads = n.Seats.Own()
 	s.Sent = n.Budget.Sent(now)
+	s.Findings = n.Poison.Report(now)
 	l.tell(s, now)
 	if s.Store.Asks {
 		l.news(s, now)
@@ -86,6 +87,7 @@
 func (l *local) Answer(s *wire.State, to ident.VM, now time.Time) {
 	t := l.node.Budget.Rest(to, now)
 	s.Hub.Known, s.Hub.Heard, s.Hub.Rest = t.Known, t.Heard, t.Sent
+	s.Findings = l.node.Poison.Answer(now)
 	l.tell(s, now)
 	l.news(s, now)
 }
@@ -128,6 +130,7 @@
 		n.beat()
 	}
 	n.Budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
+	n.Poison.Met(s.VM, s.Boot, now)
 	l.take(s, from, false, now)
 	if s.Reply != nil {
 		l.confirm(*s.Reply, from)
@@ -138,6 +141,7 @@
 // passed on to those that report to this one.
 func (l *local) take(s *wire.State, from netip.AddrPort, pass bool, now time.Time) {
 	n := l.node
+	n.findings(s, now)
 	if s.News != nil {
 		n.Discover.Learn(*s.News, now)
 	}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -79,7 +79,7 @@
 // Serve takes the call to its end. It returns a refusal that is still to be
 // written, or nil if the answer was written or broken off.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, w port.Reply) *refuse.Refusal {
-	t := &entrant{relay: r, Task: &task.Task{Parts: r.Parts, Call: c, Reply: w, Record: task.End{Call: c}}}
+	t := &entrant{relay: r, Task: &task.Task{Parts: r.Parts, Call: c, Reply: w, Record: task.End{Call: c, Print: c.Fingerprint()}}}
 	refusal := t.admit(ctx)
 	if refusal == nil {
 		refusal = t.run(ctx)
@@ -169,6 +169,9 @@
 	if refusal := t.stopping(); refusal != nil {
 		return refusal
 	}
+	if refusal := t.Quarantined(); refusal != nil {
+		return refusal
+	}
 	t.End = t.Call.Arrived.Add(route.Timeout)
 	if p := t.Call.Patience; p > 0 && p < route.Timeout {
 		t.End = t.Call.Arrived.Add(p)
--- a/internal/route/stream/pump.go
+++ b/internal/route/stream/pump.go
@@ -17,6 +17,9 @@
 // growStep is how many tokens a stream makes until others are told.
 const growStep = 128
 
+// youngTime is how long after its first event a run counts as one that has just begun.
+const youngTime = time.Second
+
 // pump passes events on until the stream is whole or lost.
 func (f *flight) pump(ctx context.Context) *refuse.Refusal {
 	w := f.watch()
@@ -70,6 +73,7 @@
 		return refuse.New(refuse.CallerLeft, "the end could not be written: %v", err).With(refuse.RanPartial)
 	}
 	f.Health.Success(f.server.ID, time.Now())
+	f.Completed()
 	return nil
 }
 
@@ -92,7 +96,9 @@
 		}
 		g.arrive(now)
 	}
-	f.legged = true
+	if !f.legged {
+		f.legged, f.legAt = true, now
+	}
 	f.lastAt = now
 	f.Record.Events += n
 	f.grow()
@@ -147,7 +153,12 @@
 	}
 	f.Note("stream broke off", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
 	f.Health.Failure(f.server.ID, time.Now())
-	f.Broke(f.server)
+	if !f.established() {
+		f.Broke(ctx, f.server)
+	}
+	if q := f.Quarantined(); q != nil {
+		return f.lost(q)
+	}
 	switch {
 	case f.Route.Resumable:
 		return f.resume(ctx, err)
@@ -161,6 +172,13 @@
 	return f.follow(ctx, d)
 }
 
+// established reports whether an engine has run the call for a while, so that the call
+// is not what makes engines crash.
+func (f *flight) established() bool {
+	f.proven = f.proven || f.legged && time.Since(f.legAt) >= youngTime
+	return f.proven
+}
+
 // lost returns the refusal of a stream that can't go on.
 func (f *flight) lost(err error) *refuse.Refusal {
 	return refuse.New(refuse.ServerDied, "server %s broke off after event %q: %v", f.server.ID, f.lastID, err).With(refuse.RanPartial)
@@ -195,6 +213,7 @@
 func (f *flight) attach(a *port.Answer) {
 	if f.leg != nil {
 		f.leg.Close()
+		f.established()
 	}
 	f.stopping, f.legged = false, false
 	f.leg = events.New(f.Group, a.Body, a.Framed)
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -11,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
@@ -44,6 +42,8 @@
 	made     atomic.Int64 // tokens, as far as events tell; moves read it beside the events
 	told     int          // tokens when the stream's size was last told
 	legged   bool         // the present leg has brought an event
+	legAt    time.Time    // when it brought the first one
+	proven   bool         // an engine has run the call for youngTime
 	stopping bool         // the run is being stopped, so that its end may be no end
 	lastAt   time.Time
 	stay     context.CancelFunc // ends the move under way; nil: there was none
@@ -123,7 +123,7 @@
 		f.Record.Sent++
 		f.ran = refuse.RanMaybe
 		if ctx.Err() == nil {
-			f.Broke(s)
+			f.Broke(ctx, s)
 		}
 	}
 	if task.IsUnsent(err) {
@@ -164,6 +164,7 @@
 	if err != nil {
 		return refuse.New(refuse.ServerDied, "server %s failed with status %d and broke off", s.ID, a.Status).With(f.ran), true
 	}
+	f.Completed()
 	if a.Status >= http.StatusInternalServerError && f.again() {
 		return nil, false
 	}
@@ -214,12 +215,15 @@
 	w := f.want(pick.Call, f.Config.Domain, slices.Collect(maps.Keys(f.tried)))
 	start := time.Now()
 	since := start.Sub(f.Call.Arrived)
-	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), f.mark()
+	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), uint64(f.Record.Print)
 	w.Failed, f.failed = f.failed, nil
 	w.Due = room.Due(f.Route.Target, since, w.Read)
 	w.Wait = room.Wait(w.Due, f.End.Sub(f.Call.Arrived), since)
 	spot, err := f.Places.Place(ctx, w)
 	f.Record.Queued += time.Since(start)
+	if q := f.Quarantined(); q != nil {
+		return nil, q
+	}
 	var full *pick.NoRoomError
 	switch {
 	case err == nil:
@@ -246,20 +250,6 @@
 	return f.Call.Prompt.Tokens
 }
 
-// mark identifies the request when its client repeats it: its identifier is
-// another one then.
-func (f *flight) mark() uint64 {
-	d := xxhash.New()
-	for _, s := range []string{f.Call.Key, f.Call.Host, f.Call.Target} {
-		_, _ = d.WriteString(s)
-	}
-	if p := f.Call.Prompt; p != nil {
-		_, _ = fmt.Fprint(d, p.Tokens, p.Limit, p.Hint, p.Parts)
-	}
-	_, _ = d.Write(f.Call.Body)
-	return d.Sum64()
-}
-
 func (f *flight) load(reading bool) seats.Load {
 	l := seats.Load{Seats: 1, Tokens: f.need()}
 	if reading {
--- a/internal/route/task/parts.go
+++ b/internal/route/task/parts.go
@@ -12,6 +12,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
@@ -37,6 +38,7 @@
 	Seats    *seats.Book
 	Budget   Budget
 	Health   *health.Book
+	Poison   *poison.Book
 	Places   Placer
 	Backend  port.Backend
 	Clock    awake.Clock
@@ -65,7 +67,8 @@
 // End tells how a call ended.
 type End struct {
 	Call    *call.Call
-	Route   *routes.Route // nil: none was found
+	Print   call.Fingerprint // of the call
+	Route   *routes.Route    // nil: none was found
 	Service ident.Service
 	Server  ident.Server
 	Status  int             // sent to the client; zero: none
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -83,24 +83,6 @@
 	}
 }
 
-// refuseTime bounds the check whether a server has ended.
-const refuseTime = 500 * time.Millisecond
-
-// Broke has it checked whether a server whose answer broke off has ended. It returns at
-// once.
-func (t *Task) Broke(s *backs.Server) {
-	if s.Left() {
-		return // it has announced its end
-	}
-	t.Group.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), refuseTime)
-		defer cancel()
-		t.Note("answer broke off", zap.String("server", string(s.ID)), zap.Stringer("fingerprint", t.Call.Fingerprint()),
-			zap.Bool("server-ended", t.Backend.Refuses(ctx, s)))
-		return nil
-	})
-}
-
 // Deliver writes a whole answer to the client.
 func (t *Task) Deliver(a *Whole) *refuse.Refusal {
 	t.Record.Status = a.Status
--- a/internal/route/whole/whole.go
+++ b/internal/route/whole/whole.go
@@ -50,7 +50,7 @@
 		if err != nil && ctx.Err() != nil {
 			return t.Over(ctx, r.ranBy(err))
 		}
-		if err != nil && !r.broken(s, err) {
+		if err != nil && !r.broken(ctx, s, err) {
 			break
 		}
 		if err == nil && r.answered(s, a) {
@@ -71,6 +71,10 @@
 	if r.Record.Sent >= r.Route.Attempts || !r.PassOver(r.unsent) {
 		return false
 	}
+	if q := r.Quarantined(); q != nil {
+		r.refusal = q.With(r.refusal.Ran)
+		return false
+	}
 	if r.Record.Sent == 0 || r.Budget.Spend(r.Service.Name, time.Now()) {
 		return true
 	}
@@ -87,7 +91,7 @@
 }
 
 // broken judges a sending without a whole answer; false ends the trial.
-func (r *trial) broken(s *backs.Server, err error) bool {
+func (r *trial) broken(ctx context.Context, s *backs.Server, err error) bool {
 	if task.IsUnsent(err) {
 		r.unsent++
 		r.Note("server not reached", zap.String("server", string(s.ID)), zap.Error(err))
@@ -96,7 +100,7 @@
 	r.Record.Sent++
 	r.last = nil
 	r.Note("no whole answer", zap.String("server", string(s.ID)), zap.Error(err))
-	r.Broke(s)
+	r.Broke(ctx, s)
 	r.refusal = refuse.New(refuse.ServerDied, "server %s broke off: %v", s.ID, err).With(refuse.RanMaybe)
 	return r.Route.Kind == call.Idempotent
 }
@@ -138,6 +142,9 @@
 		r.Health.Failure(s.ID, time.Now())
 		return nil, &port.SendError{Err: err}
 	}
+	if !a.NotRun {
+		r.Completed()
+	}
 	if a.Status < http.StatusInternalServerError {
 		r.Health.Success(s.ID, time.Now())
 	} else {
--- a/internal/state/names/names.go
+++ b/internal/state/names/names.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
-	"umberladder/internal/policy/retry"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/state/hubs"
 )
 
@@ -33,6 +33,8 @@
 	TouchTime = readEvery + retryName + 300*time.Millisecond
 	// staleTime is how old the names may be that are read.
 	staleTime = 8 * time.Second
+	// standbyTime is how long the first hub may take to write what all hubs know.
+	standbyTime = 10 * time.Second
 	// callTime bounds one call to the store.
 	callTime = time.Second
 	// firstDelay spreads VMs that start together, and capacityDelay lets those of
@@ -56,9 +58,26 @@
 	Announce(ctx context.Context, vm ident.VM, addr netip.AddrPort, ttl time.Duration) (Lease, error)
 	// Renew prolongs a lease; ErrLapsed says that it has ended.
 	Renew(ctx context.Context, l Lease) error
-	// VMs returns the addresses of the VMs that have announced themselves. They
-	// may be seconds old, unless they have to be fresh.
-	VMs(ctx context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error)
+	// Read returns what VMs have written. It may be seconds old, unless it has to be
+	// fresh.
+	Read(ctx context.Context, fresh bool) (Records, error)
+	// Quarantine writes that a request is quarantined.
+	Quarantine(ctx context.Context, e poison.Entry) error
+}
+
+// Records are what VMs have written to the store.
+type Records struct {
+	VMs         map[ident.VM]netip.AddrPort // addresses of those that have announced themselves
+	Quarantined []poison.Entry
+}
+
+// Quarantine is the requests that are to be quarantined after the loss of all VMs, too.
+type Quarantine interface {
+	// Stored takes those that the store holds.
+	Stored(list []poison.Entry, now time.Time)
+	// Unstored returns those that were quarantined longer than age ago and that the
+	// store has not been known to hold for a time.
+	Unstored(age, unseen time.Duration, now time.Time) []poison.Entry
 }
 
 // Keeper reads the names in the store, and keeps this VM's there while it is a hub.
@@ -67,6 +86,8 @@
 	start time.Time
 	hubs  *hubs.Hubs
 	reg   Registry
+	held  Quarantine
+	wake  chan struct{}
 	found func()
 	log   *zap.Logger
 	lease Lease // zero: there is none
@@ -77,8 +98,16 @@
 
 // New makes the keeper of a VM's name, which starts at a moment. It calls found once
 // it has read names while no other VM is heard.
-func New(own hubs.Candidate, start time.Time, h *hubs.Hubs, reg Registry, found func(), log *zap.Logger) *Keeper {
-	return &Keeper{own: own, start: start, hubs: h, reg: reg, found: found, log: log}
+func New(own hubs.Candidate, start time.Time, h *hubs.Hubs, reg Registry, held Quarantine, found func(), log *zap.Logger) *Keeper {
+	return &Keeper{own: own, start: start, hubs: h, reg: reg, held: held, wake: make(chan struct{}, 1), found: found, log: log}
+}
+
+// Wake has a hub write at once what it has to.
+func (k *Keeper) Wake() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run keeps and reads names until ctx ends.
@@ -92,7 +121,23 @@
 		} else {
 			k.log.Info("names of VMs not kept or read in the store", zap.Error(err))
 		}
-		retry.Pause(ctx, k.pause(err, time.Now()))
+		k.rest(ctx, k.pause(err, time.Now()))
+	}
+}
+
+// rest waits until the next step. Hubs alone are woken before it, and not while the
+// store fails.
+func (k *Keeper) rest(ctx context.Context, d time.Duration) {
+	wake := k.wake
+	if k.fails > 0 || !k.hubs.Hub(time.Now()) {
+		wake = nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
 	}
 }
 
@@ -120,6 +165,9 @@
 	if err != nil {
 		return err
 	}
+	if err := k.quarantine(ctx, time.Now()); err != nil {
+		return err
+	}
 	now := time.Now()
 	if _, there := names[k.own.VM]; !there && now.Sub(k.wrote) > staleTime {
 		k.lease = 0 // the store has lost it
@@ -146,16 +194,36 @@
 }
 
 func (k *Keeper) read(ctx context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
-	names, err := k.reg.VMs(ctx, fresh)
+	records, err := k.reg.Read(ctx, fresh)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	k.hubs.Listed(names, now)
+	k.hubs.Listed(records.VMs, now)
+	k.held.Stored(records.Quarantined, now)
 	if k.hubs.Heard(now) == 0 {
 		k.found()
 	}
-	return names, nil
+	return records.VMs, nil
+}
+
+// quarantine writes the requests that the store does not hold. The VM that asks the
+// store before all others does so at once, other hubs once it has had the time.
+func (k *Keeper) quarantine(ctx context.Context, now time.Time) error {
+	if !k.hubs.Hub(now) {
+		return nil
+	}
+	age := standbyTime
+	if k.hubs.Lead(now) {
+		age = 0
+	}
+	for _, e := range k.held.Unstored(age, staleTime, now) {
+		if err := k.reg.Quarantine(ctx, e); err != nil {
+			return err
+		}
+		k.held.Stored([]poison.Entry{e}, now)
+	}
+	return nil
 }
 
 // renew prolongs the lease, or lets it end once others are the hubs.
--- a/internal/state/names/names_test.go
+++ b/internal/state/names/names_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/state/hubs"
 )
 
@@ -30,10 +32,17 @@
 	lost   bool
 	broken bool // names can't be written, though leases are granted
 	names  map[ident.VM]netip.AddrPort
+	held   []poison.Entry
 	writes int
 	fresh  int
 }
 
+// none is a VM that knows of no requests to quarantine.
+type none struct{}
+
+func (none) Stored([]poison.Entry, time.Time)                                {}
+func (none) Unstored(time.Duration, time.Duration, time.Time) []poison.Entry { return nil }
+
 var errAway = errors.New("away")
 
 func (r *registry) Announce(_ context.Context, vm ident.VM, a netip.AddrPort, _ time.Duration) (Lease, error) {
@@ -56,16 +65,26 @@
 	return nil
 }
 
-func (r *registry) VMs(_ context.Context, fresh bool) (map[ident.VM]netip.AddrPort, error) {
+func (r *registry) Quarantine(_ context.Context, e poison.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.broken {
+		return errAway
+	}
+	r.held = append(r.held, e)
+	return nil
+}
+
+func (r *registry) Read(_ context.Context, fresh bool) (Records, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.away {
-		return nil, errAway
+		return Records{}, errAway
 	}
 	if fresh {
 		r.fresh++
 	}
-	return maps.Clone(r.names), nil
+	return Records{VMs: maps.Clone(r.names), Quarantined: slices.Clone(r.held)}, nil
 }
 
 // change changes what the store holds.
@@ -92,7 +111,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			var g errgroup.Group
 			g.Go(func() error {
-				New(candidate(1), time.Now(), h, r, func() {}, zap.NewNop()).Run(ctx)
+				New(candidate(1), time.Now(), h, r, none{}, func() {}, zap.NewNop()).Run(ctx)
 				return nil
 			})
 			f(h)
@@ -117,9 +136,9 @@
 			time.Sleep(hubs.StartTime)
 			r.change(func() { r.broken = false })
 			time.Sleep(readEvery)
-			names, err := r.VMs(t.Context(), false)
+			names, err := r.Read(t.Context(), false)
 			assert.NilError(t, err)
-			assert.Equal(t, len(names), 1)
+			assert.Equal(t, len(names.VMs), 1)
 		})
 	})
 	t.Run("one that finds enough others need not be found", func(t *testing.T) {
