Log that a server announces its drain in an answer

The logs could not tell whether an announcement in an answer is not seen, or seen and forgotten: nothing reads the header. It is read now, and noted with the call, without any effect yet.

--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -36,6 +36,8 @@
 	NotRun bool         // the server says that it did not run the call
 	Gone   bool         // another server answers at the address: the one that was called is gone
 	Framed bool         // the end of the body is marked
+	// Leaving says that the server is draining: it takes no new calls.
+	Leaving bool
 	Body   Body
 }
 
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -194,8 +194,12 @@
 	a, err := f.Backend.Send(ctx, send)
 	if err != nil {
 		f.Health.Failure(s.ID, time.Now())
+		return nil, err
 	}
-	return a, err
+	if a.Leaving {
+		f.Draining(s)
+	}
+	return a, nil
 }
 
 func (f *flight) head(a *port.Answer) *refuse.Refusal {
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// Draining notes that a server has announced in an answer that it is draining.
+func (t *Task) Draining(s *backs.Server) {
+	t.Note("server announces its drain", zap.String("server", string(s.ID)), zap.Bool("known", s.Left()))
+}
+
 // Deliver writes a whole answer to the client.
 func (t *Task) Deliver(a *Whole) *refuse.Refusal {
 	t.Record.Status = a.Status
--- a/internal/route/whole/whole.go
+++ b/internal/route/whole/whole.go
@@ -134,6 +134,9 @@
 		return nil, err
 	}
 	defer func() { _ = a.Body.Close() }()
+	if a.Leaving {
+		r.Draining(s)
+	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, MaxBody+1))
 	if err == nil && len(body) > MaxBody {
 		err = errors.New("the answer is too large")
