Take servers out of use that announce in an answer that they drain

What callers saw: calls went on to a server that had said in its answers that it drains, 2.3 to 4.7 s later and until it ended.

Cause: a drain was learnt from the store, from VMs that had learnt it there, and from engines' reports; what an answer says of its server was passed on and not read. And where a drain was learnt otherwise, only the table's entry held it: an older entry of the store that still read ready, by a list, a change or a copy of the store, put the server back in use.

Why this works: the table remembers the start of a server that drains, whoever said so, apart from its entry, for longer than any start drains. It stays known, so that lists for other VMs hold it as draining, and it is announced by the VM that saw it and by hubs until its entry says so, through an outage of the store, too.

Callers wrongly held back: only a server's own word, or its entry's, counts as a drain. One whose entry lapsed and that writes it again is in use again, as before (TestDrains).

--- /dev/null
+++ b/internal/peer/wire/finding_test.go
@@ -0,0 +1,37 @@
+package wire
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/poison"
+)
+
+// TestFinding sends findings: moments arrive as ages, in milliseconds.
+func TestFinding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		list := []poison.Finding{
+			{Request: 1 << 63, Crashes: map[ident.Server]time.Time{"a": now, "b": now.Add(-time.Minute)}, Quarantined: now.Add(-time.Second)},
+			{Request: 2, Crashes: map[ident.Server]time.Time{}, Cleared: now.Add(-5 * time.Millisecond)},
+		}
+		b := (&State{VM: "vm", Findings: list}).Encode()
+		const passed = 300 * time.Millisecond
+		time.Sleep(passed)
+		s, err := Decode(b)
+		assert.NilError(t, err)
+		for i := range list {
+			assert.Equal(t, s.Findings[i].Request, list[i].Request)
+			assert.Equal(t, len(s.Findings[i].Crashes), len(list[i].Crashes))
+			for id, at := range list[i].Crashes {
+				assert.Assert(t, s.Findings[i].Crashes[id].Equal(at.Add(passed)))
+			}
+			assert.Equal(t, s.Findings[i].Cleared.IsZero(), list[i].Cleared.IsZero())
+			assert.Equal(t, s.Findings[i].Quarantined.IsZero(), list[i].Quarantined.IsZero())
+		}
+	})
+}
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -25,9 +25,12 @@
 	Loads   map[ident.Server]seats.Load
 	Sent    map[ident.Service]retry.Sent // in the window of the retry budget
 	Leaving []ident.Server               // servers seen to leave lately
-	Version uint64                       // of the settings in force
-	Store   hubs.StoreStatus             // of its way to the store
-	News    *follow.News                 // changes of servers; nil: none are told
+	// Draining are servers that have said themselves that they drain, while their
+	// entries may say otherwise.
+	Draining []ident.Server
+	Version  uint64           // of the settings in force
+	Store    hubs.StoreStatus // of its way to the store
+	News     *follow.News     // changes of servers; nil: none are told
 	// Findings are of requests that crash servers.
 	Findings []poison.Finding
 
@@ -70,6 +73,7 @@
 	fieldDigest  = 17
 	fieldPart    = 18
 	fieldFinding = 19
+	fieldDrain   = 20
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -104,6 +108,9 @@
 	for _, id := range s.Leaving {
 		b = appendString(b, fieldLeaving, string(id))
 	}
+	for _, id := range s.Draining {
+		b = appendString(b, fieldDrain, string(id))
+	}
 	b = appendNumber(b, fieldVersion, s.Version)
 	if s.Store.Asks {
 		b = appendNumber(b, fieldAsks, 1)
@@ -202,6 +209,8 @@
 		s.Sent[name] = sent
 	case fieldLeaving:
 		s.Leaving = append(s.Leaving, ident.Server(text))
+	case fieldDrain:
+		s.Draining = append(s.Draining, ident.Server(text))
 	case fieldNews:
 		s.News, err = DecodeNews(text)
 	case fieldFinding:
--- a/internal/peer/wire/state_test.go
+++ b/internal/peer/wire/state_test.go
@@ -34,6 +34,7 @@
 		}
 		s.Sent[ident.Service(name.Draw(t, "service"))] = retry.Sent{First: n.Draw(t, "first"), Again: n.Draw(t, "again")}
 		s.Leaving = append(s.Leaving, ident.Server(name.Draw(t, "leaving")))
+		s.Draining = append(s.Draining, ident.Server(name.Draw(t, "draining")))
 	}
 	if rapid.Bool().Draw(t, "asks") {
 		s.Store = hubs.StoreStatus{Asks: true, Age: time.Duration(n.Draw(t, "age"))}
--- a/internal/proc/peers/told.go
+++ b/internal/proc/peers/told.go
@@ -97,6 +97,7 @@
 	n := l.node
 	s.Capacity = n.Hubs.Own().Capacity
 	s.Leaving = n.Servers.Leaving(now)
+	s.Draining = n.Servers.Draining(now)
 	s.Version = n.Version()
 	s.Store = n.storeStatus(now)
 }
@@ -145,8 +146,11 @@
 	if s.News != nil {
 		n.Discover.Learn(*s.News, now)
 	}
+	for _, id := range n.Servers.Drains(s.Draining, pass, now) {
+		n.log.Info("server drains", zap.String("server", string(id)), zap.String("reported-by", string(s.VM)))
+	}
 	for _, id := range n.Servers.Hear(s.Leaving, pass) {
-		n.log.Info("server leaves", zap.String("server", string(id)), zap.String("told-by", string(s.VM)))
+		n.log.Info("server leaves", zap.String("server", string(id)), zap.String("reported-by", string(s.VM)))
 	}
 	if s.Version > n.Version() {
 		l.newer(s.Version, from)
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -129,10 +129,14 @@
 		p.dead([]ident.Server{s.ID}, time.Now())
 	case err != nil:
 		p.log.Debug("engine did not tell of itself", zap.String("server", string(s.ID)), zap.Error(err))
-	case r.Leaving || restarted(s, r):
+	case restarted(s, r):
 		if p.table.Left(s.ID) {
-			p.log.Info("server leaves", zap.String("server", string(s.ID)), zap.String("told-by", "itself"),
-				zap.Duration("left", r.Left), zap.Bool("restarted", restarted(s, r)))
+			p.log.Info("server gone", zap.String("server", string(s.ID)), zap.String("reason", "it has started again"))
+		}
+	case r.Leaving:
+		if p.table.Drain(s.ID, time.Now()) {
+			p.log.Info("server drains", zap.String("server", string(s.ID)), zap.String("reported-by", "itself"),
+				zap.Duration("left", r.Left))
 		}
 	}
 }
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -83,9 +83,12 @@
 	}
 }
 
-// Draining notes that a server has announced in an answer that it is draining.
+// Draining takes a server out of use that has announced in an answer that it drains. Its
+// entry may say so much later, or never.
 func (t *Task) Draining(s *backs.Server) {
-	t.Note("server announces its drain", zap.String("server", string(s.ID)), zap.Bool("known", s.Left()))
+	if t.Servers.Drain(s.ID, time.Now()) {
+		t.Note("server drains", zap.String("server", string(s.ID)), zap.String("reported-by", "itself"))
+	}
 }
 
 // Deliver writes a whole answer to the client.
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -81,6 +81,7 @@
 	names  map[string]ident.Server    // the latest start of each name
 	lapsed map[ident.Server]time.Time // entries that lapsed in an outage: when they count as gone
 	news   map[ident.Server]time.Time // servers seen to leave, and when
+	drains map[ident.Server]*drain    // starts that have begun to drain, whatever entries say
 	view   atomic.Pointer[View]
 }
 
@@ -92,6 +93,7 @@
 		names:   make(map[string]ident.Server),
 		lapsed:  make(map[ident.Server]time.Time),
 		news:    make(map[ident.Server]time.Time),
+		drains:  make(map[ident.Server]*drain),
 	}
 	t.publish()
 	return t
@@ -118,6 +120,11 @@
 	}
 	_, lapsed := t.lapsed[e.ID]
 	delete(t.lapsed, e.ID)
+	if e.Leaving {
+		t.drained(e.ID, time.Now()).confirmed = true
+	}
+	// A start that drains does not change its mind: an entry that says so is older.
+	e.Leaving = t.drains[e.ID] != nil
 	old := t.all[e.ID]
 	if old != nil && old.Entry == e {
 		return lapsed
@@ -125,10 +132,6 @@
 	s := &Server{Entry: e, leave: make(chan struct{})}
 	if old != nil {
 		s.leave = old.leave
-		if old.Leaving {
-			// A start that leaves does not change its mind.
-			s.Leaving = true
-		}
 	}
 	if s.Leaving && (old == nil || !old.Leaving) {
 		close(s.leave)
@@ -195,13 +198,15 @@
 	return left
 }
 
-// Left takes a server's own word that it leaves. It reports whether that is news.
+// Left notes that a server is gone: another one answers at its address. It reports
+// whether that is news.
 func (t *Table) Left(id ident.Server) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.all[id]; s == nil || s.Leaving {
 		return false
 	}
+	t.drained(id, time.Now()).confirmed = true
 	t.end(id)
 	t.publish()
 	return true
@@ -294,6 +299,9 @@
 
 func (t *Table) drop(id ident.Server) {
 	delete(t.lapsed, id)
+	if d := t.drains[id]; d != nil {
+		d.confirmed = true
+	}
 	s := t.all[id]
 	delete(t.all, id)
 	delete(t.names, id.Name())
--- a/internal/state/backs/table_test.go
+++ b/internal/state/backs/table_test.go
@@ -153,3 +153,69 @@
 		usable(t, tab)
 	})
 }
+
+// TestDrains has servers announce themselves that they drain, while entries say for a
+// while, or again, that they are ready.
+func TestDrains(t *testing.T) {
+	now := time.Now()
+	ready := func(id ident.Server) Entry { return Entry{ID: id, Service: "s"} }
+	setup := func() *Table {
+		table := NewTable(func() {})
+		table.Put(ready("a"))
+		table.Put(ready("b"))
+		return table
+	}
+	inUse := func(t *testing.T, table *Table, want int) {
+		t.Helper()
+		assert.Equal(t, len(table.View().Service("s")), want)
+	}
+	t.Run("its entry does not bring it back", func(t *testing.T) {
+		table := setup()
+		leave := table.View().Server("a").Leave()
+		assert.Assert(t, table.Drain("a", now))
+		assert.Assert(t, !table.Drain("a", now), "it is known")
+		<-leave
+		inUse(t, table, 1)
+		table.Put(ready("a"))
+		table.Replace([]Entry{ready("a"), ready("b")}, time.Time{}, now)
+		inUse(t, table, 1)
+		table.Remove("a", time.Time{}, now)
+		table.Put(ready("a"))
+		inUse(t, table, 1)
+	})
+	t.Run("nor does an older entry once a later one said so", func(t *testing.T) {
+		table := setup()
+		table.Put(Entry{ID: "a", Service: "s", Leaving: true})
+		table.Remove("a", time.Time{}, now)
+		table.Put(ready("a"))
+		inUse(t, table, 1)
+	})
+	t.Run("one whose entry lapsed comes back", func(t *testing.T) {
+		table := setup()
+		table.Remove("a", time.Time{}, now)
+		table.Put(ready("a"))
+		inUse(t, table, 2)
+	})
+	t.Run("it is announced until its entry says so", func(t *testing.T) {
+		table := setup()
+		table.Drain("a", now)
+		later := now.Add(10 * newsTime)
+		assert.DeepEqual(t, table.Draining(later), []ident.Server{"a"})
+		table.Put(Entry{ID: "a", Service: "s", Leaving: true})
+		assert.Equal(t, len(table.Draining(later)), 0)
+	})
+	t.Run("what another VM reports is passed on if asked for", func(t *testing.T) {
+		table := setup()
+		assert.DeepEqual(t, table.Drains([]ident.Server{"a"}, false, now), []ident.Server{"a"})
+		inUse(t, table, 1)
+		assert.Equal(t, len(table.Draining(now)), 0)
+		assert.Equal(t, len(table.Drains([]ident.Server{"a"}, true, now)), 0)
+		assert.DeepEqual(t, table.Draining(now), []ident.Server{"a"})
+	})
+	t.Run("one that is not known yet", func(t *testing.T) {
+		table := setup()
+		table.Drains([]ident.Server{"c"}, false, now)
+		table.Put(ready("c"))
+		inUse(t, table, 2)
+	})
+}
