Send a server nothing while it wants a pause

What callers saw: a server that rejects calls and says for how long it wants none got more of them, 11 to 27 plain calls and 167 to 176 streams in 2 s from two VMs; each cost its caller a try at a server that was not going to take it.

Cause: Retry-After of a server's 503 was passed on and not read.

Why this works: each VM keeps until when a server wants no calls of it, and leaves it out where it chooses itself, and among what it asks the home for.

Where all servers of a service want a pause, calls are refused at once, not run, and told when the shortest is over (TestPauses).

Callers wrongly held back: the pause binds the VM that was asked, not others; a 429's Retry-After is the client's.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -19,6 +19,7 @@
 type Book struct {
 	mu      sync.Mutex
 	servers map[ident.Server]*record
+	pauses  map[ident.Server]time.Time // until when a server wants no calls of this VM
 }
 
 type record struct {
@@ -28,7 +29,9 @@
 }
 
 // New makes a record of sound servers.
-func New() *Book { return &Book{servers: make(map[ident.Server]*record)} }
+func New() *Book {
+	return &Book{servers: make(map[ident.Server]*record), pauses: make(map[ident.Server]time.Time)}
+}
 
 // Success notes a call that the server answered.
 func (h *Book) Success(id ident.Server, now time.Time) { h.note(id, now, 1, 0) }
@@ -73,6 +76,28 @@
 	return w
 }
 
+// mostPause bounds the pause that a server may ask for.
+const mostPause = 10 * time.Minute
+
+// Pause notes that a server wants no calls of this VM for a time.
+func (h *Book) Pause(id ident.Server, d time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pauses[id] = now.Add(min(d, mostPause))
+	for other, until := range h.pauses {
+		if !now.Before(until) {
+			delete(h.pauses, other)
+		}
+	}
+}
+
+// Paused returns for how long a server still wants no calls of this VM.
+func (h *Book) Paused(id ident.Server, now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(h.pauses[id].Sub(now), 0)
+}
+
 // Keep forgets the servers that known does not report.
 func (h *Book) Keep(known func(ident.Server) bool) {
 	h.mu.Lock()
--- a/internal/route/desk/desk.go
+++ b/internal/route/desk/desk.go
@@ -29,7 +29,7 @@
 	renewEvery = 150 * time.Millisecond
 	// silentTime is how long a home that did not answer is not asked.
 	silentTime = time.Second
-	// strays is how often a granted server that this VM knows to leave is given back.
+	// strays is how often a granted server that this VM knows not to take calls is given back.
 	strays = 3
 	// candidates is how many VMs of the order are asked before a VM decides alone.
 	candidates = 2
@@ -97,6 +97,7 @@
 // place returns where a run goes and who decided it.
 func (d *Desk) place(ctx context.Context, w pick.Want) (pick.Spot, string, error) {
 	start := time.Now()
+	w.Skip = append(slices.Clone(w.Skip), d.chooser.Paused(w.Service, start)...)
 	want := w
 	want.Skip = append(slices.Clone(w.Skip), d.chooser.Distrusted(w.Service, start)...)
 	for range strays {
@@ -117,7 +118,7 @@
 		if b != nil && b.Leaving {
 			b = nil
 		}
-		if s != nil && !s.Leaving {
+		if s != nil && !s.Leaving && !d.chooser.IsPaused(s.ID, time.Now()) {
 			return pick.Spot{Server: s, Backup: b}, byHome, nil
 		}
 		want.Skip = append(want.Skip, a.Server)
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -45,6 +45,20 @@
 	return out
 }
 
+// Paused returns the service's servers that want no calls of this VM now.
+func (c *Chooser) Paused(service ident.Service, now time.Time) []ident.Server {
+	var out []ident.Server
+	for _, s := range c.servers.View().Service(service) {
+		if c.IsPaused(s.ID, now) {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
+// IsPaused reports whether a server wants no calls of this VM now.
+func (c *Chooser) IsPaused(id ident.Server, now time.Time) bool { return c.health.Paused(id, now) > 0 }
+
 // distrust is the weight under which a VM asks for another server: two failures
 // in a row without a success.
 const distrust = 0.45
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -38,7 +38,10 @@
 	Framed bool         // the end of the body is marked
 	// Leaving says that the server is draining: it takes no new calls.
 	Leaving bool
-	Body    Body
+	// Pause is how long a server that rejects the call wants none of this VM; zero: it
+	// does not say.
+	Pause time.Duration
+	Body  Body
 }
 
 // Body is the rest of an answer. Read returns io.EOF only at the end of a
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -196,9 +196,7 @@
 		f.Health.Failure(s.ID, time.Now())
 		return nil, err
 	}
-	if a.Leaving {
-		f.Draining(s)
-	}
+	f.Observe(s, a)
 	return a, nil
 }
 
@@ -237,7 +235,7 @@
 			zap.Bool("backup", spot.Backup != nil), zap.Duration("waited", time.Since(start)))
 		return spot.Server, nil
 	case errors.Is(err, pick.ErrNoServer):
-		return nil, refuse.New(refuse.NoServer, "no server of service %s takes work", f.Service.Name).After(task.RoomRetry)
+		return nil, f.NoServer()
 	case errors.As(err, &full):
 		return nil, refuse.New(refuse.NoRoom, "no engine of service %s has room for %d tokens within %s, %d calls wait",
 			f.Service.Name, w.Need, w.Wait.Round(time.Millisecond), full.Ahead).After(room.Retry(full.Retry, f.Left()))
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -83,12 +83,31 @@
 	}
 }
 
-// Draining takes a server out of use that has announced in an answer that it drains. Its
-// entry may say so much later, or never.
-func (t *Task) Draining(s *backs.Server) {
-	if t.Servers.Drain(s.ID, time.Now()) {
+// Observe takes what an answer says of its server. One that drains is taken out of use:
+// its entry may say so much later, or never. One that wants no calls for a time gets
+// none from this VM.
+func (t *Task) Observe(s *backs.Server, a *port.Answer) {
+	now := time.Now()
+	if a.Leaving && t.Servers.Drain(s.ID, now) {
 		t.Note("server drains", zap.String("server", string(s.ID)), zap.String("reported-by", "itself"))
 	}
+	if a.Pause > 0 {
+		t.Health.Pause(s.ID, a.Pause, now)
+		t.Note("server wants a pause", zap.String("server", string(s.ID)), zap.Duration("pause", a.Pause))
+	}
+}
+
+// NoServer refuses a call for which no server takes work now. Where all servers of the
+// service want a pause, the client should come back after the shortest.
+func (t *Task) NoServer() *refuse.Refusal {
+	now := time.Now()
+	retry := time.Duration(0)
+	for _, s := range t.Servers.View().Service(t.Service.Name) {
+		if left := t.Health.Paused(s.ID, now); left > 0 && (retry == 0 || left < retry) {
+			retry = left
+		}
+	}
+	return refuse.New(refuse.NoServer, "no server of service %s takes work", t.Service.Name).After(max(retry, RoomRetry))
 }
 
 // Deliver writes a whole answer to the client.
--- a/internal/route/whole/whole.go
+++ b/internal/route/whole/whole.go
@@ -33,13 +33,12 @@
 	tried   map[ident.Server]bool
 	unsent  int             // servers that could not be connected to
 	last    *task.Whole     // failure of the last server that answered
-	refusal *refuse.Refusal // what is said if no server answers any more
+	refusal *refuse.Refusal // what is said if no server answers any more; nil: none was found
 }
 
 // Serve serves a call with one whole answer.
 func Serve(ctx context.Context, t *task.Task) *refuse.Refusal {
 	r := &trial{Task: t, tried: make(map[ident.Server]bool)}
-	r.refusal = refuse.New(refuse.NoServer, "no server of service %s takes work", t.Service.Name).After(task.RoomRetry)
 	for r.more() {
 		s := r.pick()
 		if s == nil {
@@ -63,16 +62,27 @@
 	if r.last != nil {
 		return t.Deliver(r.last)
 	}
+	if r.refusal == nil {
+		return t.NoServer()
+	}
 	return task.Truthful(r.refusal)
 }
 
+// ran returns what is known of the call's runs so far.
+func (r *trial) ran() refuse.Ran {
+	if r.refusal == nil {
+		return refuse.RanNo
+	}
+	return r.refusal.Ran
+}
+
 // more reports whether another server may be asked.
 func (r *trial) more() bool {
 	if r.Record.Sent >= r.Route.Attempts || !r.PassOver(r.unsent) {
 		return false
 	}
 	if q := r.Quarantined(); q != nil {
-		r.refusal = q.With(r.refusal.Ran)
+		r.refusal = q.With(r.ran())
 		return false
 	}
 	if r.Record.Sent == 0 || r.Budget.Spend(r.Service.Name, time.Now()) {
@@ -85,7 +95,7 @@
 // ranBy returns what is known of the call's runs after a sending that failed.
 func (r *trial) ranBy(err error) refuse.Ran {
 	if task.IsUnsent(err) {
-		return r.refusal.Ran
+		return r.ran()
 	}
 	return refuse.RanMaybe
 }
@@ -113,7 +123,7 @@
 	r.Record.Sent++
 	switch {
 	case a.NotRun:
-		r.refusal = refuse.New(refuse.ServerRefused, "server %s did not take the call, with status %d", s.ID, a.Status).With(r.refusal.Ran).After(shedRetry)
+		r.refusal = refuse.New(refuse.ServerRefused, "server %s did not take the call, with status %d", s.ID, a.Status).With(r.ran()).After(shedRetry)
 		return false
 	case a.Status < http.StatusInternalServerError:
 		return true
@@ -134,9 +144,7 @@
 		return nil, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if a.Leaving {
-		r.Draining(s)
-	}
+	r.Observe(s, a)
 	body, err := io.ReadAll(io.LimitReader(a.Body, MaxBody+1))
 	if err == nil && len(body) > MaxBody {
 		err = errors.New("the answer is too large")
@@ -168,7 +176,7 @@
 			Seats:  loads[s.ID].Seats,
 			Far:    s.Domain != r.Config.Domain,
 			Weight: r.Health.Weight(s.ID, now),
-			Skip:   r.tried[s.ID],
+			Skip:   r.tried[s.ID] || r.Health.Paused(s.ID, now) > 0,
 		}
 	}
 	i := assign.ChoosePlain(servers, assign.Random())
