Identify requests by workspace, and keep streams from paused guards

A client whose API key is exchanged repeats a request under the new one: the fingerprint has the workspace in place of the key now, so that crashes under both count together.

A stream whose engine is lost goes on at its guard only if that neither drains nor wants a pause; it is copied elsewhere where its engine lives.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -76,17 +76,18 @@
 	return p.Tokens + out
 }
 
-// Fingerprint identifies a request by its client, path and body. A client's retry has
+// Fingerprint identifies a request by its workspace, path and body. A client's retry has
 // the same one under another identifier; zero: none is known.
 type Fingerprint uint64
 
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// Fingerprint returns the call's fingerprint.
-func (c *Call) Fingerprint() Fingerprint {
+// Fingerprint returns the call's fingerprint as one of a workspace, which may change its
+// keys; empty: the route is public.
+func (c *Call) Fingerprint(w ident.Workspace) Fingerprint {
 	d := xxhash.New()
-	for _, s := range []string{c.Method, c.Key, c.Host, c.Target} {
+	for _, s := range []string{c.Method, string(w), c.Host, c.Target} {
 		_, _ = d.WriteString(s)      // never fails
 		_, _ = d.Write([]byte{0xff}) // no byte of valid text: parts can't run together
 	}
--- a/internal/route/relay/crash_test.go
+++ b/internal/route/relay/crash_test.go
@@ -23,7 +23,7 @@
 
 // quarantined reports whether a call of the path would be refused.
 func (w *world) quarantined(path string) bool {
-	_, ok := w.poison.Until(w.call(path).Fingerprint(), time.Now())
+	_, ok := w.poison.Until(w.call(path).Fingerprint("team"), time.Now())
 	return ok
 }
 
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -79,7 +79,7 @@
 // Serve takes the call to its end. It returns a refusal that is still to be
 // written, or nil if the answer was written or broken off.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, w port.Reply) *refuse.Refusal {
-	t := &entrant{relay: r, Task: &task.Task{Parts: r.Parts, Call: c, Reply: w, Record: task.End{Call: c, Print: c.Fingerprint()}}}
+	t := &entrant{relay: r, Task: &task.Task{Parts: r.Parts, Call: c, Reply: w, Record: task.End{Call: c}}}
 	refusal := t.admit(ctx)
 	if refusal == nil {
 		refusal = t.run(ctx)
@@ -161,6 +161,7 @@
 	if refusal := t.open(snap, age); refusal != nil {
 		return refusal
 	}
+	t.Record.Print = t.Call.Fingerprint(t.Workspace)
 	name := route.Pick(rand.Float64())
 	if t.Service = snap.Service(name); t.Service == nil {
 		return refuse.New(refuse.NoServer, "route %s leads to service %s, which the settings do not define", route.Name, name).After(task.RoomRetry)
--- a/internal/route/stream/guard.go
+++ b/internal/route/stream/guard.go
@@ -74,6 +74,11 @@
 	return spot.Server
 }
 
+// serves reports whether the stream may go on at the guard.
+func (f *flight) serves(g *guard) bool {
+	return g != nil && !g.at.Left() && f.Health.Paused(g.at.ID, time.Now()) == 0
+}
+
 // arrive notes that the guard's copy is there.
 func (g *guard) arrive(now time.Time) {
 	if now.Before(g.ripe) {
--- a/internal/route/stream/pump.go
+++ b/internal/route/stream/pump.go
@@ -162,7 +162,7 @@
 	switch {
 	case f.Route.Resumable:
 		return f.resume(ctx, err)
-	case f.guard != nil && f.pay():
+	case f.serves(f.guard) && f.pay():
 		return f.hop(ctx)
 	}
 	d := f.rescue(ctx)
--- a/internal/route/stream/watch.go
+++ b/internal/route/stream/watch.go
@@ -44,7 +44,7 @@
 	if !w.f.movable() || w.f.Record.Events == 0 || w.moved != nil || w.hop != nil || time.Now().Before(w.rest) {
 		return
 	}
-	if g := w.f.guard; g != nil && !g.at.Left() && time.Until(g.ripe) < ripeWait {
+	if g := w.f.guard; w.f.serves(g) && time.Until(g.ripe) < ripeWait {
 		w.hop = time.After(time.Until(g.ripe))
 		return
 	}
--- a/internal/route/task/parts.go
+++ b/internal/route/task/parts.go
@@ -67,7 +67,7 @@
 // End tells how a call ended.
 type End struct {
 	Call    *call.Call
-	Print   call.Fingerprint // of the call
+	Print   call.Fingerprint // zero: the call was refused before its workspace was known
 	Route   *routes.Route    // nil: none was found
 	Service ident.Service
 	Server  ident.Server
