Let a recent completion stand against all crashes of a popular request

Many calls of one request may run at a server that crashes under another: a completion answered for the first of them only. It now counts for ten seconds, whichever servers crash meanwhile.

--- a/internal/policy/poison/book.go
+++ b/internal/policy/poison/book.go
@@ -25,8 +25,10 @@
 	// those in one message.
 	maxRequests  = 1024
 	maxAnnounced = 100
-	// completedSlots is the number of requests that are remembered as completed.
+	// completedSlots is the number of requests that are remembered as completed, and
+	// completedTime for how long one counts as sound after it completed.
 	completedSlots = 1024
+	completedTime  = 10 * time.Second
 )
 
 // Finding is what is known of one request.
@@ -89,7 +91,7 @@
 	cfg      Config
 	onChange func(c Change)
 
-	completed [completedSlots]atomic.Uint64
+	completed [completedSlots]completion
 	held      atomic.Pointer[map[call.Fingerprint]time.Time] // quarantined requests, and until when
 
 	mu       sync.Mutex
@@ -124,27 +126,40 @@
 	return n
 }
 
-func (b *Book) slot(f call.Fingerprint) *atomic.Uint64 { return &b.completed[f%completedSlots] }
+// completion is the last request of a slot that completed at this VM. Its members are
+// not written as one: a reader that meets two writers may miss a completion.
+type completion struct {
+	request atomic.Uint64
+	at      atomic.Int64 // in Unix nanoseconds
+}
+
+// sound reports whether the request has completed here recently.
+func (b *Book) sound(f call.Fingerprint, now time.Time) bool {
+	c := &b.completed[f%completedSlots]
+	return c.request.Load() == uint64(f) && now.UnixNano()-c.at.Load() < int64(completedTime)
+}
 
 // Completed notes that a server ran the request to its end.
 func (b *Book) Completed(f call.Fingerprint, now time.Time) {
-	b.slot(f).Store(uint64(f))
+	c := &b.completed[f%completedSlots]
+	c.request.Store(uint64(f))
+	c.at.Store(now.UnixNano())
 	b.mu.Lock()
 	if r := b.requests[f]; r == nil || now.Sub(r.Cleared) < skew {
 		b.mu.Unlock()
 		return
 	}
 	b.take(&Finding{Request: f, Cleared: now}, now)
-	c := b.judge(now)
+	change := b.judge(now)
 	b.mu.Unlock()
-	b.onChange(c)
+	b.onChange(change)
 }
 
 // Crashed notes that a server crashed which had begun to run the request. It returns how
-// many did that nothing else explains. A request that completed at this VM since is
-// likely to have met the server's end by chance.
+// many did that nothing else explains. A request that has completed here recently has
+// met the server's end by chance.
 func (b *Book) Crashed(f call.Fingerprint, server ident.Server, now time.Time) int {
-	if b.slot(f).CompareAndSwap(uint64(f), 0) {
+	if b.sound(f, now) {
 		return 0
 	}
 	b.mu.Lock()
