Have the soak repeat requests that end servers, and drains in answers

The soak checks that a request reaches servers three times more at most, later than 3 s after the third ended under it, and that a VM sends nothing to a server whose drain it has passed on.

--- a/internal/load/soak/client.go
+++ b/internal/load/soak/client.go
@@ -24,6 +24,9 @@
 	status int // zero: no answer
 	whole  bool
 	fault  string // a broken promise that the client saw
+	body   string // empty: the usual one
+	ended  time.Time
+	drains string // the server that answered, if it says that it drains
 }
 
 // patience is how long a client waits for an answer.
@@ -38,13 +41,19 @@
 		c.fault = err.Error()
 		return
 	}
+	if c.body != "" {
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(c.body)), int64(len(c.body))
+	}
 	c.sent = time.Now()
 	resp, err := http1.Do(req)
 	if err != nil {
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	c.status = resp.StatusCode
+	c.status, c.ended = resp.StatusCode, time.Now()
+	if runs := r.ledger.Runs(c.id); resp.Header.Get("Server-Leaving") == "1" && len(runs) > 0 {
+		c.drains = runs[len(runs)-1].Server
+	}
 	if c.status != http.StatusOK {
 		_, err = io.Copy(io.Discard, resp.Body)
 		c.whole = err == nil
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -46,6 +47,7 @@
 	Clients  int
 	Routes   int  // that the settings grow to, by routesStep with each version
 	Drills   bool // the store comes back from copies, too
+	Crashes  bool // requests end servers, and servers announce drains and pauses in answers
 	Program  string
 	Dir      string
 }
@@ -85,7 +87,8 @@
 	faults   map[string]int
 	version  int
 	revoked  map[string]time.Time
-	harmed   map[string][]span // by VM: when it or its way to the store was harmed
+	harmed   map[string][]span      // by VM: when it or its way to the store was harmed
+	stops    map[string][]time.Time // by VM: when its process was stopped or paused
 	nextID   int
 }
 
@@ -93,7 +96,7 @@
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	r := &run{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), store: standin.NewStore(), ledger: standin.NewLedger(),
-		faults: make(map[string]int), revoked: make(map[string]time.Time), harmed: make(map[string][]span),
+		faults: make(map[string]int), revoked: make(map[string]time.Time), harmed: make(map[string][]span), stops: make(map[string][]time.Time),
 	}
 	ctx, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
@@ -119,11 +122,11 @@
 	r.group.Go(func() error { _ = r.store.Serve(ln); return nil })
 	r.configure()
 	for n := range r.cfg.Servers {
-		if err := r.addServer(standin.Engines); err != nil {
+		if err := r.addServer(ctx, standin.Engines); err != nil {
 			return err
 		}
 		if n%2 == 0 {
-			if err := r.addServer(standin.Plain); err != nil {
+			if err := r.addServer(ctx, standin.Plain); err != nil {
 				return err
 			}
 		}
@@ -181,7 +184,7 @@
 	r.store.Configure(r.version, left, min(r.version*routesStep, r.cfg.Routes))
 }
 
-func (r *run) addServer(service string) error {
+func (r *run) addServer(ctx context.Context, service string) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return trace.Wrap(err)
@@ -195,6 +198,7 @@
 	r.nextID++
 	s := standin.NewServer(fmt.Sprintf("%s-%d", service, r.nextID), service, "a", p.Addr(), r.store, r.ledger)
 	b := &backend{server: s, proxy: p, ln: ln}
+	s.OnFatal(func() { r.ends(ctx, b) })
 	r.backends = append(r.backends, b)
 	s.Enter()
 	r.group.Go(func() error { _ = s.Serve(ln); return nil })
@@ -244,6 +248,7 @@
 			rep.Violated = append(rep.Violated, fmt.Sprintf("%s at %s, %s: %s", c.id, c.vm, c.path, fault))
 		}
 	}
+	rep.Violated = append(rep.Violated, r.repeated()...)
 	slices.Sort(rep.Violated)
 	return rep
 }
@@ -254,7 +259,7 @@
 	if c.fault != "" {
 		return c.fault
 	}
-	if s := r.leftBehind(c, runs); s != "" {
+	if s := cmp.Or(r.leftBehind(c, runs), r.drained(c, runs)); s != "" {
 		return s
 	}
 	return r.untrue(c, runs)
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -145,3 +145,33 @@
 	}
 	assert.Assert(t, !seen[netip.MustParseAddr("127.0.0.1")], "the address that all have")
 }
+
+// TestRepeated has the soak see requests that go on to end servers, and calls to servers
+// that drain as their VM knows.
+func TestRepeated(t *testing.T) {
+	now := time.Now()
+	ledger := standin.NewLedger()
+	r := &run{ledger: ledger, stops: map[string][]time.Time{"stopped": {now.Add(2 * time.Second)}}}
+	add := func(after time.Duration, c call) *call {
+		c.sent = now.Add(after)
+		r.calls = append(r.calls, &c)
+		return &c
+	}
+	for n := range fatalCrashes + fatalMore {
+		id := fmt.Sprint("r", n)
+		ledger.Begin(id, &standin.Run{Server: id, Start: now})
+		add(time.Duration(n/fatalCrashes)*2*contact, call{id: id, path: "/get/fatal", vm: "vm"})
+	}
+	assert.Equal(t, len(r.repeated()), 0)
+	ledger.Begin("more", &standin.Run{Server: "x", Start: now})
+	add(2*contact, call{id: "more", path: "/get/fatal", vm: "vm"})
+	assert.Equal(t, len(r.repeated()), 1)
+
+	add(0, call{vm: "vm", drains: "s", ended: now})
+	add(0, call{vm: "stopped", drains: "s", ended: now})
+	ran := []standin.Run{{Server: "s"}}
+	for vm, want := range map[string]bool{"vm": true, "stopped": false, "other": false} {
+		assert.Equal(t, r.drained(add(2*drainBound, call{vm: vm}), ran) != "", want, vm)
+		assert.Equal(t, r.drained(add(drainBound/2, call{vm: vm}), ran), "")
+	}
+}
--- a/internal/load/soak/trouble.go
+++ b/internal/load/soak/trouble.go
@@ -33,6 +33,9 @@
 	if r.cfg.Drills {
 		kinds = append(kinds, failure{"store-back", r.storeBack})
 	}
+	if r.cfg.Crashes {
+		kinds = append(kinds, failure{"fatal-request", r.fatalRequest}, failure{"drain-announced", r.announceDrain}, failure{"server-busy", r.busyServer})
+	}
 	for ctx.Err() == nil {
 		k := kinds[r.rng.IntN(len(kinds))]
 		r.mu.Lock()
@@ -69,6 +72,9 @@
 		return nil
 	}
 	v.stopping = time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops[v.name] = append(r.stops[v.name], v.stopping)
 	return v
 }
 
@@ -200,12 +206,14 @@
 }
 
 // replace starts a server of the same service.
-func (r *run) replace(b *backend) bool { return r.addServer(b.server.Service) == nil }
+func (r *run) replace(ctx context.Context, b *backend) bool {
+	return r.addServer(ctx, b.server.Service) == nil
+}
 
 // leaveServer has a server leave, with or without a word, after another came.
 func (r *run) leaveServer(ctx context.Context) {
 	b := r.pick()
-	if b == nil || !r.replace(b) {
+	if b == nil || !r.replace(ctx, b) {
 		return
 	}
 	b.server.Leave()
@@ -240,7 +248,7 @@
 // crashServer ends a server's runs and connections; its entry lapses later.
 func (r *run) crashServer(ctx context.Context) {
 	b := r.pick()
-	if b == nil || !r.replace(b) {
+	if b == nil || !r.replace(ctx, b) {
 		return
 	}
 	b.server.Crash()
