--- a/internal/load/soak/fatal.go
+++ b/internal/load/soak/fatal.go
@@ -43,18 +43,17 @@
 		for n, v := range vms {
 			c := &call{id: fmt.Sprintf("s%d-f%d-%d", r.cfg.Seed, id, n), path: path, key: fmt.Sprintf("key-%d", keys-1), vm: v.name, body: standin.FatalBody}
 			r.send(ctx, kept, c, v.front)
-			if ctx.Err() != nil {
-				return nil
+			if ctx.Err() == nil {
+				r.done(c)
 			}
-			r.done(c)
 			r.sleep(ctx, pauses[n])
 		}
 		return nil
 	})
 }
 
-// ends ends a server's process under a request; another start follows.
-func (r *run) ends(ctx context.Context, b *backend) {
+// crashUnder ends a server's process under a request; another start follows.
+func (r *run) crashUnder(ctx context.Context, b *backend) {
 	_ = b.ln.Close()
 	b.proxy.Close()
 	r.mu.Lock()
@@ -63,10 +62,10 @@
 	r.group.Go(func() error {
 		r.sleep(ctx, awayTime)
 		r.end(b)
-		if ctx.Err() != nil {
-			return nil
+		if ctx.Err() == nil {
+			return r.addServer(ctx, b.server.Service)
 		}
-		return r.addServer(ctx, b.server.Service)
+		return nil
 	})
 }
 
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -198,7 +198,7 @@
 	r.nextID++
 	s := standin.NewServer(fmt.Sprintf("%s-%d", service, r.nextID), service, "a", p.Addr(), r.store, r.ledger)
 	b := &backend{server: s, proxy: p, ln: ln}
-	s.OnFatal(func() { r.ends(ctx, b) })
+	s.OnFatal(func() { r.crashUnder(ctx, b) })
 	r.backends = append(r.backends, b)
 	s.Enter()
 	r.group.Go(func() error { _ = s.Serve(ln); return nil })
