Spread hubs over failure domains

What callers saw where one domain was lost that held all four hubs: for a second and a half each VM placed runs by itself, and nobody watched the store. The order of hubs knew capacities and names, no domains.

Each VM reports its failure domain. Hubs are, in turn, the candidates of the most capacity whose domain has the fewest hubs so far; any part of the candidates that holds the hubs gives the same ones, so that VMs that know different parts agree (hubs.TestSpread).

gossip.TestFleet has a case in which the first VMs of the order are neighbours and their domain is lost: without the change VMs hear no hub a second later; with it each hears one then, and all agree two and a half seconds after the loss.

--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -42,6 +44,8 @@
 	// come or left of themselves: that in which a server that leaves must get no more
 	// calls.
 	agreed = 2 * time.Second
+	// domains is the number of failure domains of a fleet.
+	domains = 3
 	// controlRate is what a VM may spend for control, in bytes a second.
 	controlRate = 3000
 )
@@ -163,7 +167,7 @@
 }
 
 func (v *node) tell(s *wire.State, now time.Time) {
-	s.Version, s.Capacity = v.version.Load(), v.hubs.Own().Capacity
+	s.Version, s.Capacity, s.Domain = v.version.Load(), v.hubs.Own().Capacity, v.own.Domain
 	s.Store = hubs.StoreStatus{Asks: v.hubs.Asks(now), Age: 300 * time.Millisecond}
 	if v.cutStore.Load() {
 		s.Store.Age = time.Minute
@@ -181,7 +185,7 @@
 	if s.Version > v.version.Load() {
 		v.version.Store(s.Version)
 	}
-	return hubs.Report{Candidate: hubs.Candidate{VM: s.VM, Addr: from, Capacity: s.Capacity}, StoreStatus: s.Store}
+	return hubs.Report{Candidate: hubs.Candidate{VM: s.VM, Addr: from, Capacity: s.Capacity, Domain: s.Domain}, StoreStatus: s.Store}
 }
 
 func (v *node) Hear(s *wire.State, from netip.AddrPort, now time.Time) {
@@ -276,6 +280,7 @@
 			if i%16 == 0 {
 				c.Capacity = 14
 			}
+			c.Domain = domain(c.VM)
 			fl.all = append(fl.all, &node{net: n, own: c})
 			fl.start(fl.all[i], n.delay())
 		}
@@ -287,6 +292,12 @@
 	})
 }
 
+// domain returns the failure domain of a VM: by its hash, which orders VMs of the same
+// capacity, so that the first ones are neighbours.
+func domain(vm ident.VM) ident.Domain {
+	return ident.Domain(fmt.Sprint(xxhash.Sum64String(string(vm)) / (math.MaxUint64 / domains)))
+}
+
 // delay returns how long after others a VM starts.
 func (n *network) delay() time.Duration {
 	n.mu.Lock()
@@ -513,6 +524,26 @@
 			assert.DeepEqual(t, hubsOf(f.all[0]), list)
 		})
 	})
+	t.Run("a failure domain is lost", func(t *testing.T) {
+		play(t, vms, loss, func(t *testing.T, f *fleet) {
+			time.Sleep(4 * time.Second)
+			first := hubsOf(f.all[0])[0]
+			i := slices.IndexFunc(f.all, func(v *node) bool { return v.own.VM == first })
+			lost := f.all[i].own.Domain
+			for _, v := range f.all {
+				if v.own.Domain == lost {
+					f.kill(v)
+				}
+			}
+			time.Sleep(hubs.Silence)
+			for _, v := range f.up() {
+				assert.Assert(t, v.hubs.Heard(time.Now()) > 0, "%s hears no hub", v.own.VM)
+			}
+			time.Sleep(hubs.Silence + hubs.Beat)
+			f.agree(t, "after the loss")
+			f.spread(t, 1)
+		})
+	})
 	t.Run("a hub that leaves hands over", func(t *testing.T) {
 		play(t, vms, loss, func(t *testing.T, f *fleet) {
 			time.Sleep(4 * time.Second)
--- a/internal/peer/wire/hub.go
+++ b/internal/peer/wire/hub.go
@@ -32,6 +32,7 @@
 	nameVM       = 1
 	nameAddr     = 2
 	nameCapacity = 3
+	nameDomain   = 4
 )
 
 func (h *Hub) encode() []byte {
@@ -50,7 +51,8 @@
 func encodeName(c hubs.Candidate) []byte {
 	b := appendString(nil, nameVM, string(c.VM))
 	b = appendString(b, nameAddr, c.Addr.String())
-	return appendNumber(b, nameCapacity, uint64(c.Capacity))
+	b = appendNumber(b, nameCapacity, uint64(c.Capacity))
+	return appendString(b, nameDomain, string(c.Domain))
 }
 
 func decodeHub(b []byte) (*Hub, error) {
@@ -91,6 +93,8 @@
 				return trace.Wrap(err)
 			}
 			c.Addr = addr
+		case nameDomain:
+			c.Domain = ident.Domain(text)
 		case nameCapacity:
 			c.Capacity = hubs.Capacity(min(v, math.MaxUint8))
 		}
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -35,8 +35,9 @@
 	Findings []poison.Finding
 
 	Capacity hubs.Capacity
-	Digest   uint64 // of the candidates that the VM told has named; zero: none
-	Ask      uint64 // moment of the VM's clock, sent back in the reply; zero: none is wanted
+	Domain   ident.Domain // of the VM
+	Digest   uint64       // of the candidates that the VM told has named; zero: none
+	Ask      uint64       // moment of the VM's clock, sent back in the reply; zero: none is wanted
 	Reply    *Reply
 	Hub      *Hub // in answers to those that report to the VM
 
@@ -74,6 +75,7 @@
 	fieldPart    = 18
 	fieldFinding = 19
 	fieldDrain   = 20
+	fieldDomain  = 21
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -117,6 +119,9 @@
 	}
 	b = appendNumber(b, fieldAge, uint64(s.Store.Age))
 	b = appendNumber(b, fieldCap, uint64(s.Capacity))
+	if s.Domain != "" {
+		b = appendString(b, fieldDomain, string(s.Domain))
+	}
 	if s.Digest != 0 {
 		b = appendNumber(b, fieldDigest, s.Digest)
 	}
@@ -197,6 +202,8 @@
 	switch n {
 	case fieldVM:
 		s.VM = ident.VM(text)
+	case fieldDomain:
+		s.Domain = ident.Domain(text)
 	case fieldLoad:
 		var id ident.Server
 		var l seats.Load
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -60,7 +60,7 @@
 // New makes a node that knows nothing yet.
 func New(cfg *conf.Edge, ports Ports, group *errgroup.Group, log *zap.Logger) *Node {
 	start := time.Now()
-	own := hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.Link)}
+	own := hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.Link), Domain: cfg.Domain}
 	n := &Node{
 		Settings: routes.NewBook(awake.Now),
 		Seats:    seats.New(),
--- a/internal/proc/peers/told.go
+++ b/internal/proc/peers/told.go
@@ -95,7 +95,8 @@
 // tell fills in what this VM tells of itself to hubs and as a hub.
 func (l *local) tell(s *wire.State, now time.Time) {
 	n := l.node
-	s.Capacity = n.Hubs.Own().Capacity
+	own := n.Hubs.Own()
+	s.Capacity, s.Domain = own.Capacity, own.Domain
 	s.Leaving = n.Servers.Leaving(now)
 	s.Draining = n.Servers.Draining(now)
 	s.Version = n.Version()
@@ -110,7 +111,7 @@
 
 // reportOf returns what a message says of its VM.
 func reportOf(s *wire.State, from netip.AddrPort) hubs.Report {
-	return hubs.Report{Candidate: hubs.Candidate{VM: s.VM, Addr: from, Capacity: s.Capacity}, StoreStatus: s.Store}
+	return hubs.Report{Candidate: hubs.Candidate{VM: s.VM, Addr: from, Capacity: s.Capacity, Domain: s.Domain}, StoreStatus: s.Store}
 }
 
 // Hear implements gossip.Local.
--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -249,6 +249,7 @@
 		list = append(list, c)
 	}
 	slices.SortFunc(list, compare)
+	spread(list)
 	if !slices.Equal(hubsOf(list), hubsOf(h.first)) {
 		h.changed = now
 	}
--- a/internal/state/hubs/hubs_test.go
+++ b/internal/state/hubs/hubs_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"umberladder/internal/core/ident"
 )
@@ -135,3 +138,38 @@
 	fmt.Println(CapacityOf(0.2, 20e6), CapacityOf(0.8, 200e6), CapacityOf(0.8, 10e6))
 	// Output: 12 14 13
 }
+
+// TestSpread has hubs in as many failure domains as candidates of the most capacity are,
+// whichever part of the candidates a VM knows that holds the hubs.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Candidate
+		for n := range rapid.IntRange(Count, 30).Draw(t, "candidates") {
+			c := candidate(n, Capacity(rapid.IntRange(12, 13).Draw(t, "capacity")))
+			c.Domain = ident.Domain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"))
+			all = append(all, c)
+		}
+		slices.SortFunc(all, compare)
+		most := make(map[ident.Domain]bool)
+		for _, c := range all {
+			if c.Capacity == all[0].Capacity {
+				most[c.Domain] = true
+			}
+		}
+		part := slices.Clone(all)
+		spread(all)
+		hubs := hubsOf(all)
+		covered := make(map[ident.Domain]bool)
+		for _, c := range hubs {
+			covered[c.Domain] = true
+		}
+		for d := range most {
+			assert.Assert(t, covered[d], "no hub in %s: %v", d, hubs)
+		}
+		part = slices.DeleteFunc(part, func(c Candidate) bool {
+			return !slices.Contains(all[:min(len(all), listed)], c)
+		})
+		spread(part)
+		assert.DeepEqual(t, hubsOf(part), hubs, cmpopts.EquateComparable(netip.AddrPort{}))
+	})
+}
--- a/internal/state/hubs/order.go
+++ b/internal/state/hubs/order.go
@@ -37,6 +37,7 @@
 	VM       ident.VM
 	Addr     netip.AddrPort // not valid: this VM
 	Capacity Capacity
+	Domain   ident.Domain // empty: not known
 }
 
 // compare orders candidates: those of more capacity first. The hash spreads the
@@ -49,6 +50,35 @@
 	)
 }
 
+// spread brings the hubs to the front of ordered candidates: in turn the first of those
+// of the most capacity whose failure domain has the fewest hubs so far, so that the loss
+// of a domain leaves some. The first of an order come first in each part of it that
+// holds them, so that VMs that know only some candidates choose the same hubs.
+func spread(list []Candidate) {
+	for i := range min(Count, len(list)) {
+		best, least := i, Count
+		for j := i; j < len(list) && list[j].Capacity == list[i].Capacity; j++ {
+			if n := hubsIn(list[:i], list[j].Domain); n < least {
+				best, least = j, n
+			}
+		}
+		c := list[best]
+		copy(list[i+1:best+1], list[i:best])
+		list[i] = c
+	}
+}
+
+// hubsIn counts the hubs in a failure domain. One that is not known is like no other.
+func hubsIn(chosen []Candidate, d ident.Domain) int {
+	n := 0
+	for _, c := range chosen {
+		if d != "" && c.Domain == d {
+			n++
+		}
+	}
+	return n
+}
+
 // homeRank is a VM's place in the order of those that decide for a service.
 func homeRank(service ident.Service, vm ident.VM) uint64 {
 	return xxhash.Sum64String(string(service) + "/" + string(vm))
@@ -70,6 +100,7 @@
 	for _, c := range list {
 		_, _ = d.WriteString(string(c.VM)) // never fails
 		_, _ = d.WriteString(c.Addr.String())
+		_, _ = d.WriteString(string(c.Domain))
 		_, _ = d.Write([]byte{byte(c.Capacity), 0})
 	}
 	return d.Sum64()
