--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -90,13 +90,32 @@
 	cutStore atomic.Bool
 	dirty    chan struct{}
 	down     bool
-	group    *errgroup.Group // of the present start
+	frozen   atomic.Pointer[chan struct{}] // is closed when the VM wakes; nil: it does not stand still
+	group    *errgroup.Group               // of the present start
+}
+
+// freeze has the VM stand still until thaw is called.
+func (v *node) freeze() (thaw func()) {
+	ch := make(chan struct{})
+	v.frozen.Store(&ch)
+	return func() {
+		v.frozen.Store(nil)
+		close(ch)
+	}
+}
+
+// wake returns once the VM does not stand still.
+func (v *node) wake() {
+	if ch := v.frozen.Load(); ch != nil {
+		<-*ch
+	}
 }
 
 // ReadFromUDPAddrPort implements conn.
 func (v *node) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	select {
 	case d := <-v.in:
+		v.wake()
 		v.received.Add(int64(len(d.data) + header))
 		return copy(b, d.data), d.from, nil
 	case <-v.closed:
@@ -106,6 +125,7 @@
 
 // WriteToUDPAddrPort implements conn.
 func (v *node) WriteToUDPAddrPort(b []byte, addr netip.AddrPort) (int, error) {
+	v.wake()
 	n := v.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -245,6 +265,7 @@
 
 // Read implements names.Registry. What need not be fresh is a second old here: nothing.
 func (v *node) Read(_ context.Context, fresh bool) (names.Records, error) {
+	v.wake()
 	time.Sleep(4 * time.Millisecond)
 	v.net.mu.Lock()
 	defer v.net.mu.Unlock()
