Name crashes, verdicts and announcements as the field does

CheckCrash, HubAnswered, evaluate, attribute and recentlyCompleted in place of names of our own; the servers' table receives and announces, where it heard and told. No change of behaviour.

--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -217,7 +217,7 @@
 	if v.hubs.Answered(v.report(s, from), s.Hub.Names, s.Hub.Digest, now) {
 		v.gossip.Beat()
 	}
-	v.poison.Met(s.VM, s.Boot, now)
+	v.poison.HubAnswered(s.VM, s.Boot, now)
 	v.poison.Merge(s.Findings, now)
 }
 
--- a/internal/policy/poison/book.go
+++ b/internal/policy/poison/book.go
@@ -94,17 +94,17 @@
 	completed [completedSlots]completion
 	held      atomic.Pointer[map[call.Fingerprint]time.Time] // quarantined requests, and until when
 
-	mu       sync.Mutex
-	requests map[call.Fingerprint]*record
-	blamed   map[ident.Server]struct{} // servers whose crashes quarantined requests explain
-	hubs     map[ident.VM]uint64       // the start of each that answered
-	all      time.Time                 // until when everything is announced
+	mu         sync.Mutex
+	requests   map[call.Fingerprint]*record
+	attributed map[ident.Server]struct{} // servers whose crashes quarantined requests explain
+	hubs       map[ident.VM]uint64       // the start of each that answered
+	all        time.Time                 // until when everything is announced
 }
 
 // New makes a book without evidence. It calls onChange, without locks, after evidence of
 // this VM's own and after a change of verdicts; others have to learn both.
 func New(cfg Config, onChange func(c Change)) *Book {
-	b := &Book{cfg: cfg, onChange: onChange, requests: make(map[call.Fingerprint]*record), blamed: make(map[ident.Server]struct{}), hubs: make(map[ident.VM]uint64)}
+	b := &Book{cfg: cfg, onChange: onChange, requests: make(map[call.Fingerprint]*record), attributed: make(map[ident.Server]struct{}), hubs: make(map[ident.VM]uint64)}
 	b.held.Store(&map[call.Fingerprint]time.Time{})
 	return b
 }
@@ -133,8 +133,8 @@
 	at      atomic.Int64 // in Unix nanoseconds
 }
 
-// sound reports whether the request has completed here recently.
-func (b *Book) sound(f call.Fingerprint, now time.Time) bool {
+// recentlyCompleted reports whether the request has completed here recently.
+func (b *Book) recentlyCompleted(f call.Fingerprint, now time.Time) bool {
 	c := &b.completed[f%completedSlots]
 	return c.request.Load() == uint64(f) && now.UnixNano()-c.at.Load() < int64(completedTime)
 }
@@ -150,7 +150,7 @@
 		return
 	}
 	b.take(&Finding{Request: f, Cleared: now}, now)
-	change := b.judge(now)
+	change := b.evaluate(now)
 	b.mu.Unlock()
 	b.onChange(change)
 }
@@ -159,12 +159,12 @@
 // many did that nothing else explains. A request that has completed here recently has
 // met the server's end by chance.
 func (b *Book) Crashed(f call.Fingerprint, server ident.Server, now time.Time) int {
-	if b.sound(f, now) {
+	if b.recentlyCompleted(f, now) {
 		return 0
 	}
 	b.mu.Lock()
 	b.take(&Finding{Request: f, Crashes: map[ident.Server]time.Time{server: now}}, now)
-	c := b.judge(now)
+	c := b.evaluate(now)
 	n := 0
 	if r := b.requests[f]; r != nil {
 		n = b.count(r)
@@ -187,7 +187,7 @@
 			b.take(&f, now)
 		}
 	}
-	c := b.judge(now)
+	c := b.evaluate(now)
 	b.mu.Unlock()
 	if !c.Empty() {
 		b.onChange(c)
@@ -226,11 +226,11 @@
 	return changed
 }
 
-// judge quarantines requests, those with the most crashes first: these explain the same
+// evaluate quarantines requests, those with the most crashes first: these explain the same
 // crashes under others. It returns how the verdicts change.
-func (b *Book) judge(now time.Time) Change {
+func (b *Book) evaluate(now time.Time) Change {
 	b.expire(now)
-	b.blame()
+	b.attribute()
 	for {
 		var worst *record
 		for _, r := range b.requests {
@@ -242,19 +242,19 @@
 			return b.publish(now)
 		}
 		worst.Quarantined, worst.changed = now, now
-		b.blame()
+		b.attribute()
 	}
 }
 
-// blame collects the servers whose crashes are explained.
-func (b *Book) blame() {
-	clear(b.blamed)
+// attribute collects the servers whose crashes are explained.
+func (b *Book) attribute() {
+	clear(b.attributed)
 	for _, r := range b.requests {
 		if !r.held() {
 			continue
 		}
 		for s := range r.Crashes {
-			b.blamed[s] = struct{}{}
+			b.attributed[s] = struct{}{}
 		}
 	}
 }
@@ -267,12 +267,12 @@
 
 // count returns the crashes under a request that no quarantined one explains.
 func (b *Book) count(r *record) int {
-	if r.held() || len(b.blamed) == 0 {
+	if r.held() || len(b.attributed) == 0 {
 		return len(r.Crashes)
 	}
 	n := 0
 	for s := range r.Crashes {
-		if _, ok := b.blamed[s]; !ok {
+		if _, ok := b.attributed[s]; !ok {
 			n++
 		}
 	}
--- a/internal/policy/poison/book_test.go
+++ b/internal/policy/poison/book_test.go
@@ -144,7 +144,7 @@
 		}
 		for range books {
 			for i, b := range books {
-				b.Met("hub", uint64(now.UnixNano()), now)
+				b.HubAnswered("hub", uint64(now.UnixNano()), now)
 				books[(i+1)%len(books)].Merge(b.Report(now), now)
 			}
 		}
--- a/internal/policy/poison/share.go
+++ b/internal/policy/poison/share.go
@@ -7,9 +7,9 @@
 	"umberladder/internal/core/ident"
 )
 
-// Met notes that a hub has answered, by its start. One that starts may know nothing:
+// HubAnswered notes that a hub has answered, by its start. One that starts may know nothing:
 // everything is announced again for a while.
-func (b *Book) Met(hub ident.VM, start uint64, now time.Time) {
+func (b *Book) HubAnswered(hub ident.VM, start uint64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.hubs[hub] == start {
--- a/internal/proc/edge/counter.go
+++ b/internal/proc/edge/counter.go
@@ -52,7 +52,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("request", string(e.Call.ID)),
-		zap.Stringer("fingerprint", e.Print),
+		zap.Stringer("fingerprint", e.Fingerprint),
 		zap.String("route", route),
 		zap.String("kind", kind),
 		zap.String("service", string(e.Service)),
--- a/internal/proc/peers/crashes.go
+++ b/internal/proc/peers/crashes.go
@@ -10,9 +10,9 @@
 	"umberladder/internal/policy/poison"
 )
 
-// judged has others learn what this VM has found of requests that crash servers. A hub
+// verdictsChanged has others learn what this VM has found of requests that crash servers. A hub
 // announces verdicts to all at once, other VMs report to the hubs.
-func (n *Node) judged(c poison.Change) {
+func (n *Node) verdictsChanged(c poison.Change) {
 	for _, f := range c.Quarantined {
 		n.log.Warn("request quarantined", zap.Stringer("fingerprint", f))
 	}
@@ -29,8 +29,8 @@
 	}
 }
 
-// findings merges what another VM knows of requests that crash servers.
-func (n *Node) findings(s *wire.State, now time.Time) {
+// mergeFindings merges what another VM knows of requests that crash servers.
+func (n *Node) mergeFindings(s *wire.State, now time.Time) {
 	c := n.Poison.Merge(s.Findings, now)
 	for _, list := range [][]call.Fingerprint{c.Quarantined, c.Released} {
 		for _, f := range list {
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -73,7 +73,7 @@
 	}
 	n.Servers = backs.NewTable(n.tell)
 	n.Budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, n.Hubs)
-	n.Poison = poison.New(cfg.Quarantine, n.judged)
+	n.Poison = poison.New(cfg.Quarantine, n.verdictsChanged)
 	n.names = names.New(own, start, n.Hubs, ports.Names, n.Poison, n.beat, log)
 	n.follow = follow.NewSettings(ports.Settings, n.Settings, awake.Now, n.settingsTold, n.first, n.tell, log)
 	n.Discover = follow.NewServers(ports.Servers, n.Servers, awake.Now, n.serversTold, n.first, n.lead, n.tell, n.takeServers, log)
--- a/internal/proc/peers/told.go
+++ b/internal/proc/peers/told.go
@@ -132,7 +132,7 @@
 		n.beat()
 	}
 	n.Budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
-	n.Poison.Met(s.VM, s.Boot, now)
+	n.Poison.HubAnswered(s.VM, s.Boot, now)
 	l.take(s, from, false, now)
 	if s.Reply != nil {
 		l.confirm(*s.Reply, from)
@@ -143,14 +143,14 @@
 // passed on to those that report to this one.
 func (l *local) take(s *wire.State, from netip.AddrPort, pass bool, now time.Time) {
 	n := l.node
-	n.findings(s, now)
+	n.mergeFindings(s, now)
 	if s.News != nil {
 		n.Discover.Learn(*s.News, now)
 	}
 	for _, id := range n.Servers.Drains(s.Draining, pass, now) {
 		n.log.Info("server drains", zap.String("server", string(id)), zap.String("reported-by", string(s.VM)))
 	}
-	for _, id := range n.Servers.Hear(s.Leaving, pass) {
+	for _, id := range n.Servers.Receive(s.Leaving, pass) {
 		n.log.Info("server leaves", zap.String("server", string(id)), zap.String("reported-by", string(s.VM)))
 	}
 	if s.Version > n.Version() {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -161,7 +161,7 @@
 	if refusal := t.open(snap, age); refusal != nil {
 		return refusal
 	}
-	t.Record.Print = t.Call.Fingerprint(t.Workspace)
+	t.Record.Fingerprint = t.Call.Fingerprint(t.Workspace)
 	name := route.Pick(rand.Float64())
 	if t.Service = snap.Service(name); t.Service == nil {
 		return refuse.New(refuse.NoServer, "route %s leads to service %s, which the settings do not define", route.Name, name).After(task.RoomRetry)
--- a/internal/route/stream/pump.go
+++ b/internal/route/stream/pump.go
@@ -97,7 +97,7 @@
 		g.arrive(now)
 	}
 	if !f.legged {
-		f.legged, f.legAt = true, now
+		f.legged, f.firstAt = true, now
 	}
 	f.lastAt = now
 	f.Record.Events += n
@@ -154,7 +154,7 @@
 	f.Note("stream broke off", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
 	f.Health.Failure(f.server.ID, time.Now())
 	if !f.established() {
-		f.Broke(ctx, f.server)
+		f.CheckCrash(ctx, f.server)
 	}
 	if q := f.Quarantined(); q != nil {
 		return f.lost(q)
@@ -175,7 +175,7 @@
 // established reports whether an engine has run the call for a while, so that the call
 // is not what makes engines crash.
 func (f *flight) established() bool {
-	f.proven = f.proven || f.legged && time.Since(f.legAt) >= youngTime
+	f.proven = f.proven || f.legged && time.Since(f.firstAt) >= youngTime
 	return f.proven
 }
 
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -42,7 +42,7 @@
 	made     atomic.Int64 // tokens, as far as events tell; moves read it beside the events
 	told     int          // tokens when the stream's size was last told
 	legged   bool         // the present leg has brought an event
-	legAt    time.Time    // when it brought the first one
+	firstAt  time.Time    // when it brought the first one
 	proven   bool         // an engine has run the call for youngTime
 	stopping bool         // the run is being stopped, so that its end may be no end
 	lastAt   time.Time
@@ -123,7 +123,7 @@
 		f.Record.Sent++
 		f.ran = refuse.RanMaybe
 		if ctx.Err() == nil {
-			f.Broke(ctx, s)
+			f.CheckCrash(ctx, s)
 		}
 	}
 	if task.IsUnsent(err) {
@@ -217,7 +217,7 @@
 	w := f.want(pick.Call, f.Config.Domain, slices.Collect(maps.Keys(f.tried)))
 	start := time.Now()
 	since := start.Sub(f.Call.Arrived)
-	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), uint64(f.Record.Print)
+	w.Read, w.Backup, w.Mark = f.read(), f.guardable(), uint64(f.Record.Fingerprint)
 	w.Failed, f.failed = f.failed, nil
 	w.Due = room.Due(f.Route.Target, since, w.Read)
 	w.Wait = room.Wait(w.Due, f.End.Sub(f.Call.Arrived), since)
--- a/internal/route/task/parts.go
+++ b/internal/route/task/parts.go
@@ -66,20 +66,20 @@
 
 // End tells how a call ended.
 type End struct {
-	Call    *call.Call
-	Print   call.Fingerprint // zero: the call was refused before its workspace was known
-	Route   *routes.Route    // nil: none was found
-	Service ident.Service
-	Server  ident.Server
-	Status  int             // sent to the client; zero: none
-	Refusal *refuse.Refusal // nil: answered by a server
-	Queued  time.Duration   // wait for room at an engine
-	First   time.Duration   // until the answer or its first event
-	Total   time.Duration
-	Sent    int // sendings
-	Moves   int // times a stream went on at another engine
-	Events  int
-	Gap     time.Duration // longest pause between two events
-	Version uint64        // of the settings
-	Age     time.Duration // of the knowledge that they are the newest
+	Call        *call.Call
+	Fingerprint call.Fingerprint // zero: the call was refused before its workspace was known
+	Route       *routes.Route    // nil: none was found
+	Service     ident.Service
+	Server      ident.Server
+	Status      int             // sent to the client; zero: none
+	Refusal     *refuse.Refusal // nil: answered by a server
+	Queued      time.Duration   // wait for room at an engine
+	First       time.Duration   // until the answer or its first event
+	Total       time.Duration
+	Sent        int // sendings
+	Moves       int // times a stream went on at another engine
+	Events      int
+	Gap         time.Duration // longest pause between two events
+	Version     uint64        // of the settings
+	Age         time.Duration // of the knowledge that they are the newest
 }
--- a/internal/route/whole/whole.go
+++ b/internal/route/whole/whole.go
@@ -110,7 +110,7 @@
 	r.Record.Sent++
 	r.last = nil
 	r.Note("no whole answer", zap.String("server", string(s.ID)), zap.Error(err))
-	r.Broke(ctx, s)
+	r.CheckCrash(ctx, s)
 	r.refusal = refuse.New(refuse.ServerDied, "server %s broke off: %v", s.ID, err).With(refuse.RanMaybe)
 	return r.Route.Kind == call.Idempotent
 }
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -68,7 +68,7 @@
 // Len returns how many servers are known.
 func (v *View) Len() int { return len(v.servers) }
 
-// newsTime is how long other VMs are told of a server that leaves: three of
+// newsTime is how long a server that leaves is announced to other VMs: three of
 // their messages may be lost.
 const newsTime = 1500 * time.Millisecond
 
@@ -135,7 +135,7 @@
 	}
 	if s.Leaving && (old == nil || !old.Leaving) {
 		close(s.leave)
-		t.tell(e.ID)
+		t.announce(e.ID)
 	}
 	t.all[e.ID] = s
 	t.names[e.ID.Name()] = e.ID
@@ -175,9 +175,9 @@
 	return true
 }
 
-// Hear takes another VM's word that servers leave. It reports which were not
-// known to. A VM that passes on tells others of them as if it had seen it itself.
-func (t *Table) Hear(ids []ident.Server, pass bool) []ident.Server {
+// Receive takes servers that another VM reports as leaving. It returns those that were not
+// known to. With pass they are announced to others as if this VM had seen it itself.
+func (t *Table) Receive(ids []ident.Server, pass bool) []ident.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var left []ident.Server
@@ -189,7 +189,7 @@
 		t.drop(id)
 		left = append(left, id)
 		if pass {
-			t.tell(id)
+			t.announce(id)
 		}
 	}
 	if left != nil {
@@ -230,10 +230,10 @@
 // end ends a server that this VM itself saw to leave.
 func (t *Table) end(id ident.Server) {
 	t.drop(id)
-	t.tell(id)
+	t.announce(id)
 }
 
-func (t *Table) tell(id ident.Server) {
+func (t *Table) announce(id ident.Server) {
 	t.news[id] = time.Now()
 	t.onLeave()
 }
--- a/internal/state/backs/table_test.go
+++ b/internal/state/backs/table_test.go
@@ -91,10 +91,10 @@
 	})
 	t.Run("another VM's word", func(t *testing.T) {
 		tab := full()
-		assert.DeepEqual(t, tab.Hear([]ident.Server{"a", "unknown"}, false), []ident.Server{"a"})
+		assert.DeepEqual(t, tab.Receive([]ident.Server{"a", "unknown"}, false), []ident.Server{"a"})
 		usable(t, tab, "b")
 		assert.Equal(t, len(tab.Leaving(now)), 0, "hearsay is not told on")
-		tab.Hear([]ident.Server{"b"}, true)
+		tab.Receive([]ident.Server{"b"}, true)
 		assert.DeepEqual(t, tab.Leaving(now), []ident.Server{"b"}) // but by a hub
 	})
 }
@@ -124,7 +124,7 @@
 		tab, _ := full()
 		tab.Put(second)
 		assert.Assert(t, !tab.Put(first))
-		tab.Hear([]ident.Server{first.ID}, false)
+		tab.Receive([]ident.Server{first.ID}, false)
 		tab.Replace([]Entry{first}, time.Time{}, now)
 		usable(t, tab, string(second.ID))
 	})
