Evaluate findings only where something is new

A hub evaluates all evidence with each message that holds a finding, and a quarantined request is in each. With 1,024 requests under suspicion a report that brings nothing new took 1.42 ms; it takes 490 ns now (BenchmarkMerge). What is too old is looked for once a second.

--- a/internal/policy/poison/book.go
+++ b/internal/policy/poison/book.go
@@ -16,6 +16,8 @@
 	// announceTime is how long a change is announced to other VMs: several of their
 	// messages may be lost.
 	announceTime = 3 * time.Second
+	// expireEvery is the least time between two looks for what is too old.
+	expireEvery = time.Second
 	// skew bounds how much later a moment seems to be for each VM that passes it on.
 	skew = time.Second
 	// suspectCrashes is from how many crashes on all VMs have to know a request, so
@@ -42,21 +44,15 @@
 // held reports whether the request is quarantined by what is known of it.
 func (f *Finding) held() bool { return f.Quarantined.After(f.Cleared) }
 
-// since returns the part of the finding that is newer than a moment.
-func (f *Finding) since(at time.Time) Finding {
-	out := Finding{Request: f.Request, Crashes: make(map[ident.Server]time.Time, len(f.Crashes))}
-	for s, t := range f.Crashes {
-		if t.After(at) {
-			out.Crashes[s] = t
-		}
-	}
-	if f.Cleared.After(at) {
-		out.Cleared = f.Cleared
+// forget drops what is not newer than a moment.
+func (f *Finding) forget(oldest time.Time) {
+	maps.DeleteFunc(f.Crashes, func(_ ident.Server, at time.Time) bool { return !at.After(oldest) })
+	if !f.Cleared.After(oldest) {
+		f.Cleared = time.Time{}
 	}
-	if f.Quarantined.After(at) {
-		out.Quarantined = f.Quarantined
+	if !f.Quarantined.After(oldest) {
+		f.Quarantined = time.Time{}
 	}
-	return out
 }
 
 // empty reports whether nothing is known of the request.
@@ -99,6 +95,7 @@
 	attributed map[ident.Server]struct{} // servers whose crashes quarantined requests explain
 	hubs       map[ident.VM]uint64       // the start of each that answered
 	all        time.Time                 // until when everything is announced
+	expired    time.Time                 // when what is too old was last forgotten
 }
 
 // New makes a book without evidence. It calls onChange, without locks, after evidence of
@@ -174,7 +171,8 @@
 	return n
 }
 
-// Merge takes what another VM knows, and returns how that changes verdicts.
+// Merge takes what another VM knows, which it may alter, and returns how that changes
+// verdicts.
 func (b *Book) Merge(list []Finding, now time.Time) Change {
 	if len(list) == 0 {
 		return Change{}
@@ -182,12 +180,16 @@
 	b.mu.Lock()
 	// What is about to expire is not taken: VMs that pass it on would keep it alive.
 	oldest := now.Add(announceTime - b.cfg.Time)
+	changed := false
 	for i := range list {
-		if f := list[i].since(oldest); !f.empty() {
-			b.take(&f, now)
-		}
+		f := &list[i]
+		f.forget(oldest)
+		changed = !f.empty() && b.take(f, now) || changed
+	}
+	var c Change
+	if changed {
+		c = b.evaluate(now)
 	}
-	c := b.evaluate(now)
 	b.mu.Unlock()
 	if !c.Empty() {
 		b.onChange(c)
@@ -195,17 +197,19 @@
 	return c
 }
 
-// take merges one finding.
-func (b *Book) take(f *Finding, now time.Time) {
+// take merges one finding, and reports whether anything of it is new.
+func (b *Book) take(f *Finding, now time.Time) bool {
 	r := b.requests[f.Request]
 	if r == nil {
 		b.makeRoom()
 		r = &record{Finding: Finding{Request: f.Request, Crashes: make(map[ident.Server]time.Time)}}
 		b.requests[f.Request] = r
 	}
-	if r.merge(f) {
-		r.changed = now
+	if !r.merge(f) {
+		return false
 	}
+	r.changed = now
+	return true
 }
 
 // merge takes what is new of a finding, and reports whether anything is.
@@ -302,11 +306,15 @@
 	return c
 }
 
-// expire forgets what is too old.
+// expire forgets what is too old, at times.
 func (b *Book) expire(now time.Time) {
+	if now.Sub(b.expired) < expireEvery {
+		return
+	}
+	b.expired = now
 	oldest := now.Add(-b.cfg.Time)
 	for f, r := range b.requests {
-		if r.Finding = r.since(oldest); r.empty() {
+		if r.forget(oldest); r.empty() {
 			delete(b.requests, f)
 		}
 	}
--- a/internal/policy/poison/book_test.go
+++ b/internal/policy/poison/book_test.go
@@ -206,3 +206,18 @@
 		book.Until(other, now)
 	}
 }
+
+// BenchmarkMerge has a hub with much evidence take reports that bring nothing new.
+func BenchmarkMerge(b *testing.B) {
+	book, now := newBook(), time.Now()
+	for n := range maxRequests {
+		book.Crashed(call.Fingerprint(n+100), server(n%50), now)
+	}
+	for n := range 3 {
+		book.Crashed(fatal, server(100+n), now)
+	}
+	list := book.Report(now.Add(2 * announceTime))
+	for b.Loop() {
+		book.Merge(list, now.Add(2*announceTime))
+	}
+}
