Exchange verdicts on requests only where they differ

Each report and answer held all quarantined requests with their crashes: some hundred bytes a request, sixteen times a second at each VM, for ten minutes. Twenty of them would take ten times what a VM may spend for control (reckoned).

TestFindingsCost has twenty requests quarantined beside 500 suspects: at most 3 KB/s at each VM.

--- a/internal/peer/gossip/findings_test.go
+++ b/internal/peer/gossip/findings_test.go
@@ -141,8 +141,12 @@
 				v.poison.Crashed(call.Fingerprint(1000+5*i+n), ident.Server(fmt.Sprint("i-", n)), time.Now())
 			}
 		}
+		for n := range 3 * 20 { // 20 requests are quarantined, too
+			list[n%len(list)].poison.Crashed(call.Fingerprint(1+n%20), ident.Server(fmt.Sprint("j-", n)), time.Now())
+		}
 		time.Sleep(2 * learnTime)
 		for _, v := range list {
+			assert.Equal(t, v.poison.Len(time.Now()), 20)
 			v.bytes.Store(0)
 			v.received.Store(0)
 		}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -187,6 +187,7 @@
 }
 
 func (v *node) tell(s *wire.State, now time.Time) {
+	s.Verdicts = v.poison.Digest(now)
 	s.Version, s.Capacity, s.Domain = v.version.Load(), v.hubs.Own().Capacity, v.own.Domain
 	s.Store = hubs.StoreStatus{Asks: v.hubs.Asks(now), Age: 300 * time.Millisecond}
 	if v.cutStore.Load() {
@@ -194,10 +195,10 @@
 	}
 }
 
-func (v *node) Answer(s *wire.State, _ ident.VM, now time.Time) {
+func (v *node) Answer(s *wire.State, to ident.VM, now time.Time) {
 	s.Hub.Known, s.Hub.Heard = 100, 100
 	s.Hub.Rest = map[ident.Service]retry.Sent{"engines": {First: 1700}, "plain": {First: 2200, Again: 120}}
-	s.Findings = v.poison.Answer(now)
+	s.Findings = v.poison.Answer(to, now)
 	v.tell(s, now)
 }
 
@@ -210,6 +211,7 @@
 
 func (v *node) Hear(s *wire.State, from netip.AddrPort, now time.Time) {
 	v.hubs.Reported(v.report(s, from), now)
+	v.poison.Reported(s.VM, s.Verdicts)
 	v.poison.Merge(s.Findings, now)
 }
 
@@ -217,7 +219,7 @@
 	if v.hubs.Answered(v.report(s, from), s.Hub.Names, s.Hub.Digest, now) {
 		v.gossip.Beat()
 	}
-	v.poison.HubAnswered(s.VM, s.Boot, now)
+	v.poison.HubAnswered(s.VM, s.Boot, s.Verdicts, now)
 	v.poison.Merge(s.Findings, now)
 }
 
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -33,6 +33,7 @@
 	News     *follow.News     // changes of servers; nil: none are told
 	// Findings are of requests that crash servers.
 	Findings []poison.Finding
+	Verdicts uint64 // digest of the VM's verdicts; zero: it has none
 
 	Capacity hubs.Capacity
 	Domain   ident.Domain // of the VM
@@ -76,6 +77,7 @@
 	fieldFinding = 19
 	fieldDrain   = 20
 	fieldDomain  = 21
+	fieldVerdict = 22
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -128,6 +130,9 @@
 	if s.News != nil {
 		b = appendBytes(b, fieldNews, EncodeNews(s.News))
 	}
+	if s.Verdicts != 0 {
+		b = appendNumber(b, fieldVerdict, s.Verdicts)
+	}
 	now := time.Now()
 	for i := range s.Findings {
 		b = appendBytes(b, fieldFinding, encodeFinding(&s.Findings[i], now))
@@ -257,6 +262,8 @@
 		s.Capacity = hubs.Capacity(min(v, math.MaxUint8))
 	case fieldDigest:
 		s.Digest = v
+	case fieldVerdict:
+		s.Verdicts = v
 	case fieldAsk:
 		s.Ask = v
 	}
--- a/internal/policy/poison/book.go
+++ b/internal/policy/poison/book.go
@@ -93,7 +93,8 @@
 	mu         sync.Mutex
 	requests   map[call.Fingerprint]*record
 	attributed map[ident.Server]struct{} // servers whose crashes quarantined requests explain
-	hubs       map[ident.VM]uint64       // the start of each that answered
+	hubs       map[ident.VM]hub          // by their answers
+	reporters  map[ident.VM]uint64       // digests of the verdicts of VMs that report to this one
 	all        time.Time                 // until when everything is announced
 	expired    time.Time                 // when what is too old was last forgotten
 }
@@ -101,7 +102,13 @@
 // New makes a book without evidence. It calls onChange, without locks, after evidence of
 // this VM's own and after a change of verdicts; others have to learn both.
 func New(cfg Config, onChange func(c Change)) *Book {
-	b := &Book{cfg: cfg, onChange: onChange, requests: make(map[call.Fingerprint]*record), attributed: make(map[ident.Server]struct{}), hubs: make(map[ident.VM]uint64)}
+	b := &Book{
+		cfg: cfg, onChange: onChange,
+		requests:   make(map[call.Fingerprint]*record),
+		attributed: make(map[ident.Server]struct{}),
+		hubs:       make(map[ident.VM]hub),
+		reporters:  make(map[ident.VM]uint64),
+	}
 	b.held.Store(&map[call.Fingerprint]time.Time{})
 	return b
 }
--- a/internal/policy/poison/book_test.go
+++ b/internal/policy/poison/book_test.go
@@ -144,7 +144,7 @@
 		}
 		for range books {
 			for i, b := range books {
-				b.HubAnswered("hub", uint64(now.UnixNano()), now)
+				b.HubAnswered("hub", uint64(now.UnixNano()), 0, now)
 				books[(i+1)%len(books)].Merge(b.Report(now), now)
 			}
 		}
@@ -160,6 +160,29 @@
 	})
 }
 
+// TestAnnounce has hubs and VMs exchange verdicts only where they differ.
+func TestAnnounce(t *testing.T) {
+	now := time.Now()
+	b := newBook()
+	for n := range 3 {
+		b.Crashed(fatal, server(n), now)
+	}
+	assert.Equal(t, len(b.Report(now)), 1, "it is new")
+	later := now.Add(2 * announceTime)
+	for i, tc := range []struct {
+		digest uint64
+		want   int
+	}{{0, 1}, {b.Digest(later), 0}, {1, 1}} {
+		b.HubAnswered("hub", 1, tc.digest, now) // that it starts is of long ago
+		b.HubAnswered("hub", 1, tc.digest, later)
+		assert.Equal(t, len(b.Report(later)), tc.want, "case %d", i)
+		b.Reported("vm", tc.digest)
+		assert.Equal(t, len(b.Answer("vm", later)), tc.want, "case %d", i)
+	}
+	assert.Equal(t, len(b.Answer("one that starts", later)), 1)
+	assert.Equal(t, newBook().Digest(now), uint64(0))
+}
+
 // TestEnd has VMs announce a quarantine to each other until it ends: what one has
 // forgotten must not come back from another.
 func TestEnd(t *testing.T) {
@@ -172,6 +195,7 @@
 	end := now.Add(config.Time + time.Second)
 	for ; now.Before(end); now = now.Add(20 * time.Millisecond) {
 		for _, p := range [][2]*Book{{a, b}, {b, a}} {
+			p[0].HubAnswered("hub", 1, p[1].Digest(now), now)
 			list := p[0].Report(now)
 			for i := range list {
 				list[i].Quarantined = list[i].Quarantined.Add(latency)
@@ -216,6 +240,7 @@
 	for n := range 3 {
 		book.Crashed(fatal, server(100+n), now)
 	}
+	book.HubAnswered("hub", 1, 0, now.Add(2*announceTime))
 	list := book.Report(now.Add(2 * announceTime))
 	for b.Loop() {
 		book.Merge(list, now.Add(2*announceTime))
--- a/internal/proc/peers/told.go
+++ b/internal/proc/peers/told.go
@@ -87,7 +87,7 @@
 func (l *local) Answer(s *wire.State, to ident.VM, now time.Time) {
 	t := l.node.Budget.Rest(to, now)
 	s.Hub.Known, s.Hub.Heard, s.Hub.Rest = t.Known, t.Heard, t.Sent
-	s.Findings = l.node.Poison.Answer(now)
+	s.Findings = l.node.Poison.Answer(to, now)
 	l.tell(s, now)
 	l.news(s, now)
 }
@@ -99,6 +99,7 @@
 	s.Capacity, s.Domain = own.Capacity, own.Domain
 	s.Leaving = n.Servers.Leaving(now)
 	s.Draining = n.Servers.Draining(now)
+	s.Verdicts = n.Poison.Digest(now)
 	s.Version = n.Version()
 	s.Store = n.storeStatus(now)
 }
@@ -119,6 +120,7 @@
 	n := l.node
 	n.Hubs.Reported(reportOf(s, from), now)
 	n.Budget.Hear(s.VM, s.Sent, now)
+	n.Poison.Reported(s.VM, s.Verdicts)
 	if s.HasLoads() {
 		n.Seats.Hear(s.VM, s.Boot, s.Seq, s.Part, s.Loads, now)
 	}
@@ -132,7 +134,7 @@
 		n.beat()
 	}
 	n.Budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
-	n.Poison.HubAnswered(s.VM, s.Boot, now)
+	n.Poison.HubAnswered(s.VM, s.Boot, s.Verdicts, now)
 	l.take(s, from, false, now)
 	if s.Reply != nil {
 		l.confirm(*s.Reply, from)
