--- a/internal/peer/wire/finding.go
+++ b/internal/peer/wire/finding.go
@@ -32,6 +32,16 @@
 // maxAge is the oldest moment that is taken, in milliseconds.
 const maxAge = uint64(24 * time.Hour / time.Millisecond)
 
+func (s *State) appendFindings(b []byte, now time.Time) []byte {
+	if s.Verdicts != 0 {
+		b = appendNumber(b, fieldVerdict, s.Verdicts)
+	}
+	for i := range s.Findings {
+		b = appendBytes(b, fieldFinding, encodeFinding(&s.Findings[i], now))
+	}
+	return b
+}
+
 func encodeFinding(f *poison.Finding, now time.Time) []byte {
 	b := appendNumber(nil, findingRequest, uint64(f.Request))
 	for s, at := range f.Crashes {
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -130,13 +130,7 @@
 	if s.News != nil {
 		b = appendBytes(b, fieldNews, EncodeNews(s.News))
 	}
-	if s.Verdicts != 0 {
-		b = appendNumber(b, fieldVerdict, s.Verdicts)
-	}
-	now := time.Now()
-	for i := range s.Findings {
-		b = appendBytes(b, fieldFinding, encodeFinding(&s.Findings[i], now))
-	}
+	b = s.appendFindings(b, time.Now())
 	if s.Ask != 0 {
 		b = appendNumber(b, fieldAsk, s.Ask)
 	}
