--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -17,23 +17,23 @@
 )
 
 const (
-	// gather is the least time between two messages for each VM told, and
-	// leastGather the least of all: what changes together is told together.
+	// gather is the least time between two messages for each receiver, and
+	// leastGather the least of all: what changes together is sent together.
 	gather      = 150 * time.Microsecond
 	leastGather = 10 * time.Millisecond
 	// maxMessage is the largest datagram, in bytes.
 	maxMessage = 60 << 10
 )
 
-// Local is what this VM tells, and where it puts what others tell.
+// Local is what this VM sends, and takes what it receives.
 type Local interface {
-	// Report fills in what this VM tells of itself.
+	// Report fills in this VM's own state.
 	Report(s *wire.State, now time.Time)
-	// Answer fills in what this VM, as a hub, tells a VM that reports to it.
+	// Answer fills in what this VM, as a hub, sends a VM that reports to it.
 	Answer(s *wire.State, to ident.VM, now time.Time)
-	// Hear takes another VM's report.
+	// Hear merges another VM's report.
 	Hear(s *wire.State, from netip.AddrPort, now time.Time)
-	// Learn takes a hub's answer.
+	// Learn merges a hub's answer.
 	Learn(s *wire.State, from netip.AddrPort, now time.Time)
 	// Clock returns what a report asks the hubs to answer to.
 	Clock() uint64
@@ -43,7 +43,7 @@
 	Seat(a homes.Ask, reply func(homes.Answer))
 	// Seated takes the answer to this VM's ask for room.
 	Seated(a homes.Answer)
-	// Dirty has an element once there is something new to tell all others.
+	// Dirty has an element once there is something new to announce to all.
 	Dirty() <-chan struct{}
 	// Moved has an element once this VM's loads changed.
 	Moved() <-chan struct{}
@@ -57,7 +57,7 @@
 // The kinds.
 const (
 	Reports Kind = iota // of a VM's own state, to the hubs and the homes
-	Answers             // of hubs to reports, and what they tell unasked
+	Answers             // of hubs, to reports and unasked
 	Seats               // asks for room, and their answers
 	Kinds
 )
@@ -110,7 +110,7 @@
 	return Traffic{Messages: g.sent[k].messages.Load(), Bytes: g.sent[k].bytes.Load()}
 }
 
-// Send tells others until ctx ends.
+// Send reports and answers until ctx ends.
 func (g *Gossip) Send(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
@@ -145,7 +145,7 @@
 	}
 }
 
-// report returns what this VM tells of itself now.
+// report returns this VM's own state.
 func (g *Gossip) report(now time.Time) *wire.State {
 	g.seq++
 	s := &wire.State{VM: g.vm, Boot: g.boot, Seq: g.seq}
@@ -169,7 +169,7 @@
 	return len(targets)
 }
 
-// spread tells what is new to the hubs, and as a hub to all that report to this VM.
+// spread announces what is new to the hubs, and as a hub to all that report to this VM.
 func (g *Gossip) spread(now time.Time) int {
 	n := g.beat(now, true)
 	reporters := g.hubs.Reporters(now)
@@ -180,7 +180,7 @@
 	return n + len(reporters)
 }
 
-// move tells the homes of this VM's loads.
+// move reports this VM's loads to the homes.
 func (g *Gossip) move(now time.Time) int {
 	s := g.report(now)
 	s.News = nil
@@ -191,7 +191,7 @@
 	return len(list)
 }
 
-// answer tells a VM that reports to this one what this one knows of all. The
+// answer sends a VM that reports to this one what this one knows of all. The
 // candidates that this one names are left out if the VM has them.
 func (g *Gossip) answer(to ident.VM, addr netip.AddrPort, s *wire.State, has uint64, now time.Time) {
 	names := g.hubs.Names(now)
@@ -237,7 +237,7 @@
 	}
 }
 
-// Receive takes what others tell until the socket is closed.
+// Receive merges what others send until the socket is closed.
 func (g *Gossip) Receive(ctx context.Context) {
 	buf := make([]byte, maxMessage)
 	for {
--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -16,7 +16,7 @@
 	"umberladder/internal/state/hubs"
 )
 
-// State is what one VM tells.
+// State is one VM's message.
 type State struct {
 	VM      ident.VM
 	Boot    uint64 // of the process; a later one replaces all that was told before
@@ -24,20 +24,20 @@
 	Part    int    // of the loads: those of parts with the same number belong together
 	Loads   map[ident.Server]seats.Load
 	Sent    map[ident.Service]retry.Sent // in the window of the retry budget
-	Leaving []ident.Server               // servers seen to leave lately
+	Leaving []ident.Server               // servers seen to leave recently
 	// Draining are servers that have said themselves that they drain, while their
 	// entries may say otherwise.
 	Draining []ident.Server
 	Version  uint64           // of the settings in force
 	Store    hubs.StoreStatus // of its way to the store
-	News     *follow.News     // changes of servers; nil: none are told
+	News     *follow.News     // changes of servers; nil: not sent
 	// Findings are of requests that crash servers.
 	Findings []poison.Finding
 	Verdicts uint64 // digest of the VM's verdicts; zero: it has none
 
 	Capacity hubs.Capacity
 	Domain   ident.Domain // of the VM
-	Digest   uint64       // of the candidates that the VM told has named; zero: none
+	Digest   uint64       // of the candidates that the receiver has named; zero: none
 	Ask      uint64       // moment of the VM's clock, sent back in the reply; zero: none is wanted
 	Reply    *Reply
 	Hub      *Hub // in answers to those that report to the VM
--- a/internal/route/relay/pause_test.go
+++ b/internal/route/relay/pause_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestPauses has both servers of a service reject calls and ask for pauses: calls are
-// refused at once until the shorter one is over, and told when that is.
+// refused at once until the shorter one is over, with the time that is left.
 func TestPauses(t *testing.T) {
 	for _, path := range []string{"/get/x", "/once/x", "/long/x", "/short/x"} {
 		t.Run(path, func(t *testing.T) {
