--- a/internal/proc/peers/crashes.go
+++ b/internal/proc/peers/crashes.go
@@ -10,8 +10,8 @@
 	"umberladder/internal/policy/poison"
 )
 
-// verdictsChanged has others learn what this VM has found of requests that crash servers. A hub
-// announces verdicts to all at once, other VMs report to the hubs.
+// verdictsChanged has other VMs learn what this one has found of requests that crash
+// servers. A hub announces verdicts to all at once, other VMs report to the hubs.
 func (n *Node) verdictsChanged(c poison.Change) {
 	for _, f := range c.Quarantined {
 		n.log.Warn("request quarantined", zap.Stringer("fingerprint", f))
--- a/internal/route/task/crash.go
+++ b/internal/route/task/crash.go
@@ -14,8 +14,8 @@
 // round trip.
 const checkTime = 50 * time.Millisecond
 
-// CheckCrash checks whether a server has ended whose answer broke off soon after the call had
-// begun to run there, which is evidence against the call.
+// CheckCrash checks whether a server has ended whose answer broke off soon after the call
+// had begun to run there, which is evidence against the request.
 func (t *Task) CheckCrash(ctx context.Context, s *backs.Server) {
 	if s.Left() {
 		return // it has announced its end
@@ -34,7 +34,7 @@
 // Completed notes that a server ran the call to its end.
 func (t *Task) Completed() { t.Poison.Completed(t.Record.Fingerprint, time.Now()) }
 
-// Quarantined refuses a call that crashes the servers that run it; nil: it may run.
+// Quarantined refuses a call whose request is quarantined; nil: it may run.
 func (t *Task) Quarantined() *refuse.Refusal {
 	now := time.Now()
 	until, ok := t.Poison.Until(t.Record.Fingerprint, now)
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -175,8 +175,8 @@
 	return true
 }
 
-// Receive takes servers that another VM reports as leaving. It returns those that were not
-// known to. With pass they are announced to others as if this VM had seen it itself.
+// Receive takes servers that another VM reports as leaving, and returns those of which
+// that is news. With pass they are announced to others as if this VM had seen it itself.
 func (t *Table) Receive(ids []ident.Server, pass bool) []ident.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/state/names/names.go
+++ b/internal/state/names/names.go
@@ -71,7 +71,8 @@
 	Quarantined []poison.Entry
 }
 
-// Quarantine is the requests that are to be quarantined after the loss of all VMs, too.
+// Quarantine holds the quarantined requests, which the store keeps for the case that all
+// VMs are lost.
 type Quarantine interface {
 	// Stored takes those that the store holds.
 	Stored(list []poison.Entry, now time.Time)
