Keep servers whose entries lapse during a store outage

Cause: a VM that leaves reading the store to others, and reads it first after the outage, had not observed the outage. It treated each missing entry as a departure, dropped the server and announced it as leaving. The announcement carries no revision, so all VMs dropped the server regardless of what they knew, even after its entry had been written again. Since an entry is read only once, the server never came back. A pending store response could also apply removals that newer reports from other VMs had superseded.

Missing entries now count as lapsed if the known servers are older than 2 s, whether or not this VM saw the store fail. A removal is reported only as a change with its revision, and hubs forward it at once. Store responses, lists and reports update the table one at a time, and none applies anything older than the known revision.

Evidence: TestLapses, with 80 VMs that lose 4% of their datagrams and a store that is unavailable for 4.5 s and answers the hubs last.

A server that is removed outside an outage is gone at all VMs within 1 s, as before. If a VM takes over reading the store more than 2 s after the last report from other VMs, a server that is really gone stays usable for 2 s longer.

--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -25,6 +25,8 @@
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
+	"umberladder/internal/state/backs"
+	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
 	"umberladder/internal/state/names"
 	_ "umberladder/internal/test/check" // fixes the seed
@@ -62,6 +64,8 @@
 	away  bool           // the store answers nobody
 	seeds []netip.AddrPort
 	calls int // to the store, fresh readings and writings
+	// registry holds the servers' entries; nil if the VMs do not follow servers.
+	registry *registry
 }
 
 type datagram struct {
@@ -77,6 +81,8 @@
 	gossip   *Gossip
 	keeper   *names.Keeper
 	poison   *poison.Book
+	table    *backs.Table    // nil if the VM does not follow servers
+	servers  *follow.Servers // nil if the VM does not follow servers
 	boot     uint64
 	stop     context.CancelFunc
 	in       chan datagram
@@ -184,6 +190,31 @@
 	s.Sent = map[ident.Service]retry.Sent{"engines": {First: 12}, "plain": {First: 8, Again: 1}}
 	s.Findings = v.poison.Report(now)
 	v.tell(s, now)
+	if s.Store.Asks {
+		v.addNews(s, now)
+	}
+}
+
+// addNews adds the VM's recent server changes to a message.
+func (v *node) addNews(s *wire.State, now time.Time) {
+	if v.servers == nil {
+		return
+	}
+	if n, ok := v.servers.News(now); ok {
+		s.News = &n
+	}
+}
+
+// receiveServers applies the server changes in another VM's message. With pass, servers
+// reported as leaving are announced to other VMs.
+func (v *node) receiveServers(s *wire.State, pass bool, now time.Time) {
+	if v.servers == nil {
+		return
+	}
+	if s.News != nil {
+		v.servers.Learn(*s.News, now)
+	}
+	v.table.Receive(s.Leaving, pass)
 }
 
 func (v *node) tell(s *wire.State, now time.Time) {
@@ -193,6 +224,10 @@
 	if v.cutStore.Load() {
 		s.Store.Age = time.Minute
 	}
+	if v.servers != nil {
+		s.Leaving = v.table.Leaving(now)
+		s.Store.Age = v.servers.Age()
+	}
 }
 
 func (v *node) Answer(s *wire.State, to ident.VM, now time.Time) {
@@ -200,6 +235,7 @@
 	s.Hub.Rest = map[ident.Service]retry.Sent{"engines": {First: 1700}, "plain": {First: 2200, Again: 120}}
 	s.Findings = v.poison.Answer(to, now)
 	v.tell(s, now)
+	v.addNews(s, now)
 }
 
 func (v *node) report(s *wire.State, from netip.AddrPort) hubs.Report {
@@ -213,6 +249,7 @@
 	v.hubs.Reported(v.report(s, from), now)
 	v.poison.Reported(s.VM, s.Verdicts)
 	v.poison.Merge(s.Findings, now)
+	v.receiveServers(s, true, now)
 }
 
 func (v *node) Learn(s *wire.State, from netip.AddrPort, now time.Time) {
@@ -221,6 +258,7 @@
 	}
 	v.poison.HubAnswered(s.VM, s.Boot, s.Verdicts, now)
 	v.poison.Merge(s.Findings, now)
+	v.receiveServers(s, false, now)
 }
 
 // judged has the VM announce its own evidence, and verdicts.
@@ -293,10 +331,19 @@
 
 // play has so many VMs start within 0.3 s, one in sixteen of much capacity.
 func play(t *testing.T, vms int, loss float64, f func(t *testing.T, f *fleet)) {
+	t.Helper()
+	playServers(t, vms, loss, nil, f)
+}
+
+// playServers is like play, with VMs that follow the servers in r.
+func playServers(t *testing.T, vms int, loss float64, r *registry, f func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		n := &network{rng: rand.New(rand.NewPCG(7, 0)), loss: loss, nodes: make(map[netip.AddrPort]*node), names: make(map[ident.VM]netip.AddrPort)}
+		n := &network{rng: rand.New(rand.NewPCG(7, 0)), loss: loss, nodes: make(map[netip.AddrPort]*node), names: make(map[ident.VM]netip.AddrPort), registry: r}
+		if r != nil {
+			r.net = n
+		}
 		fl := &fleet{network: n, ctx: ctx}
 		for i := range vms {
 			c := hubs.Candidate{VM: ident.VM(fmt.Sprintf("edge-%d", i)), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7201), Capacity: 12}
@@ -307,11 +354,13 @@
 			fl.all = append(fl.all, &node{net: n, own: c})
 			fl.start(fl.all[i], n.delay())
 		}
+		defer func() {
+			cancel()
+			for _, v := range fl.all {
+				fl.kill(v)
+			}
+		}()
 		f(t, fl)
-		cancel()
-		for _, v := range fl.all {
-			fl.kill(v)
-		}
 	})
 }
 
@@ -348,11 +397,18 @@
 	v.poison = poison.New(poison.Config{Crashes: 3, Time: 10 * time.Minute}, v.judged)
 	v.keeper = names.New(v.own, time.Now().Add(after), v.hubs, v, v.poison, v.gossip.Beat, zap.NewNop())
 	keeper := v.keeper
+	if f.registry != nil {
+		v.initServers(f.registry)
+	}
 	f.mu.Lock()
 	f.nodes[v.own.Addr] = v
 	f.mu.Unlock()
+	loops := []func(context.Context){keeper.Run, v.gossip.Send, v.gossip.Receive, v.carry}
+	if f.registry != nil {
+		loops = append(loops, v.servers.Run, v.servers.Expire)
+	}
 	v.group = &errgroup.Group{}
-	for _, run := range []func(context.Context){keeper.Run, v.gossip.Send, v.gossip.Receive, v.carry} {
+	for _, run := range loops {
 		v.group.Go(func() error {
 			retry.Pause(ctx, after)
 			run(ctx)
--- /dev/null
+++ b/internal/peer/gossip/lapse_test.go
@@ -0,0 +1,243 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/state/backs"
+	"umberladder/internal/state/follow"
+	"umberladder/internal/state/hubs"
+)
+
+const (
+	// serverCount is the number of servers registered in the store.
+	serverCount = 60
+	// heartbeat is the interval at which a server writes its entry.
+	heartbeat = 1200 * time.Millisecond
+	// lateDelay is how much longer the outage lasts for some VMs.
+	lateDelay = 700 * time.Millisecond
+	// storeLatency is the minimum latency of a call to the store.
+	storeLatency = 4 * time.Millisecond
+)
+
+var errUnavailable = errors.New("store unavailable")
+
+// registry is an in-memory store of server entries with a change log.
+type registry struct {
+	net *network
+
+	mu      sync.Mutex
+	rev     follow.Revision
+	entries map[ident.Server]backs.Entry
+	log     []follow.Change
+	changed chan struct{}
+}
+
+func newRegistry() *registry {
+	return &registry{rev: 1, entries: make(map[ident.Server]backs.Entry)}
+}
+
+func serverEntry(n int) backs.Entry {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 8000)
+	return backs.Entry{ID: ident.Server(fmt.Sprintf("i-%d@1700000000000", n)), Service: "engines", Addr: addr, Slots: 1}
+}
+
+func (r *registry) record(c follow.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rev++
+	c.Rev = r.rev
+	if c.Gone {
+		delete(r.entries, c.Entry.ID)
+		c.Entry = backs.Entry{ID: ident.NewServer(c.Entry.ID.Name(), time.Time{})}
+	} else {
+		r.entries[c.Entry.ID] = c.Entry
+	}
+	r.log = append(r.log, c)
+	if r.changed != nil {
+		close(r.changed)
+	}
+	r.changed = make(chan struct{})
+}
+
+func (r *registry) put(e backs.Entry)    { r.record(follow.Change{Entry: e}) }
+func (r *registry) remove(e backs.Entry) { r.record(follow.Change{Entry: e, Gone: true}) }
+
+// registryClient is a VM's connection to the registry. It implements
+// follow.ServerSource.
+type registryClient struct {
+	*registry
+	vm *node
+}
+
+// call simulates a call to the store. It fails while the VM cannot reach the store.
+func (c registryClient) call() error {
+	time.Sleep(storeLatency)
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if c.net.away || c.vm.cutStore.Load() {
+		return errUnavailable
+	}
+	return nil
+}
+
+// Servers implements follow.ServerSource.
+func (c registryClient) Servers(context.Context) ([]backs.Entry, follow.Revision, error) {
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.entries)), c.rev, nil
+}
+
+// AwaitServers implements follow.ServerSource.
+func (c registryClient) AwaitServers(ctx context.Context, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	for end := time.After(wait); ; {
+		c.mu.Lock()
+		rev, changed := c.rev, c.changed
+		changes := slices.DeleteFunc(slices.Clone(c.log), func(ch follow.Change) bool { return ch.Rev <= after })
+		c.mu.Unlock()
+		if len(changes) > 0 {
+			return changes, rev, c.call()
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, rev, c.call()
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// initServers creates the VM's server table and the follower that updates it.
+func (v *node) initServers(r *registry) {
+	clock := func() awake.Instant { return awake.Instant(time.Now().UnixNano()) }
+	announce := func() {
+		if now := time.Now(); v.hubs.Asks(now) || v.hubs.Hub(now) {
+			select {
+			case v.dirty <- struct{}{}:
+			default:
+			}
+		}
+	}
+	v.table = backs.NewTable(announce)
+	v.servers = follow.NewServers(registryClient{registry: r, vm: v}, v.table, clock,
+		func() bool { return !v.hubs.Asks(time.Now()) },
+		func() bool { return v.hubs.First(time.Now()) },
+		func() bool { return v.hubs.Lead(time.Now()) },
+		announce, v.fetchFromHub, zap.NewNop())
+}
+
+// fetchFromHub returns the full server list of the first hub that has one.
+func (v *node) fetchFromHub(context.Context) (follow.News, error) {
+	for _, addr := range v.hubs.Addresses(time.Now()) {
+		v.net.mu.Lock()
+		hub := v.net.nodes[addr]
+		v.net.mu.Unlock()
+		if hub == nil || hub.servers == nil {
+			continue
+		}
+		if n, ok := hub.servers.All(); ok {
+			return n, nil
+		}
+	}
+	return follow.News{}, follow.ErrNobody
+}
+
+// minUsable returns the smallest number of usable servers at any running VM.
+func (f *fleet) minUsable() int {
+	least := serverCount
+	for _, v := range f.up() {
+		least = min(least, len(v.table.View().Service("engines")))
+	}
+	return least
+}
+
+// outage makes the store unavailable for the given duration, in which the entries of all
+// servers lapse. For the VMs in late it lasts lateDelay longer. Once the store is back, the
+// first writers servers write their entries again within one heartbeat.
+func (f *fleet) outage(r *registry, away time.Duration, writers int, late []ident.VM) {
+	f.setAway(true, late)
+	time.Sleep(away)
+	for n := range serverCount {
+		r.remove(serverEntry(n))
+	}
+	f.setAway(false, nil)
+	for n := range writers {
+		time.Sleep(heartbeat / serverCount)
+		r.put(serverEntry(n))
+		if time.Duration(n)*heartbeat/serverCount > lateDelay {
+			f.setAway(false, late)
+		}
+	}
+	time.Sleep(heartbeat * time.Duration(serverCount-writers) / serverCount)
+}
+
+// setAway sets whether the store is unavailable, both in general and for the VMs in vms.
+func (f *fleet) setAway(away bool, vms []ident.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = away
+	for _, v := range f.all {
+		if slices.Contains(vms, v.own.VM) {
+			v.cutStore.Store(away)
+		}
+	}
+}
+
+// TestLapses guards against VMs dropping live servers whose entries lapse during a store
+// outage. The store is unavailable for 4.5 s to 80 VMs that lose 4% of their datagrams.
+// Every server that writes its entry again must stay usable at every VM throughout. The
+// time before the outage determines when VMs that are not hubs read the store after it.
+func TestLapses(t *testing.T) {
+	for name, tc := range map[string]struct {
+		before time.Duration            // time from the start to the outage
+		late   func(v *node) []ident.VM // VMs that reach the store last
+	}{
+		"all are answered at once":      {before: 4 * time.Second, late: func(*node) []ident.VM { return nil }},
+		"hubs are answered last, 4.6 s": {before: 4600 * time.Millisecond, late: hubsOf},
+		"hubs are answered last, 5 s":   {before: 5 * time.Second, late: hubsOf},
+		"hubs are answered last, 5.4 s": {before: 5400 * time.Millisecond, late: hubsOf},
+	} {
+		t.Run(name, func(t *testing.T) { testLapse(t, tc.before, tc.late) })
+	}
+}
+
+func testLapse(t *testing.T, before time.Duration, late func(v *node) []ident.VM) {
+	const away = 4500 * time.Millisecond
+	r := newRegistry()
+	playServers(t, min(vms, 80), 0.04, r, func(t *testing.T, f *fleet) {
+		for n := range serverCount {
+			r.put(serverEntry(n))
+		}
+		time.Sleep(before)
+		assert.Equal(t, f.minUsable(), serverCount, "before the outage")
+		f.outage(r, away, serverCount-1, late(f.all[0]))
+		for range 20 {
+			assert.Assert(t, f.minUsable() >= serverCount-1, "%d of %d servers are usable", f.minUsable(), serverCount)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * hubs.Beat)
+		assert.Equal(t, f.minUsable(), serverCount-1, "the server that did not write its entry again is removed")
+		r.remove(serverEntry(0))
+		time.Sleep(known)
+		assert.Equal(t, f.minUsable(), serverCount-2, "a removal outside an outage takes effect at once")
+	})
+}
--- a/internal/state/backs/table.go
+++ b/internal/state/backs/table.go
@@ -158,7 +158,8 @@
 
 // Remove takes the end of the entry of a name. Within an outage of the store, or
 // until ReturnTime after it, the server stays usable until then. It reports
-// whether a server was known by that name.
+// whether a server was known by that name. The server is not announced by Leaving:
+// announcements have no revision, so one could undo a later entry at other VMs.
 func (t *Table) Remove(name string, until time.Time, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -170,7 +171,7 @@
 		t.lapsed[id] = until
 		return true
 	}
-	t.end(id)
+	t.drop(id)
 	t.publish()
 	return true
 }
--- a/internal/state/backs/table_test.go
+++ b/internal/state/backs/table_test.go
@@ -89,6 +89,14 @@
 		tab.Replace([]Entry{server("b"), server("c")}, time.Time{}, now)
 		usable(t, tab, "b", "c")
 	})
+	t.Run("a removal seen by another VM does not undo a later entry", func(t *testing.T) {
+		other, tab := full(), full()
+		other.Remove("a", time.Time{}, now)
+		tab.Remove("a", now.Add(ReturnTime), now)
+		tab.Put(server("a"))
+		tab.Receive(other.Leaving(now), true)
+		usable(t, tab, "a", "b")
+	})
 	t.Run("another VM's word", func(t *testing.T) {
 		tab := full()
 		assert.DeepEqual(t, tab.Receive([]ident.Server{"a", "unknown"}, false), []ident.Server{"a"})
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -294,6 +294,34 @@
 			v.knows(t, 1, "one came back, one is gone")
 		})
 	})
+	t.Run("entries that lapsed in an outage that this VM did not notice stay until 2 s after it", func(t *testing.T) {
+		s := newStore()
+		s.put(entry(1))
+		s.put(entry(2))
+		follow(t, s, func(v *vm) {
+			v.told.Store(true) // other VMs read the store for this one
+			time.Sleep(time.Second)
+			s.setDown(true)
+			time.Sleep(4 * time.Second)
+			s.setDown(false)
+			s.remove(entry(1))
+			s.remove(entry(2))
+			v.told.Store(false)
+			time.Sleep(serversRest)
+			v.knows(t, 2, "the store has just come back")
+			n, ok := v.servers.News(time.Now())
+			assert.Assert(t, ok && len(n.Changes) == 2, "%+v", n)
+			for _, c := range n.Changes {
+				assert.Assert(t, c.Lapse > 0, "the change must tell other VMs that the entry may have lapsed: %+v", c)
+			}
+			s.put(entry(1))
+			time.Sleep(backs.ReturnTime)
+			v.knows(t, 1, "one came back, one is gone")
+			s.remove(entry(1))
+			time.Sleep(serversRest + time.Millisecond)
+			v.knows(t, 0, "later removals take effect at once")
+		})
+	})
 	t.Run("a lost history is read anew", func(t *testing.T) {
 		s := newStore()
 		s.put(entry(1))
@@ -456,6 +484,23 @@
 			v.knows(t, 1, "late news change nothing")
 		})
 	})
+	t.Run("a store response does not override later changes reported by other VMs", func(t *testing.T) {
+		s := newStore()
+		s.put(entry(1))
+		follow(t, s, func(v *vm) {
+			v.told.Store(true)
+			time.Sleep(2 * time.Second)
+			base := v.servers.known()
+			written := Change{Rev: base + 2, Entry: entry(1)}
+			removed := Change{Rev: base + 1, Gone: true, Entry: backs.Entry{ID: "1"}}
+			v.servers.Learn(News{Base: base, Rev: base + 2, Changes: []Change{removed, written}}, time.Now())
+			v.servers.applyChanges([]Change{removed}, base+1, v.clock())
+			v.knows(t, 1, "an older change is ignored")
+			v.servers.applyList(nil, base+1, v.clock())
+			v.knows(t, 1, "an older list is ignored")
+			assert.Equal(t, v.servers.known(), base+2)
+		})
+	})
 	t.Run("missed news make it read", func(t *testing.T) {
 		s := newStore()
 		follow(t, s, func(v *vm) {
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -26,6 +26,10 @@
 	standbyRest = 500 * time.Millisecond
 	// expireEvery is how often lapsed entries are looked through.
 	expireEvery = 100 * time.Millisecond
+	// staleTime is the age of the known servers above which this VM may have missed an
+	// outage of the store. Entries lapse after three heartbeats of 1.2 s, so a shorter
+	// outage lets none lapse.
+	staleTime = 2 * time.Second
 )
 
 // Change is one change of the servers' entries.
@@ -74,6 +78,10 @@
 	onNews func()
 	ask    func(ctx context.Context) (News, error)
 
+	// applyMu serialises updates of the table, so that they apply in order of revision.
+	// It must be locked before mu, which the table's callbacks take.
+	applyMu sync.Mutex
+
 	mu     sync.Mutex
 	down   bool
 	until  time.Time // entries missing before then may have lapsed in an outage
@@ -147,12 +155,23 @@
 
 // Learn takes another VM's news. If some are missing, everything is read anew.
 func (s *Servers) Learn(n News, now time.Time) {
-	changes := s.news(n, now)
-	for _, c := range changes {
-		s.take(&c, time.Time{}) // who told it has allowed for an outage
+	if s.applyNews(n, now) {
+		s.onNews()
 	}
 }
 
+// applyNews applies another VM's news and reports whether it removed entries.
+func (s *Servers) applyNews(n News, now time.Time) bool {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	removed := false
+	for _, c := range s.news(n, now) {
+		s.take(&c, time.Time{}) // the sender has set Lapse if there was an outage
+		removed = removed || c.Gone
+	}
+	return removed
+}
+
 // news returns the changes of n that are new, and notes that they are known. They
 // are told on, for VMs that do not hear the one that told them.
 func (s *Servers) news(n News, now time.Time) []Change {
@@ -251,29 +270,55 @@
 	s.until = now.Add(backs.ReturnTime)
 }
 
-// grace returns the moment until which a missing entry says nothing.
+// grace returns the time until which a missing entry counts as lapsed rather than
+// removed. A VM that does not read the store itself cannot observe an outage, so stale
+// data is treated like one.
 func (s *Servers) grace(now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return now.Add(backs.ReturnTime)
+	age := s.age()
+	stale := s.fresh != 0 && age > staleTime
+	if stale && !s.down && now.After(s.until) {
+		s.log.Info("servers are stale, missing entries may have lapsed in a store outage", zap.Duration("age", age))
+	}
+	if s.down || stale {
+		s.until = now.Add(backs.ReturnTime)
 	}
 	return s.until
 }
 
 func (s *Servers) read(ctx context.Context) (Revision, error) {
 	asked := s.clock()
+	s.grace(time.Now())
 	list, rev, err := s.src.Servers(ctx)
 	if err != nil {
 		return 0, err
 	}
+	if s.applyList(list, rev, asked) {
+		s.onNews()
+	}
+	s.log.Info("servers read", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(rev)))
+	return rev, nil
+}
+
+// applyList replaces the table with the store's list at rev, which was requested at
+// asked. It ignores the list if a later revision is known, and reports whether there are
+// changes to send to other VMs.
+func (s *Servers) applyList(list []backs.Entry, rev Revision, asked awake.Instant) bool {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	known := s.known()
+	if rev < known {
+		return false
+	}
 	now := time.Now()
 	grace := s.grace(now)
-	if known := s.known(); known != 0 && rev.Era() > known.Era() {
+	if known != 0 && rev.Era() > known.Era() {
 		list = s.confirmedOf(list)
 	}
 	changed, missing := s.table.Replace(list, grace, now)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	told := s.rev != 0
 	if told {
 		s.noteAll(rev, changed, missing, grace, now)
@@ -281,12 +326,7 @@
 		s.base, s.recent = rev, nil
 	}
 	s.rev, s.fresh = rev, max(s.fresh, asked)
-	s.mu.Unlock()
-	if told && len(changed)+len(missing) > 0 {
-		s.onNews()
-	}
-	s.log.Info("servers read", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(rev)))
-	return rev, nil
+	return told && len(changed)+len(missing) > 0
 }
 
 // confirmedOf returns the entries of servers that are known. The first list of a new
@@ -347,6 +387,11 @@
 	for _, c := range n.Changes {
 		list = append(list, c.Entry)
 	}
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	if n.Rev < s.known() {
+		return true
+	}
 	now := time.Now()
 	s.table.Replace(list, time.Time{}, now)
 	for _, c := range n.Changes {
@@ -365,12 +410,29 @@
 
 func (s *Servers) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
 	asked := s.clock()
+	s.grace(time.Now())
 	changes, rev, err := s.src.AwaitServers(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
-	now, noted := time.Now(), false
+	if s.applyChanges(changes, rev, confirmed(s.clock, asked, wait)) {
+		// Sent at once, so that other VMs can use new servers without delay.
+		s.onNews()
+	}
+	return rev, nil
+}
+
+// applyChanges applies the store's changes up to rev, which was the latest revision at
+// the given time. It skips changes up to the known revision, and reports whether there
+// are changes to send to other VMs.
+func (s *Servers) applyChanges(changes []Change, rev Revision, at awake.Instant) bool {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	now, known, noted := time.Now(), s.known(), false
 	for _, c := range changes {
+		if c.Rev <= known {
+			continue
+		}
 		if c.Gone {
 			c.Lapse = max(s.grace(now).Sub(now), 0)
 		}
@@ -380,13 +442,9 @@
 		}
 	}
 	s.mu.Lock()
-	s.rev, s.fresh = rev, max(s.fresh, confirmed(s.clock, asked, wait))
-	s.mu.Unlock()
-	if noted {
-		// A new engine is of use from its first moment.
-		s.onNews()
-	}
-	return rev, nil
+	defer s.mu.Unlock()
+	s.rev, s.fresh = max(s.rev, rev), max(s.fresh, at)
+	return noted
 }
 
 func (s *Servers) note(c Change, now time.Time) {
