Give calls with large prompts a minimum wait for room

Cause: the time for which a call may wait for room and still begin in time is its latency target less the estimated time to read its prompt and 0.7 s. With a target of 1.5 s, a prompt of 5,600 tokens has no time left on arrival, although engines begin it in time if it gets room soon. It therefore counted as late immediately: it was not tried if any other call was waiting, got only the room that no other call took, among at most 16 such calls, and was rejected 750 ms later.

Every call may now wait for at least an eighth of its latency target, regardless of its prompt size.

Evidence: TestLargestPrompts simulates such a load.

The cost falls on calls of lower rank that wait for the same memory.

--- a/internal/policy/room/room.go
+++ b/internal/policy/room/room.go
@@ -13,6 +13,10 @@
 	// startTime is kept of the latency target for the way to the engine and its
 	// first step, and for one prompt that is read before.
 	startTime = 700 * time.Millisecond
+	// minDueShare is the minimum share of the latency target for which a generation may
+	// wait for room, regardless of its prompt size. Without it, calls with the largest
+	// prompts count as late on arrival and get only the room that no other call takes.
+	minDueShare = 0.125
 	// lateWait and lateShare bound the wait of a generation that will begin late,
 	// in time and in its share of the time that the client waits: new engines come
 	// each 3 s, and who is refused should have the time to come back.
@@ -28,10 +32,12 @@
 func Need(prompt, limit, made int) int { return prompt + min(made+ahead, limit) }
 
 // Due returns how long a generation that arrived some time ago may wait for
-// room and still begin within its latency target; read are the prompt's tokens.
+// room and still begin within its latency target; read are the prompt's tokens. The
+// result is at least minDueShare of the target, less the time since arrival.
 func Due(target, since time.Duration, read int) time.Duration {
 	reading := time.Duration(float64(read) / readRate * float64(time.Second))
-	return max(0, target-reading-startTime-since)
+	minDue := time.Duration(minDueShare * float64(target))
+	return max(0, max(target-reading-startTime, minDue)-since)
 }
 
 // Wait returns how long a generation may wait for room at all, though it then
--- /dev/null
+++ b/internal/route/desk/size_test.go
@@ -0,0 +1,81 @@
+package desk
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/policy/room"
+	"umberladder/internal/route/pick"
+)
+
+// placementCounts counts placement requests and those that succeeded.
+type placementCounts struct {
+	mu                sync.Mutex
+	requested, served float64
+}
+
+func (c *placementCounts) record(served bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requested++
+	if served {
+		c.served++
+	}
+}
+
+func (c *placementCounts) servedShare() float64 { return c.served / c.requested }
+
+// TestLargestPrompts guards against rejecting calls mainly because their prompts are large.
+// Long runs keep the engines full while short calls request room; a tenth of the short calls
+// have prompts of 5,600 tokens, the others of 2,200. The served share of the largest tenth
+// must be at least half of that of all short calls.
+func TestLargestPrompts(t *testing.T) {
+	const (
+		target   = 1500 * time.Millisecond
+		patience = 6 * time.Second
+		engines  = 8
+	)
+	trial(t, 4, engines, func(t *testing.T, f *fleet) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		var short, largest, long placementCounts
+		var calls errgroup.Group
+		for n := range 2500 {
+			v := f.vms[n%len(f.vms)]
+			if n%2 == 0 {
+				calls.Go(func() error {
+					w := want()
+					w.Due = room.Due(1800*time.Millisecond, 0, w.Read)
+					w.Wait = room.Wait(w.Due, 39*time.Second, 0)
+					_, err := f.take(v, w, 1200*time.Millisecond)
+					long.record(err == nil)
+					return nil
+				})
+			} else {
+				large := n%20 == 1
+				calls.Go(func() error {
+					w := pick.Want{Service: service, Need: 2300, Read: 2200, Memory: memory, From: "a"}
+					if large {
+						w.Need, w.Read = 5700, 5600
+					}
+					w.Due = room.Due(target, 0, w.Read)
+					w.Wait = room.Wait(w.Due, patience, 0)
+					_, err := f.take(v, w, time.Duration(w.Read)*time.Second/14_000)
+					short.record(err == nil)
+					if large {
+						largest.record(err == nil)
+					}
+					return nil
+				})
+			}
+			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+		}
+		assert.NilError(t, calls.Wait())
+		t.Logf("served share: long %.2f, short %.2f, largest tenth of short %.2f", long.servedShare(), short.servedShare(), largest.servedShare())
+		assert.Assert(t, largest.servedShare() >= short.servedShare()/2)
+	})
+}
