Enforce the request rate limits that servers state

Cause: the limit in a server's answer was not read, and a server was chosen by its load, its failures and the pauses that it requests from a single VM. Nothing bounded the total that all VMs send to one server.

Limits are now read, and VMs exchange them through hubs, each with the number of requests that it has sent to the server in the last 4 s. For plain calls, a VM sends a server a fraction of its calls equal to the limit divided by the fleet's demand for the service, and none once the fleet's requests of the last 4 s exceed 1.1 times the limit plus 2. The VM that places streams grants no more than the limit. A VM that receives no counts from other VMs assumes that each of them sends as many requests as itself. Limits are ordered by the time at which they were stated: an answer without a limit is dated to when its request was sent, and a limit to when its answer arrived. A limit that is not confirmed expires after 30 s.

Calls are held back only where all servers of a service are limited. If the limits cover all calls, fewer than 2 in 100 are refused; if they cover only part of them, at least 0.6 of the limits is used (rates.TestAllLimited, 84 VMs). A VM that has never received a message from another VM keeps to a twelfth of a limit.

--- a/internal/peer/wire/state.go
+++ b/internal/peer/wire/state.go
@@ -9,6 +9,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/poison"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/seats"
@@ -34,6 +35,9 @@
 	// Findings are of requests that crash servers.
 	Findings []poison.Finding
 	Verdicts uint64 // digest of the VM's verdicts; zero: it has none
+	// Limits are the rate limits that servers have stated. Their request counts cover the
+	// VM's own requests or, in a hub's answer, those of all VMs but the receiver.
+	Limits []rates.Limit
 
 	Capacity hubs.Capacity
 	Domain   ident.Domain // of the VM
@@ -78,6 +82,7 @@
 	fieldDrain   = 20
 	fieldDomain  = 21
 	fieldVerdict = 22
+	fieldLimit   = 23
 
 	loadServer  = 1
 	loadSeats   = 2
@@ -131,6 +136,9 @@
 		b = appendBytes(b, fieldNews, EncodeNews(s.News))
 	}
 	b = s.appendFindings(b, time.Now())
+	for _, l := range s.Limits {
+		b = appendBytes(b, fieldLimit, encodeLimit(l, time.Now()))
+	}
 	if s.Ask != 0 {
 		b = appendNumber(b, fieldAsk, s.Ask)
 	}
@@ -223,6 +231,10 @@
 		var f poison.Finding
 		f, err = decodeFinding(text, time.Now())
 		s.Findings = append(s.Findings, f)
+	case fieldLimit:
+		var l rates.Limit
+		l, err = decodeLimit(text, time.Now())
+		s.Limits = append(s.Limits, l)
 	case fieldReply:
 		s.Reply, err = decodeReply(text)
 	case fieldHub:
--- /dev/null
+++ b/internal/policy/rates/book_test.go
@@ -0,0 +1,285 @@
+package rates
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+)
+
+const (
+	service = ident.Service("s")
+	// exchangeInterval is how often VMs report to their hub and receive its answer.
+	exchangeInterval = 500 * time.Millisecond
+	// step is the simulation time step.
+	step = 5 * time.Millisecond
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// vm is a VM of a fleet. The first VM of the fleet is the hub.
+type vm struct {
+	*Book
+	name     ident.VM
+	rate     float64 // calls a second
+	fleet    *fleet
+	isolated bool // exchanges no messages with the hub
+}
+
+// Rates implements Demand.
+func (v *vm) Rates(ident.Service, time.Time) (own, all float64) {
+	if v.isolated {
+		return v.rate, v.rate * float64(len(v.fleet.vms))
+	}
+	for _, o := range v.fleet.vms {
+		all += o.rate
+	}
+	return v.rate, all
+}
+
+// VMs implements Demand.
+func (v *vm) VMs(time.Time) int { return len(v.fleet.vms) }
+
+// fleet simulates calls from VMs to servers, some of which state limits.
+type fleet struct {
+	rng    *rand.Rand
+	vms    []*vm
+	limits []float64     // by server; zero: none
+	loss   float64       // probability that a message is lost
+	sent   [][]time.Time // by server
+	calls  int
+	denied int
+}
+
+func newFleet(vms int, demand float64, limits ...float64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(1, uint64(vms))), limits: limits, sent: make([][]time.Time, len(limits))}
+	for n := range vms {
+		v := &vm{name: ident.VM(fmt.Sprint("vm-", n)), fleet: f}
+		v.rate = demand / float64(vms) * 2 * float64(n+1) / float64(vms+1) // uneven
+		v.Book = New(v, func(ident.Server, float64) {})
+		f.vms = append(f.vms, v)
+	}
+	return f
+}
+
+func server(n int) ident.Server { return ident.Server(fmt.Sprint("i-", n)) }
+
+// run simulates the given duration and returns its end.
+func (f *fleet) run(from time.Time, d time.Duration) time.Time {
+	for now := from; now.Before(from.Add(d)); now = now.Add(step) {
+		for _, v := range f.vms {
+			if f.rng.Float64() < v.rate*step.Seconds() {
+				f.call(v, now)
+			}
+		}
+		if now.Sub(start)%exchangeInterval == 0 {
+			f.exchange(now)
+		}
+	}
+	return from.Add(d)
+}
+
+// call sends a call from a VM to a random server that Skips allows.
+func (f *fleet) call(v *vm, now time.Time) {
+	f.calls++
+	ids := make([]ident.Server, len(f.limits))
+	for i := range ids {
+		ids[i] = server(i)
+	}
+	skips := v.Skips(service, ids, now)
+	for _, i := range f.rng.Perm(len(ids)) {
+		if skips != nil && skips[i] {
+			continue
+		}
+		v.Sent(ids[i], now)
+		f.sent[i] = append(f.sent[i], now)
+		v.Observe(ids[i], f.limits[i], now, now)
+		return
+	}
+	f.denied++
+}
+
+// exchange has all VMs report to the hub and receive its answers.
+func (f *fleet) exchange(now time.Time) {
+	hub := f.vms[0]
+	for _, v := range f.vms[1:] {
+		if v.isolated || f.rng.Float64() < f.loss {
+			continue
+		}
+		hub.Reported(v.name, v.Report(now), now)
+		if f.rng.Float64() >= f.loss {
+			v.HubAnswered(hub.name, len(f.vms)-1, hub.Answer(v.name, now), now)
+		}
+	}
+}
+
+// maxInSpan returns the highest number of requests that a server received in any Span
+// after the given time.
+func (f *fleet) maxInSpan(n int, after time.Time) int {
+	most := 0
+	list := f.sent[n]
+	for i, from := 0, 0; i < len(list); i++ {
+		for list[i].Sub(list[from]) > Span || list[from].Before(after) && from < i {
+			from++
+		}
+		if !list[from].Before(after) {
+			most = max(most, i-from+1)
+		}
+	}
+	return most
+}
+
+// countSince returns how many requests a server received from the given time on.
+func (f *fleet) countSince(n int, after time.Time) int {
+	count := 0
+	for _, at := range f.sent[n] {
+		if !at.Before(after) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestFleetKeepsLimits guards against fleets of 1 to 300 VMs exceeding a server's limit: a
+// limited server receives at most 1.5 times its limit plus 5 requests in 4 s.
+func TestFleetKeepsLimits(t *testing.T) {
+	for _, vms := range []int{1, 7, 84, 300} {
+		for _, limit := range []float64{0.5, 2.1, 13} {
+			t.Run(fmt.Sprintf("%d VMs, %g a second", vms, limit), func(t *testing.T) {
+				f := newFleet(vms, 34, limit, limit, 0, 0)
+				f.loss = 0.04
+				from := f.run(start, 2*time.Second)
+				f.run(from, 40*time.Second)
+				for n := range 2 {
+					assert.Assert(t, f.maxInSpan(n, from) <= int(1.5*limit*Span.Seconds())+5, "%d", f.maxInSpan(n, from))
+					assert.Assert(t, f.countSince(n, from) > 0, "no requests, so the end of the limit would not be noticed")
+				}
+				assert.Equal(t, f.denied, 0, "calls denied although two servers are unlimited")
+			})
+		}
+	}
+}
+
+// TestAllLimited guards against needless denials and exceeded limits when all servers of a
+// service are limited.
+func TestAllLimited(t *testing.T) {
+	t.Run("limits cover the demand", func(t *testing.T) {
+		f := newFleet(84, 34, 12, 12, 12, 12)
+		f.run(start, 20*time.Second)
+		assert.Assert(t, f.denied < f.calls/50, "%d of %d denied", f.denied, f.calls)
+		for n := range 4 {
+			assert.Assert(t, f.maxInSpan(n, start.Add(2*time.Second)) <= 1.5*12*4+5)
+		}
+	})
+	t.Run("limits cover part of the demand", func(t *testing.T) {
+		f := newFleet(84, 34, 3, 3, 3, 3)
+		from := f.run(start, 2*time.Second)
+		f.calls, f.denied = 0, 0
+		f.run(from, 20*time.Second)
+		served := f.calls - f.denied
+		assert.Assert(t, float64(served) >= 0.6*12*20, "%d served of 240", served)
+		for n := range 4 {
+			assert.Assert(t, f.maxInSpan(n, from) <= 1.5*3*4+5)
+		}
+	})
+}
+
+// TestBurst guards against exceeding limits when demand triples before the known rates
+// reflect it.
+func TestBurst(t *testing.T) {
+	f := newFleet(84, 100, 13, 13, 13, 0)
+	from := f.run(start, 4*time.Second)
+	for _, v := range f.vms {
+		v.rate /= 3 // the rate that Demand returns, which lags behind the actual one
+	}
+	burst := make([]float64, len(f.vms))
+	for i, v := range f.vms {
+		burst[i] = v.rate * 3
+	}
+	for now := from; now.Before(from.Add(4 * time.Second)); now = now.Add(step) {
+		for i, v := range f.vms {
+			if f.rng.Float64() < burst[i]*step.Seconds() {
+				f.call(v, now)
+			}
+		}
+		if now.Sub(start)%exchangeInterval == 0 {
+			f.exchange(now)
+		}
+	}
+	for n := range 3 {
+		assert.Assert(t, f.maxInSpan(n, from) <= 1.5*13*4+5, "%d", f.maxInSpan(n, from))
+	}
+}
+
+// TestIsolated guards against exceeding limits when all VMs lose contact with the hub.
+func TestIsolated(t *testing.T) {
+	f := newFleet(7, 34, 2.7, 2.7, 0, 0)
+	from := f.run(start, 4*time.Second)
+	for _, v := range f.vms {
+		v.isolated = true
+	}
+	f.run(from, 20*time.Second)
+	for n := range 2 {
+		assert.Assert(t, f.maxInSpan(n, from) <= 16+5, "%d", f.maxInSpan(n, from))
+		assert.Assert(t, f.countSince(n, from) > 0, "no requests, so the end of the limit would not be noticed")
+	}
+}
+
+// TestStatements guards against limits that end too early, are restored by outdated reports,
+// never expire or are granted beyond their rate.
+func TestStatements(t *testing.T) {
+	const id = ident.Server("a")
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	book := func() (*Book, *[]float64) {
+		changes := &[]float64{}
+		return New(&vm{fleet: &fleet{vms: make([]*vm, 3)}, isolated: true, rate: 1}, func(_ ident.Server, r float64) { *changes = append(*changes, r) }), changes
+	}
+	t.Run("a limit ends with an answer to a request that was sent after it", func(t *testing.T) {
+		b, changes := book()
+		b.Observe(id, 2, at(0), at(1))
+		b.Observe(id, 0, at(0.5), at(1.5))
+		assert.Equal(t, b.LimitedCount(at(2)), 1, "the answer may predate the limit")
+		b.Observe(id, 0, at(1.5), at(2))
+		assert.Equal(t, b.LimitedCount(at(2)), 0)
+		assert.DeepEqual(t, *changes, []float64{2, 0})
+	})
+	t.Run("an outdated report does not restore a limit", func(t *testing.T) {
+		b, _ := book()
+		b.Observe(id, 2, at(0), at(1))
+		b.Observe(id, 0, at(3), at(3))
+		b.Reported("other", []Limit{{Server: id, Rate: 2, At: at(2)}}, at(4))
+		assert.Equal(t, b.LimitedCount(at(4)), 0)
+		b.Reported("other", []Limit{{Server: id, Rate: 2, At: at(3.5)}}, at(4))
+		assert.Equal(t, b.LimitedCount(at(4)), 1)
+	})
+	t.Run("an unconfirmed limit expires", func(t *testing.T) {
+		b, _ := book()
+		b.Observe(id, 2, at(0), at(0))
+		assert.Equal(t, b.LimitedCount(at(0).Add(expiry)), 1)
+		assert.Equal(t, b.LimitedCount(at(0).Add(expiry+1)), 0)
+	})
+	t.Run("invalid limits are ignored", func(t *testing.T) {
+		b, changes := book()
+		b.Reported("other", []Limit{{Rate: 1, At: at(0)}, {Server: id, Rate: -1, At: at(0)}, {Server: id, Rate: 1, At: at(9)}}, at(1))
+		assert.Equal(t, len(*changes), 0)
+		assert.Equal(t, b.LimitedCount(at(1)), 0)
+	})
+	t.Run("the placing VM grants no more than the limit", func(t *testing.T) {
+		b, _ := book()
+		b.Reported("other", nil, at(0))
+		b.Observe(id, 4, at(0), at(0))
+		b.Reported("other", []Limit{{Server: id, Rate: 4, At: at(0)}}, at(0))
+		granted := 0
+		for now := at(0); now.Before(at(8)); now = now.Add(step) {
+			if b.CanGrant(id, now) {
+				b.Grant(id, now)
+				granted++
+			}
+		}
+		assert.Assert(t, granted >= 32 && granted <= 34, "%d", granted)
+	})
+}
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -35,6 +35,7 @@
 	metricPlaced   = "umberladder_placements_total"
 	metricWaiting  = "umberladder_waiting_at_home"
 	metricHeld     = "umberladder_quarantined_requests"
+	metricLimited  = "umberladder_servers_limited"
 )
 
 // Metric describes one metric.
@@ -71,6 +72,7 @@
 		{metricWatches, "gauge", "1 if this VM watches the store, 0 if others tell it"},
 		{metricPlaced, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
 		{metricWaiting, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
+		{metricLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricHeld, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
 	}
@@ -101,6 +103,7 @@
 		metricWatches: func() float64 { return number(v.node.Watches()) },
 		metricWaiting: func() float64 { return float64(v.home.Waiting()) },
 		metricReady:   func() float64 { return number(v.Ready()) },
+		metricLimited: func() float64 { return float64(v.node.Rates.LimitedCount(time.Now())) },
 		metricHeld:    func() float64 { return float64(v.node.Poison.Len(time.Now())) },
 	} {
 		v.set.NewGauge(name, f)
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -94,7 +94,7 @@
 	v := &VM{log: log, set: metrics.NewSet(), lines: ports.Lines, node: node}
 	v.cfg.Store(cfg)
 	sound := health.New()
-	chooser := pick.NewChooser(node.Servers, node.Seats, sound)
+	chooser := pick.NewChooser(node.Servers, node.Seats, sound, node.Rates)
 	v.home = homes.NewHome(chooser)
 	v.probe = probe.New(node.Servers, ports.Backend, node.Probed, chooser.Failed, group, log)
 	v.desk = desk.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.home, node.Order, node, v.countPlacement, log)
@@ -110,6 +110,7 @@
 		Seats:    node.Seats,
 		Budget:   node.Budget,
 		Health:   sound,
+		Rates:    node.Rates,
 		Poison:   node.Poison,
 		Places:   v.desk,
 		Backend:  ports.Backend,
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -14,6 +14,7 @@
 	"umberladder/internal/peer/gossip"
 	"umberladder/internal/peer/share"
 	"umberladder/internal/policy/poison"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/route/desk"
@@ -42,6 +43,7 @@
 	Hubs     *hubs.Hubs
 	Budget   *retry.Window
 	Poison   *poison.Book
+	Rates    *rates.Book
 	Discover *follow.Servers
 
 	cfg     *conf.Edge
@@ -74,6 +76,7 @@
 	n.Servers = backs.NewTable(n.tell)
 	n.Budget = retry.NewWindow(cfg.Retry.Ratio, cfg.Retry.Extra, cfg.Retry.Window, n.Hubs)
 	n.Poison = poison.New(cfg.Quarantine, n.verdictsChanged)
+	n.Rates = rates.New(n.Budget, n.limitChanged)
 	n.names = names.New(own, start, n.Hubs, ports.Names, n.Poison, n.beat, log)
 	n.follow = follow.NewSettings(ports.Settings, n.Settings, awake.Now, n.settingsTold, n.first, n.tell, log)
 	n.Discover = follow.NewServers(ports.Servers, n.Servers, awake.Now, n.serversTold, n.first, n.lead, n.tell, n.takeServers, log)
--- a/internal/proc/peers/told.go
+++ b/internal/proc/peers/told.go
@@ -77,6 +77,7 @@
 	s.Loads = n.Seats.Own()
 	s.Sent = n.Budget.Sent(now)
 	s.Findings = n.Poison.Report(now)
+	s.Limits = n.Rates.Report(now)
 	l.tell(s, now)
 	if s.Store.Asks {
 		l.news(s, now)
@@ -88,6 +89,7 @@
 	t := l.node.Budget.Rest(to, now)
 	s.Hub.Known, s.Hub.Heard, s.Hub.Rest = t.Known, t.Heard, t.Sent
 	s.Findings = l.node.Poison.Answer(to, now)
+	s.Limits = l.node.Rates.Answer(to, now)
 	l.tell(s, now)
 	l.news(s, now)
 }
@@ -121,6 +123,7 @@
 	n.Hubs.Reported(reportOf(s, from), now)
 	n.Budget.Hear(s.VM, s.Sent, now)
 	n.Poison.Reported(s.VM, s.Verdicts)
+	n.Rates.Reported(s.VM, s.Limits, now)
 	if s.HasLoads() {
 		n.Seats.Hear(s.VM, s.Boot, s.Seq, s.Part, s.Loads, now)
 	}
@@ -135,6 +138,7 @@
 	}
 	n.Budget.Learn(s.VM, retry.Total{At: now, Known: s.Hub.Known, Heard: s.Hub.Heard, Sent: s.Hub.Rest})
 	n.Poison.HubAnswered(s.VM, s.Boot, s.Verdicts, now)
+	n.Rates.HubAnswered(s.VM, s.Hub.Heard, s.Limits, now)
 	l.take(s, from, false, now)
 	if s.Reply != nil {
 		l.confirm(*s.Reply, from)
--- a/internal/route/desk/desk_test.go
+++ b/internal/route/desk/desk_test.go
@@ -17,6 +17,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/seats"
@@ -100,7 +101,7 @@
 		for e := range engines {
 			v.servers.Put(backs.Entry{ID: engine(e), Service: service, Domain: "a", Slots: 24})
 		}
-		c := pick.NewChooser(v.servers, v.seats, health.New())
+		c := pick.NewChooser(v.servers, v.seats, health.New(), rates.New(nil, nil))
 		v.home = homes.NewHome(c)
 		v.desk = New(v.name, 0, c, v.home, order(v), post{f, v}, func(string) {}, zap.NewNop())
 		f.vms = append(f.vms, v)
--- a/internal/route/homes/home_bench_test.go
+++ b/internal/route/homes/home_bench_test.go
@@ -7,6 +7,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
@@ -29,7 +30,7 @@
 				}
 				book.Hear(ident.VM(fmt.Sprint(vm)), 1, 1, 0, load, time.Now().Add(time.Hour))
 			}
-			h := NewHome(pick.NewChooser(table, book, health.New()))
+			h := NewHome(pick.NewChooser(table, book, health.New(), rates.New(nil, nil)))
 			w := pick.Want{Service: "s", Need: 3300, Read: 3000, Memory: 1 << 20, From: "a", Due: time.Second, Wait: time.Second}
 			for n := range uint64(b.N) {
 				h.Take(Ask{VM: "vm", Number: n, Want: w}, func(Answer) {}, time.Now())
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -8,6 +8,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/assign"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/seats"
 	"umberladder/internal/state/backs"
 )
@@ -17,6 +18,7 @@
 	servers *backs.Table
 	seats   *seats.Book
 	health  *health.Book
+	rates   *rates.Book
 
 	mu      sync.Mutex
 	shunned map[ident.Server]time.Time // until when
@@ -24,8 +26,8 @@
 }
 
 // NewChooser makes a chooser.
-func NewChooser(servers *backs.Table, book *seats.Book, h *health.Book) *Chooser {
-	return &Chooser{servers: servers, seats: book, health: h, shunned: make(map[ident.Server]time.Time)}
+func NewChooser(servers *backs.Table, book *seats.Book, h *health.Book, r *rates.Book) *Chooser {
+	return &Chooser{servers: servers, seats: book, health: h, rates: r, shunned: make(map[ident.Server]time.Time)}
 }
 
 // View returns the servers known now.
@@ -123,6 +125,9 @@
 	if s == nil {
 		return Spot{}, &NoRoomError{}
 	}
+	if w.Use != Keep {
+		c.rates.Grant(s.ID, now)
+	}
 	spot := Spot{Server: s}
 	if w.Backup && copies {
 		skip := append(slices.Clone(w.Skip), s.ID)
@@ -151,7 +156,7 @@
 			Skip:    slices.Contains(skip, s.ID),
 		}
 		known = known || !servers[i].Skip
-		servers[i].Skip = servers[i].Skip || c.shun(s.ID, now)
+		servers[i].Skip = servers[i].Skip || c.shun(s.ID, now) || u != Keep && !c.rates.CanGrant(s.ID, now)
 	}
 	if i := assign.Choose(w.Need, u.share(), u.far(), servers, assign.Random()); i >= 0 {
 		return list[i], true
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -41,6 +41,9 @@
 	// Pause is how long a server that rejects the call wants none of this VM; zero: it
 	// does not say.
 	Pause time.Duration
+	// Limit is the request rate, per second, that the server accepts from all VMs
+	// together; zero: it states no limit.
+	Limit float64
 	Body  Body
 }
 
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -21,6 +21,7 @@
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/poison"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/desk"
 	"umberladder/internal/route/homes"
 	"umberladder/internal/route/pick"
@@ -307,7 +308,7 @@
 	w.book.Put(snapshot(1), w.clock())
 	book, sound := seats.New(), health.New()
 	w.poison = poison.New(poison.Config{Crashes: 3, Time: time.Minute}, func(poison.Change) {})
-	chooser := pick.NewChooser(w.table, book, sound)
+	chooser := pick.NewChooser(w.table, book, sound, rates.New(nil, nil))
 	alone := func(ident.Service, time.Time) []hubs.Rank { return nil }
 	w.relay = New(task.Parts{
 		Config: task.Config{
@@ -316,7 +317,7 @@
 			Apply:  func() time.Duration { return 3 * time.Second },
 		},
 		Settings: w.book, Refresh: w, Servers: w.table,
-		Seats: book, Budget: w.budget, Health: sound, Poison: w.poison, Backend: w.engines, Clock: w.clock,
+		Seats: book, Budget: w.budget, Health: sound, Rates: rates.New(nil, nil), Poison: w.poison, Backend: w.engines, Clock: w.clock,
 		Log: zap.NewNop(), Group: w.group, Count: w,
 		Places: desk.New("vm", 0, chooser, homes.NewHome(chooser), alone, nil, func(string) {}, zap.NewNop()),
 	})
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -191,12 +191,14 @@
 	if f.guard != nil {
 		send.Backup = f.guard.at.Addr
 	}
+	sent := time.Now()
+	f.Rates.Sent(s.ID, sent)
 	a, err := f.Backend.Send(ctx, send)
 	if err != nil {
 		f.Health.Failure(s.ID, time.Now())
 		return nil, err
 	}
-	f.Observe(s, a)
+	f.Observe(s, a, sent)
 	return a, nil
 }
 
--- a/internal/route/task/parts.go
+++ b/internal/route/task/parts.go
@@ -13,6 +13,7 @@
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/poison"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/seats"
@@ -38,6 +39,7 @@
 	Seats    *seats.Book
 	Budget   Budget
 	Health   *health.Book
+	Rates    *rates.Book
 	Poison   *poison.Book
 	Places   Placer
 	Backend  port.Backend
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -85,9 +86,13 @@
 
 // Observe takes what an answer says of its server. One that drains is taken out of use:
 // its entry may say so much later, or never. One that wants no calls for a time gets
-// none from this VM.
-func (t *Task) Observe(s *backs.Server, a *port.Answer) {
+// none from this VM. A rate limit is recorded and applies to all VMs together. sent is
+// when the request was sent, and serves to order limits that were stated at different times.
+func (t *Task) Observe(s *backs.Server, a *port.Answer, sent time.Time) {
 	now := time.Now()
+	if !a.Gone {
+		t.Rates.Observe(s.ID, a.Limit, sent, now)
+	}
 	if a.Leaving && t.Servers.Drain(s.ID, now) {
 		t.Note("server drains", zap.String("server", string(s.ID)), zap.String("reported-by", "itself"))
 	}
@@ -101,13 +106,20 @@
 // service want a pause, the client should come back after the shortest.
 func (t *Task) NoServer() *refuse.Refusal {
 	now := time.Now()
-	retry := time.Duration(0)
+	retry, limited := time.Duration(0), 0
 	for _, s := range t.Servers.View().Service(t.Service.Name) {
+		if t.Rates.IsLimited(s.ID, now) {
+			limited++
+		}
 		if left := t.Health.Paused(s.ID, now); left > 0 && (retry == 0 || left < retry) {
 			retry = left
 		}
 	}
-	return refuse.New(refuse.NoServer, "no server of service %s takes work", t.Service.Name).After(max(retry, RoomRetry))
+	r := refuse.New(refuse.NoServer, "no server of service %s takes work", t.Service.Name)
+	if limited > 0 {
+		r.Detail += fmt.Sprintf(", %d of them limit their requests", limited)
+	}
+	return r.After(max(retry, RoomRetry))
 }
 
 // Deliver writes a whole answer to the client.
--- a/internal/route/whole/whole.go
+++ b/internal/route/whole/whole.go
@@ -31,9 +31,10 @@
 type trial struct {
 	*task.Task
 	tried   map[ident.Server]bool
-	unsent  int             // servers that could not be connected to
-	last    *task.Whole     // failure of the last server that answered
-	refusal *refuse.Refusal // what is said if no server answers any more; nil: none was found
+	limited map[ident.Server]bool // excluded by their rate limits; nil: not evaluated, or none is limited
+	unsent  int                   // servers that could not be connected to
+	last    *task.Whole           // failure of the last server that answered
+	refusal *refuse.Refusal       // what is said if no server answers any more; nil: none was found
 }
 
 // Serve serves a call with one whole answer.
@@ -138,13 +139,15 @@
 	seat := r.Seats.Take(s.ID, seats.Load{Seats: 1})
 	defer seat.Release()
 	r.Record.Server = s.ID
+	sent := time.Now()
+	r.Rates.Sent(s.ID, sent)
 	a, err := r.Backend.Send(ctx, port.Send{Call: r.Call, Server: s, Workspace: r.Workspace, Left: r.Left(), After: r.Call.After})
 	if err != nil {
 		r.Health.Failure(s.ID, time.Now())
 		return nil, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	r.Observe(s, a)
+	r.Observe(s, a, sent)
 	body, err := io.ReadAll(io.LimitReader(a.Body, MaxBody+1))
 	if err == nil && len(body) > MaxBody {
 		err = errors.New("the answer is too large")
@@ -164,11 +167,31 @@
 	return &task.Whole{Status: a.Status, Fields: a.Fields, NotRun: a.NotRun, Gone: a.Gone, Body: body}, nil
 }
 
+// skips returns the servers that are excluded by their rate limits. The random selection is
+// made once for a call, so that retries do not raise the chance of using a limited server.
+func (r *trial) skips(list []*backs.Server, now time.Time) map[ident.Server]bool {
+	if r.limited != nil {
+		return r.limited
+	}
+	ids := make([]ident.Server, len(list))
+	for i, s := range list {
+		ids[i] = s.ID
+	}
+	for i, skip := range r.Rates.Skips(r.Service.Name, ids, now) {
+		if r.limited == nil {
+			r.limited = make(map[ident.Server]bool, len(ids))
+		}
+		r.limited[ids[i]] = skip
+	}
+	return r.limited
+}
+
 // pick chooses a server that was not tried yet.
 func (r *trial) pick() *backs.Server {
 	now := time.Now()
 	list := r.Servers.View().Service(r.Service.Name)
 	loads := r.Seats.All(now)
+	limited := r.skips(list, now)
 	servers := make([]assign.Server, len(list))
 	for i, s := range list {
 		servers[i] = assign.Server{
@@ -176,7 +199,7 @@
 			Seats:  loads[s.ID].Seats,
 			Far:    s.Domain != r.Config.Domain,
 			Weight: r.Health.Weight(s.ID, now),
-			Skip:   r.tried[s.ID] || r.Health.Paused(s.ID, now) > 0,
+			Skip:   r.tried[s.ID] || r.Health.Paused(s.ID, now) > 0 || limited[s.ID],
 		}
 	}
 	i := assign.ChoosePlain(servers, assign.Random())
