Compress settings before announcing them

TestLargeSettingsOverSlowLinks failed in some runs under load: a change was in force on 7 or 8 of 10 VMs after 8 s, and requests for it from other VMs failed with "read after 117 bytes: timeout".

Cause: the settings document is compressed on the first request for it. All VMs request it as soon as a version is announced, wait for the compression, and time out after 0.4 s without receiving a byte.

The VM that reads settings from the store now compresses them before it puts them in force and announces them.

--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -158,11 +158,25 @@
 	if !s.isCalm(at) {
 		at = 0 // newer ones may have been lost
 	}
+	if old := s.book.Load(); old == nil || old.Version < snap.Version {
+		s.pack(snap)
+	}
 	if s.put(snap, at) {
 		s.news()
 	}
 }
 
+// pack compresses the settings document before the new version is announced. Other VMs
+// request it immediately, and their requests time out if compression starts only then.
+func (s *Settings) pack(snap *routes.Snapshot) {
+	if snap.Source == nil {
+		return
+	}
+	if _, err := snap.Source.Packed(); err != nil {
+		s.log.Error("failed to compress settings", zap.Uint64("version", snap.Version), zap.Error(err))
+	}
+}
+
 // answered notes the revision of an answer.
 func (s *Settings) answered(rev Revision) {
 	old := Revision(s.rev.Swap(uint64(rev)))
