Test the order of server changes against lost and late reports

A property test delivers server changes to VMs in reports that are lost, repeated, delayed and reordered, while VMs also read the store and apply lists taken from another VM.

--- /dev/null
+++ b/internal/state/follow/order_test.go
@@ -0,0 +1,123 @@
+package follow
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"umberladder/internal/core/awake"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/state/backs"
+	_ "umberladder/internal/test/check" // fixes the seed
+)
+
+// fleet models a store and the VMs that track it. The first VM reads only the store; the
+// others also receive reports, which may be lost, repeated, delayed or reordered.
+type fleet struct {
+	store   map[ident.Server]backs.Entry
+	changes []Change
+	rev     Revision
+	vms     []*Servers
+	reports []News
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{store: make(map[ident.Server]backs.Entry), rev: 1}
+	no := func() bool { return false }
+	ask := func(context.Context) (News, error) {
+		if n, ok := f.vms[0].All(); ok {
+			return n, nil
+		}
+		return News{}, ErrNobody
+	}
+	for range n {
+		f.vms = append(f.vms, NewServers(newStore(), backs.NewTable(func() {}), awake.Now, no, no, no, func() {}, ask, zap.NewNop()))
+	}
+	for _, v := range f.vms {
+		v.applyList(nil, f.rev, awake.Now())
+	}
+	return f
+}
+
+// changeEntry writes or removes a random server's entry in the store.
+func (f *fleet) changeEntry(t *rapid.T) {
+	e := entry(rapid.IntRange(0, 5).Draw(t, "server"))
+	e.Slots = rapid.IntRange(1, 9).Draw(t, "slots")
+	_, exists := f.store[e.ID]
+	f.rev++
+	if exists && rapid.Bool().Draw(t, "remove") {
+		delete(f.store, e.ID)
+		f.changes = append(f.changes, Change{Rev: f.rev, Gone: true, Entry: backs.Entry{ID: e.ID}})
+		return
+	}
+	f.store[e.ID] = e
+	f.changes = append(f.changes, Change{Rev: f.rev, Entry: e})
+}
+
+// readChanges applies to v the store's changes after the revision that v knows.
+func (f *fleet) readChanges(v *Servers) {
+	known := v.known()
+	var list []Change
+	for _, c := range f.changes {
+		if c.Rev > known {
+			list = append(list, c)
+		}
+	}
+	v.applyChanges(list, f.rev, awake.Now())
+}
+
+// assertMatchesStore fails the test unless v's table equals the store's entries.
+func (f *fleet) assertMatchesStore(t *rapid.T, v *Servers) {
+	got := make(map[ident.Server]backs.Entry)
+	for _, e := range v.table.View().All() {
+		got[e.ID] = e
+	}
+	assert.DeepEqual(t, got, f.store, cmpopts.EquateComparable(netip.AddrPort{}))
+}
+
+// TestReportOrder guards against an older report undoing a newer change. Reports are lost,
+// repeated, delayed and reordered while VMs also read the store and take lists; afterwards,
+// one report from an up-to-date VM must make all VMs agree with the store.
+func TestReportOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(4)
+		ctx := context.Background()
+		t.Repeat(map[string]func(*rapid.T){
+			"change": f.changeEntry,
+			"read":   func(*rapid.T) { f.readChanges(f.vms[0]) },
+			"report": func(t *rapid.T) {
+				if n, ok := f.vms[rapid.IntRange(0, 3).Draw(t, "from")].News(time.Now()); ok {
+					f.reports = append(f.reports, n)
+				}
+			},
+			"receive": func(t *rapid.T) {
+				if len(f.reports) == 0 {
+					t.Skip("no reports")
+				}
+				v := f.vms[rapid.IntRange(1, 3).Draw(t, "to")]
+				v.Learn(f.reports[rapid.IntRange(0, len(f.reports)-1).Draw(t, "report")], time.Now())
+				if v.known() == 0 {
+					v.adopt(ctx)
+				}
+			},
+			"take a list": func(t *rapid.T) { f.vms[rapid.IntRange(1, 3).Draw(t, "to")].adopt(ctx) },
+			"other reads": func(t *rapid.T) { f.readChanges(f.vms[rapid.IntRange(1, 3).Draw(t, "vm")]) },
+		})
+		f.readChanges(f.vms[0])
+		n, ok := f.vms[0].News(time.Now())
+		assert.Assert(t, ok)
+		for _, v := range f.vms {
+			v.Learn(n, time.Now())
+			if v.known() == 0 {
+				assert.Assert(t, v.adopt(ctx))
+			}
+			f.assertMatchesStore(t, v)
+		}
+	})
+}
