Have the test of doubled answers wait for the second answer

It gave the server 50 ms for the second answer, which the server sends after 20 ms; a later one passes for the answer to the next request, which only the identifier in its header tells apart, above this package.

--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -97,6 +97,7 @@
 // TestDoubledAnswer has a server that sends every answer twice: the copy must
 // not be taken for the answer to the next call.
 func TestDoubledAnswer(t *testing.T) {
+	doubled := make(chan struct{}, 3)
 	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		for {
 			path, err := readRequest(r)
@@ -106,6 +107,7 @@
 			answer(c, path)
 			time.Sleep(20 * time.Millisecond)
 			answer(c, path)
+			doubled <- struct{}{}
 		}
 	})
 	d := newDialer()
@@ -113,6 +115,7 @@
 		body, err := do(d, addr, path, Options{})
 		assert.NilError(t, err)
 		assert.Equal(t, body, path)
+		<-doubled
 		time.Sleep(50 * time.Millisecond)
 	}
 }
