Discard what a client still sends after an early refusal

Cause: fasthttp closes a connection right after the error response, while the client is still sending. Unread data make the kernel reset the connection, and the client loses the refusal (RFC 9112, section 9.6).

--- a/internal/peer/caller/conn.go
+++ b/internal/peer/caller/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
+
+	"umberladder/internal/peer/linger"
 )
 
 // listener accepts connections that set a new deadline before each write.
@@ -22,6 +25,17 @@
 type conn struct {
 	net.Conn
 	writeTimeout time.Duration
+	// rejected is set if the response was sent before all of the request was read.
+	rejected atomic.Bool
+}
+
+// Close closes the connection. After a rejected request it first discards what the client
+// still sends, so that the client receives the response.
+func (c *conn) Close() error {
+	if c.rejected.Swap(false) {
+		linger.Drain(c.Conn)
+	}
+	return c.Conn.Close()
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -243,6 +243,9 @@
 
 // handleReadError responds to a request that could not be read.
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.rejected.Store(true)
+	}
 	var tooSmall *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
 	switch {
--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -49,25 +48,6 @@
 	}
 }
 
-const (
-	// lingerTime and lingerBytes bound how much of a refused request is read and
-	// discarded before the connection is closed. Closing a connection with unread
-	// data resets it, and the client may lose the response.
-	lingerTime  = 300 * time.Millisecond
-	lingerBytes = 256 << 10
-)
-
-// linger performs a lingering close: it shuts down the write side and discards
-// incoming data for a limited time, so that the client can read the response.
-func (c *conn) linger() {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.r, lingerBytes)
-}
-
 func (c *conn) close() { c.closeOnce.Do(func() { _ = c.Close() }) }
 
 // watchDisconnect calls onDisconnect when the client closes the connection. The
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -11,6 +11,8 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/peer/linger"
 )
 
 const (
@@ -128,7 +130,7 @@
 		if rerr.canRespond() {
 			w.closeAfter = true
 			s.handleError(w, rerr.ErrorKind, rerr.Error())
-			c.linger()
+			linger.Drain(c.Conn)
 		}
 		return false
 	}
--- a/internal/proc/serve/serve_test.go
+++ b/internal/proc/serve/serve_test.go
@@ -117,6 +117,15 @@
 		assert.Equal(t, code, 431, body)
 		assert.Equal(t, parse(t, body).Reason, "header-too-large")
 	})
+	t.Run("large headers that are still being sent", func(t *testing.T) {
+		for _, size := range []int{33 << 10, 70 << 10} {
+			header := strings.Repeat("x", size)
+			for range 100 {
+				code, body, _ := s.Call(0, http.MethodGet, "/v1/models", plan.Installers, "", "X-Large", header)
+				assert.Equal(t, code, 431, body)
+			}
+		}
+	})
 	t.Run("a class that does not exist", func(t *testing.T) {
 		code, body, _ := s.Call(0, http.MethodPost, completionsPath, plan.Installers, completionBody(promptSpec(1, "c"), ""), "Umberladder-Class", "first")
 		assert.Equal(t, code, 400, body)
