Follow evacuated failure domains and send them no work

Change: the watch of the settings covers all that operators write; evacuated domains are part of the table of servers, ordered by the store's revision, spread in the VMs' messages, and known before a VM counts as ready. The table decides who accepts work; the sender checks again, since a placement may be older. A stream may still go on in the domain for 1 s. Without any server, calls are refused at once, with 2 s to come back.

--- a/internal/peer/gossip/expiry_test.go
+++ b/internal/peer/gossip/expiry_test.go
@@ -129,20 +129,23 @@
 // initServers creates the VM's server table and the follower that updates it.
 func (v *node) initServers(r *registry) {
 	clock := func() uptime.Instant { return uptime.Instant(time.Now().UnixNano()) }
-	announce := func() {
-		if now := time.Now(); v.hubs.ShouldWatch(now) || v.hubs.IsHub(now) {
-			select {
-			case v.changed <- struct{}{}:
-			default:
-			}
-		}
-	}
-	v.table = srvtab.NewTable(announce)
+	v.table = srvtab.NewTable(v.announce)
 	v.servers = follow.NewServerFollower(registryClient{registry: r, vm: v}, v.table, clock,
 		func() bool { return !v.hubs.ShouldWatch(time.Now()) },
 		func() bool { return v.hubs.ProbesStore(time.Now()) },
 		func() bool { return v.hubs.LeadsWatch(time.Now()) },
-		announce, v.fetchFromHub, zap.NewNop())
+		v.announce, v.fetchFromHub, zap.NewNop())
+}
+
+// announce makes a hub, or a VM that watches the store, send its state to all VMs now.
+func (v *node) announce() {
+	if now := time.Now(); !v.hubs.ShouldWatch(now) && !v.hubs.IsHub(now) {
+		return
+	}
+	select {
+	case v.changed <- struct{}{}:
+	default:
+	}
 }
 
 // fetchFromHub returns the full server list of the first hub that has one.
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -216,6 +216,9 @@
 		v.servers.ApplyUpdate(*m.ServerUpdate, now)
 	}
 	v.table.ApplyRetired(m.Retired, forward)
+	if v.table.ApplyEvacuations(m.Evacuations) {
+		v.announce()
+	}
 }
 
 func (v *node) fillCommon(m *wire.Message, now time.Time) {
@@ -227,6 +230,7 @@
 	}
 	if v.servers != nil {
 		m.Retired = v.table.RetiredToAnnounce(now)
+		m.Evacuations = v.table.Evacuations()
 		m.Store.Age = v.servers.Age()
 	}
 }
--- a/internal/peer/linger/linger_test.go
+++ b/internal/peer/linger/linger_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
@@ -20,7 +21,11 @@
 			assert.NilError(t, err)
 			defer func() { _ = ln.Close() }()
 			responded := make(chan error, 1)
-			go serveOnce(ln, response, responded)
+			var g errgroup.Group
+			g.Go(func() error {
+				serveOnce(ln, response, responded)
+				return nil
+			})
 			c, err := net.Dial("tcp", ln.Addr().String())
 			assert.NilError(t, err)
 			defer func() { _ = c.Close() }()
@@ -33,6 +38,8 @@
 			got, err := io.ReadAll(c)
 			assert.NilError(t, err)
 			assert.Equal(t, string(got), response)
+			assert.NilError(t, c.Close())
+			_ = g.Wait()
 		})
 	}
 }
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -15,6 +15,7 @@
 	"umberladder/internal/route/coord"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/srvtab"
 )
 
 // Message is a message of one VM to another.
@@ -38,6 +39,8 @@
 	// Limits are the rate limits that servers have announced. Their request counts cover
 	// the VM's own requests or, in a hub's response, those of all VMs but the receiver.
 	Limits []rates.Limit
+	// Evacuations are the failure domains that operators have evacuated.
+	Evacuations srvtab.Evacuations
 
 	Capacity        hubs.Capacity
 	Domain          ident.FailureDomain // of the VM
@@ -83,6 +86,7 @@
 	fieldDomain            = 21
 	fieldQuarantineDigest  = 22
 	fieldLimit             = 23
+	fieldEvacuations       = 24
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -98,6 +102,9 @@
 	attemptsService = 1
 	attemptsFirst   = 2
 	attemptsRetries = 3
+
+	evacuationsRev    = 1
+	evacuationsDomain = 2
 )
 
 // Encode encodes the message.
@@ -139,6 +146,14 @@
 	for _, l := range m.Limits {
 		b = appendBytes(b, fieldLimit, encodeLimit(l, time.Now()))
 	}
+	if m.Evacuations.Rev != 0 {
+		b = appendBytes(b, fieldEvacuations, encodeEvacuations(m.Evacuations))
+	}
+	return m.appendExchange(b)
+}
+
+// appendExchange appends what belongs to one exchange between two VMs.
+func (m *Message) appendExchange(b []byte) []byte {
 	if m.RequestTime != 0 {
 		b = appendNumber(b, fieldRequestTime, m.RequestTime)
 	}
@@ -181,6 +196,14 @@
 	return appendNumber(b, attemptsRetries, uint64(attempts.Retries))
 }
 
+func encodeEvacuations(e srvtab.Evacuations) []byte {
+	b := appendNumber(nil, evacuationsRev, e.Rev)
+	for _, d := range e.Domains {
+		b = appendString(b, evacuationsDomain, string(d))
+	}
+	return b
+}
+
 func appendString(b []byte, n protowire.Number, s string) []byte {
 	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
 }
@@ -235,6 +258,8 @@
 		var l rates.Limit
 		l, err = decodeLimit(data, time.Now())
 		m.Limits = append(m.Limits, l)
+	case fieldEvacuations:
+		m.Evacuations, err = decodeEvacuations(data)
 	case fieldVersionReply:
 		m.Reply, err = decodeReply(data)
 	case fieldHub:
@@ -331,6 +356,21 @@
 	return name, attempts, err
 }
 
+func decodeEvacuations(b []byte) (srvtab.Evacuations, error) {
+	var rev uint64
+	var domains []ident.FailureDomain
+	err := forEachField(b, func(n protowire.Number, data []byte, v uint64) error {
+		switch n {
+		case evacuationsRev:
+			rev = v
+		case evacuationsDomain:
+			domains = append(domains, ident.FailureDomain(data))
+		}
+		return nil
+	})
+	return srvtab.NewEvacuations(rev, domains), err
+}
+
 // forEachField calls f for each field of an encoded message, with its bytes or its number.
 func forEachField(b []byte, f func(n protowire.Number, data []byte, v uint64) error) error {
 	for len(b) > 0 {
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -142,7 +142,7 @@
 // connections with the updates it receives from its peers, but new connections
 // are better served by VMs that reach the store.
 func (v *VM) Ready() bool {
-	if v.stopping.Load() || v.node.Settings.Load() == nil || v.node.Servers.View().Len() == 0 {
+	if v.stopping.Load() || v.node.Settings.Load() == nil || v.node.Servers.View().Len() == 0 || !v.node.Servers.EvacuationsKnown() {
 		return false
 	}
 	now := time.Now()
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -112,6 +112,7 @@
 	m.Draining = n.Servers.DrainsToAnnounce(now)
 	m.QuarantineDigest = n.Poison.Digest(now)
 	m.SettingsVersion = n.Version()
+	m.Evacuations = n.Servers.Evacuations()
 	m.Store = n.storeStatus(now)
 }
 
@@ -160,6 +161,11 @@
 func (d *delegate) applyCommon(m *wire.Message, from netip.AddrPort, forward bool, now time.Time) {
 	n := d.node
 	n.mergeFindings(m, now)
+	// Evacuations apply before the settings, without which this VM serves no calls.
+	if n.Servers.ApplyEvacuations(m.Evacuations) {
+		n.log.Info("evacuations in force", zap.Any("failure-domains", m.Evacuations.Domains), zap.String("reported-by", string(m.VM)))
+		n.announce()
+	}
 	if m.ServerUpdate != nil {
 		n.ServerFollower.ApplyUpdate(*m.ServerUpdate, now)
 	}
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -118,10 +118,10 @@
 		}
 		view := p.chooser.View()
 		server, backup := view.Server(resp.Server), view.Server(resp.Backup)
-		if backup != nil && backup.Draining {
+		if !view.Accepts(resp.Backup) {
 			backup = nil
 		}
-		if server != nil && !server.Draining && !p.chooser.IsPaused(server.ID, time.Now()) {
+		if view.Accepts(resp.Server) && !p.chooser.IsPaused(server.ID, time.Now()) {
 			return pick.Placement{Server: server, Backup: backup}, outcomeCoordinator, nil
 		}
 		req.Exclude = append(req.Exclude, resp.Server)
--- a/internal/route/stream/backup.go
+++ b/internal/route/stream/backup.go
@@ -80,7 +80,7 @@
 
 // backupUsable reports whether the stream may continue at the engine of b.
 func (f *forwarder) backupUsable(b *backupCopy) bool {
-	return b != nil && !b.engine.IsRetired() && f.Health.PauseRemaining(b.engine.ID, time.Now()) == 0
+	return b != nil && !b.engine.IsRetired() && f.CheckContinuable(b.engine) == nil && f.Health.PauseRemaining(b.engine.ID, time.Now()) == 0
 }
 
 // markArrived stops counting the copy as in transit to the backup engine once it is
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -129,7 +129,7 @@
 			f.CheckCrash(ctx, s)
 		}
 	}
-	if task.IsUnsent(err) {
+	if task.IsUnsent(err) && !task.IsNotAccepting(err) {
 		f.unreachable = append(f.unreachable, s.ID)
 	}
 	f.LogInfo("no answer", zap.String("server", string(s.ID)), zap.Bool("unsent", task.IsUnsent(err)), zap.Error(err))
@@ -190,6 +190,13 @@
 
 // send sends the call to an engine and returns the response.
 func (f *forwarder) send(ctx context.Context, s *srvtab.Server, from port.CacheRef) (*port.Response, error) {
+	check := f.CheckAccepting
+	if from.Addr.IsValid() {
+		check = f.CheckContinuable
+	}
+	if err := check(s); err != nil {
+		return nil, err
+	}
 	f.server = s
 	f.Result.Server = s.ID
 	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID}
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -21,6 +21,10 @@
 // NoServerRetryAfter is the retry delay of a call refused for lack of a server.
 const NoServerRetryAfter = 500 * time.Millisecond
 
+// evacuatedRetryAfter is the shortest retry delay of a call refused while servers are unused
+// because of an evacuation. Evacuations last for many seconds at least.
+const evacuatedRetryAfter = 2 * time.Second
+
 // ErrTimeout is the cause that cancels a call's context at its deadline.
 var ErrTimeout = errors.New("task: the deadline has passed")
 
@@ -78,6 +82,37 @@
 	return unsent < maxUnsent && time.Since(t.Call.Arrived) < time.Duration(unsentTimeShare*float64(t.Route.LatencyTarget))
 }
 
+// errNotAccepting is returned instead of an attempt at a server that accepts no new work.
+var errNotAccepting = errors.New("task: the server accepts no new work")
+
+// continuationGrace is how long after the start of an evacuation a stream may still be
+// continued in that failure domain. A copy of its KV cache is on the way there, and its run
+// has been stopped.
+const continuationGrace = time.Second
+
+// CheckAccepting returns a *port.SendError if a server may not be sent the call. It is
+// checked when the call is sent, because the server may have been chosen earlier, or by a
+// VM that knew less.
+func (t *Task) CheckAccepting(s *srvtab.Server) error {
+	if t.Servers.View().Accepts(s.ID) {
+		return nil
+	}
+	return &port.SendError{Unsent: true, Err: errNotAccepting}
+}
+
+// CheckContinuable returns a *port.SendError if a stream may not be continued at a server
+// that holds a copy of its KV cache.
+func (t *Task) CheckContinuable(s *srvtab.Server) error {
+	if t.Servers.View().EvacuatedFor(s.Domain, time.Now()) <= continuationGrace {
+		return nil
+	}
+	return &port.SendError{Unsent: true, Err: errNotAccepting}
+}
+
+// IsNotAccepting reports whether an attempt was not made because its server accepts no new
+// work.
+func IsNotAccepting(err error) bool { return errors.Is(err, errNotAccepting) }
+
 // MarkGone records that a server has terminated, because another one responds at
 // its address. Its entry in the server table may outlive it.
 func (t *Task) MarkGone(s *srvtab.Server) {
@@ -107,7 +142,7 @@
 
 // NoServerRefusal returns the refusal of a call for which no server accepts work
 // now. If all servers of the service are paused, the client should retry after the
-// shortest pause.
+// shortest pause; if some are evacuated, after evacuatedRetryAfter or later.
 func (t *Task) NoServerRefusal() *refuse.Refusal {
 	now := time.Now()
 	retryAfter, limited := time.Duration(0), 0
@@ -123,6 +158,10 @@
 	if limited > 0 {
 		r.Detail += fmt.Sprintf(", %d of them limit their requests", limited)
 	}
+	if n := t.Servers.View().EvacuatedOf(t.Service.Name); n > 0 {
+		r.Detail += fmt.Sprintf(", %d are in evacuated failure domains", n)
+		retryAfter = max(retryAfter, evacuatedRetryAfter)
+	}
 	return r.WithRetryAfter(max(retryAfter, NoServerRetryAfter))
 }
 
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -139,6 +139,9 @@
 
 // send sends the call to a server and reads the complete response.
 func (r *requester) send(ctx context.Context, s *srvtab.Server) (*task.FullResponse, error) {
+	if err := r.CheckAccepting(s); err != nil {
+		return nil, err
+	}
 	reservation := r.Alloc.Reserve(s.ID, alloc.Load{Calls: 1})
 	defer reservation.Release()
 	r.Result.Server = s.ID
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,9 @@
 	version uint64
 	servers map[ident.Server]srvtab.Entry
 	changes []Change
-	oldest  Revision // oldest revision in the history
+	domains map[ident.FailureDomain]bool
+	orders  []domainOrder // starts and ends of evacuations
+	oldest  Revision      // oldest revision in the history
 	calls   atomic.Int64
 	changed chan struct{}
 }
@@ -101,12 +104,35 @@
 	return s.rev, s.version, nil
 }
 
-func (s *store) Settings(context.Context) (*routes.Snapshot, Revision, error) {
+func (s *store) Settings(context.Context) (OperatorState, Revision, error) {
 	rev, version, err := s.state()
-	if version == 0 {
-		return nil, rev, err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := OperatorState{Evacuated: slices.Collect(maps.Keys(s.domains))}
+	if version != 0 {
+		state.Settings = routes.New(routes.Parts{Version: version})
 	}
-	return routes.New(routes.Parts{Version: version}), rev, err
+	return state, rev, err
+}
+
+// domainOrder is the start or the end of an evacuation at a revision.
+type domainOrder struct {
+	DomainChange
+	rev Revision
+}
+
+// evacuate starts or ends the evacuation of a failure domain.
+func (s *store) evacuate(d ident.FailureDomain, evacuated bool) {
+	s.change(func() {
+		if s.domains == nil {
+			s.domains = make(map[ident.FailureDomain]bool)
+		}
+		delete(s.domains, d)
+		if evacuated {
+			s.domains[d] = true
+		}
+		s.orders = append(s.orders, domainOrder{DomainChange: DomainChange{Domain: d, Evacuated: evacuated}, rev: s.rev})
+	})
 }
 
 func (s *store) Decode(data []byte) (*routes.Snapshot, error) {
@@ -154,12 +180,20 @@
 	}
 }
 
-func (s *store) AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (*routes.Snapshot, Revision, error) {
+func (s *store) AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (OperatorChanges, Revision, error) {
 	rev, version, err := s.awaitChange(ctx, after, wait)
 	if err != nil || rev == after {
-		return nil, rev, err
+		return OperatorChanges{}, rev, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := OperatorChanges{Settings: routes.New(routes.Parts{Version: version})}
+	for _, o := range s.orders {
+		if o.rev > after {
+			changes.Domains = append(changes.Domains, o.DomainChange)
+		}
 	}
-	return routes.New(routes.Parts{Version: version}), rev, nil
+	return changes, rev, nil
 }
 
 func (s *store) AwaitServers(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
@@ -208,7 +242,7 @@
 		v.table = srvtab.NewTable(func() {})
 		receivesUpdates := v.receivesUpdates.Load
 		always := func() bool { return true }
-		v.settings = NewSettingsFollower(s, v.current, v.clock, receivesUpdates, always, func() { v.changes.Add(1) }, zap.NewNop())
+		v.settings = NewSettingsFollower(s, v.current, v.table, v.clock, receivesUpdates, always, func() { v.changes.Add(1) }, zap.NewNop())
 		v.servers = NewServerFollower(s, v.table, v.clock, receivesUpdates, always, always, func() { v.changes.Add(1) }, v.fetch, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
@@ -21,23 +23,45 @@
 // be served after 5 s.
 const settingsWait = 700 * time.Millisecond
 
-// SettingsSource reads the settings in the store. Its calls have an idle timeout: they
-// fail if the store sends nothing for some time, and continue while data arrives.
+// OperatorState is what operators have written to the store.
+type OperatorState struct {
+	Settings  *routes.Snapshot // nil: there are none yet
+	Evacuated []ident.FailureDomain
+}
+
+// OperatorChanges are changes of the OperatorState.
+type OperatorChanges struct {
+	Settings *routes.Snapshot // nil: unchanged
+	Domains  []DomainChange   // in the order in which they were made
+}
+
+// DomainChange is the start or the end of an evacuation.
+type DomainChange struct {
+	Domain    ident.FailureDomain
+	Evacuated bool
+}
+
+// SettingsSource reads in the store what operators have written. Its calls have an idle
+// timeout: they fail if the store sends nothing for some time, and continue while data
+// arrives.
 type SettingsSource interface {
-	// Settings returns the settings, or nil if there are none yet, and the revision
-	// after which to wait for changes.
-	Settings(ctx context.Context) (*routes.Snapshot, Revision, error)
-	// AwaitSettings returns the latest settings written after a revision, or nil if
-	// there were none within wait, and the revision up to which no change was missed.
-	AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (*routes.Snapshot, Revision, error)
+	// Settings returns the operators' state and the revision after which to wait for
+	// changes.
+	Settings(ctx context.Context) (OperatorState, Revision, error)
+	// AwaitSettings returns the changes after a revision, with the latest settings among
+	// them, or none if there were none within wait, and the revision up to which no change
+	// was missed.
+	AwaitSettings(ctx context.Context, after Revision, wait time.Duration) (OperatorChanges, Revision, error)
 	// Decode parses a settings document in the form in which operators write it.
 	Decode(data []byte) (*routes.Snapshot, error)
 }
 
-// SettingsFollower keeps the settings in force up to date with the store.
+// SettingsFollower keeps the settings in force, and the evacuated failure domains in the
+// table of servers, up to date with the store.
 type SettingsFollower struct {
 	src             SettingsSource
 	current         *routes.Current
+	table           *srvtab.Table
 	clock           uptime.Clock
 	log             *zap.Logger
 	receivesUpdates func() bool
@@ -50,14 +74,17 @@
 	// restoreGraceEnd is the time, by clock, until which a store restored from a backup
 	// copy may lack settings that the operators have yet to write again.
 	restoreGraceEnd atomic.Int64
+	// rereadAfterGrace is set while the evacuations include some that a restored store
+	// lacks.
+	rereadAfterGrace atomic.Bool
 }
 
 // NewSettingsFollower returns a follower of the settings. It watches the store while
 // receivesUpdates reports false, that is, while no updates come from other VMs. probes
 // reports whether this VM must quickly detect that the store has recovered. The follower
-// calls onChange when it has read newer settings in the store.
-func NewSettingsFollower(src SettingsSource, current *routes.Current, clock uptime.Clock, receivesUpdates, probes func() bool, onChange func(), log *zap.Logger) *SettingsFollower {
-	return &SettingsFollower{src: src, current: current, clock: clock, receivesUpdates: receivesUpdates, probes: probes, onChange: onChange, log: log}
+// calls onChange when it has read newer settings or evacuations in the store.
+func NewSettingsFollower(src SettingsSource, current *routes.Current, table *srvtab.Table, clock uptime.Clock, receivesUpdates, probes func() bool, onChange func(), log *zap.Logger) *SettingsFollower {
+	return &SettingsFollower{src: src, current: current, table: table, clock: clock, receivesUpdates: receivesUpdates, probes: probes, onChange: onChange, log: log}
 }
 
 // HandleVersion processes another VM's report that a version was the latest at the given
@@ -142,18 +169,53 @@
 
 func (s *SettingsFollower) read(ctx context.Context) (Revision, error) {
 	requested := s.clock()
-	snap, rev, err := s.src.Settings(ctx)
+	state, rev, err := s.src.Settings(ctx)
 	if err != nil {
 		return 0, err
 	}
 	s.recordRevision(rev)
+	s.applyEvacuated(s.withLostEvacuations(state.Evacuated, requested), rev)
 	s.storedVersion.Store(0)
-	if snap != nil {
-		s.applyStored(snap, requested)
+	if state.Settings != nil {
+		s.applyStored(state.Settings, requested)
 	}
 	return rev, nil
 }
 
+// withLostEvacuations adds to the evacuated domains in the store those that a restored
+// store may have lost and whose operators have yet to write them again. They count until
+// the store is read after the grace period.
+func (s *SettingsFollower) withLostEvacuations(domains []ident.FailureDomain, at uptime.Instant) []ident.FailureDomain {
+	if s.isAuthoritative(at) {
+		s.rereadAfterGrace.Store(false)
+		return domains
+	}
+	s.rereadAfterGrace.Store(true)
+	return append(slices.Clone(domains), s.table.Evacuations().Domains...)
+}
+
+// applyEvacuated puts the evacuated domains that the store held at a revision in force.
+func (s *SettingsFollower) applyEvacuated(domains []ident.FailureDomain, rev Revision) {
+	e := srvtab.NewEvacuations(uint64(rev), domains)
+	if s.table.ApplyEvacuations(e) {
+		s.log.Info("evacuations in force", zap.Any("failure-domains", e.Domains), zap.Uint64("revision", e.Rev))
+		s.onChange()
+	}
+}
+
+// applyDomainChanges applies changes that are complete up to a revision. The known
+// evacuations may include some of them already.
+func (s *SettingsFollower) applyDomainChanges(changes []DomainChange, rev Revision) {
+	domains := slices.Clone(s.table.Evacuations().Domains)
+	for _, c := range changes {
+		domains = slices.DeleteFunc(domains, func(d ident.FailureDomain) bool { return d == c.Domain })
+		if c.Evacuated {
+			domains = append(domains, c.Domain)
+		}
+	}
+	s.applyEvacuated(domains, rev)
+}
+
 // applyStored puts settings in force that the store held at the given time.
 func (s *SettingsFollower) applyStored(snap *routes.Snapshot, at uptime.Instant) {
 	s.storedVersion.Store(snap.Version)
@@ -197,15 +259,20 @@
 
 func (s *SettingsFollower) awaitVersion(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
 	requested := s.clock()
-	snap, rev, err := s.src.AwaitSettings(ctx, after, wait)
+	changes, rev, err := s.src.AwaitSettings(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
 	s.recordRevision(rev)
-	if snap != nil {
-		s.applyStored(snap, requested)
+	s.applyDomainChanges(changes.Domains, rev)
+	if changes.Settings != nil {
+		s.applyStored(changes.Settings, requested)
 		return rev, nil
 	}
+	if s.rereadAfterGrace.Load() && s.isAuthoritative(requested) {
+		s.rev.Store(0)
+		return 0, nil
+	}
 	at := confirmedAt(s.clock, requested, wait)
 	if now := s.current.Load(); now != nil && s.storedVersion.Load() >= now.Version && s.isAuthoritative(at) {
 		s.current.ConfirmNewest(at)
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -47,14 +47,15 @@
 
 // View is an immutable snapshot of the known servers.
 type View struct {
-	servers  map[ident.Server]*Server
-	services map[ident.Service][]*Server
+	servers        map[ident.Server]*Server
+	services       map[ident.Service][]*Server
+	evacuatedSince map[ident.FailureDomain]time.Time // when this VM learned of each evacuation
 }
 
 // ServersOf returns the servers of a service that accept new work.
 func (v *View) ServersOf(name ident.Service) []*Server { return v.services[name] }
 
-// Server returns a known server, which may be draining, or nil.
+// Server returns a known server, which may be draining or evacuated, or nil.
 func (v *View) Server(id ident.Server) *Server { return v.servers[id] }
 
 // All returns the entries of all known servers.
@@ -84,6 +85,10 @@
 	retired map[ident.Server]time.Time // servers that this VM has seen retire, and when
 	drains  map[ident.Server]*drain    // servers known to drain, even if their entries do not say so
 	view    atomic.Pointer[View]
+
+	evacuations    Evacuations
+	evacuatedSince map[ident.FailureDomain]time.Time // replaced, never modified
+	evacuationRev  atomic.Uint64                     // evacuations.Rev, for reads without the lock
 }
 
 // NewTable returns an empty table. It calls onRetire each time there is a retired
@@ -318,9 +323,9 @@
 }
 
 func (t *Table) publish() {
-	v := &View{servers: maps.Clone(t.servers), services: make(map[ident.Service][]*Server)}
+	v := &View{servers: maps.Clone(t.servers), services: make(map[ident.Service][]*Server), evacuatedSince: t.evacuatedSince}
 	for _, s := range t.servers {
-		if !s.Draining {
+		if !s.Draining && !v.IsEvacuated(s.Domain) {
 			v.services[s.Service] = append(v.services[s.Service], s)
 		}
 	}
