Keep to the limits of cold servers and to the regions of routes and workspaces

Cause: coldRemainingMs, coldS, coldPerS and allowedRegions were decoded for their form or not at all, so a server that had just started could get any number of calls, and a call could reach a server in any region.

Change: entries and responses say for how long a server is cold; servers of a domain count as cold after its evacuation. The coordinator grants an engine at most 0.9 of the limit in 1.2 s, always, as an engine may become cold unnoticed; a VM that places by itself keeps its share at cold engines; plain calls use a cold server at a mean rate that rarely exceeds the limit in a second. Routes and workspaces bound to regions restrict servers, placements, copies and moves, by the settings in force when a stream moves; bounds that no failure domain meets are refused at once.

--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -16,6 +16,8 @@
 	VM string
 	// FailureDomain names a failure domain.
 	FailureDomain string
+	// Region names a region, a group of failure domains near one another.
+	Region string
 	// Workspace names a workspace, the part of the settings that one team owns.
 	Workspace string
 	// Service names a service inside a workspace.
--- a/internal/peer/wire/placement.go
+++ b/internal/peer/wire/placement.go
@@ -28,6 +28,9 @@
 	requestRetryKey     = 13
 	requestUnreachable  = 14
 	requestSource       = 15
+	requestDomain       = 16
+	requestColdLimit    = 17
+	requestColdTime     = 18
 
 	responseID         = 1
 	responseState      = 2
@@ -53,6 +56,13 @@
 	for _, id := range run.Unreachable {
 		b = appendString(b, requestUnreachable, string(id))
 	}
+	for _, d := range run.Domains {
+		b = appendString(b, requestDomain, string(d))
+	}
+	if run.ColdLimit > 0 {
+		b = appendNumber(b, requestColdLimit, uint64(run.ColdLimit))
+		b = appendNumber(b, requestColdTime, uint64(run.ColdTime))
+	}
 	if run.Source != "" {
 		b = appendString(b, requestSource, string(run.Source))
 	}
@@ -73,38 +83,52 @@
 			req.ID = v
 		case requestService:
 			run.Service = ident.Service(data)
-		case requestPurpose:
-			run.Purpose = pick.Purpose(min(v, math.MaxUint8))
-		case requestRank:
-			run.Rank = int(v)
-		case requestNeed:
-			run.Need = int(v)
-		case requestPrefill:
-			run.Prefill = int(v)
-		case requestEngineMemory:
-			run.EngineMemory = int(v)
 		case requestFrom:
 			run.From = ident.FailureDomain(data)
 		case requestExclude:
 			run.Exclude = append(run.Exclude, ident.Server(data))
 		case requestUnreachable:
 			run.Unreachable = append(run.Unreachable, ident.Server(data))
+		case requestDomain:
+			run.Domains = append(run.Domains, ident.FailureDomain(data))
 		case requestSource:
 			run.Source = ident.Server(data)
-		case requestBackup:
-			run.Backup = v != 0
-		case requestRetryKey:
-			run.RetryKey = v
-		case requestTargetWait:
-			run.TargetWait = time.Duration(v)
-		case requestMaxWait:
-			run.MaxWait = time.Duration(v)
+		default:
+			setRunNumber(run, n, v)
 		}
 		return nil
 	})
 	return req, err
 }
 
+// setRunNumber sets one numeric field of a placement request's run.
+func setRunNumber(run *pick.Request, n protowire.Number, v uint64) {
+	switch n {
+	case requestPurpose:
+		run.Purpose = pick.Purpose(min(v, math.MaxUint8))
+	case requestRank:
+		run.Rank = int(v)
+	case requestNeed:
+		run.Need = int(v)
+	case requestPrefill:
+		run.Prefill = int(v)
+	case requestEngineMemory:
+		run.EngineMemory = int(v)
+	case requestBackup:
+		run.Backup = v != 0
+	case requestColdLimit:
+		run.ColdLimit = int(min(v, math.MaxInt32))
+	case requestColdTime:
+		run.ColdTime = time.Duration(v)
+	case requestRetryKey:
+		run.RetryKey = v
+	case requestTargetWait:
+		run.TargetWait = time.Duration(v)
+	case requestMaxWait:
+		run.MaxWait = time.Duration(v)
+	}
+}
+
 func encodePlacementResponse(resp *coord.Response) []byte {
 	b := appendNumber(nil, responseID, resp.ID)
 	b = appendNumber(b, responseState, uint64(resp.State))
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -28,6 +29,7 @@
 	changeSlots    = 7
 	changeDraining = 8
 	changeGrace    = 9
+	changeCold     = 10
 )
 
 // EncodeServerUpdate encodes an update of servers.
@@ -57,6 +59,9 @@
 	if c.Entry.Draining {
 		b = appendNumber(b, changeDraining, 1)
 	}
+	if c.Entry.Cold > 0 {
+		b = appendNumber(b, changeCold, uint64(c.Entry.Cold))
+	}
 	return b
 }
 
@@ -106,6 +111,8 @@
 			e.Domain = ident.FailureDomain(data)
 		case changeSlots:
 			e.Slots = int(v)
+		case changeCold:
+			e.Cold = time.Duration(min(v, math.MaxInt64))
 		case changeGrace:
 			c.Grace = time.Duration(v)
 		case changeDraining:
--- a/internal/policy/rates/limiter.go
+++ b/internal/policy/rates/limiter.go
@@ -147,6 +147,23 @@
 	return e
 }
 
+// VMs returns the number of VMs, this one included.
+func (l *Limiter) VMs(now time.Time) int { return max(l.demand.VMs(now), 1) }
+
+// ColdSkips reports, for each server in the list, whether a call to the service must not be
+// sent to it because the server is cold and tolerates only limit requests a second from all
+// VMs together. cold says which servers are. Like Skips, it leaves a server available with
+// a probability that keeps the fleet's mean rate low enough.
+func (l *Limiter) ColdSkips(s ident.Service, cold []bool, limit float64, now time.Time) []bool {
+	out := make([]bool, len(cold))
+	_, all := l.demand.Rates(s, now)
+	share := IndependentRate(limit) / max(all, float64(l.VMs(now)))
+	for i := range cold {
+		out[i] = cold[i] && rand.Float64() > share
+	}
+	return out
+}
+
 // RecordSent counts a request that is sent to a server.
 func (l *Limiter) RecordSent(id ident.Server, now time.Time) {
 	if l.entryCount.Load() == 0 {
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -1,8 +1,10 @@
 package conf
 
 import (
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,8 +35,21 @@
 	RetryBudget       RetryBudget
 	// Quarantine configures the quarantine of requests that crash servers.
 	Quarantine poison.Config
+	// Regions are the regions of the failure domains.
+	Regions   map[ident.FailureDomain]ident.Region
+	ColdLimit ColdLimit
 }
 
+// ColdLimit limits the requests that a server gets from all VMs within a second while it is
+// cold: Factor times the rate that its service states, plus Slack.
+type ColdLimit struct {
+	Factor float64
+	Slack  float64 // requests
+}
+
+// Of returns the limit at a stated rate, in requests per second. Zero: there is no limit.
+func (l ColdLimit) Of(rate float64) float64 { return l.Factor*rate + l.Slack }
+
 // RetryBudget limits retries, summed over all VMs: in each window, at most Ratio
 // times the first attempts plus Extra.
 type RetryBudget struct {
@@ -61,7 +76,14 @@
 	StopGrace         *string         `json:"stop-grace,omitzero"`
 	RetryBudget       retryBudgetWire `json:"retry-budget,omitzero"`
 
-	Quarantine quarantineWire `json:"quarantine,omitzero"`
+	Quarantine quarantineWire    `json:"quarantine,omitzero"`
+	Regions    map[string]string `json:"regions,omitzero"`
+	ColdLimit  coldLimitWire     `json:"cold-limit,omitzero"`
+}
+
+type coldLimitWire struct {
+	Factor *float64 `json:"factor,omitzero"`
+	Slack  *float64 `json:"slack,omitzero"`
 }
 
 type quarantineWire struct {
@@ -87,6 +109,8 @@
 	DefaultRetryRatio        = 0.2
 	DefaultRetryExtra        = 20.0
 	DefaultRetryWindow       = 10 * time.Second
+	DefaultColdFactor        = 1.0
+	DefaultColdSlack         = 0.0
 	// DefaultQuarantineCrashes and DefaultQuarantineTime are the defaults for the
 	// quarantine of requests.
 	DefaultQuarantineCrashes = 3
@@ -151,10 +175,25 @@
 			CrashLimit: f.Int("/quarantine/crashes", w.Quarantine.Crashes, DefaultQuarantineCrashes, 1, 1000),
 			Duration:   f.Duration("/quarantine/time", w.Quarantine.Time, DefaultQuarantineTime, minQuarantine, maxQuarantine),
 		},
+		Regions: parseRegions(f, w.Regions),
+		ColdLimit: ColdLimit{
+			Factor: f.Float("/cold-limit/factor", w.ColdLimit.Factor, DefaultColdFactor, 0, 1000),
+			Slack:  f.Float("/cold-limit/slack", w.ColdLimit.Slack, DefaultColdSlack, 0, 1e6),
+		},
 	}
 	return e, f.Err()
 }
 
+// parseRegions parses the regions of the failure domains, in the order of their names.
+func parseRegions(f *config.Validator, regions map[string]string) map[ident.FailureDomain]ident.Region {
+	out := make(map[ident.FailureDomain]ident.Region, len(regions))
+	for _, domain := range slices.Sorted(maps.Keys(regions)) {
+		path := "/regions/" + domain
+		out[ident.FailureDomain(f.Name(path, domain))] = ident.Region(f.Name(path, regions[domain]))
+	}
+	return out
+}
+
 // parseSeeds parses the addresses of the seed VMs.
 func parseSeeds(f *config.Validator, list []string) []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(list))
@@ -195,6 +234,9 @@
 		{"retry-budget/window", DefaultRetryWindow.String(), "the window of the retry budget"},
 		{"quarantine/crashes", strconv.Itoa(DefaultQuarantineCrashes), "servers that crash while they begin to run a request until it is quarantined"},
 		{"quarantine/time", DefaultQuarantineTime.String(), "how long a request is quarantined, and for how long a crash counts against it"},
+		{"regions", "{}", "region of each failure domain; calls may be bound to regions"},
+		{"cold-limit/factor", formatFloat(DefaultColdFactor), "requests within a second to a server that is cold, over all VMs, as a multiple of the rate that its service states"},
+		{"cold-limit/slack", formatFloat(DefaultColdSlack), "requests beyond these"},
 	}
 }
 
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/test/check"
 )
@@ -21,13 +22,15 @@
 	assert.NilError(t, err)
 	assert.Equal(t, e.RevokeBound, conf.DefaultRevokeBound)
 	for path, change := range map[string][2]string{
-		"/name":            {`"edge-1"`, `"Edge 1"`},
-		"/ready-address":   {`"10.0.0.1:81"`, `"10.0.0.1"`},
-		"/stop-grace":      {`{"name"`, `{"stop-grace":"soon","name"`},
-		"/retry-budget":    {`{"name"`, `{"retry-budget":3,"name"`},
-		"/seeds/1":         {`{"name"`, `{"seeds":["10.0.0.1:80","x"],"name"`},
-		"/processor-cores": {`{"name"`, `{"processor-cores":0,"name"`},
-		"/retry-budget/x":  {`{"name"`, `{"retry-budget":{"x":1},"name"`},
+		"/name":             {`"edge-1"`, `"Edge 1"`},
+		"/ready-address":    {`"10.0.0.1:81"`, `"10.0.0.1"`},
+		"/stop-grace":       {`{"name"`, `{"stop-grace":"soon","name"`},
+		"/retry-budget":     {`{"name"`, `{"retry-budget":3,"name"`},
+		"/seeds/1":          {`{"name"`, `{"seeds":["10.0.0.1:80","x"],"name"`},
+		"/processor-cores":  {`{"name"`, `{"processor-cores":0,"name"`},
+		"/cold-limit/slack": {`{"name"`, `{"cold-limit":{"slack":-1},"name"`},
+		"/regions/b":        {`{"name"`, `{"regions":{"a":"north","b":""},"name"`},
+		"/retry-budget/x":   {`{"name"`, `{"retry-budget":{"x":1},"name"`},
 	} {
 		_, err := conf.ParseEdge([]byte(strings.Replace(edge, change[0], change[1], 1)))
 		check.FieldError(t, err, path, "")
@@ -43,6 +46,7 @@
 		"nodeName|json": `"edge-a-1"`, "zone|json": `"a"`, "listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`,
 		"ip": "10.0.0.1", "internalPorts.0": "7200", "listen.control|json": `"10.0.0.1:7215"`, "seeds|json": `["10.0.0.3:7215"]`, "platform.address|json": `"10.0.0.2:80"`,
 		"bounds.revokeMs": "5000", "bounds.configApplyMs": "3000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
+		"zones|json": `{"a":"north","b":"south"}`, "#bounds.coldExcess": "", "/bounds.coldExcess": "", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5",
 		"limits.cpuShare": "0.4", "limits.linkMbps": "20.0",
 	}
 	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(data), func(s string) string {
@@ -56,4 +60,6 @@
 	assert.Equal(t, e.RetryBudget.Extra, 54.0)
 	assert.Equal(t, e.LinkBitsPerSecond, 20e6)
 	assert.Equal(t, len(e.Seeds), 1)
+	assert.Equal(t, e.Regions["b"], ident.Region("south"))
+	assert.Equal(t, e.ColdLimit.Of(35), 57.5)
 }
--- a/internal/proc/edge/reload.go
+++ b/internal/proc/edge/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"os"
 	"time"
 
@@ -15,9 +16,9 @@
 const fileCheckInterval = 2 * time.Second
 
 // ReloadOnChange reloads the settings file on each signal and each time the file
-// has changed, until ctx ends. The revoke bound, the stop grace and the ratio and
-// extra attempts of the retry budget take effect at once; all other settings need
-// a restart. A file that cannot be read or is not valid changes nothing.
+// has changed, until ctx ends. The revoke bound, the stop grace, the cold limit and the
+// ratio and extra attempts of the retry budget take effect at once; all other settings
+// need a restart. A file that cannot be read or is not valid changes nothing.
 func (v *VM) ReloadOnChange(ctx context.Context, path string, signals <-chan os.Signal) {
 	t := time.NewTicker(fileCheckInterval)
 	defer t.Stop()
@@ -63,9 +64,10 @@
 	}
 	old := v.cfg.Load()
 	restart := old.Name != cfg.Name || old.Clients != cfg.Clients || old.Ready != cfg.Ready || old.Peers != cfg.Peers ||
-		old.Store != cfg.Store || old.Metrics != cfg.Metrics || old.Domain != cfg.Domain
+		old.Store != cfg.Store || old.Metrics != cfg.Metrics || old.Domain != cfg.Domain || !maps.Equal(old.Regions, cfg.Regions)
 	updated := *old
 	updated.RevokeBound, updated.StopGrace, updated.RetryBudget = cfg.RevokeBound, cfg.StopGrace, cfg.RetryBudget
+	updated.ColdLimit = cfg.ColdLimit
 	v.cfg.Store(&updated)
 	v.node.Budget.SetLimits(cfg.RetryBudget.Ratio, cfg.RetryBudget.Extra)
 	v.log.Info("settings reloaded", zap.String("why", why), zap.Bool("needs-restart", restart))
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -107,6 +107,8 @@
 			Domain:      cfg.Domain,
 			RevokeDelay: func() time.Duration { return v.cfg.Load().RevokeBound },
 			ApplyDelay:  func() time.Duration { return v.cfg.Load().ApplyBound },
+			Regions:     cfg.Regions,
+			ColdLimit:   func(rate float64) float64 { return v.cfg.Load().ColdLimit.Of(rate) },
 		},
 		Settings:  node.Settings,
 		Refresher: node,
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -20,6 +20,7 @@
 	tracker *alloc.Tracker
 	health  *health.Tracker
 	rates   *rates.Limiter
+	pacer   *rates.Pacer
 
 	mu         sync.Mutex
 	avoidUntil map[ident.Server]time.Time // by server, until when it gets no runs
@@ -28,7 +29,7 @@
 
 // NewChooser returns a Chooser.
 func NewChooser(servers *srvtab.Table, tracker *alloc.Tracker, h *health.Tracker, r *rates.Limiter) *Chooser {
-	return &Chooser{servers: servers, tracker: tracker, health: h, rates: r, avoidUntil: make(map[ident.Server]time.Time)}
+	return &Chooser{servers: servers, tracker: tracker, health: h, rates: r, pacer: rates.NewPacer(), avoidUntil: make(map[ident.Server]time.Time)}
 }
 
 // View returns the servers known now.
@@ -133,6 +134,9 @@
 	}
 	if r.Purpose != Backup {
 		c.rates.Grant(s.ID, now)
+		if r.ColdLimit > 0 {
+			c.pacer.Record(s.ID, now)
+		}
 	}
 	placement := Placement{Server: s}
 	if r.Backup && keepCopies {
@@ -145,7 +149,8 @@
 // choose returns an engine with capacity for a purpose of the run; known reports
 // whether there is any engine that is not excluded.
 func (c *Chooser) choose(r *Request, purpose Purpose, loads map[ident.Server]alloc.Load, from ident.FailureDomain, exclude []ident.Server, now time.Time) (s *srvtab.Server, known bool) {
-	list := c.servers.View().ServersOf(r.Service)
+	view := c.servers.View()
+	list := view.ServersOf(r.Service)
 	servers := make([]assign.Server, len(list))
 	for i, s := range list {
 		l := loads[s.ID]
@@ -159,10 +164,11 @@
 			IncomingCopies: purpose.transfersAhead(l),
 			CrossDomain:    s.Domain != from,
 			Weight:         c.health.Weight(s.ID, now),
-			Skip:           slices.Contains(exclude, s.ID),
+			Skip:           slices.Contains(exclude, s.ID) || !r.mayRunIn(s.Domain),
 		}
 		known = known || !servers[i].Skip
-		servers[i].Skip = servers[i].Skip || c.isAvoided(s.ID, now) || purpose != Backup && !c.rates.CanGrant(s.ID, now)
+		servers[i].Skip = servers[i].Skip || c.isAvoided(s.ID, now) || purpose != Backup && !c.rates.CanGrant(s.ID, now) ||
+			c.isPaced(r, purpose, view, s, now)
 	}
 	if i := assign.ChooseEngine(r.Need, purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
 		return list[i], true
@@ -170,6 +176,24 @@
 	return nil, known
 }
 
+// isPaced reports whether a server gets no run now because it may be cold. A server may
+// become cold before any VM knows of it, so the coordinator keeps to the limit of a cold
+// server always. A VM that decides by itself keeps to its share, and only at servers that
+// are known to be cold. A copy is kept at no cold server, as its run could not go on there.
+func (c *Chooser) isPaced(r *Request, purpose Purpose, view *srvtab.View, s *srvtab.Server, now time.Time) bool {
+	if r.ColdLimit <= 0 {
+		return false
+	}
+	limit := r.ColdLimit
+	if purpose == Backup || r.Local {
+		if !view.IsCold(s, r.ColdTime, now) {
+			return false
+		}
+		limit /= c.rates.VMs(now)
+	}
+	return purpose == Backup || !c.pacer.Allows(s.ID, limit, now)
+}
+
 // fillRatio returns how full the service's engines are in total.
 func (c *Chooser) fillRatio(r *Request, loads map[ident.Server]alloc.Load) float64 {
 	list := c.servers.View().ServersOf(r.Service)
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"umberladder/internal/core/ident"
@@ -51,18 +52,27 @@
 type Request struct {
 	Service      ident.Service
 	Purpose      Purpose
-	Rank         int                 // 0 is the most urgent
-	Need         int                 // memory that the run uses soon, in tokens
-	Prefill      int                 // prompt tokens that the engine has to prefill first
-	EngineMemory int                 // memory of each engine, in tokens
-	From         ident.FailureDomain // failure domain of the VM for a new run, of the engine otherwise
-	Source       ident.Server        // engine whose link transfers the run's KV cache; empty: no transfer
-	Exclude      []ident.Server      // servers not to choose
-	Unreachable  []ident.Server      // servers that refused a connection for this run just now
-	Backup       bool                // whether a second engine is to keep a copy of the KV cache
-	TargetWait   time.Duration       // longest wait for capacity after which the run still starts in time
-	MaxWait      time.Duration       // longest wait for capacity
-	RetryKey     uint64              // equal for a call and its repetitions by the client; zero: none
+	Rank         int                   // 0 is the most urgent
+	Need         int                   // memory that the run uses soon, in tokens
+	Prefill      int                   // prompt tokens that the engine has to prefill first
+	EngineMemory int                   // memory of each engine, in tokens
+	From         ident.FailureDomain   // failure domain of the VM for a new run, of the engine otherwise
+	Source       ident.Server          // engine whose link transfers the run's KV cache; empty: no transfer
+	Exclude      []ident.Server        // servers not to choose
+	Unreachable  []ident.Server        // servers that refused a connection for this run just now
+	Backup       bool                  // whether a second engine is to keep a copy of the KV cache
+	TargetWait   time.Duration         // longest wait for capacity after which the run still starts in time
+	MaxWait      time.Duration         // longest wait for capacity
+	Domains      []ident.FailureDomain // failure domains that may be chosen; empty: all
+	ColdLimit    int                   // runs within a second that a server tolerates while it is cold; zero: any number
+	ColdTime     time.Duration         // how long a server is cold after its start
+	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
+	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
+}
+
+// mayRunIn reports whether the run may be placed in a failure domain.
+func (r *Request) mayRunIn(d ident.FailureDomain) bool {
+	return len(r.Domains) == 0 || slices.Contains(r.Domains, d)
 }
 
 // Load returns the load of the run at its engine.
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -136,6 +136,7 @@
 // placeLocally places the run from what this VM knows. Runs that wait here are
 // not ordered by priority, so a run waits only while it can still start in time.
 func (p *Placer) placeLocally(ctx context.Context, r pick.Request, start time.Time) (pick.Placement, error) {
+	r.Local = true
 	timer := time.NewTimer(max(0, min(r.TargetWait, r.MaxWait)-time.Since(start)))
 	defer timer.Stop()
 	for {
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -44,7 +44,9 @@
 	// Limit is the request rate, per second, that the server accepts from all VMs
 	// together; zero: it states no limit.
 	Limit float64
-	Body  Body
+	// Cold is how much longer the server is cold; zero: it is not, or does not say.
+	Cold time.Duration
+	Body Body
 }
 
 // Body is the body of a response. Read returns io.EOF only at the end of a
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -316,6 +316,8 @@
 			Domain:      "a",
 			RevokeDelay: func() time.Duration { return 5 * time.Second },
 			ApplyDelay:  func() time.Duration { return 3 * time.Second },
+			Regions:     map[ident.FailureDomain]ident.Region{"a": "north", "b": "north", "c": "south"},
+			ColdLimit:   func(rate float64) float64 { return rate },
 		},
 		Settings: h.settings, Refresher: h, Servers: h.table,
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -181,6 +181,9 @@
 		return refuse.New(refuse.NoServer, "route %s leads to service %s, which the settings do not define", route.Name, name).WithRetryAfter(task.NoServerRetryAfter)
 	}
 	a.Result.Service = name
+	if refusal := a.RegionRefusal(); refusal != nil {
+		return refusal
+	}
 	if refusal := a.checkShutdown(); refusal != nil {
 		return refusal
 	}
@@ -221,6 +224,6 @@
 	if workspace == nil {
 		return refuse.New(refuse.WrongKey, "no workspace holds the API key of the call, by settings of version %d", snap.Version)
 	}
-	a.Workspace = workspace.Name
+	a.BindWorkspace(workspace)
 	return nil
 }
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -15,6 +15,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/admit"
+	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/events"
 	"umberladder/internal/route/migr"
@@ -281,7 +282,14 @@
 
 // placementRequest describes the capacity that the stream needs.
 func (f *forwarder) placementRequest(purpose pick.Purpose, from ident.FailureDomain, exclude []ident.Server) pick.Request {
-	return pick.Request{Service: f.Service.Name, Purpose: purpose, Rank: f.priority(), Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(), From: from, Exclude: exclude}
+	r := pick.Request{
+		Service: f.Service.Name, Purpose: purpose, Rank: f.priority(), Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
+		From: from, Exclude: exclude, Domains: f.AllowedDomains(),
+	}
+	if f.Service.ColdTime > 0 {
+		r.ColdTime, r.ColdLimit = f.Service.ColdTime, rates.GrantLimit(f.Config.ColdLimit(f.Service.ColdRate))
+	}
+	return r
 }
 
 // priority returns the stream's priority; 0 is the most urgent.
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -28,6 +28,11 @@
 	RevokeDelay func() time.Duration
 	// ApplyDelay returns how long a change of the settings may take to be in force.
 	ApplyDelay func() time.Duration
+	// Regions are the regions of the failure domains.
+	Regions map[ident.FailureDomain]ident.Region
+	// ColdLimit returns how many requests a cold server may get within a second from all
+	// VMs, given the rate that its service states; zero: any number.
+	ColdLimit func(rate float64) float64
 }
 
 // Deps holds the dependencies for serving calls.
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -25,6 +25,10 @@
 // because of an evacuation. Evacuations last for many seconds at least.
 const evacuatedRetryAfter = 2 * time.Second
 
+// regionRetryAfter is the retry delay of a call whose route and workspace allow no failure
+// domain. Only a change of the settings helps.
+const regionRetryAfter = 5 * time.Second
+
 // ErrTimeout is the cause that cancels a call's context at its deadline.
 var ErrTimeout = errors.New("task: the deadline has passed")
 
@@ -39,6 +43,8 @@
 	Deadline  time.Time // no response is of use after it
 	Result    Result
 
+	boundWorkspace *routes.Workspace // nil: the route is public
+
 	mu       sync.Mutex // guards deferred: orders to engines are logged concurrently with the call
 	deferred []deferredLine
 }
@@ -94,7 +100,7 @@
 // checked when the call is sent, because the server may have been chosen earlier, or by a
 // VM that knew less.
 func (t *Task) CheckAccepting(s *srvtab.Server) error {
-	if t.Servers.View().Accepts(s.ID) {
+	if t.Servers.View().Accepts(s.ID) && t.MayRunIn(s.Domain) {
 		return nil
 	}
 	return &port.SendError{Unsent: true, Err: errNotAccepting}
@@ -103,7 +109,7 @@
 // CheckContinuable returns a *port.SendError if a stream may not be continued at a server
 // that holds a copy of its KV cache.
 func (t *Task) CheckContinuable(s *srvtab.Server) error {
-	if t.Servers.View().EvacuatedFor(s.Domain, time.Now()) <= continuationGrace {
+	if t.Servers.View().EvacuatedFor(s.Domain, time.Now()) <= continuationGrace && t.MayRunIn(s.Domain) {
 		return nil
 	}
 	return &port.SendError{Unsent: true, Err: errNotAccepting}
@@ -131,6 +137,7 @@
 	if !resp.Replaced {
 		t.Rates.Observe(s.ID, resp.Limit, sent, now)
 	}
+	t.Servers.MarkCold(s.ID, resp.Cold, now)
 	if resp.Draining && t.Servers.MarkDraining(s.ID, now) {
 		t.LogInfo("server drains", zap.String("server", string(s.ID)), zap.String("reported-by", "itself"))
 	}
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -190,15 +191,39 @@
 		}
 		r.limited[ids[i]] = skip
 	}
+	r.limitCold(list, now)
 	return r.limited
 }
 
+// limitCold excludes cold servers from most calls.
+func (r *requester) limitCold(list []*srvtab.Server, now time.Time) {
+	limit := r.Config.ColdLimit(r.Service.ColdRate)
+	if limit <= 0 {
+		return
+	}
+	view := r.Servers.View()
+	cold := make([]bool, len(list))
+	for i, s := range list {
+		cold[i] = view.IsCold(s, r.Service.ColdTime, now)
+	}
+	if !slices.Contains(cold, true) {
+		return
+	}
+	if r.limited == nil {
+		r.limited = make(map[ident.Server]bool, len(list))
+	}
+	for i, skip := range r.Rates.ColdSkips(r.Service.Name, cold, limit, now) {
+		r.limited[list[i].ID] = r.limited[list[i].ID] || skip
+	}
+}
+
 // pick chooses a server that has not been tried yet, or returns nil if none is usable.
 func (r *requester) pick() *srvtab.Server {
 	now := time.Now()
 	list := r.Servers.View().ServersOf(r.Service.Name)
 	loads := r.Alloc.All(now)
 	limited := r.rateLimited(list, now)
+	allowed := r.AllowedDomains()
 	servers := make([]assign.Server, len(list))
 	for i, s := range list {
 		servers[i] = assign.Server{
@@ -206,7 +231,7 @@
 			InFlight:    loads[s.ID].Calls,
 			CrossDomain: s.Domain != r.Config.Domain,
 			Weight:      r.Health.Weight(s.ID, now),
-			Skip:        r.tried[s.ID] || r.Health.PauseRemaining(s.ID, now) > 0 || limited[s.ID],
+			Skip:        r.tried[s.ID] || allowed != nil && !slices.Contains(allowed, s.Domain) || r.Health.PauseRemaining(s.ID, now) > 0 || limited[s.ID],
 		}
 	}
 	i := assign.ChoosePlain(servers, assign.NewRand())
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -141,6 +141,7 @@
 		if c.Grace > 0 {
 			c.Grace = max(c.Grace-now.Sub(c.at), 1)
 		}
+		c.Entry.Cold = max(c.Entry.Cold-now.Sub(c.at), 0)
 		u.Changes = append(u.Changes, c.Change)
 	}
 	return u, true
--- a/internal/state/routes/snapshot.go
+++ b/internal/state/routes/snapshot.go
@@ -16,6 +16,7 @@
 	hosts        map[string][]*Route // longest prefix first
 	keys         map[string]*Workspace
 	keysRequired bool
+	regionBound  bool // a route or a workspace is bound to regions
 }
 
 // Parts are the contents of a new snapshot.
@@ -43,6 +44,7 @@
 		s.services[v.Name] = v
 	}
 	for _, r := range p.Routes {
+		s.regionBound = s.regionBound || len(r.Regions) > 0
 		host := strings.ToLower(r.Host)
 		s.hosts[host] = append(s.hosts[host], r)
 	}
@@ -50,6 +52,7 @@
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, w := range p.Workspaces {
+		s.regionBound = s.regionBound || len(w.Regions) > 0
 		for _, k := range w.Keys {
 			s.keys[k] = w
 		}
@@ -86,6 +89,9 @@
 // RequiresKey reports whether calls of the route need an API key.
 func (s *Snapshot) RequiresKey(r *Route) bool { return s.keysRequired && !r.Public }
 
+// IsRegionBound reports whether any route or workspace is bound to regions.
+func (s *Snapshot) IsRegionBound() bool { return s.regionBound }
+
 // WorkspaceByKey returns the workspace that an API key belongs to, or nil.
 func (s *Snapshot) WorkspaceByKey(key string) *Workspace { return s.keys[key] }
 
--- a/internal/state/routes/types.go
+++ b/internal/state/routes/types.go
@@ -13,14 +13,15 @@
 	Host          string
 	Prefix        string // begins and ends with a slash
 	Kind          call.Kind
-	Timeout       time.Duration // maximum time for which a call may be kept waiting
-	LatencyTarget time.Duration // latency target of the response, or of a stream's first event
-	GapTarget     time.Duration // target for the time between two events; zero if there is none
-	Priority      int           // 0 is the most urgent
-	MaxAttempts   int           // maximum number of backend servers that one call is sent to
-	Public        bool          // calls need no API key
-	Resumable     bool          // another run may continue a stream after the last event received
-	Shares        []Share       // the services that serve the route
+	Timeout       time.Duration  // maximum time for which a call may be kept waiting
+	LatencyTarget time.Duration  // latency target of the response, or of a stream's first event
+	GapTarget     time.Duration  // target for the time between two events; zero if there is none
+	Priority      int            // 0 is the most urgent
+	MaxAttempts   int            // maximum number of backend servers that one call is sent to
+	Public        bool           // calls need no API key
+	Resumable     bool           // another run may continue a stream after the last event received
+	Shares        []Share        // the services that serve the route
+	Regions       []ident.Region // the calls may run only in these regions; empty: in all
 }
 
 // Share is one service's share of a route's calls, relative to the weights of the others.
@@ -32,9 +33,11 @@
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name           ident.Service
-	HealthPath     string  // path of the health check
-	MaxConnections int     // maximum number of connections from all VMs to one server
-	Engine         *Engine // nil for a service whose servers are not engines
+	HealthPath     string        // path of the health check
+	MaxConnections int           // maximum number of connections from all VMs to one server
+	ColdTime       time.Duration // how long a server is cold after it starts; zero: not at all
+	ColdRate       float64       // requests per second that a cold server tolerates
+	Engine         *Engine       // nil for a service whose servers are not engines
 }
 
 // Engine describes the model engines of a service.
@@ -53,7 +56,8 @@
 type Workspace struct {
 	Name     ident.Workspace
 	Keys     []string
-	Priority int // overrides the priority of a route
+	Priority int            // overrides the priority of a route
+	Regions  []ident.Region // the workspace's calls may run only in these regions; empty: in all
 }
 
 // Limits bound the size of a client's requests and the time that the client may take.
--- a/internal/state/srvtab/evac.go
+++ b/internal/state/srvtab/evac.go
@@ -1,6 +1,7 @@
 package srvtab
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -54,7 +55,17 @@
 		}
 		since[d] = at
 	}
-	t.evacuatedSince = since
+	returned := maps.Clone(t.returnedAt)
+	for d := range t.evacuatedSince {
+		if _, ok := since[d]; ok {
+			continue
+		}
+		if returned == nil {
+			returned = make(map[ident.FailureDomain]time.Time)
+		}
+		returned[d] = time.Now()
+	}
+	t.evacuatedSince, t.returnedAt = since, returned
 	t.publish()
 	return true
 }
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -22,6 +22,9 @@
 	Domain   ident.FailureDomain
 	Slots    int
 	Draining bool
+	// Cold is how much longer the server is cold: it can't take its normal load yet. It is
+	// set only while an entry is passed on; View.IsCold reports the state at a time.
+	Cold time.Duration
 }
 
 // Server is one instance of a backend server; a restarted server has a new ID under the
@@ -50,6 +53,8 @@
 	servers        map[ident.Server]*Server
 	services       map[ident.Service][]*Server
 	evacuatedSince map[ident.FailureDomain]time.Time // when this VM learned of each evacuation
+	returnedAt     map[ident.FailureDomain]time.Time // when this VM learned of the end of each evacuation
+	coldUntil      map[ident.Server]time.Time
 }
 
 // ServersOf returns the servers of a service that accept new work.
@@ -60,9 +65,12 @@
 
 // All returns the entries of all known servers.
 func (v *View) All() []Entry {
+	now := time.Now()
 	out := make([]Entry, 0, len(v.servers))
 	for _, s := range v.servers {
-		out = append(out, s.Entry)
+		e := s.Entry
+		e.Cold = max(v.coldUntil[e.ID].Sub(now), 0)
+		out = append(out, e)
 	}
 	return out
 }
@@ -88,7 +96,9 @@
 
 	evacuations    Evacuations
 	evacuatedSince map[ident.FailureDomain]time.Time // replaced, never modified
+	returnedAt     map[ident.FailureDomain]time.Time // replaced, never modified
 	evacuationRev  atomic.Uint64                     // evacuations.Rev, for reads without the lock
+	coldUntil      map[ident.Server]time.Time        // servers that are cold, and until when
 }
 
 // NewTable returns an empty table. It calls onRetire each time there is a retired
@@ -101,6 +111,8 @@
 		expired:  make(map[ident.Server]time.Time),
 		retired:  make(map[ident.Server]time.Time),
 		drains:   make(map[ident.Server]*drain),
+
+		coldUntil: make(map[ident.Server]time.Time),
 	}
 	t.publish()
 	return t
@@ -125,6 +137,8 @@
 	if !t.supersede(e.ID) {
 		return false
 	}
+	becameCold := t.recordCold(e.ID, e.Cold, time.Now())
+	e.Cold = 0
 	_, expired := t.expired[e.ID]
 	delete(t.expired, e.ID)
 	if e.Draining {
@@ -135,7 +149,7 @@
 	e.Draining = t.drains[e.ID] != nil
 	old := t.servers[e.ID]
 	if old != nil && old.Entry == e {
-		return expired
+		return expired || becameCold
 	}
 	s := &Server{Entry: e, retired: make(chan struct{})}
 	if old != nil {
@@ -311,6 +325,7 @@
 
 func (t *Table) drop(id ident.Server) {
 	delete(t.expired, id)
+	delete(t.coldUntil, id)
 	if d := t.drains[id]; d != nil {
 		d.confirmed = true
 	}
@@ -323,7 +338,7 @@
 }
 
 func (t *Table) publish() {
-	v := &View{servers: maps.Clone(t.servers), services: make(map[ident.Service][]*Server), evacuatedSince: t.evacuatedSince}
+	v := &View{servers: maps.Clone(t.servers), services: make(map[ident.Service][]*Server), evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt, coldUntil: maps.Clone(t.coldUntil)}
 	for _, s := range t.servers {
 		if !s.Draining && !v.IsEvacuated(s.Domain) {
 			v.services[s.Service] = append(v.services[s.Service], s)
