Take a removed entry for a notice unless the servers' data are stale

Cause: any failed call to the store, as when a watch ends with a compaction of the history or a VM alone is cut off, started the 2 s in which missing entries count as lapsed.

Change: only data that no VM has confirmed for 2 s are treated as an outage, and a new era of the store. Entries last for three heartbeats of 1.2 s, so none lapses in a shorter outage.

--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -269,27 +269,37 @@
 	s.storeDown = true
 }
 
-func (s *ServerFollower) storeRecovered(now time.Time) {
+func (s *ServerFollower) storeRecovered(time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeDown = false
-	s.graceEnd = now.Add(srvtab.ReregisterTime)
 }
 
 // updateGrace returns the time until which a missing entry counts as expired rather than
-// removed. A VM that does not read the store itself cannot observe an outage, so stale
-// data is treated as an outage.
+// removed. Stale data is treated as an outage of the store. Failed calls alone are not: the
+// store may have ended a watch or be unreachable for this VM only, and the removal of an
+// entry may be the only notice that a server gives before it ends.
 func (s *ServerFollower) updateGrace(now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := s.age()
 	stale := s.confirmed != 0 && age > staleAge
-	if stale && !s.storeDown && now.After(s.graceEnd) {
-		s.log.Info("servers are stale, missing entries may have lapsed in a store outage", zap.Duration("age", age))
+	if !stale {
+		return s.graceEnd
 	}
-	if s.storeDown || stale {
-		s.graceEnd = now.Add(srvtab.ReregisterTime)
+	if now.After(s.graceEnd) {
+		s.log.Info("servers are stale, missing entries may have lapsed in a store outage", zap.Duration("age", age))
 	}
+	s.graceEnd = now.Add(srvtab.ReregisterTime)
+	return s.graceEnd
+}
+
+// startGrace lets the servers without an entry count as expired for the time that they
+// need to write it again, and returns the end of that time.
+func (s *ServerFollower) startGrace(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.graceEnd = now.Add(srvtab.ReregisterTime)
 	return s.graceEnd
 }
 
@@ -321,6 +331,7 @@
 	graceEnd := s.updateGrace(now)
 	if known != 0 && rev.Era() > known.Era() {
 		list = s.filterKnown(list)
+		graceEnd = s.startGrace(now)
 	}
 	changed, missing := s.table.Replace(list, graceEnd, now)
 	s.mu.Lock()
