Weigh engines by the runs that failed there at any VM

Cause: an engine that resets every run, or does not respond, never looks busy, so the coordinator kept choosing it. Each VM excludes it only after two failures of its own, of 67 VMs.

Change: a run without a response, or without one within its latency target, counts against its engine for 4 s in the loads that all VMs report, and lowers the engine's weight. Parts of a report that are repeated or come out of order no longer count twice or get lost (alloc.TestParts).

--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -94,6 +94,7 @@
 	loadBacklog   = 4
 	loadCopiesIn  = 5
 	loadCopiesOut = 6
+	loadFailures  = 7
 
 	replyRequestTime = 1
 	replyVersion     = 2
@@ -184,10 +185,13 @@
 	b = appendNumber(b, loadTokens, uint64(l.Tokens))
 	b = appendNumber(b, loadBacklog, uint64(l.Backlog))
 	b = appendNumber(b, loadCopiesIn, uint64(l.CopiesIn))
-	if l.CopiesOut == 0 {
-		return b
+	if l.CopiesOut > 0 {
+		b = appendNumber(b, loadCopiesOut, uint64(l.CopiesOut))
 	}
-	return appendNumber(b, loadCopiesOut, uint64(l.CopiesOut))
+	if l.Failures > 0 {
+		b = appendNumber(b, loadFailures, uint64(l.Failures))
+	}
+	return b
 }
 
 func encodeAttempts(name ident.Service, attempts retry.Attempts) []byte {
@@ -333,6 +337,8 @@
 			l.CopiesIn = int(v)
 		case loadCopiesOut:
 			l.CopiesOut = int(v)
+		case loadFailures:
+			l.Failures = int(v)
 		}
 		return nil
 	})
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -67,6 +67,14 @@
 	return maxFillWithNotice
 }
 
+// FailureWeight returns the weight of an engine at which the given number of runs have
+// recently failed, at any VM. An idle engine with two failures costs as much as one that is
+// nearly full.
+func FailureWeight(failures int) float64 {
+	n := float64(1 + max(failures, 0))
+	return 1 / (n * n)
+}
+
 // NewRand returns a random number generator for one choice.
 func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
--- a/internal/route/alloc/tracker.go
+++ b/internal/route/alloc/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,10 @@
 // kept. No message is in transit for longer.
 const peerRetention = time.Minute
 
+// FailureMemory is how long a failed run counts against its server. Runs then show whether
+// the server still fails.
+const FailureMemory = 4 * time.Second
+
 // Load is the work in flight at one server.
 type Load struct {
 	Calls     int // calls in flight
@@ -24,15 +29,22 @@
 	Backlog   int // prompt tokens not known to be prefilled yet
 	CopiesIn  int // KV caches in transit to the server
 	CopiesOut int // KV caches in transit from the server, except backup copies sent as their runs grow
+	Failures  int // runs in the last FailureMemory without a response, or without one in time
 }
 
 // Plus returns the sum of the loads.
 func (l Load) Plus(o Load) Load {
-	return Load{Calls: l.Calls + o.Calls, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog, CopiesIn: l.CopiesIn + o.CopiesIn, CopiesOut: l.CopiesOut + o.CopiesOut}
+	return Load{
+		Calls: l.Calls + o.Calls, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog,
+		CopiesIn: l.CopiesIn + o.CopiesIn, CopiesOut: l.CopiesOut + o.CopiesOut, Failures: l.Failures + o.Failures,
+	}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Calls: l.Calls - o.Calls, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog, CopiesIn: l.CopiesIn - o.CopiesIn, CopiesOut: l.CopiesOut - o.CopiesOut}
+	return Load{
+		Calls: l.Calls - o.Calls, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog,
+		CopiesIn: l.CopiesIn - o.CopiesIn, CopiesOut: l.CopiesOut - o.CopiesOut, Failures: l.Failures - o.Failures,
+	}
 }
 
 // Tracker tracks the loads of all VMs. It is safe for concurrent use.
@@ -49,6 +61,7 @@
 	receivedAt time.Time
 	instance   uint64
 	seq        uint64
+	parts      []int // parts received of the report with the number seq
 	load       map[ident.Server]Load
 }
 
@@ -80,6 +93,12 @@
 	return &Reservation{tracker: t, server: server, load: l}
 }
 
+// RecordFailure counts a failed run against a server for FailureMemory. A server that fails
+// runs at once never looks busy, so without the count it would attract all new runs.
+func (t *Tracker) RecordFailure(server ident.Server) {
+	time.AfterFunc(FailureMemory, t.Reserve(server, Load{Failures: 1}).Release)
+}
+
 // Resize changes the load of the call.
 func (r *Reservation) Resize(l Load) {
 	r.tracker.mu.Lock()
@@ -124,7 +143,7 @@
 // other VMs could use the information; they are reported with the next regular
 // message.
 func (t *Tracker) markDirty(l Load) {
-	if l.Tokens == 0 && l.CopiesOut == 0 {
+	if l.Tokens == 0 && l.CopiesOut == 0 && l.Failures == 0 {
 		return
 	}
 	select {
@@ -159,28 +178,39 @@
 
 // UpdatePeer replaces another VM's loads, unless the same or a later report was
 // received before. A higher instance means that the VM has restarted since. A
-// report may arrive in several parts with the same sequence number: the loads of
-// the parts after the first are added.
+// report may arrive in several parts with the same sequence number, in any order: the
+// loads of each part received after another one are added, once.
 func (t *Tracker) UpdatePeer(vm ident.VM, instance, seq uint64, part int, load map[ident.Server]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[vm]
-	continued := instance == p.instance && seq == p.seq && part > 0
+	continued := instance == p.instance && seq == p.seq && len(p.parts) > 0 && !slices.Contains(p.parts, part)
 	if instance < p.instance || instance == p.instance && seq <= p.seq && !continued {
 		return
 	}
 	for s, l := range load {
 		t.peerTotal[s] = t.peerTotal[s].Plus(l)
 	}
+	parts := []int{part}
 	if continued {
-		maps.Copy(load, p.load)
+		parts = append(parts, p.parts...)
+		load = sum(load, p.load)
 	} else {
 		t.subtract(p)
 	}
-	t.peers[vm] = peer{receivedAt: now, instance: instance, seq: seq, load: load}
+	t.peers[vm] = peer{receivedAt: now, instance: instance, seq: seq, parts: parts, load: load}
 	t.signalChanged()
 }
 
+// sum returns the sums of two VMs' loads, or of two parts of one VM's.
+func sum(a, b map[ident.Server]Load) map[ident.Server]Load {
+	out := maps.Clone(a)
+	for s, l := range b {
+		out[s] = out[s].Plus(l)
+	}
+	return out
+}
+
 // subtract removes a peer's loads from the total.
 func (t *Tracker) subtract(p peer) {
 	for s, l := range p.load {
--- a/internal/route/alloc/tracker_test.go
+++ b/internal/route/alloc/tracker_test.go
@@ -1,7 +1,9 @@
 package alloc
 
 import (
+	"maps"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -42,3 +44,42 @@
 		}
 	})
 }
+
+// TestParts guards against loads of a report in several parts that are counted twice or not
+// at all, because datagrams are repeated or overtake one another.
+func TestParts(t *testing.T) {
+	now := time.Now()
+	first := map[ident.Server]Load{"a": {Calls: 1}}
+	second := map[ident.Server]Load{"b": {Calls: 2}}
+	third := map[ident.Server]Load{"b": {Calls: 4}, "c": {Calls: 3}}
+	for name, order := range map[string][]int{
+		"in order":                   {0, 1, 2},
+		"the last part is repeated":  {0, 1, 2, 2, 2},
+		"the first part comes late":  {1, 2, 0},
+		"the first part is repeated": {0, 1, 0, 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := New()
+			tracker.UpdatePeer("vm", 1, 6, 0, map[ident.Server]Load{"old": {Calls: 9}}, now)
+			for _, part := range order {
+				loads := []map[ident.Server]Load{first, second, third}[part]
+				tracker.UpdatePeer("vm", 1, 7, part, maps.Clone(loads), now)
+			}
+			assert.DeepEqual(t, tracker.All(now), map[ident.Server]Load{"a": {Calls: 1}, "b": {Calls: 6}, "c": {Calls: 3}})
+			tracker.UpdatePeer("vm", 1, 8, 0, map[ident.Server]Load{}, now)
+			assert.Equal(t, len(tracker.All(now)), 0, "replaced by the next report")
+		})
+	}
+}
+
+// TestFailures checks that a failed run counts for a limited time.
+func TestFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := New()
+		tracker.RecordFailure("s")
+		tracker.RecordFailure("s")
+		assert.Equal(t, tracker.All(time.Now())["s"].Failures, 2)
+		time.Sleep(FailureMemory + time.Millisecond)
+		assert.Equal(t, tracker.All(time.Now())["s"].Failures, 0)
+	})
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -163,7 +163,7 @@
 			PrefillBacklog: l.Backlog,
 			IncomingCopies: purpose.transfersAhead(l),
 			CrossDomain:    s.Domain != from,
-			Weight:         c.health.Weight(s.ID, now),
+			Weight:         c.health.Weight(s.ID, now) * assign.FailureWeight(l.Failures),
 			Skip:           slices.Contains(exclude, s.ID) || !r.mayRunIn(s.Domain),
 		}
 		known = known || !servers[i].Skip
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -206,7 +207,11 @@
 	}
 	sent := time.Now()
 	f.Rates.RecordSent(s.ID, sent)
+	overdue := time.AfterFunc(cmp.Or(f.Route.LatencyTarget, f.Route.Timeout), func() { f.Alloc.RecordFailure(s.ID) })
 	resp, err := f.Backend.Send(ctx, attempt)
+	if inTime := overdue.Stop(); err != nil && inTime && !task.IsUnsent(err) && ctx.Err() == nil {
+		f.Alloc.RecordFailure(s.ID)
+	}
 	if err != nil {
 		f.Health.Failure(s.ID, time.Now())
 		return nil, err
