--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -36,6 +36,7 @@
 	metricQueued          = "umberladder_waiting_at_home"
 	metricQuarantined     = "umberladder_quarantined_requests"
 	metricServersLimited  = "umberladder_servers_limited"
+	metricEvacuated       = "umberladder_failure_domains_evacuated"
 )
 
 // Metric describes one metric.
@@ -74,6 +75,7 @@
 		{metricPlacements, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
 		{metricQueued, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
+		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
 		{metricQuarantined, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
 	}
@@ -105,6 +107,7 @@
 		metricQueued:         func() float64 { return float64(v.coordinator.QueueLen()) },
 		metricReady:          func() float64 { return boolValue(v.Ready()) },
 		metricServersLimited: func() float64 { return float64(v.node.Rates.LimitedCount(time.Now())) },
+		metricEvacuated:      func() float64 { return float64(len(v.node.Servers.Evacuations().Domains)) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
 	} {
 		v.metricSet.NewGauge(name, f)
