Evacuate a failure domain in the soak, and derive staleness from the heartbeat

The soak has operators evacuate a failure domain for 7 s (--evacuations) and checks that no healthy VM sends a call there 5 s after the start.

The age from which servers' data count as stale follows from the interval of the servers' heartbeats (server-heartbeat, from the platform's heartbeatMs): entries that lapse sooner than after 3.6 s must not be taken for notices.

--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -36,6 +36,9 @@
 	if r.cfg.Crashes {
 		kinds = append(kinds, faultKind{"fatal-request", r.fatalRequest}, faultKind{"drain-announced", r.announceDrain}, faultKind{"server-busy", r.busyServer})
 	}
+	if r.cfg.Evacuations {
+		kinds = append(kinds, faultKind{"evacuate", r.evacuate})
+	}
 	for ctx.Err() == nil {
 		k := kinds[r.rng.IntN(len(kinds))]
 		r.mu.Lock()
@@ -166,6 +169,7 @@
 		r.sleep(ctx, heartbeatInterval)
 		r.mu.Lock()
 		r.writeSettings()
+		r.writeEvacuation()
 		r.mu.Unlock()
 		r.sleep(ctx, expiryTime-heartbeatInterval)
 		r.mu.Lock()
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -47,6 +47,7 @@
 	Routes        int  // number of routes that the settings grow to, by routesStep per version
 	StoreRestores bool // also restore the store from backup copies
 	Crashes       bool // also have requests crash servers, and servers announce drains and pauses in responses
+	Evacuations   bool // also have operators evacuate a failure domain
 	Program       string
 	Dir           string
 }
@@ -86,6 +87,7 @@
 	faults      map[string]int
 	version     int
 	revoked     map[string]time.Time
+	evacuations []span
 	impairments map[string][]span      // by VM: when it or its connection to the store was impaired
 	stops       map[string][]time.Time // by VM: when its process was stopped or paused
 	nextID      int
@@ -196,7 +198,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nextID++
-	s := fake.NewServer(fmt.Sprintf("%s-%d", service, r.nextID), service, "a", p.Addr(), r.store, r.runLog)
+	s := fake.NewServer(fmt.Sprintf("%s-%d", service, r.nextID), service, r.nextDomain(), p.Addr(), r.store, r.runLog)
 	b := &backend{server: s, proxy: p, ln: ln}
 	s.OnFatal(func() { r.crashOnFatal(ctx, b) })
 	r.backends = append(r.backends, b)
@@ -260,7 +262,7 @@
 	if c.violation != "" {
 		return c.violation
 	}
-	if s := cmp.Or(r.retiredViolation(c, runs), r.drainViolation(c, runs)); s != "" {
+	if s := cmp.Or(r.retiredViolation(c, runs), r.drainViolation(c, runs), r.evacuationViolation(c, runs)); s != "" {
 		return s
 	}
 	return r.responseViolation(c, runs)
--- a/internal/load/soak/vm.go
+++ b/internal/load/soak/vm.go
@@ -60,7 +60,7 @@
 }
 
 const settingsTemplate = `{"name":%q,"failure-domain":"a","callers-address":%q,"ready-address":%q,"metrics-address":%q,
-"peers-address":%q,"store-address":%q,"stop-grace":%q,"revoke-bound":"5s","apply-bound":"2s","retry-budget":{"ratio":0.2,"extra":54,"window":"10s"}}`
+"peers-address":%q,"store-address":%q,"stop-grace":%q,"revoke-bound":"5s","apply-bound":"2s","server-heartbeat":%q,"retry-budget":{"ratio":0.2,"extra":54,"window":"10s"}}`
 
 // newVM writes the settings file of VM n. The VM reaches the store at storeAddr,
 // the address of a proxy.
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	v := &vm{name: fmt.Sprintf("vm-%d", n), dir: dir, program: program, clientAddr: ports[0], readyAddr: ports[1]}
-	data := fmt.Sprintf(settingsTemplate, v.name, ports[0], ports[1], ports[2], ports[3], storeAddr, stopGrace.String())
+	data := fmt.Sprintf(settingsTemplate, v.name, ports[0], ports[1], ports[2], ports[3], storeAddr, stopGrace.String(), heartbeatInterval.String())
 	return v, trace.ConvertSystemError(os.WriteFile(v.path(".json"), []byte(data), 0o600))
 }
 
--- a/internal/peer/gossip/expiry_test.go
+++ b/internal/peer/gossip/expiry_test.go
@@ -130,7 +130,7 @@
 func (v *node) initServers(r *registry) {
 	clock := func() uptime.Instant { return uptime.Instant(time.Now().UnixNano()) }
 	v.table = srvtab.NewTable(v.announce)
-	v.servers = follow.NewServerFollower(registryClient{registry: r, vm: v}, v.table, clock,
+	v.servers = follow.NewServerFollower(registryClient{registry: r, vm: v}, v.table, heartbeat, clock,
 		func() bool { return !v.hubs.ShouldWatch(time.Now()) },
 		func() bool { return v.hubs.ProbesStore(time.Now()) },
 		func() bool { return v.hubs.LeadsWatch(time.Now()) },
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -38,6 +38,8 @@
 	// Regions are the regions of the failure domains.
 	Regions   map[ident.FailureDomain]ident.Region
 	ColdLimit ColdLimit
+	// ServerHeartbeat is the interval at which servers write their entries in the store.
+	ServerHeartbeat time.Duration
 }
 
 // ColdLimit limits the requests that a server gets from all VMs within a second while it is
@@ -79,6 +81,7 @@
 	Quarantine quarantineWire    `json:"quarantine,omitzero"`
 	Regions    map[string]string `json:"regions,omitzero"`
 	ColdLimit  coldLimitWire     `json:"cold-limit,omitzero"`
+	Heartbeat  *string           `json:"server-heartbeat,omitzero"`
 }
 
 type coldLimitWire struct {
@@ -111,6 +114,7 @@
 	DefaultRetryWindow       = 10 * time.Second
 	DefaultColdFactor        = 1.0
 	DefaultColdSlack         = 0.0
+	DefaultServerHeartbeat   = 1200 * time.Millisecond
 	// DefaultQuarantineCrashes and DefaultQuarantineTime are the defaults for the
 	// quarantine of requests.
 	DefaultQuarantineCrashes = 3
@@ -180,6 +184,7 @@
 			Factor: f.Float("/cold-limit/factor", w.ColdLimit.Factor, DefaultColdFactor, 0, 1000),
 			Slack:  f.Float("/cold-limit/slack", w.ColdLimit.Slack, DefaultColdSlack, 0, 1e6),
 		},
+		ServerHeartbeat: f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
 	}
 	return e, f.Err()
 }
@@ -237,6 +242,7 @@
 		{"regions", "{}", "region of each failure domain; calls may be bound to regions"},
 		{"cold-limit/factor", formatFloat(DefaultColdFactor), "requests within a second to a server that is cold, over all VMs, as a multiple of the rate that its service states"},
 		{"cold-limit/slack", formatFloat(DefaultColdSlack), "requests beyond these"},
+		{"server-heartbeat", DefaultServerHeartbeat.String(), "interval at which servers write their entries in the store; an entry lapses after three"},
 	}
 }
 
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -46,7 +46,7 @@
 		"nodeName|json": `"edge-a-1"`, "zone|json": `"a"`, "listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`,
 		"ip": "10.0.0.1", "internalPorts.0": "7200", "listen.control|json": `"10.0.0.1:7215"`, "seeds|json": `["10.0.0.3:7215"]`, "platform.address|json": `"10.0.0.2:80"`,
 		"bounds.revokeMs": "5000", "bounds.configApplyMs": "3000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
-		"zones|json": `{"a":"north","b":"south"}`, "#bounds.coldExcess": "", "/bounds.coldExcess": "", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5",
+		"zones|json": `{"a":"north","b":"south"}`, "heartbeatMs": "1200", "#bounds.coldExcess": "", "/bounds.coldExcess": "", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5",
 		"limits.cpuShare": "0.4", "limits.linkMbps": "20.0",
 	}
 	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(data), func(s string) string {
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -79,7 +79,7 @@
 	n.Rates = rates.New(n.Budget, n.limitChanged)
 	n.registrar = hubreg.New(self, start, n.Hubs, deps.Registry, n.Poison, n.reportNow, log)
 	n.settingsFollower = follow.NewSettingsFollower(deps.Settings, n.Settings, n.Servers, uptime.Now, n.settingsFromPeers, n.probesStore, n.announce, log)
-	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
+	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, cfg.ServerHeartbeat, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
 	return n
 }
 
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -24,6 +24,9 @@
 	"umberladder/internal/state/watch"
 )
 
+// testHeartbeat is the interval at which servers write their entries.
+const testHeartbeat = 1200 * time.Millisecond
+
 // store is a fake of the platform's store that runs in virtual time.
 type store struct {
 	mu      sync.Mutex
@@ -243,7 +246,7 @@
 		receivesUpdates := v.receivesUpdates.Load
 		always := func() bool { return true }
 		v.settings = NewSettingsFollower(s, v.current, v.table, v.clock, receivesUpdates, always, func() { v.changes.Add(1) }, zap.NewNop())
-		v.servers = NewServerFollower(s, v.table, v.clock, receivesUpdates, always, always, func() { v.changes.Add(1) }, v.fetch, zap.NewNop())
+		v.servers = NewServerFollower(s, v.table, testHeartbeat, v.clock, receivesUpdates, always, always, func() { v.changes.Add(1) }, v.fetch, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var g errgroup.Group
@@ -477,7 +480,7 @@
 	s := newStore()
 	s.put(entry(1))
 	runFollowers(t, s, func(v *vm) {
-		follower := NewServerFollower(s, srvtab.NewTable(func() {}), v.clock, func() bool { return true }, nil, nil, func() {}, nil, zap.NewNop())
+		follower := NewServerFollower(s, srvtab.NewTable(func() {}), testHeartbeat, v.clock, func() bool { return true }, nil, nil, func() {}, nil, zap.NewNop())
 		follower.rev = 1
 		v.suspended.Store(int64(suspension))
 		assert.Assert(t, v.current.Age() >= suspension, "%s", v.current.Age())
@@ -676,7 +679,7 @@
 	var v *ServerFollower
 	table := srvtab.NewTable(func() { v.Age() })
 	never := func() bool { return false }
-	v = NewServerFollower(newStore(), table, uptime.Now, never, never, never, func() {}, nil, zap.NewNop())
+	v = NewServerFollower(newStore(), table, testHeartbeat, uptime.Now, never, never, never, func() {}, nil, zap.NewNop())
 	v.rev = 1
 	var callers, waiter errgroup.Group
 	callers.Go(func() error {
--- a/internal/state/follow/order_test.go
+++ b/internal/state/follow/order_test.go
@@ -37,7 +37,7 @@
 		return Update{}, ErrNoPeer
 	}
 	for range n {
-		f.vms = append(f.vms, NewServerFollower(newStore(), srvtab.NewTable(func() {}), uptime.Now, never, never, never, func() {}, fetch, zap.NewNop()))
+		f.vms = append(f.vms, NewServerFollower(newStore(), srvtab.NewTable(func() {}), testHeartbeat, uptime.Now, never, never, never, func() {}, fetch, zap.NewNop()))
 	}
 	for _, v := range f.vms {
 		v.applyList(nil, f.rev, uptime.Now())
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -26,10 +26,10 @@
 	standbyBatchDelay = 500 * time.Millisecond
 	// expireInterval is how often the expired entries are checked.
 	expireInterval = 100 * time.Millisecond
-	// staleAge is the age of the server data above which this VM may have missed a store
-	// outage. Entries expire after three heartbeats of 1.2 s, so none expires in a shorter
-	// outage.
-	staleAge = 2 * time.Second
+	// staleHeartbeats is the age of the server data, in heartbeats of the servers, above
+	// which this VM may have missed a store outage. Entries expire after three heartbeats
+	// and are up to one heartbeat old, so none expires in an outage of less than two.
+	staleHeartbeats = 5.0 / 3
 )
 
 // Change is one change of a server's entry.
@@ -76,6 +76,7 @@
 	receivesUpdates func() bool
 	probes          func() bool
 	leads           func() bool
+	staleAge        time.Duration
 	onChange        func()
 	fetch           func(ctx context.Context) (Update, error)
 
@@ -117,14 +118,18 @@
 // NewServerFollower returns a follower of the servers. It watches the store while
 // receivesUpdates reports false, that is, while no updates come from other VMs. It polls
 // more often if leads reports that this VM is the first of the hubs that watch the store.
+// heartbeat is the interval at which servers write their entries.
 // probes reports whether this VM must quickly detect that the store has recovered. The
 // follower calls onChange when it has new changes to send to other VMs. While it has no
 // data, it copies the servers from another VM with fetch, or reads them in the store if no
 // other VM can provide them.
-func NewServerFollower(src ServerSource, table *srvtab.Table, clock uptime.Clock, receivesUpdates, probes, leads func() bool, onChange func(),
+func NewServerFollower(src ServerSource, table *srvtab.Table, heartbeat time.Duration, clock uptime.Clock, receivesUpdates, probes, leads func() bool, onChange func(),
 	fetch func(ctx context.Context) (Update, error), log *zap.Logger,
 ) *ServerFollower {
-	return &ServerFollower{src: src, table: table, clock: clock, receivesUpdates: receivesUpdates, probes: probes, leads: leads, onChange: onChange, fetch: fetch, log: log}
+	return &ServerFollower{
+		src: src, table: table, staleAge: time.Duration(staleHeartbeats * float64(heartbeat)), clock: clock,
+		receivesUpdates: receivesUpdates, probes: probes, leads: leads, onChange: onChange, fetch: fetch, log: log,
+	}
 }
 
 // RecentChanges returns the recent changes as an update for other VMs. It returns false
@@ -283,7 +288,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := s.age()
-	stale := s.confirmed != 0 && age > staleAge
+	stale := s.confirmed != 0 && age > s.staleAge
 	if !stale {
 		return s.graceEnd
 	}
