--- a/internal/proc/cmds/root.go
+++ b/internal/proc/cmds/root.go
@@ -67,6 +67,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newEdge(), newSettings(), newStatus(), newExplain(), newReport(), newDrain(), newKey(), newTrace(), newVersion())
+	root.AddCommand(newServe(), newEdge(), newSettings(), newStatus(), newExplain(), newReport(), newDrain(), newKey(), newTrace(), newLosses(), newVersion())
 	return root
 }
