--- a/internal/proc/cmds/losses.go
+++ b/internal/proc/cmds/losses.go
@@ -14,7 +14,7 @@
 func newLosses() *cobra.Command {
 	return &cobra.Command{
 		Use:   "losses [FILE...]",
-		Short: "Summarize from the logs of the VMs which calls were lost and why",
+		Short: "Summarise from the logs of the VMs which calls were lost and why",
 		Long: "Reads logs of any number of VMs, or standard input, and prints by service and kind of call how many\n" +
 			"calls ended, which causes the others had, how many streams moved, and the time between their events.",
 		Example: "  umberladder losses logs/*.log",
--- a/internal/proc/losses/losses.go
+++ b/internal/proc/losses/losses.go
@@ -1,4 +1,4 @@
-// Package losses summarizes from the logs of VMs how calls ended: which were lost and why,
+// Package losses summarises from the logs of VMs how calls ended: which were lost and why,
 // and how fast streams were.
 package losses
 
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/stream"
 	"umberladder/internal/route/task"
@@ -38,6 +39,13 @@
 	// shutdownRetryAfter is the retry delay of calls refused by a VM that is
 	// shutting down.
 	shutdownRetryAfter = 20 * time.Millisecond
+	// startupTime is how long after its start a VM may lack settings and servers because
+	// all VMs have started at once. A single VM that starts gets no calls before it has both.
+	startupTime = 2 * time.Second
+	// startupWait is how long a call waits for them at most, and startupPollInterval how
+	// often they are looked for. Clients of a fleet that was lost have few retries left.
+	startupWait         = 500 * time.Millisecond
+	startupPollInterval = 10 * time.Millisecond
 	// maxTokenTime is the longest time per generated token at an engine that is not
 	// overloaded.
 	maxTokenTime = 10 * time.Millisecond
@@ -46,11 +54,24 @@
 // Relay serves the calls of clients. It is safe for concurrent use.
 type Relay struct {
 	task.Deps
+	startedAt  time.Time
 	shutdownAt atomic.Int64 // when the VM shuts down, in Unix nanoseconds; zero: not shutting down
 }
 
 // New returns a Relay with the given dependencies.
-func New(d task.Deps) *Relay { return &Relay{Deps: d} }
+func New(d task.Deps) *Relay { return &Relay{Deps: d, startedAt: time.Now()} }
+
+// awaitStartup waits until a VM that has just started has settings and servers, for a
+// limited time.
+func (r *Relay) awaitStartup(ctx context.Context) {
+	for waited := time.Duration(0); waited < startupWait; waited += startupPollInterval {
+		complete := r.Settings.Load() != nil && r.Servers.View().Len() > 0
+		if complete || time.Since(r.startedAt) > startupTime || ctx.Err() != nil {
+			return
+		}
+		retry.Sleep(ctx, startupPollInterval)
+	}
+}
 
 // Drain makes the relay refuse calls that are not expected to complete by end,
 // the time at which the VM shuts down.
@@ -84,6 +105,7 @@
 // write to the client, or nil if a response was written, even in part.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, w port.ResponseWriter) *refuse.Refusal {
 	a := &admission{relay: r, Task: &task.Task{Deps: r.Deps, Call: c, Writer: w, Result: task.Result{Call: c}}}
+	r.awaitStartup(ctx)
 	refusal := a.admit(ctx)
 	if refusal == nil {
 		refusal = a.serve(ctx)
