--- a/internal/policy/rates/pacer.go
+++ b/internal/policy/rates/pacer.go
@@ -43,9 +43,9 @@
 	return max(int(paceShare*limit), 1)
 }
 
-// IndependentRate returns the mean rate, per second, at which requests may arrive from VMs
-// that do not know of one another's, at a server that tolerates limit requests within any
-// second.
+// IndependentRate returns the mean rate, in requests per second, at which VMs that decide
+// independently of one another may together use a server that tolerates limit requests
+// within any second.
 func IndependentRate(limit float64) float64 {
 	return max(limit-coldTailSigmas*math.Sqrt(limit), minColdShare*limit)
 }
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -177,21 +177,21 @@
 }
 
 // isPaced reports whether a server gets no run now because it may be cold. A server may
-// become cold before any VM knows of it, so the coordinator keeps to the limit of a cold
-// server always. A VM that decides by itself keeps to its share, and only at servers that
-// are known to be cold. A copy is kept at no cold server, as its run could not go on there.
+// become cold before any VM knows of it, so the coordinator always keeps to the limit of a
+// cold server. A VM that decides by itself keeps to its share of the limit, at servers that
+// are known to be cold. Copies are not kept at cold servers, where their runs could not
+// continue.
 func (c *Chooser) isPaced(r *Request, purpose Purpose, view *srvtab.View, s *srvtab.Server, now time.Time) bool {
-	if r.ColdLimit <= 0 {
+	switch {
+	case r.ColdLimit <= 0:
 		return false
+	case purpose == Backup:
+		return view.IsCold(s, r.ColdTime, now)
+	case r.Local:
+		return view.IsCold(s, r.ColdTime, now) && !c.pacer.Allows(s.ID, r.ColdLimit/c.rates.VMs(now), now)
+	default:
+		return !c.pacer.Allows(s.ID, r.ColdLimit, now)
 	}
-	limit := r.ColdLimit
-	if purpose == Backup || r.Local {
-		if !view.IsCold(s, r.ColdTime, now) {
-			return false
-		}
-		limit /= c.rates.VMs(now)
-	}
-	return purpose == Backup || !c.pacer.Allows(s.ID, limit, now)
 }
 
 // fillRatio returns how full the service's engines are in total.
