--- a/internal/peer/linger/linger.go
+++ b/internal/peer/linger/linger.go
@@ -16,7 +16,7 @@
 	maxBytes = 8 << 20
 )
 
-// halfCloser is a connection whose write side can be closed alone, as that of
+// halfCloser is a connection whose write side can be closed separately, such as
 // *net.TCPConn.
 type halfCloser interface {
 	CloseWrite() error
@@ -25,7 +25,7 @@
 // Drain closes the write side of a connection after the last response, and discards what
 // the client still sends until the client closes its side or a limit is reached. The caller
 // closes the connection afterwards. Drain does nothing if the write side can't be closed
-// alone.
+// separately.
 func Drain(c net.Conn) {
 	tcp, ok := c.(halfCloser)
 	if !ok || tcp.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(maxTime)) != nil {
--- a/internal/route/task/region.go
+++ b/internal/route/task/region.go
@@ -9,8 +9,8 @@
 )
 
 // bounds returns the lists of regions to which the call is bound, by the settings in force.
-// They may change while a stream runs. A route or workspace that the settings no longer
-// have keeps its last list.
+// They may change while a stream runs. A route or workspace that has been removed from the
+// settings keeps its last list.
 func (t *Task) bounds() [][]ident.Region {
 	route, workspace := t.Route, t.boundWorkspace
 	if snap := t.Settings.Load(); snap != nil {
--- a/internal/state/srvtab/evac.go
+++ b/internal/state/srvtab/evac.go
@@ -97,7 +97,7 @@
 }
 
 // Accepts reports whether a server may be sent new work now. A placement made earlier, or
-// by another VM, may name a server that no longer accepts any.
+// by another VM, may name a server that has stopped accepting it.
 func (v *View) Accepts(id ident.Server) bool {
 	s := v.servers[id]
 	return s != nil && !s.Draining && !v.IsEvacuated(s.Domain)
