Share the parts of the table of servers that a change leaves alone

Cause: each change of one server copied the table: all maps, and the list of each service. Every VM applies every change, so the work grew with the square of the servers. A drain also visited all drains of ten minutes, and so did each message of a hub, to find those to announce.

Change: servers are held in copy-on-write B-trees (tidwall/btree), one of all and one for each service and failure domain; a view shares the nodes that did not change. The order of servers is that of their IDs instead of a map's. Drains that are announced have a list of their own. The channel that says that a server is retired is made when a call first waits for it, and names of services and domains are shared.

--- a/internal/core/ident/server.go
+++ b/internal/core/ident/server.go
@@ -22,6 +22,10 @@
 	return Server(name + startSeparator + strconv.FormatInt(startTime.UnixMilli(), 10))
 }
 
+// FirstInstance returns a lower bound, in string order, of the IDs of a server's instances
+// that have a start time.
+func FirstInstance(name string) Server { return Server(name + startSeparator) }
+
 // CheckServer returns an error if s is not a valid name of a server. A name with the
 // separator could be mistaken for an instance of another server.
 func CheckServer(s string) error {
--- a/internal/state/srvtab/cold.go
+++ b/internal/state/srvtab/cold.go
@@ -12,17 +12,15 @@
 
 // recordCold records that a server is cold for some more time. It reports whether that was
 // not known before. The caller holds the lock.
-func (t *Table) recordCold(id ident.Server, remaining time.Duration, now time.Time) bool {
-	if remaining <= 0 {
-		return false
-	}
+func (t *Table) recordCold(s *Server, remaining time.Duration, now time.Time) bool {
 	until := now.Add(remaining)
-	known := t.coldUntil[id]
-	if !until.After(known) {
+	if remaining <= 0 || !until.After(s.coldUntil) {
 		return false
 	}
-	t.coldUntil[id] = until
-	return until.Sub(known) > coldSkew
+	c := *s
+	c.coldUntil = until
+	t.set(&c)
+	return until.Sub(s.coldUntil) > coldSkew
 }
 
 // MarkCold records that a server has reported that it is cold for some more time.
@@ -32,7 +30,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.servers[id] != nil && t.recordCold(id, remaining, now) {
+	if s := t.server(id); s != nil && t.recordCold(s, remaining, now) {
 		t.publish()
 	}
 }
@@ -41,7 +39,7 @@
 // its service are cold after a start. Those of an evacuated domain may have started again
 // unnoticed, so they count as cold for that time after the end of the evacuation.
 func (v *View) IsCold(s *Server, coldTime time.Duration, now time.Time) bool {
-	if now.Before(v.coldUntil[s.ID]) {
+	if known := v.Server(s.ID); known != nil && now.Before(known.coldUntil) {
 		return true
 	}
 	returned, ok := v.returnedAt[s.Domain]
--- a/internal/state/srvtab/drain.go
+++ b/internal/state/srvtab/drain.go
@@ -13,6 +13,8 @@
 	// confirms it. A store outage may last for minutes; a draining server ends sooner.
 	drainRetention    = 10 * time.Minute
 	drainAnnounceTime = time.Minute
+	// drainPurgeInterval is how often drains older than drainRetention are removed.
+	drainPurgeInterval = time.Minute
 	// maxAnnounced bounds the number of drains in one message.
 	maxAnnounced = 100
 )
@@ -21,17 +23,21 @@
 type drain struct {
 	at        time.Time
 	confirmed bool // the entry in the store says so or is gone, so other VMs learn it from the store
-	announce  bool
+	announced bool // this VM announces the drain, or has done so
 }
 
 // recordDrain returns the drain of a server, and records one that begins now if there is
-// none. It also removes drains older than drainRetention.
+// none. At times it also removes drains older than drainRetention.
 func (t *Table) recordDrain(id ident.Server, now time.Time) *drain {
 	d := t.drains[id]
 	if d == nil {
 		d = &drain{at: now}
 		t.drains[id] = d
 	}
+	if now.Sub(t.drainsPurgedAt) < drainPurgeInterval {
+		return d
+	}
+	t.drainsPurgedAt = now
 	for other, o := range t.drains {
 		if now.Sub(o.at) > drainRetention {
 			delete(t.drains, other)
@@ -55,8 +61,9 @@
 	for _, id := range ids {
 		known := t.drains[id] != nil
 		d := t.recordDrain(id, now)
-		if announce && !d.announce {
-			d.announce = true
+		if announce && !d.announced {
+			d.announced = true
+			t.announcing[id] = d
 			t.onRetire()
 		}
 		if known {
@@ -73,14 +80,14 @@
 
 // retire stops new work to a server, which continues to serve the calls that it has.
 func (t *Table) retire(id ident.Server) {
-	old := t.servers[id]
+	old := t.server(id)
 	if old == nil || old.Draining {
 		return
 	}
-	s := &Server{Entry: old.Entry, retired: old.retired}
+	s := *old
 	s.Draining = true
-	t.servers[id] = s
-	close(s.retired)
+	t.set(&s)
+	s.retirement.fire()
 }
 
 // DrainsToAnnounce returns the servers whose drain this VM announces, latest first. It
@@ -90,11 +97,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []ident.Server
-	for id, d := range t.drains {
+	for id, d := range t.announcing {
 		age := now.Sub(d.at)
-		if d.announce && (age <= retireAnnounceTime || !d.confirmed && age <= drainAnnounceTime) {
-			out = append(out, id)
+		if age > drainAnnounceTime || d.confirmed && age > retireAnnounceTime {
+			delete(t.announcing, id)
+			continue
 		}
+		out = append(out, id)
 	}
 	slices.SortFunc(out, func(a, b ident.Server) int { return t.drains[b].at.Compare(t.drains[a].at) })
 	return out[:min(len(out), maxAnnounced)]
--- a/internal/state/srvtab/evac.go
+++ b/internal/state/srvtab/evac.go
@@ -66,6 +66,9 @@
 		returned[d] = time.Now()
 	}
 	t.evacuatedSince, t.returnedAt = since, returned
+	for name := range t.pools {
+		t.changed[name] = struct{}{}
+	}
 	t.publish()
 	return true
 }
@@ -99,18 +102,15 @@
 // Accepts reports whether a server may be sent new work now. A placement made earlier, or
 // by another VM, may name a server that has stopped accepting it.
 func (v *View) Accepts(id ident.Server) bool {
-	s := v.servers[id]
+	s := v.Server(id)
 	return s != nil && !s.Draining && !v.IsEvacuated(s.Domain)
 }
 
 // EvacuatedOf returns how many servers of a service are unused only because their failure
 // domain is evacuated.
 func (v *View) EvacuatedOf(name ident.Service) int {
-	n := 0
-	for _, s := range v.servers {
-		if s.Service == name && !s.Draining && v.IsEvacuated(s.Domain) {
-			n++
-		}
+	if svc := v.services[name]; svc != nil {
+		return svc.evacuated
 	}
-	return n
+	return 0
 }
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -1,11 +1,11 @@
 package srvtab
 
 import (
-	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unique"
 
 	"umberladder/internal/core/ident"
 )
@@ -29,55 +29,58 @@
 
 // Server is one instance of a backend server; a restarted server has a new ID under the
 // same name. A Server is immutable; a changed entry creates a new Server that shares
-// the channel.
+// the retirement.
 type Server struct {
 	Entry
-	retired chan struct{}
+	coldUntil  time.Time // end of the cold period, as last reported
+	retirement *retirement
 }
 
 // Retired returns a channel that is closed once the server accepts no new work.
-func (s *Server) Retired() <-chan struct{} { return s.retired }
+func (s *Server) Retired() <-chan struct{} { return s.retirement.done() }
 
 // IsRetired reports whether the server accepts no new work.
-func (s *Server) IsRetired() bool {
-	select {
-	case <-s.retired:
-		return true
-	default:
-		return false
-	}
+func (s *Server) IsRetired() bool { return s.retirement.ended() }
+
+// retirement is the event that a server stops accepting new work. Most servers of a fleet
+// have no call on this VM, so the channel is made when a call first waits for it.
+type retirement struct {
+	mu    sync.Mutex
+	fired bool
+	ch    chan struct{} // nil until it is first requested
 }
 
-// View is an immutable snapshot of the known servers.
-type View struct {
-	servers        map[ident.Server]*Server
-	services       map[ident.Service][]*Server
-	evacuatedSince map[ident.FailureDomain]time.Time // when this VM learned of each evacuation
-	returnedAt     map[ident.FailureDomain]time.Time // when this VM learned of the end of each evacuation
-	coldUntil      map[ident.Server]time.Time
+func (r *retirement) done() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ch == nil {
+		r.ch = make(chan struct{})
+		if r.fired {
+			close(r.ch)
+		}
+	}
+	return r.ch
 }
 
-// ServersOf returns the servers of a service that accept new work.
-func (v *View) ServersOf(name ident.Service) []*Server { return v.services[name] }
-
-// Server returns a known server, which may be draining or evacuated, or nil.
-func (v *View) Server(id ident.Server) *Server { return v.servers[id] }
+func (r *retirement) ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fired
+}
 
-// All returns the entries of all known servers.
-func (v *View) All() []Entry {
-	now := time.Now()
-	out := make([]Entry, 0, len(v.servers))
-	for _, s := range v.servers {
-		e := s.Entry
-		e.Cold = max(v.coldUntil[e.ID].Sub(now), 0)
-		out = append(out, e)
+// fire records the event. Further calls do nothing.
+func (r *retirement) fire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fired {
+		return
+	}
+	r.fired = true
+	if r.ch != nil {
+		close(r.ch)
 	}
-	return out
 }
 
-// Len returns the number of known servers.
-func (v *View) Len() int { return len(v.servers) }
-
 // retireAnnounceTime is how long a retired server is announced to other VMs. It
 // tolerates the loss of three messages.
 const retireAnnounceTime = 1500 * time.Millisecond
@@ -87,32 +90,34 @@
 	onRetire func()
 
 	mu      sync.Mutex
-	servers map[ident.Server]*Server
-	latest  map[string]ident.Server    // the latest instance under each name
-	expired map[ident.Server]time.Time // entries that expired in a store outage, and when they count as gone
-	retired map[ident.Server]time.Time // servers that this VM has seen retire, and when
-	drains  map[ident.Server]*drain    // servers known to drain, even if their entries do not say so
+	servers serverTree                    // the latest instance under each name
+	pools   map[ident.Service]domainPools // servers that are not draining; none is empty
+	changed map[ident.Service]struct{}    // services whose pools differ from those in the view
+	expired map[ident.Server]time.Time    // entries that expired in a store outage, and when they count as gone
+	retired map[ident.Server]time.Time    // servers that this VM has seen retire, and when
+	drains  map[ident.Server]*drain       // servers known to drain, even if their entries do not say so
 	view    atomic.Pointer[View]
 
 	evacuations    Evacuations
 	evacuatedSince map[ident.FailureDomain]time.Time // replaced, never modified
 	returnedAt     map[ident.FailureDomain]time.Time // replaced, never modified
 	evacuationRev  atomic.Uint64                     // evacuations.Rev, for reads without the lock
-	coldUntil      map[ident.Server]time.Time        // servers that are cold, and until when
+	// announcing are the drains that this VM announces, a subset of drains.
+	announcing     map[ident.Server]*drain
+	drainsPurgedAt time.Time
 }
 
 // NewTable returns an empty table. It calls onRetire each time there is a retired
 // or draining server to announce.
 func NewTable(onRetire func()) *Table {
 	t := &Table{
-		onRetire: onRetire,
-		servers:  make(map[ident.Server]*Server),
-		latest:   make(map[string]ident.Server),
-		expired:  make(map[ident.Server]time.Time),
-		retired:  make(map[ident.Server]time.Time),
-		drains:   make(map[ident.Server]*drain),
-
-		coldUntil: make(map[ident.Server]time.Time),
+		onRetire:   onRetire,
+		pools:      make(map[ident.Service]domainPools),
+		changed:    make(map[ident.Service]struct{}),
+		expired:    make(map[ident.Server]time.Time),
+		retired:    make(map[ident.Server]time.Time),
+		drains:     make(map[ident.Server]*drain),
+		announcing: make(map[ident.Server]*drain),
 	}
 	t.publish()
 	return t
@@ -137,37 +142,41 @@
 	if !t.supersede(e.ID) {
 		return false
 	}
-	becameCold := t.recordCold(e.ID, e.Cold, time.Now())
+	now := time.Now()
+	// Entries decoded from separate messages share the few names of services and domains.
+	e.Service = ident.Service(unique.Make(string(e.Service)).Value())
+	e.Domain = ident.FailureDomain(unique.Make(string(e.Domain)).Value())
+	cold := e.Cold
 	e.Cold = 0
 	_, expired := t.expired[e.ID]
 	delete(t.expired, e.ID)
 	if e.Draining {
-		t.recordDrain(e.ID, time.Now()).confirmed = true
+		t.recordDrain(e.ID, now).confirmed = true
 	}
 	// A draining server returns to service only by a restart, under a new ID, so an
 	// entry that shows it as ready is outdated.
 	e.Draining = t.drains[e.ID] != nil
-	old := t.servers[e.ID]
+	old := t.server(e.ID)
 	if old != nil && old.Entry == e {
-		return expired || becameCold
+		return t.recordCold(old, cold, now) || expired
 	}
-	s := &Server{Entry: e, retired: make(chan struct{})}
+	s := &Server{Entry: e, retirement: &retirement{}}
 	if old != nil {
-		s.retired = old.retired
+		s.retirement, s.coldUntil = old.retirement, old.coldUntil
 	}
 	if s.Draining && (old == nil || !old.Draining) {
-		close(s.retired)
+		s.retirement.fire()
 		t.announce(e.ID)
 	}
-	t.servers[e.ID] = s
-	t.latest[e.ID.Name()] = e.ID
+	t.set(s)
+	t.recordCold(s, cold, now)
 	return true
 }
 
 // supersede drops the earlier instance under the server's name, if there is one. It
 // reports false if a later instance is known, which means that id is outdated.
 func (t *Table) supersede(id ident.Server) bool {
-	known, ok := t.latest[id.Name()]
+	known, ok := t.latest(id.Name())
 	if !ok || known == id {
 		return true
 	}
@@ -186,7 +195,7 @@
 func (t *Table) Remove(name string, until time.Time, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id, ok := t.latest[name]
+	id, ok := t.latest(name)
 	if !ok {
 		return false
 	}
@@ -207,7 +216,7 @@
 	defer t.mu.Unlock()
 	var dropped []ident.Server
 	for _, id := range ids {
-		s := t.servers[id]
+		s := t.server(id)
 		if s == nil || s.Draining {
 			continue
 		}
@@ -228,7 +237,7 @@
 func (t *Table) MarkReplaced(id ident.Server) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.servers[id]; s == nil || s.Draining {
+	if s := t.server(id); s == nil || s.Draining {
 		return false
 	}
 	t.recordDrain(id, time.Now()).confirmed = true
@@ -277,11 +286,13 @@
 			changed = append(changed, e)
 		}
 	}
-	for id := range t.servers {
-		if _, ok := seen[id.Name()]; ok {
-			continue
+	t.servers.Scan(func(id ident.Server, _ *Server) bool {
+		if _, ok := seen[id.Name()]; !ok {
+			missing = append(missing, id)
 		}
-		missing = append(missing, id)
+		return true
+	})
+	for _, id := range missing {
 		if now.Before(until) {
 			t.expired[id] = until
 			continue
@@ -325,24 +336,13 @@
 
 func (t *Table) drop(id ident.Server) {
 	delete(t.expired, id)
-	delete(t.coldUntil, id)
 	if d := t.drains[id]; d != nil {
 		d.confirmed = true
 	}
-	s := t.servers[id]
-	delete(t.servers, id)
-	delete(t.latest, id.Name())
-	if s != nil && !s.Draining {
-		close(s.retired)
-	}
-}
-
-func (t *Table) publish() {
-	v := &View{servers: maps.Clone(t.servers), services: make(map[ident.Service][]*Server), evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt, coldUntil: maps.Clone(t.coldUntil)}
-	for _, s := range t.servers {
-		if !s.Draining && !v.IsEvacuated(s.Domain) {
-			v.services[s.Service] = append(v.services[s.Service], s)
-		}
+	s := t.server(id)
+	if s == nil {
+		return
 	}
-	t.view.Store(v)
+	t.remove(s)
+	s.retirement.fire()
 }
