Send each VM the changes of servers that it lacks, compressed once for all

Cause: each message of a hub repeated the changes of the last 2 s, 250 at most, for each VM. Their bytes grew with VMs times the rate of changes times the messages, and above 250 changes between two messages every VM found a gap, dropped what it knew and copied the complete list, or read it in the store in 50 pages, and received no changes meanwhile.

Change: VMs report the revision that they know. A hub responds with the changes after it, and announces those that it has not sent yet (state/delta). A VM that misses an announcement reports at once instead of copying everything. An update that does not fit ends at a revision and says that there is more. Changes are encoded and compressed once for all VMs that lack the same ones. The changes kept are bounded by the number of servers. VMs that report no revision are sent the format that they know.

--- a/internal/peer/gossip/agent.go
+++ b/internal/peer/gossip/agent.go
@@ -30,7 +30,10 @@
 type Delegate interface {
 	// FillReport fills in this VM's own state.
 	FillReport(m *wire.Message, now time.Time)
-	// FillResponse fills in this hub's response to a VM that reports to it.
+	// FillUpdate fills in the changes of servers that this VM sends with a report to a hub.
+	FillUpdate(m *wire.Message, hub ident.VM, now time.Time)
+	// FillResponse fills in this hub's response to a VM that reports to it, or an
+	// announcement to that VM, which has no reply.
 	FillResponse(m *wire.Message, to ident.VM, now time.Time)
 	// HandleReport merges another VM's report.
 	HandleReport(m *wire.Message, from netip.AddrPort, now time.Time)
@@ -170,6 +173,8 @@
 	for _, c := range targets {
 		m.RequestTime = a.delegate.Clock()
 		m.CandidateDigest = a.hubs.CandidateDigest(c.VM)
+		m.ServerUpdate, m.PackedUpdate = nil, nil
+		a.delegate.FillUpdate(m, c.VM, now)
 		a.write(Reports, m, c.Addr)
 	}
 	return len(targets)
@@ -192,7 +197,6 @@
 // sendLoads reports this VM's loads to the coordinators. It returns their number.
 func (a *Agent) sendLoads(now time.Time) int {
 	m := a.newReport(now)
-	m.ServerUpdate = nil
 	addrs := a.delegate.Coordinators()
 	for _, addr := range addrs {
 		a.write(Reports, m, addr)
--- a/internal/peer/gossip/expiry_test.go
+++ b/internal/peer/gossip/expiry_test.go
@@ -16,6 +16,8 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/uptime"
+	"umberladder/internal/peer/wire"
+	"umberladder/internal/state/delta"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
 	"umberladder/internal/state/srvtab"
@@ -50,7 +52,7 @@
 }
 
 func serverEntry(n int) srvtab.Entry {
-	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 8000)
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 8000)
 	return srvtab.Entry{ID: ident.Server(fmt.Sprintf("i-%d@1700000000000", n)), Service: "engines", Addr: addr, Slots: 1}
 }
 
@@ -95,6 +97,7 @@
 
 // Servers implements follow.ServerSource.
 func (c registryClient) Servers(context.Context) ([]srvtab.Entry, follow.Revision, error) {
+	c.net.listReads.Add(1)
 	if err := c.call(); err != nil {
 		return nil, 0, err
 	}
@@ -135,6 +138,7 @@
 		func() bool { return v.hubs.ProbesStore(time.Now()) },
 		func() bool { return v.hubs.LeadsWatch(time.Now()) },
 		v.announce, v.fetchFromHub, zap.NewNop())
+	v.updates, v.packer = delta.NewSender(v.servers), wire.NewPacker()
 }
 
 // announce makes a hub, or a VM that watches the store, send its state to all VMs now.
@@ -150,6 +154,7 @@
 
 // fetchFromHub returns the full server list of the first hub that has one.
 func (v *node) fetchFromHub(context.Context) (follow.Update, error) {
+	v.net.listReads.Add(1)
 	for _, addr := range v.hubs.HubAddrs(time.Now()) {
 		v.net.mu.Lock()
 		hub := v.net.nodes[addr]
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -25,6 +25,7 @@
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
+	"umberladder/internal/state/delta"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubreg"
 	"umberladder/internal/state/hubs"
@@ -63,7 +64,8 @@
 	quarantined []poison.Quarantine // quarantined requests in the store
 	storeDown   bool                // no VM reaches the store
 	seeds       []netip.AddrPort
-	calls       int // to the store: fresh reads, and writes
+	calls       int          // to the store: fresh reads, and writes
+	listReads   atomic.Int64 // complete lists of servers read from the store or another VM
 	// registry holds the servers' entries; nil if the VMs do not follow servers.
 	registry *registry
 }
@@ -83,6 +85,8 @@
 	poison           *poison.Detector
 	table            *srvtab.Table          // nil if the VM does not follow servers
 	servers          *follow.ServerFollower // nil if the VM does not follow servers
+	updates          *delta.Sender
+	packer           *wire.Packer
 	boot             uint64
 	stop             context.CancelFunc
 	inbox            chan datagram
@@ -191,18 +195,19 @@
 	m.Attempts = map[ident.Service]retry.Attempts{"engines": {First: 12}, "plain": {First: 8, Retries: 1}}
 	m.Findings = v.poison.Report(now)
 	v.fillCommon(m, now)
-	if m.Store.Watching {
-		v.addServerUpdate(m, now)
-	}
 }
 
-// addServerUpdate adds the VM's recent server changes to a message.
-func (v *node) addServerUpdate(m *wire.Message, now time.Time) {
-	if v.servers == nil {
-		return
+func (v *node) FillUpdate(m *wire.Message, hub ident.VM, now time.Time) {
+	if m.Store.Watching && v.servers != nil && hub != "" {
+		m.ServerUpdate, _ = v.updates.Missing(hub, now)
+		v.packUpdate(m)
 	}
-	if update, ok := v.servers.RecentChanges(now); ok {
-		m.ServerUpdate = &update
+}
+
+// packUpdate encodes the update of the servers in a message.
+func (v *node) packUpdate(m *wire.Message) {
+	if m.ServerUpdate != nil {
+		m.PackedUpdate, _ = v.packer.Update(m.ServerUpdate)
 	}
 }
 
@@ -212,8 +217,17 @@
 	if v.servers == nil {
 		return
 	}
-	if m.ServerUpdate != nil {
-		v.servers.ApplyUpdate(*m.ServerUpdate, now)
+	v.updates.Record(m.VM, m.ServersRev, now)
+	if u := m.ServerUpdate; u != nil {
+		known := v.servers.Revision()
+		if m.Hub != nil && m.Reply == nil && known != 0 && u.Base > known {
+			v.gossip.ReportNow()
+		} else {
+			v.servers.ApplyUpdate(*u, now)
+		}
+		if u.More {
+			v.gossip.ReportNow()
+		}
 	}
 	v.table.ApplyRetired(m.Retired, forward)
 	if v.table.ApplyEvacuations(m.Evacuations) {
@@ -232,6 +246,7 @@
 		m.Retired = v.table.RetiredToAnnounce(now)
 		m.Evacuations = v.table.Evacuations()
 		m.Store.Age = v.servers.Age()
+		m.ServersRev, m.ServersRevKnown = v.servers.Revision(), true
 	}
 }
 
@@ -240,7 +255,14 @@
 	m.Hub.PeerAttempts = map[ident.Service]retry.Attempts{"engines": {First: 1700}, "plain": {First: 2200, Retries: 120}}
 	m.Findings = v.poison.Response(to, now)
 	v.fillCommon(m, now)
-	v.addServerUpdate(m, now)
+	switch {
+	case v.servers == nil:
+	case m.Reply != nil:
+		m.ServerUpdate, _ = v.updates.Missing(to, now)
+	default:
+		m.ServerUpdate, _ = v.updates.New(to, now)
+	}
+	v.packUpdate(m)
 }
 
 func (v *node) processReport(m *wire.Message, from netip.AddrPort) hubs.Report {
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -33,6 +33,12 @@
 	SettingsVersion uint64           // of the settings in force
 	Store           hubs.StoreStatus // the VM's connection to the store
 	ServerUpdate    *follow.Update   // changes of servers; nil: none sent
+	// PackedUpdate is ServerUpdate as encoded by a Packer. It is sent in its place.
+	PackedUpdate []byte
+	// ServersRev is the revision of the servers that the VM knows; zero: it does not know
+	// all of them. ServersRevKnown is false in messages of VMs that do not report it.
+	ServersRev      follow.Revision
+	ServersRevKnown bool
 	// Findings are what the VM knows of requests that crash the servers that run them.
 	Findings         []poison.Finding
 	QuarantineDigest uint64 // of the VM's quarantine decisions; zero: it has none
@@ -87,6 +93,7 @@
 	fieldQuarantineDigest  = 22
 	fieldLimit             = 23
 	fieldEvacuations       = 24
+	fieldServersRev        = 25 // plus one
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -140,7 +147,12 @@
 	if m.CandidateDigest != 0 {
 		b = appendNumber(b, fieldCandidateDigest, m.CandidateDigest)
 	}
-	if m.ServerUpdate != nil {
+	if m.ServersRevKnown {
+		b = appendNumber(b, fieldServersRev, uint64(m.ServersRev)+1)
+	}
+	if m.PackedUpdate != nil {
+		b = appendBytes(b, fieldServerUpdate, m.PackedUpdate)
+	} else if m.ServerUpdate != nil {
 		b = appendBytes(b, fieldServerUpdate, EncodeServerUpdate(m.ServerUpdate))
 	}
 	b = m.appendFindings(b, time.Now())
@@ -301,6 +313,8 @@
 		m.QuarantineDigest = v
 	case fieldRequestTime:
 		m.RequestTime = v
+	case fieldServersRev:
+		m.ServersRev, m.ServersRevKnown = follow.Revision(v-1), v > 0
 	}
 }
 
--- a/internal/peer/wire/parts.go
+++ b/internal/peer/wire/parts.go
@@ -26,7 +26,7 @@
 	}
 	for n, loads := range splitLoads(m.Loads) {
 		part := *m
-		part.ServerUpdate, part.Loads, part.Part = nil, loads, n
+		part.ServerUpdate, part.PackedUpdate, part.Loads, part.Part = nil, nil, loads, n
 		out = append(out, part.Encode())
 	}
 	return out
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -19,6 +19,8 @@
 	updateRev    = 2
 	updateChange = 3
 	updateAge    = 4
+	updateMore   = 5
+	updatePacked = 6 // updateChange fields, compressed
 
 	changeRev      = 1
 	changeServer   = 2
@@ -34,10 +36,22 @@
 
 // EncodeServerUpdate encodes an update of servers.
 func EncodeServerUpdate(update *follow.Update) []byte {
+	return append(encodeUpdateHeader(update), encodeChanges(update.Changes)...)
+}
+
+func encodeUpdateHeader(update *follow.Update) []byte {
 	b := appendNumber(nil, updateBase, uint64(update.Base))
 	b = appendNumber(b, updateRev, uint64(update.Rev))
 	b = appendNumber(b, updateAge, uint64(update.Age))
-	for _, c := range update.Changes {
+	if update.More {
+		b = appendNumber(b, updateMore, 1)
+	}
+	return b
+}
+
+func encodeChanges(changes []follow.Change) []byte {
+	var b []byte
+	for _, c := range changes {
 		b = appendBytes(b, updateChange, encodeChange(c))
 	}
 	return b
@@ -68,7 +82,11 @@
 // DecodeServerUpdate decodes an update of servers.
 func DecodeServerUpdate(b []byte) (*follow.Update, error) {
 	update := &follow.Update{}
-	err := forEachField(b, func(num protowire.Number, data []byte, v uint64) error {
+	return update, decodeUpdateFields(update, b)
+}
+
+func decodeUpdateFields(update *follow.Update, b []byte) error {
+	return forEachField(b, func(num protowire.Number, data []byte, v uint64) error {
 		switch num {
 		case updateBase:
 			update.Base = follow.Revision(v)
@@ -76,16 +94,23 @@
 			update.Rev = follow.Revision(v)
 		case updateAge:
 			update.Age = time.Duration(v)
+		case updateMore:
+			update.More = v != 0
 		case updateChange:
 			c, err := decodeChange(data)
 			if err != nil {
 				return err
 			}
 			update.Changes = append(update.Changes, c)
+		case updatePacked:
+			changes, err := unpackChanges(data)
+			if err != nil {
+				return err
+			}
+			update.Changes = append(update.Changes, changes...)
 		}
 		return nil
 	})
-	return update, err
 }
 
 func decodeChange(b []byte) (follow.Change, error) {
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -88,8 +88,12 @@
 	m.Findings = n.Poison.Report(now)
 	m.Limits = n.Rates.Report(now)
 	d.fillCommon(m, now)
-	if m.Store.Watching {
-		d.fillServerUpdate(m, now)
+}
+
+// FillUpdate implements gossip.Delegate.
+func (d *delegate) FillUpdate(m *wire.Message, hub ident.VM, now time.Time) {
+	if m.Store.Watching && hub != "" {
+		d.setUpdate(m, d.node.updates.Missing, hub, now)
 	}
 }
 
@@ -100,7 +104,11 @@
 	m.Findings = d.node.Poison.Response(to, now)
 	m.Limits = d.node.Rates.Response(to, now)
 	d.fillCommon(m, now)
-	d.fillServerUpdate(m, now)
+	if m.Reply != nil {
+		d.setUpdate(m, d.node.updates.Missing, to, now)
+	} else {
+		d.setUpdate(m, d.node.updates.New, to, now)
+	}
 }
 
 // fillCommon fills in the fields that reports and hub responses have in common.
@@ -114,12 +122,22 @@
 	m.SettingsVersion = n.Version()
 	m.Evacuations = n.Servers.Evacuations()
 	m.Store = n.storeStatus(now)
+	m.ServersRev, m.ServersRevKnown = n.ServerFollower.Revision(), true
 }
 
-func (d *delegate) fillServerUpdate(m *wire.Message, now time.Time) {
-	if update, ok := d.node.ServerFollower.RecentChanges(now); ok {
-		m.ServerUpdate = &update
+// setUpdate sets the changes of servers that are sent to a VM.
+func (d *delegate) setUpdate(m *wire.Message, choose func(ident.VM, time.Time) (*follow.Update, bool), to ident.VM, now time.Time) {
+	update, compact := choose(to, now)
+	m.ServerUpdate = update
+	if update == nil || !compact {
+		return
+	}
+	packed, err := d.node.packer.Update(update)
+	if err != nil {
+		d.node.log.Error("changes of servers not compressed", zap.Error(err))
+		return
 	}
+	m.PackedUpdate = packed
 }
 
 // reportOf returns the sender's report about itself in a message.
@@ -166,8 +184,11 @@
 		n.log.Info("evacuations in force", zap.Any("failure-domains", m.Evacuations.Domains), zap.String("reported-by", string(m.VM)))
 		n.announce()
 	}
+	if m.ServersRevKnown {
+		n.updates.Record(m.VM, m.ServersRev, now)
+	}
 	if m.ServerUpdate != nil {
-		n.ServerFollower.ApplyUpdate(*m.ServerUpdate, now)
+		d.applyUpdate(m, now)
 	}
 	for _, id := range n.Servers.MarkAllDraining(m.Draining, forward, now) {
 		n.log.Info("server drains", zap.String("server", string(id)), zap.String("reported-by", string(m.VM)))
@@ -180,6 +201,22 @@
 	}
 }
 
+// applyUpdate applies changes of servers from another VM. If an announcement before this
+// one was lost, or the sender has more changes, it requests them with a report.
+func (d *delegate) applyUpdate(m *wire.Message, now time.Time) {
+	n := d.node
+	known := n.ServerFollower.Revision()
+	announced := m.Hub != nil && m.Reply == nil
+	if announced && known != 0 && m.ServerUpdate.Base > known {
+		n.reportNow()
+		return
+	}
+	n.ServerFollower.ApplyUpdate(*m.ServerUpdate, now)
+	if m.ServerUpdate.More {
+		n.reportNow()
+	}
+}
+
 // fetchNewer fetches newer settings from the VM that announced them, or from the
 // store if that fails.
 func (d *delegate) fetchNewer(version uint64, from netip.AddrPort) {
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -13,6 +13,7 @@
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/peer/gossip"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/peer/wire"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/retry"
@@ -20,6 +21,7 @@
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/route/placer"
+	"umberladder/internal/state/delta"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubreg"
 	"umberladder/internal/state/hubs"
@@ -46,6 +48,8 @@
 	Rates          *rates.Limiter
 	ServerFollower *follow.ServerFollower
 
+	updates          *delta.Sender
+	packer           *wire.Packer
 	cfg              *conf.Edge
 	settingsFollower *follow.SettingsFollower
 	registrar        *hubreg.Registrar
@@ -80,6 +84,7 @@
 	n.registrar = hubreg.New(self, start, n.Hubs, deps.Registry, n.Poison, n.reportNow, log)
 	n.settingsFollower = follow.NewSettingsFollower(deps.Settings, n.Settings, n.Servers, uptime.Now, n.settingsFromPeers, n.probesStore, n.announce, log)
 	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, cfg.ServerHeartbeat, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
+	n.updates, n.packer = delta.NewSender(n.ServerFollower), wire.NewPacker()
 	return n
 }
 
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -461,11 +461,11 @@
 			v.receivesUpdates.Store(true)
 			time.Sleep(time.Second)
 			rev := NewRevision(1, 1)
-			assert.Assert(t, rev > v.servers.knownRevision(), "revisions of a later era are higher")
+			assert.Assert(t, rev > v.servers.Revision(), "revisions of a later era are higher")
 			v.peerData.Store(&Update{Rev: rev, Changes: []Change{{Rev: rev, Entry: entry(5)}}})
 			v.servers.ApplyUpdate(Update{Base: rev, Rev: rev}, time.Now())
 			time.Sleep(time.Second)
-			assert.Equal(t, v.servers.knownRevision(), rev)
+			assert.Equal(t, v.servers.Revision(), rev)
 			v.servers.ApplyUpdate(Update{Rev: NewRevision(0, 99), Changes: []Change{{Rev: NewRevision(0, 99), Entry: entry(6)}}}, time.Now())
 			v.assertUsable(t, 1, "updates of an earlier era are ignored")
 		})
@@ -527,7 +527,7 @@
 		runFollowers(t, s, func(v *vm) {
 			v.receivesUpdates.Store(true)
 			time.Sleep(2 * time.Second)
-			base := v.servers.knownRevision()
+			base := v.servers.Revision()
 			u := Update{Base: base, Rev: base + 2, Changes: []Change{
 				{Rev: base + 1, Entry: entry(1)}, {Rev: base + 2, Entry: entry(2)},
 			}}
@@ -546,7 +546,7 @@
 		runFollowers(t, s, func(v *vm) {
 			v.receivesUpdates.Store(true)
 			time.Sleep(2 * time.Second)
-			base := v.servers.knownRevision()
+			base := v.servers.Revision()
 			written := Change{Rev: base + 2, Entry: entry(1)}
 			removed := Change{Rev: base + 1, Gone: true, Entry: srvtab.Entry{ID: "1"}}
 			v.servers.ApplyUpdate(Update{Base: base, Rev: base + 2, Changes: []Change{removed, written}}, time.Now())
@@ -554,7 +554,7 @@
 			v.assertUsable(t, 1, "an older change is ignored")
 			v.servers.applyList(nil, base+1, v.clock())
 			v.assertUsable(t, 1, "an older list is ignored")
-			assert.Equal(t, v.servers.knownRevision(), base+2)
+			assert.Equal(t, v.servers.Revision(), base+2)
 		})
 	})
 	t.Run("after a gap in the updates the store is read", func(t *testing.T) {
--- a/internal/state/follow/order_test.go
+++ b/internal/state/follow/order_test.go
@@ -62,7 +62,7 @@
 
 // readChanges applies to v the store's changes after the revision that v knows.
 func (f *fleet) readChanges(v *ServerFollower) {
-	known := v.knownRevision()
+	known := v.Revision()
 	var list []Change
 	for _, c := range f.changes {
 		if c.Rev > known {
@@ -102,7 +102,7 @@
 				}
 				v := f.vms[rapid.IntRange(1, 3).Draw(t, "to")]
 				v.ApplyUpdate(f.updates[rapid.IntRange(0, len(f.updates)-1).Draw(t, "report")], time.Now())
-				if v.knownRevision() == 0 {
+				if v.Revision() == 0 {
 					v.copyFromPeer(ctx)
 				}
 			},
@@ -114,7 +114,7 @@
 		assert.Assert(t, ok)
 		for _, v := range f.vms {
 			v.ApplyUpdate(u, time.Now())
-			if v.knownRevision() == 0 {
+			if v.Revision() == 0 {
 				assert.Assert(t, v.copyFromPeer(ctx))
 			}
 			f.assertMatchesStore(t, v)
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 	Base    Revision      // the receiving VM must know this revision or a later one
 	Rev     Revision      // the changes are complete up to this revision
 	Age     time.Duration // since the store last confirmed that Rev is its latest revision
-	Changes []Change
+	Changes []Change      // in the order of their revisions
+	More    bool          // the sender has later changes, left out for lack of space
 }
 
 // ServerSource reads the servers' entries in the store. Its calls have an idle timeout:
@@ -89,8 +91,13 @@
 	graceEnd   time.Time     // entries that go missing before then may have expired in an outage
 	rev        Revision      // all changes up to this revision are known; zero: none
 	base       Revision      // recent is complete after this revision
-	recent     []timedChange // changes that are still sent to other VMs
+	recent     []timedChange // changes that are still sent to other VMs, in the order of their revisions
 	lastUpdate time.Time     // when another VM last sent a recent update
+	// shared holds updates by their Base, since many VMs lack the same changes. It is valid
+	// for sharedRev until sharedTime after sharedAt.
+	shared    map[Revision]Update
+	sharedRev Revision
+	sharedAt  time.Time
 	// confirmed is the latest time at which the data was known to be current, according to
 	// the store or other VMs. It is zero while there is no data.
 	confirmed uptime.Instant
@@ -107,9 +114,10 @@
 	// three messages to each VM.
 	changeRetention = 2 * time.Second
 	// maxChanges bounds the changes in one message, so that it fits into a datagram:
-	// 60 KB hold 250 entries of 240 bytes. VMs that lack earlier changes request the
-	// complete list.
+	// 60 KB hold 250 entries of 240 bytes.
 	maxChanges = 250
+	// sharedTime is how long an update is reused for VMs that lack the same changes.
+	sharedTime = 50 * time.Millisecond
 	// relayTime is how long after an update from another VM a VM that can't reach the
 	// store still sends updates itself.
 	relayTime = time.Second
@@ -129,33 +137,102 @@
 	return &ServerFollower{
 		src: src, table: table, staleAge: time.Duration(staleHeartbeats * float64(heartbeat)), clock: clock,
 		receivesUpdates: receivesUpdates, probes: probes, leads: leads, onChange: onChange, fetch: fetch, log: log,
+		shared: make(map[Revision]Update),
 	}
 }
 
-// RecentChanges returns the recent changes as an update for other VMs. It returns false
-// if this VM receives changes neither from the store nor from other VMs.
+// RecentChanges returns the latest changes as an update for other VMs, at most maxChanges.
+// It returns false if this VM receives changes neither from the store nor from other VMs.
 func (s *ServerFollower) RecentChanges(now time.Time) (Update, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rev == 0 || s.storeDown && now.Sub(s.lastUpdate) > relayTime {
+	if !s.canSend(now) {
 		return Update{}, false
 	}
 	s.prune(now)
-	u := Update{Base: s.base, Rev: s.rev, Age: s.age()}
-	for _, c := range s.recent {
+	return s.updateFrom(max(len(s.recent)-maxChanges, 0), now), true
+}
+
+// ChangesSince returns the changes after a revision as an update for a VM that knows that
+// revision. If they exceed maxChanges, the update has the first of them. If this VM no
+// longer has all of them, the update begins later. The caller must not modify the changes.
+// ChangesSince returns false in the same cases as RecentChanges.
+func (s *ServerFollower) ChangesSince(rev Revision, now time.Time) (Update, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.canSend(now) {
+		return Update{}, false
+	}
+	s.prune(now)
+	from := sort.Search(len(s.recent), func(i int) bool { return s.recent[i].Rev > rev })
+	if from == len(s.recent) {
+		return s.updateFrom(from, now), true
+	}
+	if s.sharedRev != s.rev || now.Sub(s.sharedAt) > sharedTime {
+		clear(s.shared)
+		s.sharedRev, s.sharedAt = s.rev, now
+	}
+	u, ok := s.shared[s.revBefore(from)]
+	if !ok {
+		u = s.cut(from, now)
+		s.shared[u.Base] = u
+	}
+	u.Age += now.Sub(s.sharedAt)
+	return u, true
+}
+
+// canSend reports whether this VM receives changes, so that it can send them.
+func (s *ServerFollower) canSend(now time.Time) bool {
+	return s.rev != 0 && (!s.storeDown || now.Sub(s.lastUpdate) <= relayTime)
+}
+
+// revBefore returns the revision up to which all changes before recent[i] are complete.
+func (s *ServerFollower) revBefore(i int) Revision {
+	if i == 0 {
+		return s.base
+	}
+	return s.recent[i-1].Rev
+}
+
+// updateFrom returns an update with all changes from recent[from].
+func (s *ServerFollower) updateFrom(from int, now time.Time) Update {
+	u := Update{Base: s.revBefore(from), Rev: s.rev, Age: s.age()}
+	for _, c := range s.recent[from:] {
 		if c.Grace > 0 {
 			c.Grace = max(c.Grace-now.Sub(c.at), 1)
 		}
 		c.Entry.Cold = max(c.Entry.Cold-now.Sub(c.at), 0)
 		u.Changes = append(u.Changes, c.Change)
 	}
-	return u, true
+	return u
+}
+
+// cut returns an update with the first maxChanges changes from recent[from]. Changes with
+// the same revision stay together; if there are too many of them, the update begins after
+// them.
+func (s *ServerFollower) cut(from int, now time.Time) Update {
+	end := from + maxChanges
+	if end >= len(s.recent) {
+		return s.updateFrom(from, now)
+	}
+	for end > from && s.recent[end-1].Rev == s.recent[end].Rev {
+		end--
+	}
+	if end == from {
+		return s.updateFrom(len(s.recent)-maxChanges, now)
+	}
+	u := s.updateFrom(from, now)
+	u.Changes, u.Rev, u.More = u.Changes[:end-from], s.recent[end-1].Rev, true
+	u.Age = max(u.Age, now.Sub(s.recent[end].at))
+	return u
 }
 
-// prune removes the changes that are older than changeRetention or exceed maxChanges.
+// prune removes the changes that are older than changeRetention, and those beyond the
+// number of servers, for which the complete list takes less space.
 func (s *ServerFollower) prune(now time.Time) {
+	limit := max(maxChanges, s.table.View().Len())
 	old := 0
-	for old < len(s.recent) && (now.Sub(s.recent[old].at) > changeRetention || len(s.recent)-old > maxChanges) {
+	for old < len(s.recent) && (now.Sub(s.recent[old].at) > changeRetention || len(s.recent)-old > limit) {
 		s.base = s.recent[old].Rev
 		old++
 	}
@@ -219,7 +296,9 @@
 
 func (s *ServerFollower) age() time.Duration { return s.clock().Sub(s.confirmed) }
 
-func (s *ServerFollower) knownRevision() Revision {
+// Revision returns the revision up to which this VM knows all changes, or zero if it does
+// not know all servers.
+func (s *ServerFollower) Revision() Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rev
@@ -236,8 +315,8 @@
 		Watch:           s.awaitChanges,
 		OnUnreachable:   s.storeUnreachable,
 		OnRecovered:     s.storeRecovered,
-		Revision:        s.knownRevision,
-		Empty:           func() bool { return s.knownRevision() == 0 },
+		Revision:        s.Revision,
+		Empty:           func() bool { return s.Revision() == 0 },
 		ReceivesUpdates: s.receivesUpdates,
 		ProbesStore:     s.probes,
 	}, s.log)
@@ -328,7 +407,7 @@
 func (s *ServerFollower) applyList(list []srvtab.Entry, rev Revision, requested uptime.Instant) bool {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	known := s.knownRevision()
+	known := s.Revision()
 	if rev < known {
 		return false
 	}
@@ -412,7 +491,7 @@
 	}
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	if u.Rev < s.knownRevision() {
+	if u.Rev < s.Revision() {
 		return true
 	}
 	now := time.Now()
@@ -451,7 +530,7 @@
 func (s *ServerFollower) applyChanges(changes []Change, rev Revision, at uptime.Instant) bool {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	now, known, changed := time.Now(), s.knownRevision(), false
+	now, known, changed := time.Now(), s.Revision(), false
 	for _, c := range changes {
 		if c.Rev <= known {
 			continue
