Order only the VMs that can be hubs, and count reporters at intervals

Cause: a hub sorted all VMs, with two hashes a comparison, each 50 ms and again for each VM that started, and counted all reporters for each response. With all VMs starting together, and with twice as many reports to answer from twice as many VMs, both grew with the square of the VMs.

The numbers of reporters are counted each 20 ms.

--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -46,6 +46,8 @@
 	// orderTTL is how long the top of the order is cached, so that it is not computed
 	// for each message.
 	orderTTL = 50 * time.Millisecond
+	// countTTL is how long the numbers of reporting VMs are cached, for the same reason.
+	countTTL = 20 * time.Millisecond
 )
 
 // StoreStatus is what a VM reports about its access to the store.
@@ -63,7 +65,7 @@
 
 // peer is what is known of another VM.
 type peer struct {
-	Candidate
+	ranked
 	lastSeen        time.Time // when its last message of any kind arrived
 	lastReport      time.Time // when its last report arrived
 	lastSent        time.Time // when the last report was sent to it
@@ -98,6 +100,13 @@
 	topAt            time.Time            // when top was computed
 	rank             int                  // of this VM in top; len(top) if it is not there
 	hubsChangedAt    time.Time            // when the set of hubs last changed
+	reporters        reporterCounts
+}
+
+// reporterCounts holds the numbers of VMs that reported recently, counted at a time.
+type reporterCounts struct {
+	at          time.Time
+	known, live int
 }
 
 // New returns the tracker of a VM that has just started and received no message yet. The
@@ -115,9 +124,12 @@
 		t.peers[r.VM] = p
 	}
 	if now.Sub(p.lastSeen) >= PeerTimeout || p.Candidate != r.Candidate {
-		t.topAt = time.Time{}
+		if t.mayAffectTop(p.Candidate) || t.mayAffectTop(r.Candidate) {
+			t.topAt = time.Time{}
+		}
+		p.ranked = newRanked(r.Candidate)
 	}
-	p.Candidate, p.status = r.Candidate, r.StoreStatus
+	p.status = r.StoreStatus
 	p.lastSeen, p.unansweredSince, p.unanswered = now, time.Time{}, 0
 	if t.joinedAt.IsZero() {
 		t.joinedAt = now
@@ -242,26 +254,24 @@
 	if now.Sub(t.topAt) < orderTTL {
 		return t.top
 	}
-	all := map[ident.VM]Candidate{t.self.VM: t.self}
+	all := []ranked{newRanked(t.self)}
 	for name, p := range t.peers {
 		if p.live(now) {
-			all[name] = p.Candidate
+			all = append(all, p.ranked)
 		}
 		if now.Sub(p.lastSeen) > forgetAfter && now.Sub(p.lastSent) > forgetAfter {
 			delete(t.peers, name)
 			delete(t.listings, name)
 		}
 	}
+	added := map[ident.VM]bool{t.self.VM: true}
 	for _, c := range t.currentCandidates(now) {
-		if _, ok := all[c.VM]; !ok && !t.peers[c.VM].notResponding(now) {
-			all[c.VM] = c
+		if p := t.peers[c.VM]; !added[c.VM] && !p.live(now) && !p.notResponding(now) {
+			added[c.VM] = true
+			all = append(all, newRanked(c))
 		}
 	}
-	list := make([]Candidate, 0, len(all))
-	for _, c := range all {
-		list = append(list, c)
-	}
-	slices.SortFunc(list, compareCandidates)
+	list := firstOf(all, maxListed)
 	spreadDomains(list)
 	if !slices.Equal(firstHubs(list), firstHubs(t.top)) {
 		t.hubsChangedAt = now
@@ -419,7 +429,7 @@
 func (t *Tracker) recordAttempt(c Candidate, now time.Time) {
 	p := t.peers[c.VM]
 	if p == nil {
-		p = &peer{Candidate: c}
+		p = &peer{ranked: newRanked(c)}
 		t.peers[c.VM] = p
 	}
 	if !p.notResponding(now) && now.Sub(p.lastSent) >= PeerTimeout {
@@ -470,19 +480,22 @@
 }
 
 // ReporterCounts returns how many VMs have reported to this one within forgetAfter
-// (known) and within PeerTimeout (live).
+// (known) and within PeerTimeout (live). The counts may be countTTL old.
 func (t *Tracker) ReporterCounts(now time.Time) (known, live int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range t.peers {
-		if now.Sub(p.lastReport) < forgetAfter {
-			known++
-		}
-		if now.Sub(p.lastReport) < PeerTimeout {
-			live++
+	if c := &t.reporters; now.Sub(c.at) >= countTTL || now.Before(c.at) {
+		*c = reporterCounts{at: now}
+		for _, p := range t.peers {
+			if now.Sub(p.lastReport) < forgetAfter {
+				c.known++
+			}
+			if now.Sub(p.lastReport) < PeerTimeout {
+				c.live++
+			}
 		}
 	}
-	return known, live
+	return t.reporters.known, t.reporters.live
 }
 
 // LivePeers returns how many other VMs are live.
--- a/internal/state/hubs/hubs_test.go
+++ b/internal/state/hubs/hubs_test.go
@@ -153,7 +153,7 @@
 			c.Domain = ident.FailureDomain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"))
 			all = append(all, c)
 		}
-		slices.SortFunc(all, compareCandidates)
+		slices.SortFunc(all, func(a, b Candidate) int { return compareRanked(newRanked(a), newRanked(b)) })
 		domains := make(map[ident.FailureDomain]bool)
 		for _, c := range all {
 			if c.Capacity == all[0].Capacity {
--- a/internal/state/hubs/order.go
+++ b/internal/state/hubs/order.go
@@ -40,16 +40,55 @@
 	Domain   ident.FailureDomain // empty: not known
 }
 
-// compareCandidates orders candidates by falling capacity, and those of the same capacity
-// by a hash of the name, which spreads the hubs over them.
-func compareCandidates(a, b Candidate) int {
+// ranked is a candidate with the hash by which it is ordered.
+type ranked struct {
+	Candidate
+	hash uint64 // of the name
+}
+
+func newRanked(c Candidate) ranked {
+	return ranked{Candidate: c, hash: xxhash.Sum64String(string(c.VM))}
+}
+
+// compareRanked orders candidates by falling capacity, and those of the same capacity by a
+// hash of the name, which spreads the hubs over them.
+func compareRanked(a, b ranked) int {
 	return cmp.Or(
-		cmp.Compare(min(b.Capacity, maxCapacity), min(a.Capacity, maxCapacity)),
-		cmp.Compare(xxhash.Sum64String(string(a.VM)), xxhash.Sum64String(string(b.VM))),
+		cmp.Compare(b.level(), a.level()),
+		cmp.Compare(a.hash, b.hash),
 		cmp.Compare(a.VM, b.VM),
 	)
 }
 
+// level returns the capacity by which the candidate is ordered.
+func (c Candidate) level() Capacity { return min(c.Capacity, maxCapacity) }
+
+// firstOf returns, in order, all candidates with at least the capacity of the nth. Only
+// these can be moved to the first n places by spreadDomains.
+func firstOf(all []ranked, n int) []Candidate {
+	var counts [maxCapacity + 1]int
+	for i := range all {
+		counts[all[i].level()]++
+	}
+	least := maxCapacity
+	for sum := counts[least]; sum < n && least > 0; sum += counts[least] {
+		least--
+	}
+	first := slices.DeleteFunc(all, func(r ranked) bool { return r.level() < least })
+	slices.SortFunc(first, compareRanked)
+	out := make([]Candidate, len(first))
+	for i := range first {
+		out[i] = first[i].Candidate
+	}
+	return out
+}
+
+// mayAffectTop reports whether a candidate that is new or has changed may be among the first
+// ones of the order.
+func (t *Tracker) mayAffectTop(c Candidate) bool {
+	return len(t.top) < maxListed || c.level() >= t.top[len(t.top)-1].level()
+}
+
 // spreadDomains moves the hubs to the front of ordered candidates. In turn it chooses,
 // among those of the highest remaining capacity, the first whose failure domain has the
 // fewest hubs so far, so that the loss of a failure domain leaves some hubs.
