Leave servers that retire by their entries out of the lists of retired servers

Cause: each VM that learned from an entry that a server drains, or was replaced, named it in every message of the next 1.5 s, beside the entry itself. With 89 servers restarted a second that is some 130 names, 4 KB, in each report and each response (reckoned): more than the 3 KB/s that a VM may spend, and above the link of a hub with 986 VMs. It grew with VMs times the rate of changes.

Change: only servers that are found to have been replaced are announced by name; entries carry their revision and reach other VMs as changes. A VM that receives the drain of a server announces it at once, as it does a removal.

--- a/internal/peer/gossip/growth_test.go
+++ b/internal/peer/gossip/growth_test.go
@@ -59,3 +59,47 @@
 	time.Sleep(d)
 	return f.received() - before
 }
+
+// TestDrainSpread guards against VMs that learn late of draining servers. 48 servers a second
+// drain, in a fleet that loses 4% of its datagrams and in which a third of the VMs can't
+// reach the hubs that watch the store. The servers' entries are the only notice.
+func TestDrainSpread(t *testing.T) {
+	const rate = 48
+	r := newRegistry()
+	runFleetWithServers(t, min(vms, 60), 0.04, r, func(t *testing.T, f *fleet) {
+		for n := range 4 * rate {
+			r.put(serverEntry(n))
+		}
+		time.Sleep(3 * time.Second)
+		cut := make(map[*node]bool)
+		for i, v := range f.all {
+			cut[v] = i%3 == 1 && !v.hubs.IsHub(time.Now())
+		}
+		f.mu.Lock()
+		f.partitioned = func(a, b *node) bool {
+			return cut[a] && b.hubs.ShouldWatch(time.Now()) || cut[b] && a.hubs.ShouldWatch(time.Now())
+		}
+		f.mu.Unlock()
+		sent := f.totalSent()
+		for n := range 2 * rate {
+			time.Sleep(time.Second / rate)
+			e := serverEntry(n)
+			e.Draining = true
+			r.put(e)
+		}
+		time.Sleep(maxSpreadTime)
+		for _, v := range f.all {
+			assert.Equal(t, len(v.table.View().ServersOf("engines")), 2*rate, "at %s", v.self.VM)
+		}
+		t.Logf("%d datagrams", f.totalSent()-sent)
+	})
+}
+
+// totalSent returns the number of datagrams that all VMs have sent.
+func (f *fleet) totalSent() int64 {
+	total := int64(0)
+	for _, v := range f.all {
+		total += v.sent.Load()
+	}
+	return total
+}
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -250,11 +250,11 @@
 	}
 }
 
-// applyRemote applies an update from another VM and reports whether it removed entries.
+// applyRemote applies an update from another VM and reports whether servers retire by it.
 func (s *ServerFollower) applyRemote(u Update, now time.Time) bool {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	removed := false
+	retired := false
 	changes := s.selectNew(u, now)
 	for i, c := range changes {
 		log := s.log
@@ -262,12 +262,12 @@
 			log = zap.NewNop()
 		}
 		s.applyChange(&c, time.Time{}, log) // the sender has set Grace if there was an outage
-		removed = removed || c.Gone
+		retired = retired || c.Gone || c.Entry.Draining
 	}
 	if n := len(changes) - maxLogged; n > 0 {
 		s.log.Info("more servers changed", zap.Int("servers", n), zap.Uint64("revision", uint64(u.Rev)))
 	}
-	return removed
+	return retired
 }
 
 // selectNew returns the unknown changes of u and records them as known. They are also
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -127,7 +127,8 @@
 func (t *Table) View() *View { return t.view.Load() }
 
 // Put applies a server's entry. It reports whether the entry differs from the known
-// one or replaces an expired one.
+// one or replaces an expired one. RetiredToAnnounce returns no servers that retire by their
+// entries: other VMs receive the entries themselves, with their revisions.
 func (t *Table) Put(e Entry) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -164,9 +165,8 @@
 	if old != nil {
 		s.retirement, s.coldUntil = old.retirement, old.coldUntil
 	}
-	if s.Draining && (old == nil || !old.Draining) {
+	if s.Draining {
 		s.retirement.fire()
-		t.announce(e.ID)
 	}
 	t.set(s)
 	t.recordCold(s, cold, now)
@@ -183,7 +183,7 @@
 	if id.StartTime().Before(known.StartTime()) {
 		return false
 	}
-	t.dropAndAnnounce(known)
+	t.drop(known)
 	return true
 }
 
@@ -241,7 +241,8 @@
 		return false
 	}
 	t.recordDrain(id, time.Now()).confirmed = true
-	t.dropAndAnnounce(id)
+	t.drop(id)
+	t.announce(id)
 	t.publish()
 	return true
 }
@@ -262,12 +263,6 @@
 	return out
 }
 
-// dropAndAnnounce drops a server that this VM has seen retire.
-func (t *Table) dropAndAnnounce(id ident.Server) {
-	t.drop(id)
-	t.announce(id)
-}
-
 func (t *Table) announce(id ident.Server) {
 	t.retired[id] = time.Now()
 	t.onRetire()
