Wait for busy VMs with the list of servers before reading it in the store

Cause: a VM without servers turns to the store after 3 s, in a page for each 200 servers. The time until all VMs have copied the list grows with its size and the logarithm of their number, so 3 s hold for small fleets only. Besides, the time since which a VM has had no servers was not reset by a read, so a VM that once watched the store turned to it at once after a gap.

Change: while VMs that have the list are busy sending it, a VM waits up to the bound of a read (15 s). A read ends the time without servers.

Result: TestUpdatesFromPeers, a VM that knows no servers waits for busy VMs: read the store within 8 s before, not now.

--- a/internal/peer/share/client.go
+++ b/internal/peer/share/client.go
@@ -41,6 +41,9 @@
 	return fmt.Sprintf("share: the VM has reached its send limit; %d other VMs have the data or are receiving it", len(e.Alternatives))
 }
 
+// Is reports whether target is follow.ErrPeersBusy.
+func (e *BusyError) Is(target error) bool { return target == follow.ErrPeersBusy }
+
 // Client fetches settings and server lists from other VMs. It is safe for concurrent use.
 type Client struct {
 	dialer *httpc.Dialer
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -29,17 +29,18 @@
 
 // store is a fake of the platform's store that runs in virtual time.
 type store struct {
-	mu      sync.Mutex
-	down    bool
-	rev     Revision
-	version uint64
-	servers map[ident.Server]srvtab.Entry
-	changes []Change
-	domains map[ident.FailureDomain]bool
-	orders  []domainOrder // starts and ends of evacuations
-	oldest  Revision      // oldest revision in the history
-	calls   atomic.Int64
-	changed chan struct{}
+	mu        sync.Mutex
+	down      bool
+	rev       Revision
+	version   uint64
+	servers   map[ident.Server]srvtab.Entry
+	changes   []Change
+	domains   map[ident.FailureDomain]bool
+	orders    []domainOrder // starts and ends of evacuations
+	oldest    Revision      // oldest revision in the history
+	calls     atomic.Int64
+	listReads atomic.Int64 // complete lists of servers
+	changed   chan struct{}
 }
 
 var (
@@ -147,6 +148,7 @@
 }
 
 func (s *store) Servers(context.Context) ([]srvtab.Entry, Revision, error) {
+	s.listReads.Add(1)
 	rev, _, err := s.state()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,6 +223,7 @@
 	receivesUpdates atomic.Bool
 	changes         atomic.Int64
 	peerData        atomic.Pointer[Update] // servers that another VM provides; nil: there is none
+	peersBusy       atomic.Bool            // other VMs have servers and are busy sending them
 	clock           uptime.Clock
 	suspended       atomic.Int64 // suspended time, which only clock includes
 }
@@ -229,6 +232,9 @@
 	if u := v.peerData.Load(); u != nil {
 		return *u, nil
 	}
+	if v.peersBusy.Load() {
+		return Update{}, ErrPeersBusy
+	}
 	return Update{}, ErrNoPeer
 }
 
@@ -584,6 +590,24 @@
 			assert.Assert(t, ok && u.Rev == 60 && len(u.Changes) == 1, "%+v", u)
 		})
 	})
+	t.Run("a VM that knows no servers waits for busy VMs", func(t *testing.T) {
+		for _, busy := range []bool{true, false} {
+			s := newStore()
+			s.put(entry(1))
+			runFollowers(t, s, func(v *vm) {
+				v.receivesUpdates.Store(true)
+				time.Sleep(2 * time.Second)
+				v.peersBusy.Store(busy)
+				reads := s.listReads.Load()
+				v.servers.ApplyUpdate(Update{Base: 50, Rev: 60}, time.Now())
+				time.Sleep(8 * time.Second)
+				assert.Equal(t, s.listReads.Load() == reads, busy, "reads of the store")
+				time.Sleep(watch.ReadTimeout)
+				v.assertUsable(t, 1, "read from the store in the end")
+				assert.Assert(t, s.listReads.Load() > reads)
+			})
+		}
+	})
 	t.Run("an entry that has lapsed for another VM ends here, too", func(t *testing.T) {
 		s := newStore()
 		s.put(entry(1))
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -81,6 +82,7 @@
 	staleAge        time.Duration
 	onChange        func()
 	fetch           func(ctx context.Context) (Update, error)
+	peersBusy       atomic.Bool // the last fetch failed with ErrPeersBusy
 
 	// applyMu serialises updates of the table, so that they apply in order of revision.
 	// It must be locked before mu, which the table's callbacks lock.
@@ -322,6 +324,7 @@
 		WatchTimeout:    serversWait,
 		BatchDelay:      s.batchDelay,
 		CopyFromPeer:    s.copyFromPeer,
+		PeersBusy:       s.peersBusy.Load,
 		Read:            s.read,
 		Watch:           s.awaitChanges,
 		OnUnreachable:   s.storeUnreachable,
@@ -480,8 +483,12 @@
 	return u, true
 }
 
-// ErrNoPeer is returned if there is no other VM to copy the servers from.
-var ErrNoPeer = errors.New("follow: no other VM to copy the servers from")
+var (
+	// ErrNoPeer is returned if there is no other VM to copy the servers from.
+	ErrNoPeer = errors.New("follow: no other VM to copy the servers from")
+	// ErrPeersBusy is returned if the VMs that have the servers are busy sending them.
+	ErrPeersBusy = errors.New("follow: the VMs with the servers are busy sending them")
+)
 
 // copyFromPeer copies all servers from another VM, unless this VM has newer data. It
 // reports whether this VM has complete data afterwards.
@@ -489,6 +496,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watch.ReadTimeout)
 	defer cancel()
 	u, err := s.fetch(ctx)
+	s.peersBusy.Store(errors.Is(err, ErrPeersBusy))
 	if errors.Is(err, ErrNoPeer) {
 		return false
 	}
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -125,6 +125,7 @@
 		WatchTimeout:    settingsWait,
 		BatchDelay:      func() time.Duration { return 0 },
 		CopyFromPeer:    func(context.Context) bool { return false }, // other VMs report newer versions
+		PeersBusy:       func() bool { return false },
 		Read:            func(ctx context.Context) (Revision, error) { return s.sharedRead(ctx, watch.ReadTimeout) },
 		Watch:           s.awaitVersion,
 		OnUnreachable:   func(time.Time) {},
--- a/internal/state/watch/watch.go
+++ b/internal/state/watch/watch.go
@@ -33,7 +33,9 @@
 	// emptyCheckInterval replaces checkInterval while nothing is known.
 	emptyCheckInterval = 20 * time.Millisecond
 	// peerTimeout is how long a VM that receives updates from peers, but knows nothing
-	// yet, waits for its peers before it reads the store itself.
+	// yet, waits for its peers before it reads the store itself. While they have the data
+	// and are busy sending it to other VMs, it waits up to ReadTimeout. The time until all
+	// VMs have the data grows with its size and the logarithm of their number.
 	peerTimeout = 3 * time.Second
 )
 
@@ -47,6 +49,9 @@
 	BatchDelay func() time.Duration
 	// CopyFromPeer copies everything from another VM and reports whether it succeeded.
 	CopyFromPeer func(ctx context.Context) bool
+	// PeersBusy reports whether the last CopyFromPeer failed because the VMs that have the
+	// data were busy sending it.
+	PeersBusy func() bool
 	// Read reads everything from the store and returns its revision.
 	Read func(ctx context.Context) (R, error)
 	// Watch waits for changes after a revision, applies them, and returns the new
@@ -105,7 +110,7 @@
 			w.backOff(ctx, rounds)
 			continue
 		}
-		rounds = 0
+		rounds, w.emptySince = 0, time.Time{}
 		w.recordRecovery()
 		err = w.watch(ctx)
 		if !errors.Is(err, errIncomplete) {
@@ -126,7 +131,11 @@
 	if w.emptySince.IsZero() {
 		w.emptySince = now
 	}
-	if !w.src.ReceivesUpdates() || now.Sub(w.emptySince) > peerTimeout {
+	limit := peerTimeout
+	if w.src.PeersBusy() {
+		limit = ReadTimeout
+	}
+	if !w.src.ReceivesUpdates() || now.Sub(w.emptySince) > limit {
 		return false
 	}
 	w.src.CopyFromPeer(ctx)
