Wait for the other hubs before copying all servers after a gap

Cause: a VM that was sent changes only from a later revision than it knows dropped its revision and copied the complete list. A hub that has just copied the list itself has no earlier changes, so whenever a hub was replaced, every VM copied 166 KB (10,000 servers) at the same time, and received no changes meanwhile.

Change: the gap counts once no other VM has closed it within 0.6 s, a report to all hubs.

Result: TestUpdatesFromPeers, a gap in one VM's updates is closed by another VM (the list was copied before). In the case of an entry that has lapsed for another VM the list is copied after this time now, so the case waits for that instead of 0.2 s before it counts the grace period, which is as long as before.

--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -67,6 +67,8 @@
 	base       Revision      // recent is complete after this revision
 	recent     []timedChange // changes that are still sent to other VMs, in the order of their revisions
 	lastUpdate time.Time     // when another VM last sent a recent update
+	gapSince   time.Time     // when another VM first sent changes only from a later revision; zero: there is no gap
+	gapEnd     Revision      // that revision
 	// shared holds updates by their Base, since many VMs lack the same changes. It is valid
 	// for sharedRev until sharedTime after sharedAt.
 	shared    map[Revision]Update
@@ -125,7 +127,7 @@
 		OnUnreachable:   s.storeUnreachable,
 		OnRecovered:     s.storeRecovered,
 		Revision:        s.Revision,
-		Empty:           func() bool { return s.Revision() == 0 },
+		Empty:           s.lacksServers,
 		ReceivesUpdates: s.receivesUpdates,
 		ProbesStore:     s.probes,
 	}, s.log)
@@ -235,7 +237,7 @@
 	} else {
 		s.base, s.recent = rev, nil
 	}
-	s.rev, s.confirmed = rev, max(s.confirmed, requested)
+	s.rev, s.confirmed, s.gapSince = rev, max(s.confirmed, requested), time.Time{}
 	return wasKnown && len(changed)+len(missing) > 0
 }
 
@@ -286,7 +288,7 @@
 		}
 	}
 	s.mu.Lock()
-	s.rev, s.base, s.recent, s.lastUpdate = u.Rev, u.Rev, nil, now
+	s.rev, s.base, s.recent, s.lastUpdate, s.gapSince = u.Rev, u.Rev, nil, now, time.Time{}
 	s.confirmed = max(s.confirmed, s.clock().Add(-u.Age))
 	s.mu.Unlock()
 	s.log.Info("servers taken from another VM", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(u.Rev)))
--- a/internal/state/follow/updates.go
+++ b/internal/state/follow/updates.go
@@ -22,6 +22,9 @@
 	maxLogged = 8
 	// sharedTime is how long an update is reused for VMs that lack the same changes.
 	sharedTime = 50 * time.Millisecond
+	// gapTimeout is how long changes that one VM can't send may take to arrive from another
+	// one. It covers a report to all hubs.
+	gapTimeout = 600 * time.Millisecond
 	// relayTime is how long after an update from another VM a VM that can't reach the
 	// store still sends updates itself.
 	relayTime = time.Second
@@ -157,8 +160,8 @@
 	s.recent = s.recent[old:]
 }
 
-// ApplyUpdate applies an update from another VM. If there is a gap before the update,
-// everything is read again.
+// ApplyUpdate applies an update from another VM. If there is a gap before the update that
+// no other update closes within gapTimeout, everything is read again.
 func (s *ServerFollower) ApplyUpdate(u Update, now time.Time) {
 	if s.applyRemote(u, now) {
 		s.onChange()
@@ -194,7 +197,7 @@
 		return nil
 	}
 	if u.Base > s.rev {
-		s.rev = 0
+		s.recordGap(u.Base, now)
 		return nil
 	}
 	s.prune(now)
@@ -206,6 +209,9 @@
 		}
 	}
 	s.rev = u.Rev
+	if s.rev >= s.gapEnd {
+		s.gapSince = time.Time{}
+	}
 	s.confirmed = max(s.confirmed, s.clock().Add(-u.Age))
 	if u.Age < relayTime {
 		s.lastUpdate = now
@@ -231,6 +237,25 @@
 	}
 }
 
+// recordGap records that another VM sends changes only from a later revision than this VM
+// knows. VMs that have just copied the list can't send earlier changes, but others can.
+func (s *ServerFollower) recordGap(end Revision, now time.Time) {
+	if s.gapSince.IsZero() {
+		s.gapSince, s.gapEnd = now, end
+	}
+}
+
+// lacksServers reports whether this VM must copy or read the list of servers, because it
+// knows none or no VM has sent the changes in a gap.
+func (s *ServerFollower) lacksServers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.gapSince.IsZero() && time.Since(s.gapSince) > gapTimeout {
+		s.rev, s.gapSince = 0, time.Time{}
+	}
+	return s.rev == 0
+}
+
 // Snapshot returns all servers as an update for a VM that knows none. It returns false if
 // this VM's data is incomplete.
 func (s *ServerFollower) Snapshot() (Update, bool) {
