--- a/internal/state/srvtab/cold.go
+++ b/internal/state/srvtab/cold.go
@@ -19,7 +19,7 @@
 	}
 	c := *s
 	c.coldUntil = until
-	t.set(&c)
+	t.servers.Set(&c)
 	return until.Sub(s.coldUntil) > coldSkew
 }
 
--- a/internal/state/srvtab/drain.go
+++ b/internal/state/srvtab/drain.go
@@ -86,7 +86,7 @@
 	}
 	s := *old
 	s.Draining = true
-	t.set(&s)
+	t.servers.Set(&s)
 	s.retirement.fire()
 }
 
--- a/internal/state/srvtab/evac.go
+++ b/internal/state/srvtab/evac.go
@@ -66,9 +66,7 @@
 		returned[d] = time.Now()
 	}
 	t.evacuatedSince, t.returnedAt = since, returned
-	for name := range t.pools {
-		t.changed[name] = struct{}{}
-	}
+	t.servers.Refresh()
 	t.publish()
 	return true
 }
@@ -109,8 +107,5 @@
 // EvacuatedOf returns how many servers of a service are unused only because their failure
 // domain is evacuated.
 func (v *View) EvacuatedOf(name ident.Service) int {
-	if svc := v.services[name]; svc != nil {
-		return svc.evacuated
-	}
-	return 0
+	return v.servers.Unused(name)
 }
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -8,6 +8,7 @@
 	"unique"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/state/index"
 )
 
 // ReregisterTime is the longest time that a live server needs to write its entry
@@ -36,6 +37,14 @@
 	retirement *retirement
 }
 
+// Key implements index.Item.
+func (s *Server) Key() ident.Server { return s.ID }
+
+// Place implements index.Item. Servers that are draining are found by their ID only.
+func (s *Server) Place() (ident.Service, ident.FailureDomain, bool) {
+	return s.Service, s.Domain, !s.Draining
+}
+
 // Retired returns a channel that is closed once the server accepts no new work.
 func (s *Server) Retired() <-chan struct{} { return s.retirement.done() }
 
@@ -90,12 +99,10 @@
 	onRetire func()
 
 	mu      sync.Mutex
-	servers serverTree                    // the latest instance under each name
-	pools   map[ident.Service]domainPools // servers that are not draining; none is empty
-	changed map[ident.Service]struct{}    // services whose pools differ from those in the view
-	expired map[ident.Server]time.Time    // entries that expired in a store outage, and when they count as gone
-	retired map[ident.Server]time.Time    // servers that this VM has seen retire, and when
-	drains  map[ident.Server]*drain       // servers known to drain, even if their entries do not say so
+	servers *index.Index[*Server]      // the latest instance under each name
+	expired map[ident.Server]time.Time // entries that expired in a store outage, and when they count as gone
+	retired map[ident.Server]time.Time // servers that this VM has seen retire, and when
+	drains  map[ident.Server]*drain    // servers known to drain, even if their entries do not say so
 	view    atomic.Pointer[View]
 
 	evacuations    Evacuations
@@ -112,8 +119,7 @@
 func NewTable(onRetire func()) *Table {
 	t := &Table{
 		onRetire:   onRetire,
-		pools:      make(map[ident.Service]domainPools),
-		changed:    make(map[ident.Service]struct{}),
+		servers:    index.New[*Server](),
 		expired:    make(map[ident.Server]time.Time),
 		retired:    make(map[ident.Server]time.Time),
 		drains:     make(map[ident.Server]*drain),
@@ -168,7 +174,7 @@
 	if s.Draining {
 		s.retirement.fire()
 	}
-	t.set(s)
+	t.servers.Set(s)
 	t.recordCold(s, cold, now)
 	return true
 }
@@ -176,7 +182,7 @@
 // supersede drops the earlier instance under the server's name, if there is one. It
 // reports false if a later instance is known, which means that id is outdated.
 func (t *Table) supersede(id ident.Server) bool {
-	known, ok := t.latest(id.Name())
+	known, ok := t.servers.FindName(id.Name())
 	if !ok || known == id {
 		return true
 	}
@@ -195,7 +201,7 @@
 func (t *Table) Remove(name string, until time.Time, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id, ok := t.latest(name)
+	id, ok := t.servers.FindName(name)
 	if !ok {
 		return false
 	}
@@ -281,9 +287,9 @@
 			changed = append(changed, e)
 		}
 	}
-	t.servers.Scan(func(id ident.Server, _ *Server) bool {
-		if _, ok := seen[id.Name()]; !ok {
-			missing = append(missing, id)
+	t.servers.Scan(func(s *Server) bool {
+		if _, ok := seen[s.ID.Name()]; !ok {
+			missing = append(missing, s.ID)
 		}
 		return true
 	})
@@ -338,6 +344,19 @@
 	if s == nil {
 		return
 	}
-	t.remove(s)
+	t.servers.Delete(id)
 	s.retirement.fire()
 }
+
+// server returns a known server, or nil.
+func (t *Table) server(id ident.Server) *Server {
+	s, _ := t.servers.Get(id)
+	return s
+}
+
+// publish makes the servers the current view.
+func (t *Table) publish() {
+	v := &View{evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt}
+	v.servers = t.servers.Snapshot(func(d ident.FailureDomain) bool { return !v.IsEvacuated(d) })
+	t.view.Store(v)
+}
