Create the list of servers once for all VMs that ask for it

Cause: a hub created and compressed the complete list (10,000 entries) for each request, also where it then responded that it was busy; the cached list counted for one revision only, and with 3,300 heartbeats a second the revision changes with each watch. Its memory grew with the VMs that ask at a time.

Change: the quota is checked first, against the size of the last list; a list is created by one request at a time and reused for 0.5 s (50 ms while entries that expired in an outage state their remaining time). Its age is sent with it.

--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,8 @@
 type Source interface {
 	// Settings returns the settings in force, or false if there are none.
 	Settings() (Settings, bool)
+	// HasServers reports whether Servers would return a list.
+	HasServers() bool
 	// Servers returns the complete server list, or false if the VM is not sure that its
 	// list is complete.
 	Servers() (follow.Update, bool)
@@ -60,28 +63,50 @@
 // cachedList is the latest encoded and compressed server list.
 type cachedList struct {
 	mu   sync.Mutex
-	rev  follow.Revision
 	at   time.Time
+	ttl  time.Duration
+	age  time.Duration // of the list at that time
 	body []byte
 }
 
-// cacheTime is how long an encoded server list is reused, since VMs that start at the
-// same time request the same one.
-const cacheTime = 100 * time.Millisecond
+const (
+	// cacheTime is how long an encoded server list is reused, since VMs that start at the
+	// same time request the same one. A VM that was sent it requests the changes since.
+	cacheTime = 500 * time.Millisecond
+	// graceCacheTime is the same for a list with entries that expired in a store outage,
+	// whose remaining time the list states.
+	graceCacheTime = 50 * time.Millisecond
+)
 
-// encode returns the update encoded and compressed. It reuses the last result for the same
-// revision within cacheTime.
-func (c *cachedList) encode(update *follow.Update, now time.Time) ([]byte, error) {
+// get returns the encoded list and its age. It creates the list if the last one is too old,
+// for one request at a time, since that takes memory several times the size of the list.
+// It returns false if src has no complete list.
+func (c *cachedList) get(src Source, now time.Time) (body []byte, age time.Duration, ok bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rev == update.Rev && now.Sub(c.at) < cacheTime {
-		return c.body, nil
+	if c.body != nil && now.Sub(c.at) < c.ttl {
+		return c.body, c.age + max(now.Sub(c.at), 0), true, nil
 	}
-	body, err := routes.NewDocument(wire.EncodeServerUpdate(update)).Compressed()
-	if err == nil {
-		c.rev, c.at, c.body = update.Rev, now, body
+	update, ok := src.Servers()
+	if !ok {
+		return nil, 0, false, nil
+	}
+	body, err = routes.NewDocument(wire.EncodeServerUpdate(&update)).Compressed()
+	if err != nil {
+		return nil, 0, true, err
 	}
-	return body, err
+	c.at, c.ttl, c.age, c.body = now, cacheTime, update.Age, body
+	if slices.ContainsFunc(update.Changes, func(ch follow.Change) bool { return ch.Grace > 0 }) {
+		c.ttl = graceCacheTime
+	}
+	return body, update.Age, true, nil
+}
+
+// size returns the size of the last list, or zero if there was none.
+func (c *cachedList) size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.body)
 }
 
 // NewServer returns a server for src. The VM's link carries linkRate bits per second.
@@ -142,23 +167,26 @@
 }
 
 func (s *Server) sendServers(ctx *fasthttp.RequestCtx) {
-	update, ok := s.src.Servers()
-	if !ok {
+	if !s.src.HasServers() {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	body, err := s.serverList.encode(&update, time.Now())
+	// The version is always 0: any earlier recipient can serve the list, because a VM
+	// that was sent it keeps it up to date with later changes. The quota is charged the size
+	// of the last list, so that no list is created for a request that must wait.
+	if !s.admit(ctx, &s.servers, 0, s.serverList.size()) {
+		return
+	}
+	body, age, ok, err := s.serverList.get(s.src, time.Now())
 	if err != nil {
 		s.log.Error("server list not compressed", zap.Error(err))
+	}
+	if err != nil || !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	// The version is always 0: any earlier recipient can serve the list, because a VM
-	// that was sent it keeps it up to date with later changes.
-	if s.admit(ctx, &s.servers, 0, len(body)) {
-		ctx.Response.Header.Set(headerAge, strconv.FormatInt(int64(update.Age), 10))
-		ctx.SetBody(body)
-	}
+	ctx.Response.Header.Set(headerAge, strconv.FormatInt(int64(age), 10))
+	ctx.SetBody(body)
 }
 
 // admit reports whether the quota allows a body of the given size to be sent now, and
--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -41,6 +41,8 @@
 	return *s.settings, true
 }
 
+func (s *fakeSource) HasServers() bool { return s.update != nil }
+
 func (s *fakeSource) Servers() (follow.Update, bool) {
 	if s.update == nil {
 		return follow.Update{}, false
@@ -50,6 +52,12 @@
 
 // startServer starts a server for src and returns its address and a client.
 func startServer(t *testing.T, src *fakeSource) (netip.AddrPort, *Client) {
+	t.Helper()
+	return startServerFor(t, src), NewClient(httpc.New(netip.Addr{}, time.Second, time.Minute, 0), clientAddr)
+}
+
+// startServerFor starts a server for src and returns its address.
+func startServerFor(t *testing.T, src Source) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -60,7 +68,7 @@
 		cancel()
 		assert.NilError(t, g.Wait())
 	})
-	return netip.MustParseAddrPort(ln.Addr().String()), NewClient(httpc.New(netip.Addr{}, time.Second, time.Minute, 0), clientAddr)
+	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
 // clientAddr is the address that the tests' client gives as its own.
--- a/internal/proc/peers/share.go
+++ b/internal/proc/peers/share.go
@@ -26,5 +26,8 @@
 	return share.Settings{Compressed: compressed, Version: snap.Version, Age: uptime.Now().Sub(freshAt)}, true
 }
 
+// HasServers implements share.Source.
+func (s shareSource) HasServers() bool { return s.node.ServerFollower.Revision() != 0 }
+
 // Servers implements share.Source.
 func (s shareSource) Servers() (follow.Update, bool) { return s.node.ServerFollower.Snapshot() }
