Keep half of a choice's visits for other failure domains

Cause: found in reading. A choice visits the engines of the run's own failure domain first and 512 in all. With more than 512 engines there, all full, no other domain was visited, and the run waited in vain while others had capacity.

Change: at most half of the visits are in the own domain if there are enough others. Excluded engines are left out by the sample itself.

Result: TestFullDomain, 12,000 engines: no capacity before, an engine of another domain now. Choices among 512 engines or fewer are as before.

--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -145,16 +145,10 @@
 // whether there is any engine that is not excluded.
 func (c *Chooser) choose(r *Request, purpose Purpose, load loadFunc, from ident.FailureDomain, exclude []ident.Server, now time.Time) (s *srvtab.Server, known bool) {
 	view := c.servers.View()
-	engines := newSample(view, r.Service, r.mayRunIn)
+	engines := newSample(view, r.Service, r.mayRunIn, exclude)
 	var list []*srvtab.Server
 	var servers []assign.Server
-	excluded := 0
 	engines.collect(from, func(s *srvtab.Server) bool {
-		if slices.Contains(exclude, s.ID) {
-			excluded++
-			engines.visited--
-			return false
-		}
 		l := load(s.ID)
 		state := assign.Server{
 			Slots:          s.Slots,
@@ -177,7 +171,7 @@
 	if i := assign.ChooseEngine(r.Need, purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
 		return list[i], true
 	}
-	return nil, excluded < engines.len()
+	return nil, !engines.exhausted()
 }
 
 // isPaced reports whether a server gets no run now because it may be cold. A server may
@@ -200,9 +194,9 @@
 
 // fillRatio returns how full the service's engines are, from a random sample of them.
 func (c *Chooser) fillRatio(r *Request, load loadFunc) float64 {
-	engines := newSample(c.servers.View(), r.Service, func(ident.FailureDomain) bool { return true })
+	engines := newSample(c.servers.View(), r.Service, func(ident.FailureDomain) bool { return true }, nil)
 	tokens := 0
-	n := engines.visit(engines.pools, maxCompared, func(s *srvtab.Server) bool {
+	n := engines.visit(engines.pools, maxCompared, maxVisited, func(s *srvtab.Server) bool {
 		tokens += load(s.ID).Tokens
 		return true
 	})
--- a/internal/route/pick/sample.go
+++ b/internal/route/pick/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/state/srvtab"
@@ -14,20 +15,25 @@
 	maxCompared = 64
 	// minNear is how many of them are in the preferred failure domain, if it has as many.
 	minNear = 32
-	// maxVisited bounds the engines that a choice visits. If none of them has capacity, the
-	// run is queued and tried again with other ones.
-	maxVisited = 512
+	// maxVisited bounds the engines that a choice visits, and maxNearVisited those of them in
+	// the preferred failure domain, which may be full while others are not. If none of them
+	// has capacity, the run is queued and tried again with other ones.
+	maxVisited     = 512
+	maxNearVisited = 256
 )
 
 // sample visits the servers of some pools in a random order, each at most once.
 type sample struct {
-	pools   []srvtab.Pool
-	visited int
+	pools    []srvtab.Pool
+	exclude  []ident.Server
+	visited  int // servers visited
+	excluded int // servers met that are in exclude
 }
 
-// newSample returns a sample of the servers of a service in the given failure domains.
-func newSample(view *srvtab.View, service ident.Service, allowed func(ident.FailureDomain) bool) *sample {
-	s := &sample{}
+// newSample returns a sample of the servers of a service in the given failure domains,
+// without the excluded ones.
+func newSample(view *srvtab.View, service ident.Service, allowed func(ident.FailureDomain) bool, exclude []ident.Server) *sample {
+	s := &sample{exclude: exclude}
 	for _, p := range view.PoolsOf(service) {
 		if allowed(p.Domain) {
 			s.pools = append(s.pools, p)
@@ -36,8 +42,8 @@
 	return s
 }
 
-// len returns the number of servers that may be visited.
-func (s *sample) len() int { return total(s.pools) }
+// exhausted reports whether all servers turned out to be excluded.
+func (s *sample) exhausted() bool { return s.excluded == total(s.pools) }
 
 func total(pools []srvtab.Pool) int {
 	n := 0
@@ -64,13 +70,13 @@
 // needed because there are few others.
 func (s *sample) collect(near ident.FailureDomain, accept func(*srvtab.Server) bool) {
 	nearPools, others := s.split(near)
-	found := s.visit(nearPools, max(minNear, maxCompared-total(others)), accept)
-	s.visit(others, maxCompared-found, accept)
+	found := s.visit(nearPools, max(minNear, maxCompared-total(others)), max(maxNearVisited, maxVisited-total(others)), accept)
+	s.visit(others, maxCompared-found, maxVisited, accept)
 }
 
-// visit visits the servers of pools until accept has returned true limit times, or
-// maxVisited servers were visited, and returns how often it did.
-func (s *sample) visit(pools []srvtab.Pool, limit int, accept func(*srvtab.Server) bool) int {
+// visit visits the servers of pools until accept has returned true limit times, or the
+// sample has visited maxVisited servers in all, and returns how often it did.
+func (s *sample) visit(pools []srvtab.Pool, limit, maxVisited int, accept func(*srvtab.Server) bool) int {
 	n := total(pools)
 	if n == 0 {
 		return 0
@@ -80,11 +86,16 @@
 		if found >= limit || s.visited >= maxVisited {
 			break
 		}
+		server := at(pools, i)
+		i = (i + step) % n
+		if slices.Contains(s.exclude, server.ID) {
+			s.excluded++
+			continue
+		}
 		s.visited++
-		if accept(at(pools, i)) {
+		if accept(server) {
 			found++
 		}
-		i = (i + step) % n
 	}
 	return found
 }
--- a/internal/route/pick/sample_test.go
+++ b/internal/route/pick/sample_test.go
@@ -37,7 +37,7 @@
 			view := fleetOf(engines).View()
 			count := func(accept bool) map[ident.Server]int {
 				seen := make(map[ident.Server]int)
-				newSample(view, "engines", anyDomain).collect("d0", func(s *srvtab.Server) bool {
+				newSample(view, "engines", anyDomain, nil).collect("d0", func(s *srvtab.Server) bool {
 					seen[s.ID]++
 					return accept
 				})
@@ -60,6 +60,41 @@
 	}
 }
 
+// TestFullDomain guards against runs that find no engine because those of their own failure
+// domain, which are visited first, are all full.
+func TestFullDomain(t *testing.T) {
+	for _, engines := range []int{44, 600, 12_000} {
+		table, tracker := fleetOf(engines), alloc.New()
+		for _, s := range table.View().ServersOf("engines") {
+			if s.Domain == "d0" {
+				tracker.Reserve(s.ID, alloc.Load{Calls: s.Slots})
+			}
+		}
+		c := NewChooser(table, tracker, health.New(), rates.New(fleetSize(1), nil))
+		for range 20 {
+			p, err := c.Choose(&Request{Service: "engines", Need: 1, EngineMemory: 1000, From: "d0"}, nil, time.Now())
+			assert.NilError(t, err, "%d engines", engines)
+			assert.Assert(t, p.Server.Domain != "d0")
+		}
+	}
+}
+
+// TestExcluded checks that excluded engines are not chosen, and that a service of which all
+// engines are excluded counts as one without servers.
+func TestExcluded(t *testing.T) {
+	table := fleetOf(700)
+	c := NewChooser(table, alloc.New(), health.New(), rates.New(fleetSize(1), nil))
+	r := &Request{Service: "engines", Need: 1, EngineMemory: 1000, From: "d0"}
+	for _, s := range table.View().ServersOf("engines")[1:] {
+		r.Exclude = append(r.Exclude, s.ID)
+	}
+	p, err := c.Choose(r, nil, time.Now())
+	assert.NilError(t, err)
+	r.Exclude = append(r.Exclude, p.Server.ID)
+	_, err = c.Choose(r, nil, time.Now())
+	assert.ErrorIs(t, err, ErrNoServer)
+}
+
 // TestCoprime checks that steps of the random size reach each index.
 func TestCoprime(t *testing.T) {
 	for n := 1; n < 200; n++ {
