Derive whether a gap in the changes of servers is open from the revision

The end of a gap was state of its own, cleared in three places and not by the watch of the store. A VM that had closed a gap itself dropped its revision when it next relied on other VMs, and copied or read all servers again. Change: a gap is open while the revision is below its end. A parameter no longer hides the constant maxVisited; one comment reworded. Result: TestUpdatesFromPeers, a gap is closed by the VM's own watch of the store: revision 0 before, kept now.

--- a/internal/route/pick/sample.go
+++ b/internal/route/pick/sample.go
@@ -75,15 +75,15 @@
 }
 
 // visit visits the servers of pools until accept has returned true limit times, or the
-// sample has visited maxVisited servers in all, and returns how often it did.
-func (s *sample) visit(pools []srvtab.Pool, limit, maxVisited int, accept func(*srvtab.Server) bool) int {
+// sample has visited bound servers in all, and returns how often it did.
+func (s *sample) visit(pools []srvtab.Pool, limit, bound int, accept func(*srvtab.Server) bool) int {
 	n := total(pools)
 	if n == 0 {
 		return 0
 	}
 	found, i, step := 0, rand.IntN(n), coprime(n)
 	for range n {
-		if found >= limit || s.visited >= maxVisited {
+		if found >= limit || s.visited >= bound {
 			break
 		}
 		server := at(pools, i)
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -593,6 +593,20 @@
 			assert.Equal(t, v.servers.Revision(), base+14)
 		})
 	})
+	t.Run("a gap is closed by the VM's own watch of the store", func(t *testing.T) {
+		s := newStore()
+		runFollowers(t, s, func(v *vm) {
+			v.servers.ApplyUpdate(Update{Base: v.servers.Revision() + 1, Rev: v.servers.Revision() + 1}, time.Now())
+			s.put(entry(5))
+			s.put(entry(6))
+			time.Sleep(2 * gapTimeout)
+			reads := s.listReads.Load()
+			v.receivesUpdates.Store(true)
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, s.listReads.Load(), reads, "the list is not read again")
+			assert.Assert(t, v.servers.Revision() != 0)
+		})
+	})
 	t.Run("after a gap in the updates the list is copied from another VM", func(t *testing.T) {
 		s := newStore()
 		runFollowers(t, s, func(v *vm) {
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -67,8 +67,8 @@
 	base       Revision      // recent is complete after this revision
 	recent     []timedChange // changes that are still sent to other VMs, in the order of their revisions
 	lastUpdate time.Time     // when another VM last sent a recent update
-	gapSince   time.Time     // when another VM first sent changes only from a later revision; zero: there is no gap
-	gapEnd     Revision      // that revision
+	gapSince   time.Time     // when another VM first sent changes only from a later revision
+	gapEnd     Revision      // that revision; at most rev: there is no gap
 	// shared holds updates by their Base, since many VMs lack the same changes. It is valid
 	// for sharedRev until sharedTime after sharedAt.
 	shared    map[Revision]Update
@@ -237,7 +237,7 @@
 	} else {
 		s.base, s.recent = rev, nil
 	}
-	s.rev, s.confirmed, s.gapSince = rev, max(s.confirmed, requested), time.Time{}
+	s.rev, s.confirmed = rev, max(s.confirmed, requested)
 	return wasKnown && len(changed)+len(missing) > 0
 }
 
@@ -288,7 +288,7 @@
 		}
 	}
 	s.mu.Lock()
-	s.rev, s.base, s.recent, s.lastUpdate, s.gapSince = u.Rev, u.Rev, nil, now, time.Time{}
+	s.rev, s.base, s.recent, s.lastUpdate = u.Rev, u.Rev, nil, now
 	s.confirmed = max(s.confirmed, s.clock().Add(-u.Age))
 	s.mu.Unlock()
 	s.log.Info("servers taken from another VM", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(u.Rev)))
--- a/internal/state/follow/updates.go
+++ b/internal/state/follow/updates.go
@@ -211,9 +211,6 @@
 		}
 	}
 	s.rev = u.Rev
-	if s.rev >= s.gapEnd {
-		s.gapSince = time.Time{}
-	}
 	s.confirmed = max(s.confirmed, s.clock().Add(-u.Age))
 	if u.Age < relayTime {
 		s.lastUpdate = now
@@ -242,7 +239,7 @@
 // recordGap records that another VM sends changes only from a later revision than this VM
 // knows. VMs that have just copied the list can't send earlier changes, but others can.
 func (s *ServerFollower) recordGap(end Revision, now time.Time) {
-	if s.gapSince.IsZero() {
+	if s.rev >= s.gapEnd {
 		s.gapSince, s.gapEnd = now, end
 	}
 }
@@ -252,8 +249,8 @@
 func (s *ServerFollower) lacksServers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.gapSince.IsZero() && time.Since(s.gapSince) > gapTimeout {
-		s.rev, s.gapSince = 0, time.Time{}
+	if s.rev < s.gapEnd && time.Since(s.gapSince) > gapTimeout {
+		s.rev, s.gapEnd = 0, 0
 	}
 	return s.rev == 0
 }
