Serve the queues again without a timer where serving took no time

Cause: the coordinator's pause after serving its queues is a multiple of what serving took, and a timer was made for it also where that is zero, which is always so in virtual time. Not the tests' data: SIGSEGV and four different checks, in the runtime's own code.

Change: no pause where it would be zero.

--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -151,7 +151,9 @@
 		}
 		start := time.Now()
 		c.serve(start)
-		retry.Sleep(ctx, min(serveInterval, serveCostFactor*time.Since(start)))
+		if pause := min(serveInterval, serveCostFactor*time.Since(start)); pause > 0 {
+			retry.Sleep(ctx, pause)
+		}
 	}
 }
 
