--- a/internal/route/pick/sample.go
+++ b/internal/route/pick/sample.go
@@ -20,6 +20,8 @@
 	// has capacity, the run is queued and tried again with other ones.
 	maxVisited     = 512
 	maxNearVisited = 256
+	// maxStepTries is how many random steps are tried before a step of 1 is used.
+	maxStepTries = 16
 )
 
 // sample visits the servers of some pools in a random order, each at most once.
@@ -114,7 +116,7 @@
 // coprime returns a random number below n, or 1, that has no common divisor with n. Steps of
 // this size visit each of n indices once.
 func coprime(n int) int {
-	for range 16 {
+	for range maxStepTries {
 		if step := 1 + rand.IntN(n); gcd(step, n) == 1 {
 			return step
 		}
