Log why a connection failed, and whose report keeps a server unused

Cause: in the incident's logs a connection that failed has no cause ("no connection to ..."), so that a refused, a reset and a silent server look alike, and nothing shows which VM's report made the coordinator avoid an engine for all. Change: the error of the system call stays; the coordinator's VM logs servers reported unreachable and by whom. No decision changes.

--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -108,7 +108,7 @@
 	}
 	c, err := d.dial(ctx, addr)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
+		return nil, trace.Wrap(err)
 	}
 	return newConn(c, idleTimeout), nil
 }
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -347,6 +347,9 @@
 
 // HandlePlacementRequest implements gossip.Delegate.
 func (d *delegate) HandlePlacementRequest(req coord.Request, reply func(coord.Response)) {
+	if len(req.Run.Unreachable) > 0 {
+		d.node.log.Info("servers reported unreachable", zap.Any("servers", req.Run.Unreachable), zap.String("reported-by", string(req.VM)))
+	}
 	d.node.coordinator.Submit(req, reply, time.Now())
 }
 
