Reach servers through other VMs while this VM's own links fail

Cause: a VM reached servers over its own links only, and a link that failed was booked as a server that failed: in the VM's weights, at the coordinator, which then avoided the server for all VMs, and as evidence that a request had crashed it. Class: what one VM observes of a path is taken for the state of its far end. Change: path.Connector tries another VM beside a direct connection that takes over 30 ms or fails; the other VM opens a tunnel over its own links (never a second hop) and copies bytes. All checks, budgets and limits stay at the VM that has the call. reach.Tracker remembers which servers are cut off, goes by other VMs at once then, and probes the direct way after 0.1 to 1 s. A server is blamed only if another VM that reaches servers failed as well, or this VM's other connections work. Isolated VMs say so in reports, and hubs name them VMs that are not. Why it works: no byte of a call is sent before one connection is chosen, so a call still runs once; the end of a response is marked in the tunnel, so a broken one never looks complete. The probe's test now reports a server unreachable only if that is confirmed; a case for a cut link is added.

--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -106,31 +105,22 @@
 			return c, nil
 		}
 	}
-	c, err := d.dial(ctx, addr)
+	c, err := d.Dial(ctx, addr)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return newConn(c, idleTimeout), nil
 }
 
-func (d *Dialer) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: d.connectTimeout, KeepAliveConfig: keepAliveConfig()}
+// Dial opens a connection to addr.
+func (d *Dialer) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: d.connectTimeout, KeepAliveConfig: KeepAlive()}
 	if d.localAddr.IsValid() && !d.localAddr.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.localAddr, 0))
 	}
 	return dialer.DialContext(ctx, "tcp", addr.String())
 }
 
-// RefusesConnections reports whether connections to addr are refused. It opens a
-// connection to find out, and closes it at once.
-func (d *Dialer) RefusesConnections(ctx context.Context, addr netip.AddrPort) bool {
-	c, err := d.dial(ctx, addr)
-	if err == nil {
-		_ = c.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func (d *Dialer) takeIdle(addr netip.AddrPort) *conn {
 	for {
 		c := d.popIdle(addr)
--- a/internal/peer/httpc/raw.go
+++ b/internal/peer/httpc/raw.go
@@ -1,6 +1,7 @@
 package httpc
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -30,11 +31,18 @@
 // DoRaw sends a request with the given header and body unchanged, over a new
 // connection, and reads the header of the response.
 func (d *Dialer) DoRaw(ctx context.Context, addr netip.AddrPort, header *fasthttp.RequestHeader, body []byte, o Options) (*Response, error) {
-	o.NewConn = true
-	c, err := d.get(ctx, addr, o)
+	nc, err := d.Dial(ctx, addr)
 	if err != nil {
 		return nil, &Error{Stage: Connect, Err: cause(ctx, err)}
 	}
+	return Exchange(ctx, nc, header, body, cmp.Or(o.IdleTimeout, d.idleTimeout))
+}
+
+// Exchange sends a request with the given header and body unchanged over a new connection,
+// and reads the header of the response. It closes the connection if that fails, and
+// otherwise with the body of the response. idleTimeout is the maximum time without data.
+func Exchange(ctx context.Context, nc net.Conn, header *fasthttp.RequestHeader, body []byte, idleTimeout time.Duration) (*Response, error) {
+	c := newConn(nc, idleTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp, exchangeErr := c.roundTrip(header, body)
 	if exchangeErr != nil {
@@ -121,6 +129,7 @@
 	return n, err
 }
 
-func keepAliveConfig() net.KeepAliveConfig {
+// KeepAlive returns the keep-alive configuration of connections to other processes.
+func KeepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -58,6 +58,7 @@
 	settings   recipients
 	servers    recipients
 	serverList cachedList
+	handlers   map[string]fasthttp.RequestHandler // by path, besides those of this package
 }
 
 // cachedList is the latest encoded and compressed server list.
@@ -111,9 +112,12 @@
 
 // NewServer returns a server for src. The VM's link carries linkRate bits per second.
 func NewServer(src Source, linkRate float64, log *zap.Logger) *Server {
-	return &Server{src: src, log: log, quota: newQuota(linkRate, time.Now())}
+	return &Server{src: src, log: log, quota: newQuota(linkRate, time.Now()), handlers: make(map[string]fasthttp.RequestHandler)}
 }
 
+// Handle makes h handle the requests for a path. It must be called before Serve.
+func (s *Server) Handle(path string, h fasthttp.RequestHandler) { s.handlers[path] = h }
+
 // Serve starts to serve requests on ln in group. It stops and closes ln when ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, group *errgroup.Group) {
 	srv := &fasthttp.Server{
@@ -143,6 +147,10 @@
 	case pathServers:
 		s.sendServers(ctx)
 	default:
+		if h := s.handlers[string(ctx.Path())]; h != nil {
+			h(ctx)
+			return
+		}
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
--- a/internal/peer/wire/hub.go
+++ b/internal/peer/wire/hub.go
@@ -19,6 +19,7 @@
 	Known           int                              // number of VMs that report to the hub, or did recently
 	Reporting       int                              // number of VMs whose attempts are in PeerAttempts
 	PeerAttempts    map[ident.Service]retry.Attempts // of all VMs but the receiver, in the window of the retry budget
+	Carriers        []hubs.Candidate                 // VMs that may carry connections to servers for the receiver, if it is isolated
 }
 
 // Field numbers of a hub's response and of a candidate in it.
@@ -28,6 +29,7 @@
 	hubKnown           = 3
 	hubReporting       = 4
 	hubPeerAttempts    = 5
+	hubCarrier         = 6
 
 	candidateVM       = 1
 	candidateAddr     = 2
@@ -45,6 +47,9 @@
 	for name, attempts := range h.PeerAttempts {
 		b = appendBytes(b, hubPeerAttempts, encodeAttempts(name, attempts))
 	}
+	for _, c := range h.Carriers {
+		b = appendBytes(b, hubCarrier, encodeCandidate(c))
+	}
 	return b
 }
 
@@ -66,6 +71,10 @@
 			var c hubs.Candidate
 			c, err = decodeCandidate(data)
 			h.Candidates = append(h.Candidates, c)
+		case hubCarrier:
+			var c hubs.Candidate
+			c, err = decodeCandidate(data)
+			h.Carriers = append(h.Carriers, c)
 		case hubKnown:
 			h.Known = int(min(v, math.MaxInt32))
 		case hubReporting:
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -47,6 +47,7 @@
 	Limits []rates.Limit
 	// Evacuations are the failure domains that operators have evacuated.
 	Evacuations srvtab.Evacuations
+	Isolated    bool // the VM reaches no backend server over its own links
 
 	Capacity        hubs.Capacity
 	Domain          ident.FailureDomain // of the VM
@@ -94,6 +95,7 @@
 	fieldLimit             = 23
 	fieldEvacuations       = 24
 	fieldServersRev        = 25 // plus one
+	fieldIsolated          = 26
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -139,6 +141,9 @@
 	if m.Store.Watching {
 		b = appendNumber(b, fieldWatching, 1)
 	}
+	if m.Isolated {
+		b = appendNumber(b, fieldIsolated, 1)
+	}
 	b = appendNumber(b, fieldServersAge, uint64(m.Store.Age))
 	b = appendNumber(b, fieldCapacity, uint64(m.Capacity))
 	if m.Domain != "" {
@@ -303,6 +308,8 @@
 		m.SettingsVersion = v
 	case fieldWatching:
 		m.Store.Watching = v != 0
+	case fieldIsolated:
+		m.Isolated = v != 0
 	case fieldServersAge:
 		m.Store.Age = time.Duration(v)
 	case fieldCapacity:
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -51,7 +51,11 @@
 		m.Hub = &HubResponse{CandidateDigest: 7, Known: 9, Reporting: 8, PeerAttempts: m.Attempts, Candidates: []hubs.Candidate{
 			{VM: "a", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Capacity: 12},
 		}}
+		if rapid.Bool().Draw(t, "carriers") {
+			m.Hub.Carriers = []hubs.Candidate{{VM: "b", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Capacity: 11, Domain: "d"}}
+		}
 	}
+	m.Isolated = rapid.Bool().Draw(t, "isolated")
 	if rapid.Bool().Draw(t, "reply") {
 		m.RequestTime = uint64(n.Draw(t, "request-time"))
 		m.Reply = &VersionReply{RequestTime: m.RequestTime, Version: 7, Age: time.Second}
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -21,6 +21,7 @@
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/edge"
 	"umberladder/internal/proc/logger"
+	"umberladder/internal/route/path"
 	"umberladder/internal/route/relay"
 	"umberladder/platform"
 )
@@ -86,7 +87,8 @@
 	vm := edge.New(cfg, edge.Deps{
 		Settings:   store,
 		Servers:    store,
-		Backend:    platform.NewServerClient(dialer),
+		Dialer:     dialer,
+		NewBackend: func(c *path.Connector) edge.Backend { return platform.NewServerClient(c) },
 		NewIngress: func(r *relay.Relay) edge.Ingress { return platform.NewIngress(r, uptime.Now) },
 		Registry:   store,
 		Share:      share.NewClient(dialer, cfg.Peers),
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -37,6 +37,9 @@
 	metricQuarantined     = "umberladder_quarantined_requests"
 	metricServersLimited  = "umberladder_servers_limited"
 	metricEvacuated       = "umberladder_failure_domains_evacuated"
+	metricConnections     = "umberladder_server_connections_total"
+	metricServersCutOff   = "umberladder_servers_cut_off"
+	metricTunnels         = "umberladder_tunnels"
 )
 
 // Metric describes one metric.
@@ -76,6 +79,9 @@
 		{metricQueued, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
+		{metricConnections, "counter", "attempts to connect to servers, by path (direct, or through a peer VM) and outcome"},
+		{metricServersCutOff, "gauge", "servers that this VM reaches only through other VMs"},
+		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
 		{metricQuarantined, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
 	}
@@ -108,6 +114,8 @@
 		metricReady:          func() float64 { return boolValue(v.Ready()) },
 		metricServersLimited: func() float64 { return float64(v.node.Rates.LimitedCount(time.Now())) },
 		metricEvacuated:      func() float64 { return float64(len(v.node.Servers.Evacuations().Domains)) },
+		metricServersCutOff:  func() float64 { return float64(v.node.Reach.CutOffCount(time.Now())) },
+		metricTunnels:        func() float64 { return float64(v.tunnels.Open()) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
 	} {
 		v.metricSet.NewGauge(name, f)
@@ -132,6 +140,11 @@
 	v.metricSet.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricPlacements, outcome)).Inc()
 }
 
+// countConnection counts an attempt to connect to a server.
+func (v *VM) countConnection(way, outcome string) {
+	v.metricSet.GetOrCreateCounter(fmt.Sprintf("%s{path=%q,outcome=%q}", metricConnections, way, outcome)).Inc()
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/internal/proc/edge/recorder.go
+++ b/internal/proc/edge/recorder.go
@@ -59,6 +59,7 @@
 		zap.String("kind", kind),
 		zap.String("service", string(res.Service)),
 		zap.String("server", string(res.Server)),
+		zap.String("via", string(res.Via)),
 		zap.Int("status", res.Status),
 		zap.Duration("queued", res.QueueTime),
 		zap.Duration("first", res.TimeToFirst),
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -16,11 +16,13 @@
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/health"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/logger"
 	"umberladder/internal/proc/peers"
 	"umberladder/internal/route/coord"
+	"umberladder/internal/route/path"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/placer"
 	"umberladder/internal/route/port"
@@ -69,7 +71,8 @@
 type Deps struct {
 	Settings   follow.SettingsSource
 	Servers    follow.ServerSource
-	Backend    Backend
+	Dialer     path.Dialer // opens connections to servers and to other VMs
+	NewBackend func(c *path.Connector) Backend
 	NewIngress func(r *relay.Relay) Ingress
 	Registry   hubreg.Registry
 	Share      *share.Client            // fetches settings and server entries from other VMs
@@ -87,6 +90,7 @@
 	coordinator *coord.Coordinator
 	placer      *placer.Placer
 	prober      *probe.Prober
+	tunnels     *tunnel.Server
 	relay       *relay.Relay
 	front       *front.Server
 	stopping    atomic.Bool
@@ -97,10 +101,13 @@
 	node := peers.New(cfg, peers.Deps{Settings: deps.Settings, Servers: deps.Servers, Registry: deps.Registry, Share: deps.Share}, group, log)
 	v := &VM{log: log, metricSet: metrics.NewSet(), logSink: deps.LogSink, node: node}
 	v.cfg.Store(cfg)
+	conns := v.newConnector(deps.Dialer, group)
+	backend := deps.NewBackend(conns)
+	v.tunnels = tunnel.NewServer(node.Servers, conns, log)
 	healthTracker := health.New()
 	chooser := pick.NewChooser(node.Servers, node.Alloc, healthTracker, node.Rates)
 	v.coordinator = coord.New(chooser)
-	v.prober = probe.New(node.Servers, deps.Backend, node.ServicesToProbe, node.Alloc.Load, chooser.MarkUnreachable, group, log)
+	v.prober = probe.New(node.Servers, backend, node.ServicesToProbe, node.Alloc.Load, chooser.MarkUnreachable, group, log)
 	v.placer = placer.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.coordinator, node.CoordinatorOrder, node, v.countPlacement, log)
 	v.relay = relay.New(task.Deps{
 		Config: task.Config{
@@ -119,7 +126,7 @@
 		Rates:     node.Rates,
 		Poison:    node.Poison,
 		Placer:    v.placer,
-		Backend:   deps.Backend,
+		Backend:   backend,
 		Clock:     uptime.Now,
 		Log:       log.Named(logger.CallsLogger),
 		Group:     group,
@@ -131,6 +138,19 @@
 	return v
 }
 
+// newConnector returns the connector to backend servers.
+func (v *VM) newConnector(d path.Dialer, group *errgroup.Group) *path.Connector {
+	return path.New(v.node.Reach, path.Deps{
+		Dialer:           d,
+		Tunnels:          tunnel.NewClient(d),
+		Peers:            v.node.Hubs.Carriers,
+		IsolationChanged: v.node.ReportNow,
+		Count:            v.countConnection,
+		Group:            group,
+		Log:              v.log,
+	})
+}
+
 func (v *VM) limits() front.Limits {
 	s := v.node.Settings.Load()
 	if s == nil {
@@ -167,7 +187,7 @@
 	if err := v.serveReadyAndMetrics(ctx, group); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := v.node.Run(ctx, v.coordinator, v.placer); err != nil {
+	if err := v.node.Run(ctx, v.coordinator, v.placer, v.tunnels); err != nil {
 		return trace.Wrap(err)
 	}
 	for _, loop := range []func(context.Context){v.coordinator.Run, v.prober.Run} {
@@ -196,8 +216,8 @@
 }
 
 // shutDown drains the VM: it stops being ready, accepts new connections for
-// acceptTime, and waits until all connections have closed or the grace time less
-// exitReserve has passed.
+// acceptTime, and waits until all connections and tunnels have closed or the grace time
+// less exitReserve has passed.
 func (v *VM) shutDown(ln net.Listener) {
 	start := time.Now()
 	v.log.Info("stopping", zap.Int64("connections", v.front.OpenConns()))
@@ -210,7 +230,7 @@
 		if time.Since(start) > acceptTime {
 			_ = ln.Close()
 			v.front.CloseIdle(acceptTime)
-			if v.front.OpenConns() == 0 {
+			if v.front.OpenConns() == 0 && v.tunnels.Open() == 0 {
 				break
 			}
 		}
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -103,6 +103,7 @@
 	m.Hub.Known, m.Hub.Reporting, m.Hub.PeerAttempts = total.Known, total.Reporting, total.Attempts
 	m.Findings = d.node.Poison.Response(to, now)
 	m.Limits = d.node.Rates.Response(to, now)
+	m.Hub.Carriers = d.node.Hubs.CarriersFor(to, now)
 	d.fillCommon(m, now)
 	if m.Reply != nil {
 		d.setUpdate(m, d.node.updates.Missing, to, now)
@@ -122,6 +123,7 @@
 	m.SettingsVersion = n.Version()
 	m.Evacuations = n.Servers.Evacuations()
 	m.Store = n.storeStatus(now)
+	m.Isolated = n.Reach.Isolated(now)
 	m.ServersRev, m.ServersRevKnown = n.ServerFollower.Revision(), true
 }
 
@@ -142,7 +144,7 @@
 
 // reportOf returns the sender's report about itself in a message.
 func reportOf(m *wire.Message, from netip.AddrPort) hubs.Report {
-	return hubs.Report{Candidate: hubs.Candidate{VM: m.VM, Addr: from, Capacity: m.Capacity, Domain: m.Domain}, StoreStatus: m.Store}
+	return hubs.Report{Candidate: hubs.Candidate{VM: m.VM, Addr: from, Capacity: m.Capacity, Domain: m.Domain}, StoreStatus: m.Store, Isolated: m.Isolated}
 }
 
 // HandleReport implements gossip.Delegate.
@@ -164,6 +166,7 @@
 	if n.Hubs.HandleResponse(reportOf(m, from), m.Hub.Candidates, m.Hub.CandidateDigest, now) {
 		n.reportNow()
 	}
+	n.Hubs.SetCarriers(m.VM, m.Hub.Carriers, now)
 	n.Budget.HandleResponse(m.VM, retry.FleetTotal{At: now, Known: m.Hub.Known, Reporting: m.Hub.Reporting, Attempts: m.Hub.PeerAttempts})
 	n.Poison.HandleResponse(m.VM, m.Instance, m.QuarantineDigest, now)
 	n.Rates.HandleResponse(m.VM, m.Hub.Reporting, m.Limits, now)
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -12,10 +12,13 @@
 
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/peer/gossip"
+	"umberladder/internal/peer/httpc"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/peer/wire"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
+	"umberladder/internal/policy/reach"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/route/alloc"
@@ -46,6 +49,7 @@
 	Budget         *retry.FleetBudget
 	Poison         *poison.Detector
 	Rates          *rates.Limiter
+	Reach          *reach.Tracker
 	ServerFollower *follow.ServerFollower
 
 	updates          *delta.Sender
@@ -71,6 +75,7 @@
 		Settings:    routes.NewCurrent(uptime.Now),
 		Alloc:       alloc.New(),
 		Hubs:        hubs.New(self, cfg.Seeds, start),
+		Reach:       reach.New(),
 		cfg:         cfg,
 		share:       deps.Share,
 		group:       group,
@@ -89,15 +94,18 @@
 }
 
 // Run starts the exchange with the store and other VMs, which lasts until ctx ends.
-// Placement requests from other VMs go to the coordinator c, and responses to this
-// VM's own requests to the placer p.
-func (n *Node) Run(ctx context.Context, c *coord.Coordinator, p *placer.Placer) error {
+// Placement requests from other VMs go to the coordinator c, responses to this VM's own
+// requests to the placer p, and requests for tunnels to t.
+func (n *Node) Run(ctx context.Context, c *coord.Coordinator, p *placer.Placer, t *tunnel.Server) error {
 	n.coordinator, n.placer = c, p
-	ln, err := net.Listen("tcp", n.cfg.Peers.String())
+	lc := net.ListenConfig{KeepAliveConfig: httpc.KeepAlive()}
+	ln, err := lc.Listen(ctx, "tcp", n.cfg.Peers.String())
 	if err != nil {
 		return trace.Wrap(err, "/peers-address")
 	}
-	share.NewServer(shareSource{n}, n.cfg.LinkBitsPerSecond, n.log).Serve(ctx, ln, n.group)
+	shares := share.NewServer(shareSource{n}, n.cfg.LinkBitsPerSecond, n.log)
+	shares.Handle(tunnel.Path, t.Handle)
+	shares.Serve(ctx, ln, n.group)
 	agent, err := gossip.New(n.cfg.Name, uint64(time.Now().UnixNano()), n.cfg.Peers, &delegate{node: n, ctx: ctx}, n.Hubs, n.log)
 	if err != nil {
 		return trace.Wrap(err, "/peers-address")
@@ -122,6 +130,9 @@
 	return 0
 }
 
+// ReportNow sends a report to the hubs without waiting for the report interval.
+func (n *Node) ReportNow() { n.reportNow() }
+
 // WatchesStore reports whether this VM watches the store for changes of servers.
 func (n *Node) WatchesStore() bool { return !n.serversFromPeers() }
 
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -15,11 +15,12 @@
 type Attempt struct {
 	Call        *call.Call
 	Server      *srvtab.Server
-	Workspace   ident.Workspace // empty: the route is public
-	Timeout     time.Duration   // after it the response is of no use
-	Backup      netip.AddrPort  // engine that keeps a copy of the cache; not valid: none
-	Copy        CacheRef        // KV cache to continue from
-	LastEventID string          // ID of the last event that the client received
+	Workspace   ident.Workspace       // empty: the route is public
+	Timeout     time.Duration         // after it the response is of no use
+	Backup      netip.AddrPort        // engine that keeps a copy of the cache; not valid: none
+	Copy        CacheRef              // KV cache to continue from
+	LastEventID string                // ID of the last event that the client received
+	Domains     []ident.FailureDomain // failure domains of VMs that the call may pass through; nil: all
 }
 
 // CacheRef identifies the KV cache of a run that continues on another engine.
@@ -30,6 +31,7 @@
 
 // Response is a server's response.
 type Response struct {
+	Via         ident.VM // VM that carries the connection; empty: it is direct
 	Status      int
 	Fields      []call.HeaderField // as sent by the server, without those of the connection
 	Signed      bool               // carries a signature of the server
@@ -78,8 +80,11 @@
 
 // SendError is the error of an attempt without a response.
 type SendError struct {
-	Unsent bool // nothing of the call left this VM, so it cannot have run
-	Err    error
+	Unsent bool // nothing of the call was sent to the server, so it cannot have run
+	// Unreachable reports that the server could not be connected to, and that other VMs
+	// or other servers show that this VM's links are not the cause.
+	Unreachable bool
+	Err         error
 }
 
 func (e *SendError) Error() string { return e.Err.Error() }
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -150,7 +150,7 @@
 	defer cancel()
 	r, err := p.engines.Report(ctx, s)
 	switch {
-	case task.IsUnsent(err):
+	case task.IsUnreachable(err):
 		p.unreachable([]ident.Server{s.ID}, time.Now())
 	case err != nil:
 		p.log.Debug("engine report not read", zap.String("server", string(s.ID)), zap.Error(err))
--- a/internal/route/probe/probe_test.go
+++ b/internal/route/probe/probe_test.go
@@ -77,7 +77,8 @@
 		"draining":           {engines: engines{report: port.EngineReport{Draining: true}}, probes: 1},
 		"restarted":          {engines: engines{report: port.EngineReport{StartedAt: time.UnixMilli(2000)}}, probes: 1},
 		"same start time":    {engines: engines{report: port.EngineReport{StartedAt: time.UnixMilli(1000)}}, used: true, probes: 5},
-		"connection refused": {engines: engines{err: &port.SendError{Unsent: true, Err: errors.New("refused")}}, used: true, unreachable: true, probes: 5},
+		"connection refused": {engines: engines{err: &port.SendError{Unsent: true, Unreachable: true, Err: errors.New("refused")}}, used: true, unreachable: true, probes: 5},
+		"link cut":           {engines: engines{err: &port.SendError{Unsent: true, Err: errors.New("refused")}}, used: true, probes: 5},
 		"no response":        {engines: engines{after: time.Minute}, used: true, probes: 2},
 		"store reachable":    {storeUp: true, engines: engines{report: port.EngineReport{Draining: true}}, used: true},
 	} {
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -131,7 +131,7 @@
 			f.CheckCrash(ctx, s)
 		}
 	}
-	if task.IsUnsent(err) && !task.IsNotAccepting(err) {
+	if task.IsUnreachable(err) {
 		f.unreachable = append(f.unreachable, s.ID)
 	}
 	f.LogInfo("no answer", zap.String("server", string(s.ID)), zap.Bool("unsent", task.IsUnsent(err)), zap.Error(err))
@@ -201,7 +201,7 @@
 	}
 	f.server = s
 	f.Result.Server = s.ID
-	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID}
+	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID, Domains: f.AllowedDomains()}
 	if f.backup != nil {
 		attempt.Backup = f.backup.engine.Addr
 	}
@@ -213,9 +213,10 @@
 		f.Alloc.RecordFailure(s.ID)
 	}
 	if err != nil {
-		f.Health.Failure(s.ID, time.Now())
+		f.RecordSendFailure(s, err)
 		return nil, err
 	}
+	f.Result.Via = resp.Via
 	f.ObserveResponse(s, resp, sent)
 	return resp, nil
 }
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -78,6 +78,7 @@
 	Route           *routes.Route    // nil: none was found
 	Service         ident.Service
 	Server          ident.Server
+	Via             ident.VM        // VM through which the server was reached last; empty: directly
 	Status          int             // sent to the client; zero: none
 	Refusal         *refuse.Refusal // nil: a server's response was delivered
 	QueueTime       time.Duration   // total wait for capacity on an engine
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// RecordSendFailure records an attempt without a response. A connection that failed counts
+// against the server only if it is to blame.
+func (t *Task) RecordSendFailure(s *srvtab.Server, err error) {
+	if IsUnreachable(err) || !IsUnsent(err) {
+		t.Health.Failure(s.ID, time.Now())
+	}
+}
+
 // ObserveResponse processes what a response says about its server. A draining
 // server is taken out of use: its entry may say so much later, or never. A server
 // that asks for a pause gets no calls from this VM for that time. A rate limit is
@@ -200,6 +208,13 @@
 	return r
 }
 
+// IsUnreachable reports whether the error says that the server could not be connected to,
+// and that this VM's links are not the cause.
+func IsUnreachable(err error) bool {
+	var se *port.SendError
+	return errors.As(err, &se) && se.Unreachable
+}
+
 // IsUnsent reports whether the error says that nothing of a call left this VM.
 func IsUnsent(err error) bool {
 	var se *port.SendError
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -148,11 +148,12 @@
 	r.Result.Server = s.ID
 	sent := time.Now()
 	r.Rates.RecordSent(s.ID, sent)
-	resp, err := r.Backend.Send(ctx, port.Attempt{Call: r.Call, Server: s, Workspace: r.Workspace, Timeout: r.Remaining(), LastEventID: r.Call.LastEventID})
+	resp, err := r.Backend.Send(ctx, port.Attempt{Call: r.Call, Server: s, Workspace: r.Workspace, Timeout: r.Remaining(), LastEventID: r.Call.LastEventID, Domains: r.AllowedDomains()})
 	if err != nil {
-		r.Health.Failure(s.ID, time.Now())
+		r.RecordSendFailure(s, err)
 		return nil, err
 	}
+	r.Result.Via = resp.Via
 	defer func() { _ = resp.Body.Close() }()
 	r.ObserveResponse(s, resp, sent)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
--- a/internal/state/hubs/hubs.go
+++ b/internal/state/hubs/hubs.go
@@ -61,6 +61,7 @@
 type Report struct {
 	Candidate
 	StoreStatus
+	Isolated bool // the VM reaches no backend server over its own links
 }
 
 // peer is what is known of another VM.
@@ -72,6 +73,7 @@
 	unansweredSince time.Time // first report sent to it since lastSeen; zero: none yet
 	unanswered      int       // reports sent to it since then
 	status          StoreStatus
+	isolated        bool
 }
 
 // listing is a list of candidates from a hub's response or from the store.
@@ -101,6 +103,7 @@
 	rank             int                  // of this VM in top; len(top) if it is not there
 	hubsChangedAt    time.Time            // when the set of hubs last changed
 	reporters        reporterCounts
+	carriers         map[ident.VM]listing // VMs that reach backend servers, by the hub that sent them
 }
 
 // reporterCounts holds the numbers of VMs that reported recently, counted at a time.
@@ -112,7 +115,7 @@
 // New returns the tracker of a VM that has just started and received no message yet. The
 // seeds are addresses of VMs that it reports to while it is isolated.
 func New(self Candidate, seeds []netip.AddrPort, start time.Time) *Tracker {
-	return &Tracker{self: self, seeds: seeds, startedAt: start, peers: make(map[ident.VM]*peer), listings: make(map[ident.VM]listing)}
+	return &Tracker{self: self, seeds: seeds, startedAt: start, peers: make(map[ident.VM]*peer), listings: make(map[ident.VM]listing), carriers: make(map[ident.VM]listing)}
 }
 
 // recordMessage records that a message of another VM arrived, with the VM's description of
@@ -129,7 +132,7 @@
 		}
 		p.ranked = newRanked(r.Candidate)
 	}
-	p.status = r.StoreStatus
+	p.status, p.isolated = r.StoreStatus, r.Isolated
 	p.lastSeen, p.unansweredSince, p.unanswered = now, time.Time{}, 0
 	if t.joinedAt.IsZero() {
 		t.joinedAt = now
