Do not overrun servers that state that they are brittle

Cause: Server-Brittle was not read. VMs choose plain servers each by itself and do not know each other's calls, so that together they send more than there is room for. Change: the statement is decoded, held by service (it is in all answers, so the first without it ends it) and exchanged with other VMs. While it holds, plain calls get their server from the service's coordinator, as streams do, which counts the calls of all VMs and refuses at once what finds no room in time. A VM without a coordinator keeps to its share of the slots. A server that rejects a call gets none from that VM for 0.5 s, and fewer from the others. Why not as Server-Limit (policy/rates): that bounds a rate, which VMs can share by chance; here the bound is on calls beyond the room at a moment, which only one decider knows.

--- a/internal/peer/wire/limit.go
+++ b/internal/peer/wire/limit.go
@@ -8,8 +8,38 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/rates"
+	"umberladder/internal/policy/reject"
 )
 
+// Field numbers of a service's limit on rejections.
+const (
+	rejectService    = 1
+	rejectRejections = 2
+	rejectAge        = 3
+)
+
+func encodeRejectLimit(l reject.Limit, now time.Time) []byte {
+	b := appendString(nil, rejectService, string(l.Service))
+	b = appendNumber(b, rejectRejections, uint64(max(l.Rejections, 0)))
+	return appendNumber(b, rejectAge, encodeTime(l.At, now))
+}
+
+func decodeRejectLimit(b []byte, now time.Time) (reject.Limit, error) {
+	var l reject.Limit
+	err := forEachField(b, func(n protowire.Number, data []byte, v uint64) error {
+		switch n {
+		case rejectService:
+			l.Service = ident.Service(data)
+		case rejectRejections:
+			l.Rejections = int(min(v, math.MaxInt32))
+		case rejectAge:
+			l.At = decodeTime(v, now)
+		}
+		return nil
+	})
+	return l, err
+}
+
 // Field numbers of a server's rate limit.
 const (
 	limitServer = 1
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -10,6 +10,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
+	"umberladder/internal/policy/reject"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
@@ -48,6 +49,8 @@
 	// Evacuations are the failure domains that operators have evacuated.
 	Evacuations srvtab.Evacuations
 	Isolated    bool // the VM reaches no backend server over its own links
+	// Brittle are the services whose servers fail if they reject too many requests.
+	Brittle []reject.Limit
 
 	Capacity        hubs.Capacity
 	Domain          ident.FailureDomain // of the VM
@@ -96,6 +99,7 @@
 	fieldEvacuations       = 24
 	fieldServersRev        = 25 // plus one
 	fieldIsolated          = 26
+	fieldBrittle           = 27
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -164,6 +168,9 @@
 	for _, l := range m.Limits {
 		b = appendBytes(b, fieldLimit, encodeLimit(l, time.Now()))
 	}
+	for _, l := range m.Brittle {
+		b = appendBytes(b, fieldBrittle, encodeRejectLimit(l, time.Now()))
+	}
 	if m.Evacuations.Rev != 0 {
 		b = appendBytes(b, fieldEvacuations, encodeEvacuations(m.Evacuations))
 	}
@@ -275,10 +282,8 @@
 		var f poison.Finding
 		f, err = decodeFinding(data, time.Now())
 		m.Findings = append(m.Findings, f)
-	case fieldLimit:
-		var l rates.Limit
-		l, err = decodeLimit(data, time.Now())
-		m.Limits = append(m.Limits, l)
+	case fieldLimit, fieldBrittle:
+		err = m.addLimit(n, data)
 	case fieldEvacuations:
 		m.Evacuations, err = decodeEvacuations(data)
 	case fieldVersionReply:
@@ -295,6 +300,18 @@
 	return err
 }
 
+// addLimit decodes and adds a limit that servers have stated.
+func (m *Message) addLimit(n protowire.Number, data []byte) error {
+	if n == fieldBrittle {
+		l, err := decodeRejectLimit(data, time.Now())
+		m.Brittle = append(m.Brittle, l)
+		return err
+	}
+	l, err := decodeLimit(data, time.Now())
+	m.Limits = append(m.Limits, l)
+	return err
+}
+
 // setNumber sets one numeric field of a message.
 func (m *Message) setNumber(n protowire.Number, v uint64) {
 	switch n {
--- a/internal/peer/wire/placement.go
+++ b/internal/peer/wire/placement.go
@@ -31,6 +31,7 @@
 	requestDomain       = 16
 	requestColdLimit    = 17
 	requestColdTime     = 18
+	requestBrief        = 19
 
 	responseID         = 1
 	responseState      = 2
@@ -69,6 +70,9 @@
 	if run.Backup {
 		b = appendNumber(b, requestBackup, 1)
 	}
+	if run.Brief {
+		b = appendNumber(b, requestBrief, 1)
+	}
 	b = appendNumber(b, requestTargetWait, uint64(run.TargetWait))
 	b = appendNumber(b, requestRetryKey, run.RetryKey)
 	return appendNumber(b, requestMaxWait, uint64(run.MaxWait))
@@ -116,6 +120,8 @@
 		run.EngineMemory = int(v)
 	case requestBackup:
 		run.Backup = v != 0
+	case requestBrief:
+		run.Brief = v != 0
 	case requestColdLimit:
 		run.ColdLimit = int(min(v, math.MaxInt32))
 	case requestColdTime:
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -37,6 +37,7 @@
 	metricQuarantined     = "umberladder_quarantined_requests"
 	metricServersLimited  = "umberladder_servers_limited"
 	metricEvacuated       = "umberladder_failure_domains_evacuated"
+	metricBrittle         = "umberladder_services_brittle"
 	metricConnections     = "umberladder_server_connections_total"
 	metricServersCutOff   = "umberladder_servers_cut_off"
 	metricTunnels         = "umberladder_tunnels"
@@ -79,6 +80,7 @@
 		{metricQueued, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
+		{metricBrittle, "gauge", "services whose servers fail if they reject too many requests"},
 		{metricConnections, "counter", "attempts to connect to servers, by path (direct, or through a peer VM) and outcome"},
 		{metricServersCutOff, "gauge", "servers that this VM reaches only through other VMs"},
 		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
@@ -114,6 +116,7 @@
 		metricReady:          func() float64 { return boolValue(v.Ready()) },
 		metricServersLimited: func() float64 { return float64(v.node.Rates.LimitedCount(time.Now())) },
 		metricEvacuated:      func() float64 { return float64(len(v.node.Servers.Evacuations().Domains)) },
+		metricBrittle:        func() float64 { return float64(len(v.node.Reject.Services(time.Now()))) },
 		metricServersCutOff:  func() float64 { return float64(v.node.Reach.CutOffCount(time.Now())) },
 		metricTunnels:        func() float64 { return float64(v.tunnels.Open()) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -124,6 +124,7 @@
 		Budget:    node.Budget,
 		Health:    healthTracker,
 		Rates:     node.Rates,
+		Reject:    node.Reject,
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Backend:   backend,
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -124,6 +124,7 @@
 	m.Evacuations = n.Servers.Evacuations()
 	m.Store = n.storeStatus(now)
 	m.Isolated = n.Reach.Isolated(now)
+	m.Brittle = n.Reject.Report(now)
 	m.ServersRev, m.ServersRevKnown = n.ServerFollower.Revision(), true
 }
 
@@ -187,6 +188,7 @@
 		n.log.Info("evacuations in force", zap.Any("failure-domains", m.Evacuations.Domains), zap.String("reported-by", string(m.VM)))
 		n.announce()
 	}
+	n.Reject.Merge(m.Brittle, now)
 	if m.ServersRevKnown {
 		n.updates.Record(m.VM, m.ServersRev, now)
 	}
@@ -338,7 +340,7 @@
 		return out
 	}
 	now := time.Now()
-	for _, s := range snap.EngineServices() {
+	for _, s := range slices.Concat(snap.EngineServices(), d.node.Reject.Services(now)) {
 		for _, candidate := range d.node.Hubs.CoordinatorOrder(s, loadRecipients, now) {
 			if candidate.Addr.IsValid() && !slices.Contains(out, candidate.Addr) {
 				out = append(out, candidate.Addr)
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -19,6 +19,7 @@
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reach"
+	"umberladder/internal/policy/reject"
 	"umberladder/internal/policy/retry"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/route/alloc"
@@ -50,6 +51,7 @@
 	Poison         *poison.Detector
 	Rates          *rates.Limiter
 	Reach          *reach.Tracker
+	Reject         *reject.Tracker
 	ServerFollower *follow.ServerFollower
 
 	updates          *delta.Sender
@@ -86,6 +88,7 @@
 	n.Budget = retry.NewFleetBudget(cfg.RetryBudget.Ratio, cfg.RetryBudget.Extra, cfg.RetryBudget.Window, n.Hubs)
 	n.Poison = poison.New(cfg.Quarantine, n.quarantinesChanged)
 	n.Rates = rates.New(n.Budget, n.limitChanged)
+	n.Reject = reject.New(n.brittlenessChanged)
 	n.registrar = hubreg.New(self, start, n.Hubs, deps.Registry, n.Poison, n.reportNow, log)
 	n.settingsFollower = follow.NewSettingsFollower(deps.Settings, n.Settings, n.Servers, uptime.Now, n.settingsFromPeers, n.probesStore, n.announce, log)
 	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, cfg.ServerHeartbeat, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -19,6 +19,9 @@
 	// VM that got it has reported the run in its own load, even if one message
 	// was lost.
 	grantTTL = 60 * time.Millisecond
+	// briefGrantTTL is the same for a brief run, which usually ends before a lost message
+	// would be repeated.
+	briefGrantTTL = 25 * time.Millisecond
 	// requestTTL is how long a queued request is kept without being repeated.
 	// After that its VM is down or its client has disconnected.
 	requestTTL = 500 * time.Millisecond
@@ -308,7 +311,7 @@
 		return false, !errors.As(err, &full) || !full.LinkBusy
 	default:
 		r.response.State, r.response.Server = Granted, placement.Server.ID
-		c.grants = append(c.grants, grant{server: placement.Server.ID, load: r.Run.Load(), until: now.Add(grantTTL)})
+		c.grants = append(c.grants, grant{server: placement.Server.ID, load: r.Run.Load(), until: now.Add(r.grantTTL())})
 		if r.Run.Source != "" {
 			c.grants = append(c.grants, grant{server: r.Run.Source, load: alloc.Load{CopiesOut: 1}, until: now.Add(grantTTL)})
 		}
@@ -322,6 +325,13 @@
 	return true, false
 }
 
+func (r *request) grantTTL() time.Duration {
+	if r.Run.Brief {
+		return briefGrantTTL
+	}
+	return grantTTL
+}
+
 // refuse responds to the request with NoCapacity.
 func (c *Coordinator) refuse(sq *serviceQueue, r *request) {
 	if r.Run.RetryKey != 0 {
@@ -341,6 +351,9 @@
 	c.grants = c.grants[n:]
 	out := make(map[ident.Server]alloc.Load, len(c.grants))
 	for _, g := range c.grants {
+		if now.After(g.until) {
+			continue // brief grants end before longer ones that were made earlier
+		}
 		out[g.server] = out[g.server].Plus(g.load)
 	}
 	return out
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -151,7 +151,7 @@
 	engines.collect(from, func(s *srvtab.Server) bool {
 		l := load(s.ID)
 		state := assign.Server{
-			Slots:          s.Slots,
+			Slots:          c.slots(r, s, now),
 			NeedsPrefill:   r.Prefill > 0,
 			Memory:         r.EngineMemory,
 			InFlight:       l.Calls,
@@ -174,6 +174,15 @@
 	return nil, !engines.exhausted()
 }
 
+// slots returns how many calls a server may run. Brief calls are placed because their servers
+// may not be overrun; a VM that decides by itself then keeps to its share.
+func (c *Chooser) slots(r *Request, s *srvtab.Server, now time.Time) int {
+	if r.Brief && r.Local {
+		return max(s.Slots/c.rates.VMs(now), 1)
+	}
+	return s.Slots
+}
+
 // isPaced reports whether a server gets no run now because it may be cold. A server may
 // become cold before any VM knows of it, so the coordinator always keeps to the limit of a
 // cold server. A VM that decides by itself keeps to its share of the limit, at servers that
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -67,6 +67,7 @@
 	ColdLimit    int                   // runs within a second that a server tolerates while it is cold; zero: any number
 	ColdTime     time.Duration         // how long a server is cold after its start
 	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
+	Brief        bool                  // the run usually ends within milliseconds, like a plain call
 	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
 }
 
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -46,6 +46,9 @@
 	// Limit is the request rate, per second, that the server accepts from all VMs
 	// together; zero: it states no limit.
 	Limit float64
+	// Brittle is how many rejections for lack of room a server survives within a second;
+	// zero: any number.
+	Brittle int
 	// Cold is how much longer the server is cold; zero: it is not, or does not say.
 	Cold time.Duration
 	Body Body
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -22,6 +22,7 @@
 	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
+	"umberladder/internal/policy/reject"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/route/pick"
@@ -322,6 +323,7 @@
 		Settings: h.settings, Refresher: h, Servers: h.table,
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
+		Reject: reject.New(func(reject.Limit) {}),
 		Placer: placer.New("vm", 0, chooser, coord.New(chooser), noCoordinators, nil, func(string) {}, zap.NewNop()),
 	})
 	return h
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -14,6 +14,7 @@
 	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
+	"umberladder/internal/policy/reject"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
@@ -45,6 +46,7 @@
 	Budget    Budget
 	Health    *health.Tracker
 	Rates     *rates.Limiter
+	Reject    *reject.Tracker
 	Poison    *poison.Detector
 	Placer    Placer
 	Backend   port.Backend
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -144,6 +144,7 @@
 	now := time.Now()
 	if !resp.Replaced {
 		t.Rates.Observe(s.ID, resp.Limit, sent, now)
+		t.Reject.Observe(s.Service, resp.Brittle, sent, now)
 	}
 	t.Servers.MarkCold(s.ID, resp.Cold, now)
 	if resp.Draining && t.Servers.MarkDraining(s.ID, now) {
@@ -153,6 +154,22 @@
 		t.Health.Pause(s.ID, resp.Pause, now)
 		t.LogInfo("server asked for a pause", zap.String("server", string(s.ID)), zap.Duration("pause", resp.Pause))
 	}
+	if resp.NotExecuted && resp.Status == http.StatusServiceUnavailable {
+		t.recordRejection(s, now)
+	}
+}
+
+// rejectionPause is how long this VM sends no calls to a brittle server that has rejected
+// one. A plain server that is full has room again sooner.
+const rejectionPause = 500 * time.Millisecond
+
+// recordRejection records that a server had no room. A brittle server gets no calls from this
+// VM for a time, and fewer from the others.
+func (t *Task) recordRejection(s *srvtab.Server, now time.Time) {
+	if t.Reject.Rejections(s.Service, now) > 0 {
+		t.Health.Pause(s.ID, rejectionPause, now)
+		t.Alloc.RecordFailure(s.ID)
+	}
 }
 
 // NoServerRefusal returns the refusal of a call for which no server accepts work
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -31,8 +31,10 @@
 // requester sends a plain call to one server after another.
 type requester struct {
 	*task.Task
+	reservation     *alloc.Reservation // capacity granted for the next attempt; nil: none is needed
 	tried           map[ident.Server]bool
 	limited         map[ident.Server]bool // true: excluded by its rate limit; nil: not evaluated, or none is limited
+	unreachable     []ident.Server        // servers that could not be connected to since the last placement
 	connectFailures int                   // number of servers to which the connection failed
 	lastFailure     *task.FullResponse    // failure response of the last server that responded
 	refusal         *refuse.Refusal       // refusal if no further server responds; nil: no server was reached
@@ -42,7 +44,10 @@
 func Serve(ctx context.Context, t *task.Task) *refuse.Refusal {
 	r := &requester{Task: t, tried: make(map[ident.Server]bool)}
 	for r.mayTryNext() {
-		s := r.pick()
+		s, refusal := r.next(ctx)
+		if refusal != nil && r.lastFailure == nil {
+			r.refusal = refusal
+		}
 		if s == nil {
 			break
 		}
@@ -106,6 +111,9 @@
 // attemptFailed handles an attempt without a complete response. It reports whether
 // another server may be tried.
 func (r *requester) attemptFailed(ctx context.Context, s *srvtab.Server, err error) bool {
+	if task.IsUnreachable(err) {
+		r.unreachable = append(r.unreachable, s.ID)
+	}
 	if task.IsUnsent(err) {
 		r.connectFailures++
 		r.LogInfo("server not reached", zap.String("server", string(s.ID)), zap.Error(err))
@@ -141,10 +149,13 @@
 // send sends the call to a server and reads the complete response.
 func (r *requester) send(ctx context.Context, s *srvtab.Server) (*task.FullResponse, error) {
 	if err := r.CheckAccepting(s); err != nil {
+		r.release()
 		return nil, err
 	}
-	reservation := r.Alloc.Reserve(s.ID, alloc.Load{Calls: 1})
-	defer reservation.Release()
+	if r.reservation == nil {
+		r.reservation = r.Alloc.Reserve(s.ID, alloc.Load{Calls: 1})
+	}
+	defer r.release()
 	r.Result.Server = s.ID
 	sent := time.Now()
 	r.Rates.RecordSent(s.ID, sent)
