Cut VMs off from servers and make servers brittle in the soak

Cause: the soak's proxies sit before a server, for all VMs, so it had no fault that takes single VMs' links, which is why RECOVER was never seen there.

--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -36,6 +36,9 @@
 	if r.cfg.Crashes {
 		kinds = append(kinds, faultKind{"fatal-request", r.fatalRequest}, faultKind{"drain-announced", r.announceDrain}, faultKind{"server-busy", r.busyServer})
 	}
+	if r.cfg.Cuts {
+		kinds = append(kinds, faultKind{"vm-cut-off", r.cutVMs}, faultKind{"servers-brittle", r.makeBrittle})
+	}
 	if r.cfg.Evacuations {
 		kinds = append(kinds, faultKind{"evacuate", r.evacuate})
 	}
--- a/internal/load/soak/proxy.go
+++ b/internal/load/soak/proxy.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/fake/netcut"
 )
 
 // Mode says how a proxy treats its connections.
@@ -34,7 +36,7 @@
 // Proxy is a TCP proxy that injects network faults between its clients and one
 // target.
 type Proxy struct {
-	ln     net.Listener
+	*netcut.Listener
 	target string
 	mode   atomic.Int32
 	group  errgroup.Group
@@ -44,11 +46,11 @@
 
 // NewProxy starts a proxy to the target address.
 func NewProxy(target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := netcut.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{ln: ln, target: target, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{Listener: ln, target: target, conns: make(map[net.Conn]struct{})}
 	p.group.Go(func() error {
 		for {
 			c, err := ln.Accept()
@@ -65,7 +67,7 @@
 }
 
 // Addr returns the address that the proxy listens on.
-func (p *Proxy) Addr() string { return p.ln.Addr().String() }
+func (p *Proxy) Addr() string { return p.Listener.Addr().String() }
 
 // SetMode changes the mode, also for open connections.
 func (p *Proxy) SetMode(m Mode) {
@@ -77,7 +79,7 @@
 
 // Close closes the listener and all connections, and waits for them to end.
 func (p *Proxy) Close() {
-	_ = p.ln.Close()
+	_ = p.Listener.Close()
 	p.closeAll()
 	_ = p.group.Wait()
 }
@@ -86,11 +88,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		resetConn(c)
+	}
+}
+
+// resetConn closes a TCP connection with a reset.
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.Close()
 }
 
 func (p *Proxy) track(c net.Conn, open bool) {
@@ -108,7 +115,7 @@
 	defer p.track(c, false)
 	defer func() { _ = c.Close() }()
 	if Mode(p.mode.Load()) == Reset {
-		_ = c.(*net.TCPConn).SetLinger(0)
+		resetConn(c)
 		return
 	}
 	server, err := net.Dial("tcp", p.target)
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -48,6 +48,7 @@
 	StoreRestores bool // also restore the store from backup copies
 	Crashes       bool // also have requests crash servers, and servers announce drains and pauses in responses
 	Evacuations   bool // also have operators evacuate a failure domain
+	Cuts          bool // also cut VMs off from all servers, and make servers brittle
 	Program       string
 	Dir           string
 }
@@ -88,6 +89,9 @@
 	version     int
 	revoked     map[string]time.Time
 	evacuations []span
+	cuts        []*vmCut
+	brittle     []span                 // when the plain servers were brittle
+	problems    []string               // faults that could not be injected
 	impairments map[string][]span      // by VM: when it or its connection to the store was impaired
 	stops       map[string][]time.Time // by VM: when its process was stopped or paused
 	nextID      int
@@ -202,6 +206,7 @@
 	b := &backend{server: s, proxy: p, ln: ln}
 	s.OnFatal(func() { r.crashOnFatal(ctx, b) })
 	r.backends = append(r.backends, b)
+	r.applyCuts(b)
 	s.Register()
 	r.group.Go(func() error { _ = s.Serve(ln); return nil })
 	return nil
@@ -250,7 +255,7 @@
 			rep.Violations = append(rep.Violations, fmt.Sprintf("%s at %s, %s: %s", c.id, c.vm, c.path, violation))
 		}
 	}
-	rep.Violations = append(rep.Violations, r.fatalViolations()...)
+	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations())...)
 	slices.Sort(rep.Violations)
 	return rep
 }
