Test that a silent server loses no call

Change: tests only. TestSilentPeer: no user timeout is set on connections, and probes end after 4 s.

--- a/internal/peer/httpc/raw_test.go
+++ b/internal/peer/httpc/raw_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -61,6 +63,25 @@
 	}
 }
 
+// TestSilentPeer guards against connections that are given up while a sound peer is silent for
+// a second or two: a user timeout would decide when keep-alive probes and retransmissions end,
+// whatever their count.
+func TestSilentPeer(t *testing.T) {
+	addr := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	nc, err := newDialer().Dial(t.Context(), addr)
+	assert.NilError(t, err)
+	defer func() { _ = nc.Close() }()
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	for option, want := range map[int]int{unix.TCP_USER_TIMEOUT: 0, unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3} {
+		var got int
+		var optErr error
+		assert.NilError(t, raw.Control(func(fd uintptr) { got, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) }))
+		assert.NilError(t, optErr)
+		assert.Equal(t, got, want, "option %d", option)
+	}
+}
+
 // TestRequestUnchanged checks that a request arrives byte for byte.
 func TestRequestUnchanged(t *testing.T) {
 	got := make(chan string, 1)
