Refuse calls at once where no server can be reached, with that reason

What callers saw: at a VM that reaches neither servers nor other VMs, each call waited for a connection to time out (400 ms) at one server after another; the refusal then said that no server takes work, or that engines are full. Cause: connections that failed were forgotten between calls, and the last refusal did not tell a server that cannot be reached from one that has no room. Evidence: observed streams at cut VMs refused as no-room while engines had room; TestIsolated, 200 of 200 calls waited before. Change: while a VM reaches no server and knows no VM that does, only some calls try, to find out when that ends. Reason unreachable (503, not run, back in 0.2 s, since another VM may reach the servers); a refusal for lack of room says how many engines could not be reached. Result: TestIsolated passes, at most 1 call in 10 waits.

--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -33,6 +33,7 @@
 	ClientDisconnected        // the client closed the connection
 	VMStopping                // this VM is shutting down and can't serve the request in time
 	Quarantined               // backend servers crashed each time they ran the request
+	Unreachable               // this VM reaches no backend server, directly or through other VMs
 	numReasons
 )
 
@@ -70,6 +71,7 @@
 	NoCapacity:         {"no-room", 503, "Every backend server of the service is full"},
 	VMStopping:         {"vm-stopping", 503, "This VM is being stopped"},
 	Quarantined:        {"quarantined", 503, "Backend servers crashed when they ran this request"},
+	Unreachable:        {"unreachable", 503, "This VM can't reach the backend servers"},
 	ClientDisconnected: {"caller-left", 499, "The caller closed the connection"},
 }
 
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -98,6 +98,9 @@
 // direct. Its error is an *Error, or the context's cause.
 func (c *Connector) Connect(ctx context.Context, s *srvtab.Server, p Purpose) (net.Conn, ident.VM, error) {
 	ways, unreachable := c.ways(s, p)
+	if len(ways) == 0 {
+		return nil, "", &Error{Server: s.ID, Ways: []error{errIsolated}}
+	}
 	r := newRace(ways, c.Group, func(w way, err error) { c.record(s, w, err) })
 	conn, index := r.run(ctx)
 	if conn != nil {
@@ -112,6 +115,10 @@
 	return nil, "", e
 }
 
+// errIsolated is returned without an attempt while this VM reaches no server and knows no VM
+// that could carry the connection. Some attempts are made to find out when that ends.
+var errIsolated = errors.New("path: this VM reaches no server and no other VM that does")
+
 // ways returns the ways to connect to a server, in the order in which to try them, and
 // whether other VMs could not connect to it recently.
 func (c *Connector) ways(s *srvtab.Server, p Purpose) (ways []way, unreachable bool) {
@@ -123,6 +130,8 @@
 	}
 	ways = c.peerWays(s, p, now)
 	switch {
+	case len(ways) == 0 && c.reach.Isolated(now) && !c.reach.TryDirect(s.ID, now):
+		return nil, false
 	case plan == reach.DirectFirst && len(ways) > 0:
 		ways[0].wait = peerDelay
 		return append([]way{direct}, ways...), false
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -227,3 +227,42 @@
 		assert.Equal(t, n.open.Load(), int32(0), "open connections")
 	})
 }
+
+// TestIsolated guards against calls that wait for time-outs at a VM that reaches no server and
+// knows no other VM. They fail at once, except for some that find out whether that has ended.
+func TestIsolated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{setup: setup{direct: hang}}
+		c, wait := newConnector(t, n)
+		servers := []*srvtab.Server{{Entry: srvtab.Entry{ID: "a"}}, {Entry: srvtab.Entry{ID: "b"}}}
+		connect := func(s *srvtab.Server) (time.Duration, error) {
+			start := time.Now()
+			conn, _, err := c.Connect(t.Context(), s, path.Purpose{})
+			if err == nil {
+				assert.NilError(t, conn.Close())
+			}
+			return time.Since(start), err
+		}
+		slow := 0
+		const calls = 200
+		for i := range calls {
+			took, err := connect(servers[i%len(servers)])
+			assert.Assert(t, err != nil)
+			if took > 0 {
+				slow++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, slow <= calls/10, "%d of %d calls waited", slow, calls)
+		n.direct = ok
+		start := time.Now()
+		for {
+			if _, err := connect(servers[0]); err == nil {
+				break
+			}
+			assert.Assert(t, time.Since(start) < 2*time.Second, "not reached again")
+			time.Sleep(10 * time.Millisecond)
+		}
+		wait()
+	})
+}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -142,7 +142,7 @@
 		if f.connectFailures++; f.RetryUnsent(f.connectFailures) {
 			return nil
 		}
-		return refuse.New(refuse.NoServer, "no server of service %s could be reached", f.Service.Name).WithRan(f.ran).WithRetryAfter(task.NoServerRetryAfter)
+		return f.UnreachableRefusal(f.connectFailures).WithRan(f.ran)
 	case f.mayRetry():
 		return nil
 	}
@@ -257,11 +257,13 @@
 		f.LogInfo("placed", zap.String("server", string(placement.Server.ID)), zap.Int("tokens", req.Need),
 			zap.Bool("backup", placement.Backup != nil), zap.Duration("waited", time.Since(start)))
 		return placement.Server, nil
+	case f.connectFailures > 0 && errors.Is(err, pick.ErrNoServer):
+		return nil, f.UnreachableRefusal(f.connectFailures)
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, f.NoServerRefusal()
 	case errors.As(err, &noCapacity):
-		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait",
-			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
+		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait, %d engines could not be reached",
+			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.connectFailures).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
 	default:
 		return nil, f.CancellationRefusal(ctx, f.ran)
 	}
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -197,6 +197,17 @@
 	return r.WithRetryAfter(max(retryAfter, NoServerRetryAfter))
 }
 
+// unreachableRetryAfter is the retry delay of a call for which no server could be reached.
+// Another VM may reach them.
+const unreachableRetryAfter = 200 * time.Millisecond
+
+// UnreachableRefusal returns the refusal of a call for which connections to the given number
+// of servers failed, and no other server has room.
+func (t *Task) UnreachableRefusal(failures int) *refuse.Refusal {
+	return refuse.New(refuse.Unreachable, "%d servers of service %s could not be reached from this VM or through others", failures, t.Service.Name).
+		WithRetryAfter(unreachableRetryAfter)
+}
+
 // WriteResponse writes a complete response to the client.
 func (t *Task) WriteResponse(resp *FullResponse) *refuse.Refusal {
 	t.Result.Status = resp.Status
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -66,13 +66,21 @@
 			break
 		}
 	}
-	if r.lastFailure != nil {
-		return t.WriteResponse(r.lastFailure)
-	}
-	if r.refusal == nil {
-		return t.NoServerRefusal()
+	return r.finish()
+}
+
+// finish ends a call that no server has served.
+func (r *requester) finish() *refuse.Refusal {
+	switch {
+	case r.lastFailure != nil:
+		return r.WriteResponse(r.lastFailure)
+	case r.refusal != nil:
+		return task.AdjustReason(r.refusal)
+	case r.connectFailures > 0:
+		return r.UnreachableRefusal(r.connectFailures)
+	default:
+		return r.NoServerRefusal()
 	}
-	return task.AdjustReason(r.refusal)
 }
 
 // ran returns whether the call may have run so far.
