Carry no new tunnels at a VM that is shutting down

Cause: found in reading: a VM that stops kept opening tunnels for others until its exit, which then cut them. Change: it declines them from the stop signal on and keeps open ones until the grace time is over. Result: TestDrain.

--- a/internal/peer/tunnel/server.go
+++ b/internal/peer/tunnel/server.go
@@ -46,6 +46,7 @@
 	direct  Connector
 	log     *zap.Logger
 	open    atomic.Int64
+	drained atomic.Bool
 	buffers sync.Pool
 }
 
@@ -57,11 +58,14 @@
 // Open returns the number of tunnels that are open.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
+// Drain makes the server decline new tunnels, because the VM is shutting down.
+func (s *Server) Drain() { s.drained.Store(true) }
+
 // Handle handles a request for a tunnel.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
 	id := ident.Server(ctx.Request.Header.Peek(headerServer))
 	newWork := len(ctx.Request.Header.Peek(headerNewWork)) > 0
-	if s.open.Add(1) > maxTunnels {
+	if s.open.Add(1) > maxTunnels || s.drained.Load() {
 		s.decline(ctx, ErrBusy)
 		return
 	}
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -149,6 +149,23 @@
 	assertClosed(t, server)
 }
 
+// TestDrain checks that a VM that shuts down opens no tunnels, and keeps the open ones.
+func TestDrain(t *testing.T) {
+	server, conn, err := open(t, dialer{}, nil, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	assert.NilError(t, err)
+	server.Drain()
+	var declined fasthttp.RequestCtx
+	server.Handle(&declined)
+	assert.Equal(t, declined.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	_, err = io.WriteString(conn, "ping")
+	assert.NilError(t, err)
+	got := make([]byte, 4)
+	_, err = io.ReadFull(conn, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "ping")
+	assert.Equal(t, server.Open(), 1)
+}
+
 // TestDeclined checks that a VM says why it opens no tunnel, and that it connects to nothing
 // but the servers that it knows.
 func TestDeclined(t *testing.T) {
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -225,6 +225,7 @@
 	v.stopping.Store(true)
 	v.node.Hubs.StepDown()
 	v.front.Drain()
+	v.tunnels.Drain()
 	end := start.Add(v.cfg.Load().StopGrace - exitReserve)
 	v.relay.Drain(end)
 	for time.Now().Before(end) {
