--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -21,14 +21,14 @@
 )
 
 const (
-	// peerDelay is how long a direct connection is waited for before another VM is asked.
+	// peerDelay is how long a direct connection is waited for before a tunnel through another VM is requested.
 	// A handshake takes a few milliseconds, and a lost packet is repeated after a second.
 	peerDelay = 30 * time.Millisecond
-	// nextPeerDelay is how long one VM is waited for before the next one is asked.
+	// nextPeerDelay is how long one VM may take to open a tunnel before the next one is tried.
 	nextPeerDelay = 50 * time.Millisecond
 	// peerTimeout bounds a connection through another VM.
 	peerTimeout = 300 * time.Millisecond
-	// maxPeers is the maximum number of VMs asked for one connection.
+	// maxPeers is the maximum number of VMs tried for one connection.
 	maxPeers = 4
 	// avoidTime is how long other VMs are preferred over one that opened no tunnel.
 	avoidTime = time.Second
@@ -270,7 +270,7 @@
 }
 
 // RefusesConnections reports whether a server refuses connections, which means that its
-// process has ended. Other VMs are asked as well, because a link may also refuse connections.
+// process has ended. Other VMs confirm it, because a link may also refuse connections.
 func (c *Connector) RefusesConnections(ctx context.Context, s *srvtab.Server) bool {
 	conn, err := c.Dialer.Dial(ctx, s.Addr)
 	c.recordDirect(s, err, time.Now())
