Refuse runs without waiting for coordinators where no server accepts work

Cause: a VM that knows no server of a service requested a placement all the same. Where neither coordinator responds, that takes 120 ms, and could not help, since a VM uses no server that it does not know. Change: refuse at once. Result: TestNoServers, 120 ms before, 0 now.

--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -100,6 +100,10 @@
 // place returns the placement of a run and the outcome to count.
 func (p *Placer) place(ctx context.Context, r pick.Request) (pick.Placement, string, error) {
 	start := time.Now()
+	if len(p.chooser.View().ServersOf(r.Service)) == 0 {
+		// This VM could not use a server that only the coordinator knows.
+		return pick.Placement{}, outcomeLocal, pick.ErrNoServer
+	}
 	r.Exclude = append(slices.Clone(r.Exclude), p.chooser.Paused(r.Service, start)...)
 	req := r
 	req.Exclude = append(slices.Clone(r.Exclude), p.chooser.Unhealthy(r.Service, start)...)
--- a/internal/route/placer/placer_test.go
+++ b/internal/route/placer/placer_test.go
@@ -536,3 +536,16 @@
 		})
 	})
 }
+
+// TestNoServers guards against calls that wait for coordinators that do not respond, although
+// no server of their service accepts work.
+func TestNoServers(t *testing.T) {
+	testFleet(t, 3, 0, func(t *testing.T, f *fleet) {
+		f.vms[0].unresponsive.Store(true)
+		f.vms[1].unresponsive.Store(true)
+		start := time.Now()
+		_, err := f.vms[2].placer.Place(t.Context(), newCall())
+		assert.ErrorIs(t, err, pick.ErrNoServer)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
