Let VMs before dead servers carry connections

Cause: a VM whose last connections to two servers had failed counted as isolated, whichever was to blame. The whole VM said so while the plain servers were down, hubs named it to nobody, and the cut VMs had no way to the engines and to new servers. Change: only a server that another VM reached makes a VM isolated. Failures alone still end attempts early where there is no other VM.

--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -196,19 +196,24 @@
 	return true
 }
 
-// minIsolated is the number of servers to which connections must have failed in a row for
-// this VM to count as isolated without the evidence of another VM.
-const minIsolated = 2
+// minFailed is the number of servers that must have failed in a row for ReachesNone.
+const minFailed = 2
 
-// Isolated reports whether this VM reaches no server: one is cut off or several were not
-// reached, and no direct connection has succeeded since.
-func (t *Tracker) Isolated(now time.Time) bool {
+// ReachesNone reports whether direct connections to several servers have failed and none has
+// succeeded since. The servers may be down.
+func (t *Tracker) ReachesNone(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if len(t.failed) >= minIsolated {
-		return true
-	}
+	return len(t.failed) >= minFailed
+}
+
+// Isolated reports whether this VM's links to the servers are cut: a server is cut off, and no
+// direct connection has succeeded since it was. Failures alone do not count, because a VM
+// that is isolated carries no connections for others, not even to servers that it reaches.
+func (t *Tracker) Isolated(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for id := range t.servers {
 		if s := t.get(id, now); s != nil && s.cutOff() && !t.directAt.After(s.failedSince) {
 			return true
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -130,7 +130,7 @@
 	}
 	ways = c.peerWays(s, p, now)
 	switch {
-	case len(ways) == 0 && c.reach.Isolated(now) && !c.reach.TryDirect(s.ID, now):
+	case len(ways) == 0 && c.reach.ReachesNone(now) && !c.reach.TryDirect(s.ID, now):
 		return nil, false
 	case plan == reach.DirectFirst && len(ways) > 0:
 		ways[0].wait = peerDelay
