--- a/internal/peer/tunnel/server.go
+++ b/internal/peer/tunnel/server.go
@@ -115,7 +115,7 @@
 	}
 	var toServer errgroup.Group
 	toServer.Go(func() error {
-		// The VM closes its connection once it needs the response no longer. The
+		// The VM closes its connection once it does not need the response. The
 		// server then has to end the call.
 		err := s.copy(deadlineWriter{server}, peer)
 		_ = server.Close()
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -209,7 +209,7 @@
 }
 
 // Isolated reports whether this VM's links to the servers are cut: a server is cut off, and no
-// direct connection has succeeded since it was. Failures alone do not count, because a VM
+// direct connection has succeeded since it was. Failures without that do not count, as a VM
 // that is isolated carries no connections for others, not even to servers that it reaches.
 func (t *Tracker) Isolated(now time.Time) bool {
 	t.mu.Lock()
