Log how responses were delimited, and streams that end inside an event

Callers saw broken streams end regularly, and the logs could not tell whether a length, chunks or only the end of the connection had marked the end, nor whether the last event was complete. No decision changes. Measured: the tests of route and proc/edge pass; METRICS.md is held to the code by its test.

--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -15,6 +15,7 @@
 	metricMaxEventGap     = "umberladder_gap_seconds"
 	metricMigrations      = "umberladder_moves_total"
 	metricAttempts        = "umberladder_sent_total"
+	metricCloseDelimited  = "umberladder_close_delimited_total"
 	metricStoreCalls      = "umberladder_store_calls_total"
 	metricLogLines        = "umberladder_log_lines_total"
 	metricLogDropped      = "umberladder_log_left_out_total"
@@ -60,6 +61,7 @@
 		{metricMaxEventGap, "histogram", "longest pause between two events of a stream, by service and kind"},
 		{metricMigrations, "counter", "times a stream went on at another engine, by service and kind"},
 		{metricAttempts, "counter", "sendings of calls to servers, by service and kind"},
+		{metricCloseDelimited, "counter", "calls whose server marked the end of its response only by closing the connection, by service, kind and whether the response was delivered completely"},
 		{metricStoreCalls, "gauge", "calls to the store since the start, by kind"},
 		{metricLogLines, "gauge", "log lines written since the start"},
 		{metricLogDropped, "gauge", "log lines left out since the start"},
--- a/internal/proc/edge/recorder.go
+++ b/internal/proc/edge/recorder.go
@@ -33,6 +33,9 @@
 	r.metricSet.GetOrCreateHistogram(metricMaxEventGap + labels).Update(res.MaxEventGap.Seconds())
 	r.metricSet.GetOrCreateCounter(metricMigrations + labels).Add(res.Migrations)
 	r.metricSet.GetOrCreateCounter(metricAttempts + labels).Add(res.Attempts)
+	if res.CloseDelimited {
+		r.metricSet.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,kind=%q,delivered="%t"}`, metricCloseDelimited, res.Service, kind, res.Refusal == nil)).Inc()
+	}
 	r.logEnd(res, kind, reason, ran)
 }
 
@@ -68,6 +71,7 @@
 		zap.Int("moves", res.Migrations),
 		zap.Int("events", res.Events),
 		zap.Duration("gap", res.MaxEventGap),
+		zap.Bool("close-delimited", res.CloseDelimited),
 		zap.Uint64("settings-version", res.SettingsVersion),
 		zap.Duration("settings-age", res.SettingsAge),
 	}
--- a/internal/route/events/conn.go
+++ b/internal/route/events/conn.go
@@ -23,6 +23,7 @@
 	delimited bool        // the end of the body is marked, so that a truncated body is detected
 	events    chan []byte // complete events, one or more in each slice
 	err       error       // set before events is closed; io.EOF: the body ended regularly
+	rest      int         // length of the incomplete event at the end of the body
 	quit      chan struct{}
 	done      chan struct{} // closed once the connection has ended
 	once      sync.Once
@@ -75,6 +76,7 @@
 // end sets the error with which the connection ended. An incomplete event is delivered
 // if the body ended regularly and dropped otherwise.
 func (c *Conn) end(rest []byte, err error) {
+	c.rest = len(rest)
 	if errors.Is(err, io.EOF) && len(rest) > 0 {
 		c.send(rest)
 	}
@@ -129,6 +131,10 @@
 // io.EOF means a regular end.
 func (c *Conn) Err() error { return c.err }
 
+// IncompleteLen returns the length, in bytes, of the incomplete event at the end of the
+// body. It must be called only after Done is closed.
+func (c *Conn) IncompleteLen() int { return c.rest }
+
 // Delimited reports whether the end of the body is marked, so that truncation is
 // detected.
 func (c *Conn) Delimited() bool { return c.delimited }
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -36,6 +36,7 @@
 				}
 				break
 			}
+			f.logIncompleteEvent()
 			if f.isComplete() {
 				return f.finish()
 			}
@@ -59,6 +60,14 @@
 	}
 }
 
+// logIncompleteEvent logs that a connection ended inside an event.
+func (f *forwarder) logIncompleteEvent() {
+	if n := f.conn.IncompleteLen(); n > 0 {
+		f.LogInfo("stream ended inside an event", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID),
+			zap.Int("bytes", n), zap.Bool("close-delimited", !f.conn.Delimited()), zap.Error(f.conn.Err()))
+	}
+}
+
 // isComplete reports whether the stream is complete. A run may end by itself just before
 // it is stopped; continuing it would send its end twice.
 func (f *forwarder) isComplete() bool {
@@ -223,5 +232,6 @@
 		f.established()
 	}
 	f.stopRequested, f.gotEvent = false, false
+	f.Result.CloseDelimited = !resp.Delimited
 	f.conn = events.New(f.Group, resp.Body, resp.Delimited)
 }
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -90,6 +90,7 @@
 	Migrations      int // migrations of the stream to another engine
 	Events          int
 	MaxEventGap     time.Duration // longest time between two events
+	CloseDelimited  bool          // only the end of the server's last connection marked the end of its response
 	SettingsVersion uint64        // version of the settings
 	SettingsAge     time.Duration // time since the settings were known to be the newest
 }
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -172,7 +172,7 @@
 		r.RecordSendFailure(s, err)
 		return nil, err
 	}
-	r.Result.Via = resp.Via
+	r.Result.Via, r.Result.CloseDelimited = resp.Via, !resp.Delimited
 	defer func() { _ = resp.Body.Close() }()
 	r.ObserveResponse(s, resp, sent)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
