Do not frame broken responses as complete

Callers saw streams of crashed engines end regularly after part of their events (ORDER). Cause: a regular end of the body counted as the end of the answer. An engine that breaks off inside an event can end its body regularly, with chunks or close-delimited, and so does every process that ends.

A stream now ends only after the empty line of an event, and a close-delimited response is complete only if its server still accepts connections; anything else is continued or cut off as before for resets.

Fixtures of relay's tests state that their bodies are delimited, as they were meant.

--- a/internal/route/events/conn.go
+++ b/internal/route/events/conn.go
@@ -17,12 +17,16 @@
 	readSize = 4 << 10
 )
 
+// ErrIncompleteEvent reports a body that ended regularly inside an event. The engine broke
+// off; a complete stream ends with the empty line of its last event.
+var ErrIncompleteEvent = errors.New("events: the body ended inside an event")
+
 // Conn reads the part of a stream that arrives over one connection to an engine.
 type Conn struct {
 	body      io.ReadCloser
 	delimited bool        // the end of the body is marked, so that a truncated body is detected
 	events    chan []byte // complete events, one or more in each slice
-	err       error       // set before events is closed; io.EOF: the body ended regularly
+	err       error       // set before events is closed; io.EOF: the body ended regularly, after a complete event
 	rest      int         // length of the incomplete event at the end of the body
 	quit      chan struct{}
 	done      chan struct{} // closed once the connection has ended
@@ -73,12 +77,11 @@
 	}
 }
 
-// end sets the error with which the connection ended. An incomplete event is delivered
-// if the body ended regularly and dropped otherwise.
+// end sets the error with which the connection ended. An incomplete event is dropped.
 func (c *Conn) end(rest []byte, err error) {
 	c.rest = len(rest)
 	if errors.Is(err, io.EOF) && len(rest) > 0 {
-		c.send(rest)
+		err = ErrIncompleteEvent
 	}
 	c.err = err
 }
@@ -97,27 +100,49 @@
 // completeLen returns the length of the complete events at the start of p. An event
 // ends with an empty line.
 func completeLen(p []byte) int {
-	at := 0
-	for _, end := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(p, end); i >= 0 {
-			at = max(at, i+len(end))
+	complete := 0
+	for at := 0; ; {
+		line, n := nextLine(p[at:])
+		if n == 0 {
+			return complete
+		}
+		at += n
+		if len(line) == 0 {
+			complete = at
 		}
 	}
-	return at
+}
+
+// nextLine returns the first line of p without its end, and its length with the end, which
+// is zero if p has no complete line. A line ends with LF, CR or CRLF. The LF of a CRLF that
+// is not in p yet counts as an empty line of its own, which changes no event.
+func nextLine(p []byte) (line []byte, n int) {
+	i := bytes.IndexAny(p, "\r\n")
+	switch {
+	case i < 0:
+		return p, 0
+	case bytes.HasPrefix(p[i:], []byte("\r\n")):
+		return p[:i], i + 2
+	default:
+		return p[:i], i + 1
+	}
 }
 
 // LastID returns the identifier of the last event in p, or the empty string, and the
-// number of events with an identifier in p.
+// number of events with an identifier in p. All lines of p are complete.
 func LastID(p []byte) (string, int) {
-	id, n := "", 0
-	for line := range bytes.Lines(p) {
-		line = bytes.TrimRight(line, "\r\n")
+	id, count := "", 0
+	for {
+		line, n := nextLine(p)
+		if n == 0 {
+			return id, count
+		}
+		p = p[n:]
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimPrefix(v, []byte(" ")))
-			n++
+			count++
 		}
 	}
-	return id, n
 }
 
 // Events returns the channel of complete events, one or more in each slice. It is closed
@@ -128,7 +153,7 @@
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
 // Err returns why the connection ended. It must be called only after Done is closed;
-// io.EOF means a regular end.
+// io.EOF means a regular end after a complete event.
 func (c *Conn) Err() error { return c.err }
 
 // IncompleteLen returns the length, in bytes, of the incomplete event at the end of the
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -294,3 +294,32 @@
 	}
 	return c.reach.Blames(s.ID, time.Now())
 }
+
+const (
+	// endCheckDelay is the time from the end of a connection to the check whether its server
+	// still accepts others. A process that ends closes its sockets one after the other, and
+	// its listener may outlive its connections for a few milliseconds.
+	endCheckDelay = 10 * time.Millisecond
+	// endCheckTimeout bounds that check. A connection through another VM is begun after
+	// peerDelay and takes two round trips more than a direct one.
+	endCheckTimeout = 150 * time.Millisecond
+)
+
+// AcceptsConnections reports whether a server still accepts connections shortly after one of
+// them ended, as far as this VM or another one can tell.
+func (c *Connector) AcceptsConnections(ctx context.Context, s *srvtab.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	select {
+	case <-time.After(endCheckDelay):
+	case <-ctx.Done():
+		return false
+	}
+	conn, _, err := c.Connect(ctx, s, Purpose{})
+	if err != nil {
+		c.Log.Debug("server does not accept connections", zap.String("server", string(s.ID)), zap.Error(err))
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -37,6 +37,7 @@
 	Signed      bool               // carries a signature of the server
 	NotExecuted bool               // the server says that it did not run the call
 	Replaced    bool               // another server responded at the address: the called one has terminated
+	EventStream bool               // the body is a series of events
 	Delimited   bool               // the end of the body is marked, so truncation is detected
 	// Draining reports that the server is draining: it accepts no new calls.
 	Draining bool
@@ -108,6 +109,9 @@
 	// which means that its process has ended. Other connection failures prove
 	// nothing.
 	RefusesConnections(ctx context.Context, s *srvtab.Server) bool
+	// AcceptsConnections reports whether the server still accepts connections shortly after
+	// one of them ended. If its process ended with it, it does not.
+	AcceptsConnections(ctx context.Context, s *srvtab.Server) bool
 }
 
 // ResponseWriter writes the response to the client.
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,8 +51,11 @@
 	noCopy     bool // engines do not have the copy
 	copyTime   time.Duration
 	terminated map[ident.Server]bool
-	copyLag    time.Duration // from a run's first event until its backup has a copy
-	group      errgroup.Group
+	// closeDelimited makes only the end of the connection mark the end of a response.
+	closeDelimited bool
+	crashEnd       error         // with which the body of a run that is stopped ends; nil: io.ErrUnexpectedEOF
+	copyLag        time.Duration // from a run's first event until its backup has a copy
+	group          errgroup.Group
 }
 
 type run struct {
@@ -118,7 +122,7 @@
 		e.generate(r)
 		return nil
 	})
-	return &port.Response{Status: 200, Signed: true, Delimited: true, Body: runBody{pr, r}}, nil
+	return &port.Response{Status: 200, Signed: true, EventStream: true, Delimited: !e.closeDelimited, Body: runBody{pr, r}}, nil
 }
 
 // generate writes the run's events.
@@ -126,7 +130,7 @@
 	for int(r.events.Load()) < e.events {
 		select {
 		case <-r.quit:
-			_ = r.out.CloseWithError(io.ErrUnexpectedEOF)
+			_ = r.out.CloseWithError(cmp.Or(e.crashEnd, io.ErrUnexpectedEOF))
 			return
 		case <-time.After(e.interval):
 		}
@@ -179,6 +183,10 @@
 	return e.terminated[s.ID]
 }
 
+func (e *fakeEngines) AcceptsConnections(ctx context.Context, s *srvtab.Server) bool {
+	return !e.RefusesConnections(ctx, s)
+}
+
 func (e *fakeEngines) Free(context.Context, *srvtab.Server, string) error { return nil }
 
 // crash ends all runs of a server.
--- a/internal/route/relay/plain_test.go
+++ b/internal/route/relay/plain_test.go
@@ -20,11 +20,11 @@
 type respondFunc func() (*port.Response, error)
 
 func respondOK() (*port.Response, error) {
-	return &port.Response{Status: 200, Body: &textBody{s: "ok"}}, nil
+	return &port.Response{Status: 200, Delimited: true, Body: &textBody{s: "ok"}}, nil
 }
 
 func respondError() (*port.Response, error) {
-	return &port.Response{Status: 500, Signed: true, Body: &textBody{s: "no"}}, nil
+	return &port.Response{Status: 500, Signed: true, Delimited: true, Body: &textBody{s: "no"}}, nil
 }
 
 func respondOverloaded() (*port.Response, error) {
--- a/internal/route/relay/stream_test.go
+++ b/internal/route/relay/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -236,3 +237,45 @@
 		assert.Equal(t, len(h.relay.Alloc.All(time.Now())), 0, "%v", h.relay.Alloc.All(time.Now()))
 	})
 }
+
+// TestCloseDelimitedStream checks what the end of a connection means where it is all that marks
+// the end of a response.
+func TestCloseDelimitedStream(t *testing.T) {
+	t.Run("complete", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.engines.closeDelimited = true
+			c, r := h.serve(t.Context(), "/long/x")
+			assertComplete(t, c, r, h.engines.events)
+		})
+	})
+	t.Run("the engine's process ends between two events", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.engines.closeDelimited, h.engines.crashEnd = true, io.EOF
+			after(2*time.Second, func() { h.engines.crash(h.runningServer()) })
+			c, r := h.serve(t.Context(), "/long/x")
+			assertComplete(t, c, r, h.engines.events)
+			assert.Equal(t, h.records[0].Migrations, 1)
+		})
+	})
+	t.Run("the same without another engine", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.engines.closeDelimited, h.engines.crashEnd = true, io.EOF
+			after(2*time.Second, func() { h.engines.crash("s0") })
+			c, _ := h.serve(t.Context(), "/long/x")
+			assert.Assert(t, c.aborted && !c.ended, "an interrupted response must not look complete")
+			check.Refusal(t, h.records[0].Refusal, refuse.ServerLost, refuse.RanPartial)
+		})
+	})
+	t.Run("the engine retires", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.engines.closeDelimited, h.engines.crashEnd = true, io.EOF
+			after(2*time.Second, h.retireRunningServer)
+			c, r := h.serve(t.Context(), "/long/x")
+			assertComplete(t, c, r, h.engines.events)
+		})
+	})
+}
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +36,7 @@
 				break
 			}
 			f.logIncompleteEvent()
-			if f.isComplete() {
+			if f.isComplete(ctx) {
 				return f.finish()
 			}
 			if refusal = f.connectionLost(ctx, w); refusal == nil {
@@ -70,13 +69,26 @@
 
 // isComplete reports whether the stream is complete. A run may end by itself just before
 // it is stopped; continuing it would send its end twice.
-func (f *forwarder) isComplete() bool {
+func (f *forwarder) isComplete(ctx context.Context) bool {
 	select {
 	case <-f.conn.Done():
 	default:
 		return false
 	}
-	return errors.Is(f.conn.Err(), io.EOF) && (f.conn.Delimited() || !f.stopRequested)
+	switch {
+	case !errors.Is(f.conn.Err(), io.EOF):
+		return false
+	case f.conn.Delimited():
+		return true
+	case f.endUncertain:
+		return false
+	}
+	if err := f.ConfirmEnd(ctx, f.server); err != nil {
+		f.endUncertain = true
+		f.LogInfo("end of the stream not confirmed", zap.String("server", string(f.server.ID)), zap.String("last-event", f.lastID), zap.Error(err))
+		return false
+	}
+	return true
 }
 
 // finish ends the response to the client.
@@ -215,7 +227,7 @@
 			cause = err
 			continue
 		}
-		if resp.Status != http.StatusOK || resp.NotExecuted {
+		if !isStream(resp) {
 			_ = resp.Body.Close()
 			continue
 		}
@@ -231,7 +243,6 @@
 		f.conn.Close()
 		f.established()
 	}
-	f.stopRequested, f.gotEvent = false, false
-	f.Result.CloseDelimited = !resp.Delimited
+	f.endUncertain, f.gotEvent = false, false
 	f.conn = events.New(f.Group, resp.Body, resp.Delimited)
 }
--- a/internal/route/stream/migrate.go
+++ b/internal/route/stream/migrate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -50,7 +49,7 @@
 	}
 	result := make(chan migration)
 	from := f.server
-	f.stopRequested = true
+	f.endUncertain = true
 	migrateCtx, cancel := context.WithCancel(ctx)
 	f.cancelMigration = cancel
 	f.Group.Go(func() error {
@@ -112,9 +111,9 @@
 // been charged.
 func (f *forwarder) switchToBackup(ctx context.Context) *refuse.Refusal {
 	b := f.backup
-	f.stopRequested = true
+	f.endUncertain = true
 	f.forwardRemaining(ctx, 0)
-	if f.isComplete() {
+	if f.isComplete(ctx) {
 		return nil
 	}
 	f.conn.Close()
@@ -155,7 +154,7 @@
 // complete the stream.
 func (f *forwarder) continueAt(ctx context.Context, m migration) *refuse.Refusal {
 	f.forwardRemaining(ctx, remainderTimeout)
-	if f.isComplete() {
+	if f.isComplete(ctx) {
 		m.reservation.Release()
 		return nil
 	}
@@ -181,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	if resp.Status != http.StatusOK || resp.NotExecuted {
+	if !isStream(resp) {
 		_ = resp.Body.Close()
 		return trace.Errorf("status %d", resp.Status)
 	}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -23,7 +23,6 @@
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/task"
-	"umberladder/internal/route/unary"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -46,7 +45,7 @@
 	gotEvent        bool         // the current connection has delivered an event
 	firstEventAt    time.Time    // time of the first event on the current connection
 	wasEstablished  bool         // an engine has run the call for establishedAfter
-	stopRequested   bool         // the run is being stopped, so the end of a body that is not delimited may not be the stream's end
+	endUncertain    bool         // the end of a body that is not delimited is not the stream's, or may not be: the run is being stopped, or its engine may have ended
 	lastEventAt     time.Time
 	cancelMigration context.CancelFunc // cancels the migration in progress; nil: none was started
 }
@@ -108,7 +107,7 @@
 			continue
 		}
 		f.Result.Attempts++
-		if resp.Status == http.StatusOK && !resp.NotExecuted {
+		if isStream(resp) {
 			f.attach(resp)
 			return f.startResponse(resp)
 		}
@@ -119,6 +118,11 @@
 	}
 }
 
+// isStream reports whether the body of a response is the stream that was called for.
+func isStream(resp *port.Response) bool {
+	return resp.Status == http.StatusOK && !resp.NotExecuted && resp.EventStream
+}
+
 // attemptFailed handles an attempt without a response. It returns nil if another engine
 // should be tried.
 func (f *forwarder) attemptFailed(ctx context.Context, s *srvtab.Server, err error) *refuse.Refusal {
@@ -153,7 +157,7 @@
 // engine should be tried; otherwise the call has ended, with the refusal if it is not
 // nil.
 func (f *forwarder) handleNonStream(s *srvtab.Server, resp *port.Response) (*refuse.Refusal, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, unary.MaxBody))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, task.MaxBody))
 	_ = resp.Body.Close()
 	f.reservation.Release()
 	f.dropBackup()
@@ -216,7 +220,7 @@
 		f.RecordSendFailure(s, err)
 		return nil, err
 	}
-	f.Result.Via = resp.Via
+	f.Result.Via, f.Result.CloseDelimited = resp.Via, !resp.Delimited
 	f.ObserveResponse(s, resp, sent)
 	return resp, nil
 }
--- a/internal/route/stream/watcher.go
+++ b/internal/route/stream/watcher.go
@@ -96,7 +96,7 @@
 // migrationFailed records a failed migration; the stream stays on its engine.
 func (w *watcher) migrationFailed(err error) {
 	w.migrated = nil
-	w.f.stopRequested = false
+	w.f.endUncertain = false
 	w.noMigrationBefore = time.Now().Add(migrationRetryDelay)
 	w.f.LogInfo("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(err))
 }
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -20,13 +18,9 @@
 	"umberladder/internal/state/srvtab"
 )
 
-const (
-	// MaxBody is the maximum size of a complete response, in bytes.
-	MaxBody = 16 << 20
-	// overloadRetryAfter is the retry delay of calls rejected by an overloaded server.
-	// The queue of a plain server empties in this time at 15 ms per call.
-	overloadRetryAfter = 100 * time.Millisecond
-)
+// overloadRetryAfter is the retry delay of calls rejected by an overloaded server.
+// The queue of a plain server empties in this time at 15 ms per call.
+const overloadRetryAfter = 100 * time.Millisecond
 
 // requester sends a plain call to one server after another.
 type requester struct {
@@ -173,12 +167,8 @@
 		return nil, err
 	}
 	r.Result.Via, r.Result.CloseDelimited = resp.Via, !resp.Delimited
-	defer func() { _ = resp.Body.Close() }()
 	r.ObserveResponse(s, resp, sent)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
-		err = errors.New("the answer is too large")
-	}
+	body, err := r.ReadBody(ctx, s, resp)
 	if err != nil {
 		r.Health.Failure(s.ID, time.Now())
 		return nil, &port.SendError{Err: err}
