Do not deliver a truncated response to a call for a stream

Callers could get the first 16 MB of a response that is not a stream, framed as complete and with the server's signature. Plain calls had the check, in a copy of their own; both now read with task.ReadBody, which also confirms close-delimited ends. Evidence: relay.TestNotAStream failed before for both sizes over the limit and passes now. Found by reading. Measured: go test ./internal/route/... passes.

--- a/internal/route/relay/stream_test.go
+++ b/internal/route/relay/stream_test.go
@@ -11,6 +11,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/route/port"
 	"umberladder/internal/test/check"
 )
 
@@ -279,3 +280,41 @@
 		})
 	})
 }
+
+// TestNotAStream checks that a response of another type on a streaming route is delivered
+// complete or not at all.
+func TestNotAStream(t *testing.T) {
+	for name, tc := range map[string]struct {
+		size   int64
+		reason refuse.Reason // zero: it is delivered
+	}{
+		"small":                      {size: 100},
+		"larger than may be read":    {size: 17 << 20, reason: refuse.ServerLost},
+		"just as large as to be cut": {size: 16<<20 + 1, reason: refuse.ServerLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 1)
+				h.engines.respond["s0"] = func() (*port.Response, error) {
+					return &port.Response{Status: 200, Delimited: true, Body: io.NopCloser(io.LimitReader(zeros{}, tc.size))}, nil
+				}
+				c, r := h.serve(t.Context(), "/long/x")
+				if tc.reason == refuse.Unspecified {
+					assert.Assert(t, r == nil, "%v", r)
+					assert.Equal(t, int64(len(c.body)), tc.size)
+					return
+				}
+				check.Refusal(t, r, tc.reason, refuse.RanMaybe)
+				assert.Assert(t, !c.started)
+			})
+		})
+	}
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -111,7 +110,7 @@
 			f.attach(resp)
 			return f.startResponse(resp)
 		}
-		refusal, done := f.handleNonStream(s, resp)
+		refusal, done := f.handleNonStream(ctx, s, resp)
 		if done {
 			return refusal
 		}
@@ -156,9 +155,8 @@
 // handleNonStream handles a response that is not a stream. It reports false if another
 // engine should be tried; otherwise the call has ended, with the refusal if it is not
 // nil.
-func (f *forwarder) handleNonStream(s *srvtab.Server, resp *port.Response) (*refuse.Refusal, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, task.MaxBody))
-	_ = resp.Body.Close()
+func (f *forwarder) handleNonStream(ctx context.Context, s *srvtab.Server, resp *port.Response) (*refuse.Refusal, bool) {
+	body, err := f.ReadBody(ctx, s, resp)
 	f.reservation.Release()
 	f.dropBackup()
 	f.LogInfo("response is not a stream", zap.String("server", string(s.ID)), zap.Int("status", resp.Status), zap.Bool("not-run", resp.NotExecuted))
@@ -173,7 +171,7 @@
 	}
 	f.ran = refuse.RanMaybe
 	if err != nil {
-		return refuse.New(refuse.ServerLost, "server %s failed with status %d and broke off", s.ID, resp.Status).WithRan(f.ran), true
+		return refuse.New(refuse.ServerLost, "server %s broke off its response with status %d: %v", s.ID, resp.Status, err).WithRan(f.ran), true
 	}
 	f.Completed()
 	if resp.Status >= http.StatusInternalServerError && f.mayRetry() {
--- a/internal/route/task/response.go
+++ b/internal/route/task/response.go
@@ -11,8 +11,8 @@
 	"umberladder/internal/state/srvtab"
 )
 
-// MaxBody is the maximum size of a response that is read as a whole, in bytes.
-const MaxBody = 16 << 20
+// maxBody is the maximum size of a response that is read as a whole, in bytes.
+const maxBody = 16 << 20
 
 // errEndNotConfirmed reports a response whose body may be truncated.
 var errEndNotConfirmed = errors.New("task: the server marked the end of its response only by closing the connection, and accepts no others")
@@ -20,12 +20,12 @@
 // ReadBody reads the complete body of a response, and closes it.
 func (t *Task) ReadBody(ctx context.Context, s *srvtab.Server, resp *port.Response) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	switch {
 	case err != nil:
 		return nil, err
-	case len(body) > MaxBody:
-		return nil, trace.LimitExceeded("the response is larger than %d bytes", MaxBody)
+	case len(body) > maxBody:
+		return nil, trace.LimitExceeded("the response is larger than %d bytes", maxBody)
 	case resp.Delimited || resp.NotExecuted:
 		return body, nil
 	default:
