Confirm close-delimited responses on the own face too

Callers of the own face could get the first part of a response whose server's process ended, as complete, and once-only calls would keep it as their answer. It is now confirmed like on the platform's path. Streams of the own face have an end of their own (the event done) and were not affected. Found by reading.

--- a/internal/peer/httpc/conn.go
+++ b/internal/peer/httpc/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"os"
 	"time"
@@ -17,6 +19,7 @@
 	net.Conn
 	idleTimeout time.Duration
 	written     int64
+	atEnd       bool // the peer has closed the connection regularly
 	r           *bufio.Reader
 	w           *bufio.Writer
 }
@@ -32,7 +35,9 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
 		return 0, trace.Wrap(err)
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.atEnd = c.atEnd || errors.Is(err, io.EOF)
+	return n, err
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -48,6 +48,9 @@
 		return err
 	}
 	err = resp.ReadLimitBody(c.r, o.MaxBody)
+	if err == nil && c.atEnd {
+		err = d.confirmEnd(ctx, addr)
+	}
 	if !stop() || err != nil {
 		_ = c.Close()
 		return &Error{Stage: Read, Written: c.written, Err: cause(ctx, err)}
@@ -56,6 +59,27 @@
 	return nil
 }
 
+// EndCheckDelay is the time from the end of a connection to the check whether its server
+// still accepts others. A process that ends closes its sockets one after the other, and its
+// listener may outlive its connections for a few milliseconds.
+const EndCheckDelay = 10 * time.Millisecond
+
+// confirmEnd returns an error unless a body whose end only that of its connection marked is
+// complete. The connections of a process that ends also end regularly, so that the server
+// must still accept connections.
+func (d *Dialer) confirmEnd(ctx context.Context, addr netip.AddrPort) error {
+	select {
+	case <-time.After(EndCheckDelay):
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	c, err := d.Dial(ctx, addr)
+	if err != nil {
+		return trace.Wrap(err, "the end of the response is not confirmed")
+	}
+	return c.Close()
+}
+
 // DoStream sends req and reads the header of the response into resp. The body
 // is read from the returned stream, which the caller must close.
 func (d *Dialer) DoStream(ctx context.Context, addr netip.AddrPort, req *fasthttp.Request, resp *fasthttp.Response, o Options) (io.ReadCloser, error) {
--- a/internal/peer/httpc/httpc_test.go
+++ b/internal/peer/httpc/httpc_test.go
@@ -16,6 +16,11 @@
 
 // startServer runs f for each connection to a new listener, numbered from 0.
 func startServer(t *testing.T, f func(n int, c net.Conn, r *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	return startListener(t, f).Addr().(*net.TCPAddr).AddrPort()
+}
+
+func startListener(t *testing.T, f func(n int, c net.Conn, r *bufio.Reader)) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -39,7 +44,7 @@
 		_ = ln.Close()
 		_ = g.Wait()
 	})
-	return ln.Addr().(*net.TCPAddr).AddrPort()
+	return ln
 }
 
 // readRequest reads one request and returns its path.
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/httpc"
 	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/reach"
 	"umberladder/internal/state/hubs"
@@ -295,15 +296,9 @@
 	return c.reach.Blames(s.ID, time.Now())
 }
 
-const (
-	// endCheckDelay is the time from the end of a connection to the check whether its server
-	// still accepts others. A process that ends closes its sockets one after the other, and
-	// its listener may outlive its connections for a few milliseconds.
-	endCheckDelay = 10 * time.Millisecond
-	// endCheckTimeout bounds that check. A connection through another VM is begun after
-	// peerDelay and takes two round trips more than a direct one.
-	endCheckTimeout = 150 * time.Millisecond
-)
+// endCheckTimeout bounds the check whether a server still accepts connections. A connection
+// through another VM is begun after peerDelay and takes two round trips more than a direct one.
+const endCheckTimeout = 150 * time.Millisecond
 
 // AcceptsConnections reports whether a server still accepts connections shortly after one of
 // them ended, as far as this VM or another one can tell.
@@ -311,7 +306,7 @@
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	select {
-	case <-time.After(endCheckDelay):
+	case <-time.After(httpc.EndCheckDelay):
 	case <-ctx.Done():
 		return false
 	}
