Do not take the end of a stopped run for the end of its stream

Callers could get a stream that was cut off for a migration as complete: the engine stops the run, finds no room at the other engine and closes the connection regularly. The order is remembered unless the engine had no such run. Found by reading.

--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -49,8 +49,11 @@
 	migrations int
 	noCapacity bool // no engine accepts a migration
 	noCopy     bool // engines do not have the copy
-	copyTime   time.Duration
-	terminated map[ident.Server]bool
+	// noCapacityOnStop makes an engine that is ordered to copy and stop a run stop it, and then
+	// find that the other engine has no capacity.
+	noCapacityOnStop bool
+	copyTime         time.Duration
+	terminated       map[ident.Server]bool
 	// closeDelimited makes only the end of the connection mark the end of a response.
 	closeDelimited bool
 	crashEnd       error         // with which the body of a run that is stopped ends; nil: io.ErrUnexpectedEOF
@@ -164,6 +167,9 @@
 	if stopRun {
 		r.stop()
 	}
+	if stopRun && e.noCapacityOnStop {
+		return port.CopyResult{}, port.ErrNoCapacity
+	}
 	time.Sleep(wait)
 	return port.CopyResult{Handle: "h", Events: int(r.events.Load())}, nil
 }
--- a/internal/route/relay/stream_test.go
+++ b/internal/route/relay/stream_test.go
@@ -318,3 +318,17 @@
 	clear(p)
 	return len(p), nil
 }
+
+// TestStopOrderFails guards against a stream that is passed on as complete because its run was
+// stopped for a migration that then failed: the engine closes a stopped run's connection
+// regularly, between two events.
+func TestStopOrderFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.engines.closeDelimited, h.engines.crashEnd, h.engines.noCapacityOnStop = true, io.EOF, true
+		after(2*time.Second-time.Millisecond, func() { h.table.Put(serverEntry(1)) })
+		after(2*time.Second, h.retireRunningServer)
+		c, _ := h.serve(t.Context(), "/long/x")
+		assert.Assert(t, c.aborted && !c.ended, "an interrupted response must not look complete")
+	})
+}
--- a/internal/route/stream/watcher.go
+++ b/internal/route/stream/watcher.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/route/migr"
+	"umberladder/internal/route/port"
 )
 
 // backupReadyWait is how long a stream on a retired engine may wait for the backup copy
@@ -96,7 +98,9 @@
 // migrationFailed records a failed migration; the stream stays on its engine.
 func (w *watcher) migrationFailed(err error) {
 	w.migrated = nil
-	w.f.endUncertain = false
+	// An engine closes the connection of a run that it was ordered to stop, also if the copy
+	// then failed. Without the run, there was nothing to stop.
+	w.f.endUncertain = w.f.migrator.Stopped() && !errors.Is(err, port.ErrNoRun)
 	w.noMigrationBefore = time.Now().Add(migrationRetryDelay)
 	w.f.LogInfo("stream stays", zap.String("server", string(w.f.server.ID)), zap.Error(err))
 }
