--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -39,6 +39,9 @@
 	if r.cfg.Cuts {
 		kinds = append(kinds, faultKind{"vm-cut-off", r.cutVMs}, faultKind{"servers-brittle", r.makeBrittle})
 	}
+	if r.cfg.Ends {
+		kinds = append(kinds, faultKind{"close-delimited", r.useCloseDelimited}, faultKind{"stream-broken", r.breakStreams}, faultKind{"server-ended", r.endServer})
+	}
 	if r.cfg.Evacuations {
 		kinds = append(kinds, faultKind{"evacuate", r.evacuate})
 	}
--- a/internal/load/soak/proxy.go
+++ b/internal/load/soak/proxy.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -133,20 +135,22 @@
 	var g errgroup.Group
 	g.Go(func() error {
 		defer cancel()
-		p.forward(server, c, false)
+		_ = p.forward(server, c, false)
 		return nil
 	})
 	g.Go(func() error {
 		defer cancel()
-		p.forward(c, server, true)
+		if err := p.forward(c, server, true); !errors.Is(err, io.EOF) {
+			resetConn(c)
+		}
 		return nil
 	})
 	_ = g.Wait()
 }
 
 // forward copies bytes in one direction as the mode says; response marks the
-// direction from the target to the client.
-func (p *Proxy) forward(to io.Writer, from io.Reader, response bool) {
+// direction from the target to the client. It returns io.EOF if from ended regularly.
+func (p *Proxy) forward(to io.Writer, from io.Reader, response bool) error {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
@@ -162,7 +166,7 @@
 			}
 		}
 		if _, werr := to.Write(buf[:n]); err != nil || werr != nil {
-			return
+			return cmp.Or(werr, err)
 		}
 	}
 }
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -49,6 +49,7 @@
 	Crashes       bool // also have requests crash servers, and servers announce drains and pauses in responses
 	Evacuations   bool // also have operators evacuate a failure domain
 	Cuts          bool // also cut VMs off from all servers, and make servers brittle
+	Ends          bool // also have servers mark the ends of responses in other ways, or break off
 	Program       string
 	Dir           string
 }
