Log the versions of servers' software, and which attempt a client takes up

Callers got streams of two versions, and no log line named a version. No decision changes. Measured: the tests of state, wire, route and the codecs pass.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -45,6 +45,7 @@
 	APIKey        string        // the client's API key; empty: none
 	ClientTimeout time.Duration // client timeout, counted from Arrived; zero: not given
 	LastEventID   string        // identifier of the last event that the client received; empty: none
+	Resumes       ident.Request // attempt of the client that brought the first event of the stream that it takes up; empty: it takes up none
 	Prompt        *Prompt       // nil: not a generation
 
 	Arrived       time.Time
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -27,6 +27,9 @@
 	// Server identifies one instance of a backend server, which is a model engine or a plain
 	// server. A restart creates a new instance. See NewServer.
 	Server string
+	// Version names a version of the software that a backend server runs. Versions have no
+	// order.
+	Version string
 	// Class names a priority class.
 	Class string
 	// Request identifies one request of a client.
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -32,6 +32,7 @@
 	changeDraining = 8
 	changeGrace    = 9
 	changeCold     = 10
+	changeVersion  = 11
 )
 
 // EncodeServerUpdate encodes an update of servers.
@@ -70,6 +71,7 @@
 	b = appendString(b, changeAddr, c.Entry.Addr.String())
 	b = appendString(b, changeDomain, string(c.Entry.Domain))
 	b = appendNumber(b, changeSlots, uint64(c.Entry.Slots))
+	b = appendString(b, changeVersion, string(c.Entry.Version))
 	if c.Entry.Draining {
 		b = appendNumber(b, changeDraining, 1)
 	}
@@ -134,6 +136,8 @@
 			e.Addr = addr
 		case changeDomain:
 			e.Domain = ident.FailureDomain(data)
+		case changeVersion:
+			e.Version = ident.Version(data)
 		case changeSlots:
 			e.Slots = int(v)
 		case changeCold:
--- a/internal/proc/edge/recorder.go
+++ b/internal/proc/edge/recorder.go
@@ -62,6 +62,8 @@
 		zap.String("kind", kind),
 		zap.String("service", string(res.Service)),
 		zap.String("server", string(res.Server)),
+		zap.String("version", string(res.Version)),
+		zap.String("resumes", string(res.Call.Resumes)),
 		zap.String("via", string(res.Via)),
 		zap.Int("status", res.Status),
 		zap.Duration("queued", res.QueueTime),
--- a/internal/route/stream/migrate.go
+++ b/internal/route/stream/migrate.go
@@ -169,7 +169,8 @@
 		return f.lostRefusal(err)
 	}
 	f.Result.Migrations++
-	f.LogInfo("stream continues at another engine", zap.String("from", string(from.ID)), zap.String("to", string(m.to.ID)), zap.String("last-event", f.lastID))
+	f.LogInfo("stream continues at another engine", zap.String("from", string(from.ID)), zap.String("to", string(m.to.ID)),
+		zap.String("from-version", string(from.Version)), zap.String("to-version", string(m.to.Version)), zap.String("last-event", f.lastID))
 	return nil
 }
 
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -202,7 +202,7 @@
 		return nil, err
 	}
 	f.server = s
-	f.Result.Server = s.ID
+	f.Result.Server, f.Result.Version = s.ID, s.Version
 	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID, Domains: f.AllowedDomains()}
 	if f.backup != nil {
 		attempt.Backup = f.backup.engine.Addr
@@ -256,7 +256,7 @@
 	case err == nil:
 		f.reservation = f.Alloc.Reserve(placement.Server.ID, f.load(true))
 		f.setBackup(placement.Backup)
-		f.LogInfo("placed", zap.String("server", string(placement.Server.ID)), zap.Int("tokens", req.Need),
+		f.LogInfo("placed", zap.String("server", string(placement.Server.ID)), zap.String("version", string(placement.Server.Version)), zap.Int("tokens", req.Need),
 			zap.Bool("backup", placement.Backup != nil), zap.Duration("waited", time.Since(start)))
 		return placement.Server, nil
 	case f.connectFailures > 0 && errors.Is(err, pick.ErrNoServer):
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -80,6 +80,7 @@
 	Route           *routes.Route    // nil: none was found
 	Service         ident.Service
 	Server          ident.Server
+	Version         ident.Version   // of the software of Server
 	Via             ident.VM        // VM through which the server was reached last; empty: directly
 	Status          int             // sent to the client; zero: none
 	Refusal         *refuse.Refusal // nil: a server's response was delivered
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -158,7 +158,7 @@
 		r.reservation = r.Alloc.Reserve(s.ID, alloc.Load{Calls: 1})
 	}
 	defer r.release()
-	r.Result.Server = s.ID
+	r.Result.Server, r.Result.Version = s.ID, s.Version
 	sent := time.Now()
 	r.Rates.RecordSent(s.ID, sent)
 	resp, err := r.Backend.Send(ctx, port.Attempt{Call: r.Call, Server: s, Workspace: r.Workspace, Timeout: r.Remaining(), LastEventID: r.Call.LastEventID, Domains: r.AllowedDomains()})
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -351,7 +351,7 @@
 	changed := s.table.Put(c.Entry)
 	if changed {
 		log.Info("server changed", id, zap.String("service", string(c.Entry.Service)),
-			zap.Stringer("address", c.Entry.Addr), zap.Bool("leaving", c.Entry.Draining))
+			zap.Stringer("address", c.Entry.Addr), zap.String("version", string(c.Entry.Version)), zap.Bool("leaving", c.Entry.Draining))
 	}
 	return changed
 }
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -22,6 +22,7 @@
 	Addr     netip.AddrPort
 	Domain   ident.FailureDomain
 	Slots    int
+	Version  ident.Version // of the server's software; empty: not known
 	Draining bool
 	// Cold is how much longer the server is cold: it can't take its normal load yet. It is
 	// set only while an entry is passed on; View.IsCold reports the state at a time.
@@ -157,6 +158,7 @@
 	// Entries decoded from separate messages share the few names of services and domains.
 	e.Service = ident.Service(unique.Make(string(e.Service)).Value())
 	e.Domain = ident.FailureDomain(unique.Make(string(e.Domain)).Value())
+	e.Version = ident.Version(unique.Make(string(e.Version)).Value())
 	cold := e.Cold
 	e.Cold = 0
 	_, expired := t.expired[e.ID]
@@ -168,6 +170,9 @@
 	// entry that shows it as ready is outdated.
 	e.Draining = t.drains[e.ID] != nil
 	old := t.server(e.ID)
+	if old != nil && e.Version == "" {
+		e.Version = old.Version // VMs of earlier software do not send it
+	}
 	if old != nil && old.Entry == e {
 		return t.recordCold(old, cold, now) || expired
 	}
