Continue streams only at engines of the version that began them

Callers got streams with events of two versions of a service's software. Cause: the version stood in each server's entry and was dropped, and every way for a stream to go on chose among all engines of the service.

The version is now part of the groups in which engines are found, so that few engines of a version are found among thousands; the coordinator places what migrates, is recovered or resumed by its version, and backups by that of their engine; the VM checks it again when it sends the call. An unknown version matches none. Streams that have begun wait by version, so that one whose engines are full holds up no call that other engines can take.

Fixtures whose engines had no version have one now, since an unknown one ends the stream.

--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -34,6 +34,8 @@
 	VMStopping                // this VM is shutting down and can't serve the request in time
 	Quarantined               // backend servers crashed each time they ran the request
 	Unreachable               // this VM reaches no backend server, directly or through other VMs
+	VersionGone               // no backend server runs the version of the software that began the stream
+	VersionUnknown            // which version of the software began the stream can't be determined now
 	numReasons
 )
 
@@ -72,6 +74,8 @@
 	VMStopping:         {"vm-stopping", 503, "This VM is being stopped"},
 	Quarantined:        {"quarantined", 503, "Backend servers crashed when they ran this request"},
 	Unreachable:        {"unreachable", 503, "This VM can't reach the backend servers"},
+	VersionGone:        {"version-gone", 503, "No backend server runs the version that began the stream"},
+	VersionUnknown:     {"version-unknown", 503, "Which version began the stream can't be known now"},
 	ClientDisconnected: {"caller-left", 499, "The caller closed the connection"},
 }
 
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -42,7 +42,7 @@
 			{Rev: 4, Gone: true, Entry: srvtab.Entry{ID: "gone"}, Grace: time.Duration(n.Draw(t, "gone-grace"))},
 			{Rev: 9, Grace: time.Duration(n.Draw(t, "grace")), Entry: srvtab.Entry{
 				ID: "came", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a",
-				Slots: n.Draw(t, "slots"), Draining: rapid.Bool().Draw(t, "entry-draining"),
+				Slots: n.Draw(t, "slots"), Version: ident.Version(name.Draw(t, "version")), Draining: rapid.Bool().Draw(t, "entry-draining"),
 			}},
 		}}
 	}
@@ -63,7 +63,7 @@
 	if rapid.Bool().Draw(t, "placement") {
 		m.PlacementRequest = &coord.Request{VM: m.VM, ID: 8, Run: pick.Request{
 			Service: "s", Purpose: pick.Migration, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Prefill: n.Draw(t, "prefill"), EngineMemory: n.Draw(t, "memory"),
-			From: "a", Source: "s", Exclude: []ident.Server{"x", "y"}, Unreachable: []ident.Server{"z"}, Backup: rapid.Bool().Draw(t, "backup"), MaxWait: time.Duration(n.Draw(t, "wait")), TargetWait: time.Second, RetryKey: rapid.Uint64().Draw(t, "retry-key"),
+			From: "a", Source: "s", Exclude: []ident.Server{"x", "y"}, Unreachable: []ident.Server{"z"}, Version: ident.Version(name.Draw(t, "run-version")), Backup: rapid.Bool().Draw(t, "backup"), MaxWait: time.Duration(n.Draw(t, "wait")), TargetWait: time.Second, RetryKey: rapid.Uint64().Draw(t, "retry-key"),
 		}}
 		m.PlacementResponse = &coord.Response{ID: 9, State: coord.NoCapacity, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), RetryAfter: time.Second}
 	}
--- a/internal/peer/wire/placement.go
+++ b/internal/peer/wire/placement.go
@@ -32,6 +32,7 @@
 	requestColdLimit    = 17
 	requestColdTime     = 18
 	requestBrief        = 19
+	requestVersion      = 20
 
 	responseID         = 1
 	responseState      = 2
@@ -67,6 +68,9 @@
 	if run.Source != "" {
 		b = appendString(b, requestSource, string(run.Source))
 	}
+	if run.Version != "" {
+		b = appendString(b, requestVersion, string(run.Version))
+	}
 	if run.Backup {
 		b = appendNumber(b, requestBackup, 1)
 	}
@@ -95,6 +99,8 @@
 			run.Unreachable = append(run.Unreachable, ident.Server(data))
 		case requestDomain:
 			run.Domains = append(run.Domains, ident.FailureDomain(data))
+		case requestVersion:
+			run.Version = ident.Version(data)
 		case requestSource:
 			run.Source = ident.Server(data)
 		default:
--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,21 +114,23 @@
 
 // Priority levels of queued requests, in the order in which they are served.
 const (
-	migrationLevel = iota // runs that migrate to another engine
-	onTimeLevel           // calls that can still start in time
-	lateLevel             // calls that cannot start in time
+	continueLevel = iota // streams that have begun
+	onTimeLevel          // calls that can still start in time
+	lateLevel            // calls that cannot start in time
 	numLevels
 )
 
 // serviceQueue holds the requests queued for capacity on a service's engines.
 type serviceQueue struct {
-	queues            [numLevels]*queue.Queue[*request]
-	migrationsBlocked bool               // a migration waits for capacity rather than for a link
-	urgentTokens      int                // tokens of queued migrations and of queued calls of rank 0
-	queuedTokens      [numLevels]int     // tokens of queued requests
-	grantRate         [numLevels]float64 // recently granted tokens per second while the queues were non-empty
-	busySince         time.Time          // since when the queues have been non-empty
-	updatedAt         time.Time          // when the rates were last updated
+	queues [numLevels]*queue.Queue[*request]
+	// blocked are the versions of the software for whose engines a stream that has begun waits
+	// for capacity rather than for a link; the empty version stands for all.
+	blocked      []ident.Version
+	urgentTokens int                // tokens of queued requests of streams that have begun, and of queued calls of rank 0
+	queuedTokens [numLevels]int     // tokens of queued requests
+	grantRate    [numLevels]float64 // recently granted tokens per second while the queues were non-empty
+	busySince    time.Time          // since when the queues have been non-empty
+	updatedAt    time.Time          // when the rates were last updated
 }
 
 // grant is capacity granted to a VM that may not have reported it yet.
@@ -225,8 +228,8 @@
 	defer c.mu.Unlock()
 	for _, sq := range c.queues {
 		sq.decayRates(now)
-		sq.migrationsBlocked = !c.serveMigrations(sq, now)
-		hasCapacity := !sq.migrationsBlocked
+		sq.blocked = c.serveContinued(sq, now)
+		hasCapacity := !sq.isBlocked("")
 		for level := onTimeLevel; level < numLevels; level++ {
 			hasCapacity = c.serveLevel(sq, level, hasCapacity, now)
 		}
@@ -243,12 +246,12 @@
 	}
 }
 
-// serveMigrations grants capacity to migrating runs, one per source engine at a
-// time: KV caches that share a link would all arrive late. It reports whether
-// no migration lacks capacity.
-func (c *Coordinator) serveMigrations(sq *serviceQueue, now time.Time) bool {
-	hasCapacity := true
-	for _, e := range sq.queues[migrationLevel].Sorted() {
+// serveContinued grants capacity to streams that have begun, and that other calls must not
+// displace. Runs migrate one per source engine at a time: KV caches that share a link would all
+// arrive late. It returns the versions of which more capacity is needed.
+func (c *Coordinator) serveContinued(sq *serviceQueue, now time.Time) []ident.Version {
+	var blocked []ident.Version
+	for _, e := range sq.queues[continueLevel].Sorted() {
 		r := e.Value
 		switch {
 		case now.Sub(r.lastSeen) > requestTTL:
@@ -256,15 +259,23 @@
 		case now.After(r.deadline):
 			sq.remove(r)
 			c.refuse(sq, r)
-		case hasCapacity:
+		case !slices.Contains(blocked, r.Run.Version):
 			granted, noCapacity := c.tryPlace(sq, r, now)
 			if granted {
 				sq.remove(r)
 			}
-			hasCapacity = !noCapacity
+			if noCapacity {
+				blocked = append(blocked, r.Run.Version)
+			}
 		}
 	}
-	return hasCapacity
+	return blocked
+}
+
+// isBlocked reports whether streams that have begun precede a request for the engines of a
+// version, or of all versions if it is empty.
+func (sq *serviceQueue) isBlocked(v ident.Version) bool {
+	return slices.Contains(sq.blocked, "") || v != "" && slices.Contains(sq.blocked, v)
 }
 
 // serveLevel removes expired requests of a level and grants capacity to the
@@ -302,6 +313,7 @@
 // whether it responded, and if not, whether the reason is a lack of capacity
 // rather than a busy link.
 func (c *Coordinator) tryPlace(sq *serviceQueue, r *request, now time.Time) (done, noCapacity bool) {
+	r.Run.Reserved = sq.blocked
 	placement, err := c.chooser.Choose(&r.Run, c.pendingGrants(now), now)
 	switch {
 	case errors.Is(err, pick.ErrNoServer):
@@ -388,8 +400,8 @@
 // levelAt returns the priority level of the request at a given time.
 func (r *request) levelAt(now time.Time) int {
 	switch {
-	case r.Run.Purpose != pick.NewRun:
-		return migrationLevel
+	case r.Run.Continues():
+		return continueLevel
 	case !now.Before(r.startBy):
 		return lateLevel
 	default:
@@ -399,15 +411,15 @@
 
 // mustQueue reports whether other requests have to be served before a new one.
 func (sq *serviceQueue) mustQueue(r *request) bool {
-	if r.Run.Purpose != pick.NewRun {
-		return sq.migrationsBlocked
+	if r.Run.Continues() {
+		return sq.isBlocked(r.Run.Version)
 	}
-	return sq.migrationsBlocked || sq.queues[onTimeLevel].Len() > 0
+	return sq.isBlocked("") || sq.queues[onTimeLevel].Len() > 0
 }
 
-// isUrgent reports whether the request is a migration or has rank 0, and so precedes
-// the other calls.
-func (r *request) isUrgent() bool { return r.Run.Purpose != pick.NewRun || r.Run.Rank == 0 }
+// isUrgent reports whether the request is for a stream that has begun or has rank 0, and so
+// precedes the other calls.
+func (r *request) isUrgent() bool { return r.Run.Continues() || r.Run.Rank == 0 }
 
 // maxEstimate caps wait estimates; it is longer than any wait.
 const maxEstimate = time.Hour
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -117,7 +117,7 @@
 	if r.Purpose == Backup && !keepCopies {
 		return Placement{}, &NoCapacityError{}
 	}
-	s, known := c.choose(r, r.Purpose, load, r.From, r.Exclude, now)
+	s, known := c.choose(r, r.Purpose, r.Version, load, r.From, r.Exclude, now)
 	if !known {
 		return Placement{}, ErrNoServer
 	}
@@ -131,9 +131,9 @@
 		}
 	}
 	placement := Placement{Server: s}
-	if r.Backup && keepCopies {
+	if r.Backup && keepCopies && s.Version != "" {
 		exclude := append(slices.Clone(r.Exclude), s.ID)
-		placement.Backup, _ = c.choose(r, Backup, load, s.Domain, exclude, now)
+		placement.Backup, _ = c.choose(r, Backup, s.Version, load, s.Domain, exclude, now)
 	}
 	return placement, nil
 }
@@ -141,11 +141,12 @@
 // loadFunc returns the load of a server.
 type loadFunc func(ident.Server) alloc.Load
 
-// choose returns an engine with capacity for a purpose of the run; known reports
-// whether there is any engine that is not excluded.
-func (c *Chooser) choose(r *Request, purpose Purpose, load loadFunc, from ident.FailureDomain, exclude []ident.Server, now time.Time) (s *srvtab.Server, known bool) {
+// choose returns an engine with capacity for a purpose of the run, which runs a version of the
+// software, or any if that is empty; known reports whether there is any engine that is not
+// excluded.
+func (c *Chooser) choose(r *Request, purpose Purpose, version ident.Version, load loadFunc, from ident.FailureDomain, exclude []ident.Server, now time.Time) (s *srvtab.Server, known bool) {
 	view := c.servers.View()
-	engines := newSample(view, r.Service, r.mayRunIn, exclude)
+	engines := newSample(view.PoolsOf(r.Service), func(p *srvtab.Pool) bool { return r.mayUse(p, version) }, r.isReserved, exclude)
 	var list []*srvtab.Server
 	var servers []assign.Server
 	engines.collect(from, func(s *srvtab.Server) bool {
@@ -203,7 +204,8 @@
 
 // fillRatio returns how full the service's engines are, from a random sample of them.
 func (c *Chooser) fillRatio(r *Request, load loadFunc) float64 {
-	engines := newSample(c.servers.View(), r.Service, func(ident.FailureDomain) bool { return true }, nil)
+	all, none := func(*srvtab.Pool) bool { return true }, func(*srvtab.Pool) bool { return false }
+	engines := newSample(c.servers.View().PoolsOf(r.Service), all, none, nil)
 	tokens := 0
 	n := engines.visit(engines.pools, maxCompared, maxVisited, func(s *srvtab.Server) bool {
 		tokens += load(s.ID).Tokens
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -64,6 +64,8 @@
 	TargetWait   time.Duration         // longest wait for capacity after which the run still starts in time
 	MaxWait      time.Duration         // longest wait for capacity
 	Domains      []ident.FailureDomain // failure domains that may be chosen; empty: all
+	Version      ident.Version         // version of the software that the engine must run, as the stream's events come from it; empty: any
+	Reserved     []ident.Version       // versions whose engines are left to streams that are bound to them
 	ColdLimit    int                   // runs within a second that a server tolerates while it is cold; zero: any number
 	ColdTime     time.Duration         // how long a server is cold after its start
 	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
@@ -71,9 +73,18 @@
 	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
 }
 
-// mayRunIn reports whether the run may be placed in a failure domain.
-func (r *Request) mayRunIn(d ident.FailureDomain) bool {
-	return len(r.Domains) == 0 || slices.Contains(r.Domains, d)
+// Continues reports whether a stream that has begun needs the capacity.
+func (r *Request) Continues() bool { return r.Purpose != NewRun || r.Version != "" }
+
+// mayUse reports whether the run may be placed in a failure domain, at an engine that runs a
+// version of the software.
+func (r *Request) mayUse(p *srvtab.Pool, version ident.Version) bool {
+	return (len(r.Domains) == 0 || slices.Contains(r.Domains, p.Domain)) && (version == "" || p.Version == version)
+}
+
+// isReserved reports whether the engines of a pool are left to other runs.
+func (r *Request) isReserved(p *srvtab.Pool) bool {
+	return !r.Continues() && slices.Contains(r.Reserved, p.Version)
 }
 
 // Load returns the load of the run at its engine.
--- a/internal/route/pick/sample.go
+++ b/internal/route/pick/sample.go
@@ -28,24 +28,29 @@
 type sample struct {
 	pools    []srvtab.Pool
 	exclude  []ident.Server
-	visited  int // servers visited
-	excluded int // servers met that are in exclude
+	reserved bool // some pools are reserved for other runs
+	visited  int  // servers visited
+	excluded int  // servers met that are in exclude
 }
 
-// newSample returns a sample of the servers of a service in the given failure domains,
-// without the excluded ones.
-func newSample(view *srvtab.View, service ident.Service, allowed func(ident.FailureDomain) bool, exclude []ident.Server) *sample {
+// newSample returns a sample of the servers in the allowed pools that are not reserved for other
+// runs, without the excluded ones.
+func newSample(pools []srvtab.Pool, allowed, reserved func(*srvtab.Pool) bool, exclude []ident.Server) *sample {
 	s := &sample{exclude: exclude}
-	for _, p := range view.PoolsOf(service) {
-		if allowed(p.Domain) {
-			s.pools = append(s.pools, p)
+	for i := range pools {
+		switch p := &pools[i]; {
+		case !allowed(p):
+		case reserved(p):
+			s.reserved = true
+		default:
+			s.pools = append(s.pools, *p)
 		}
 	}
 	return s
 }
 
 // exhausted reports whether all servers turned out to be excluded.
-func (s *sample) exhausted() bool { return s.excluded == total(s.pools) }
+func (s *sample) exhausted() bool { return !s.reserved && s.excluded == total(s.pools) }
 
 func total(pools []srvtab.Pool) int {
 	n := 0
@@ -55,7 +60,7 @@
 	return n
 }
 
-// split returns the pool of a failure domain, or none, and the other pools.
+// split returns the pools of a failure domain, and the other pools.
 func (s *sample) split(d ident.FailureDomain) (near, others []srvtab.Pool) {
 	for _, p := range s.pools {
 		if p.Domain == d {
--- a/internal/route/pick/sample_test.go
+++ b/internal/route/pick/sample_test.go
@@ -26,7 +26,9 @@
 	return t
 }
 
-func anyDomain(ident.FailureDomain) bool { return true }
+func anyPool(*srvtab.Pool) bool { return true }
+
+func noPool(*srvtab.Pool) bool { return false }
 
 // TestVisits guards against choices that visit every engine. While engines are full, a
 // choice is tried again for each queued run, so that its cost would grow with the square of
@@ -37,7 +39,7 @@
 			view := fleetOf(engines).View()
 			count := func(accept bool) map[ident.Server]int {
 				seen := make(map[ident.Server]int)
-				newSample(view, "engines", anyDomain, nil).collect("d0", func(s *srvtab.Server) bool {
+				newSample(view.PoolsOf("engines"), anyPool, noPool, nil).collect("d0", func(s *srvtab.Server) bool {
 					seen[s.ID]++
 					return accept
 				})
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -122,10 +122,10 @@
 		}
 		view := p.chooser.View()
 		server, backup := view.Server(resp.Server), view.Server(resp.Backup)
-		if !view.Accepts(resp.Backup) {
+		if !view.Accepts(resp.Backup) || server == nil || backup.Version == "" || backup.Version != server.Version {
 			backup = nil
 		}
-		if view.Accepts(resp.Server) && !p.chooser.IsPaused(server.ID, time.Now()) {
+		if view.Accepts(resp.Server) && (r.Version == "" || server.Version == r.Version) && !p.chooser.IsPaused(server.ID, time.Now()) {
 			return pick.Placement{Server: server, Backup: backup}, outcomeCoordinator, nil
 		}
 		req.Exclude = append(req.Exclude, resp.Server)
--- a/internal/route/placer/placer_test.go
+++ b/internal/route/placer/placer_test.go
@@ -99,7 +99,7 @@
 			tracker: alloc.New(), servers: srvtab.NewTable(func() {}),
 		}
 		for e := range engines {
-			v.servers.Put(srvtab.Entry{ID: engine(e), Service: service, Domain: "a", Slots: 24})
+			v.servers.Put(srvtab.Entry{ID: engine(e), Service: service, Domain: "a", Slots: 24, Version: "v1"})
 		}
 		c := pick.NewChooser(v.servers, v.tracker, health.New(), rates.New(nil, nil))
 		v.coordinator = coord.New(c)
@@ -549,3 +549,42 @@
 		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
+
+// TestFullVersion guards against calls that wait, although engines have room, behind a stream
+// that can go on only at engines of a version of the software that are all full.
+func TestFullVersion(t *testing.T) {
+	testFleet(t, 3, 2, func(t *testing.T, f *fleet) {
+		for _, v := range f.vms {
+			v.servers.Put(srvtab.Entry{ID: engine(1), Service: service, Domain: "a", Slots: 24, Version: "v2"})
+		}
+		for range memory / newCall().Need {
+			r := newCall()
+			r.Version = "v1"
+			_, err := f.placeAndHold(f.vms[1], r, 500*time.Millisecond)
+			assert.NilError(t, err)
+		}
+		var g errgroup.Group
+		for name, r := range map[string]pick.Request{"migration": {Purpose: pick.Migration}, "resumed": {}} {
+			g.Go(func() error {
+				call := newCall()
+				call.Purpose, call.Version = r.Purpose, "v1"
+				start := time.Now()
+				placement, err := f.placeAndHold(f.vms[2], call, -1)
+				assert.NilError(t, err, name)
+				assert.Equal(t, placement.Server.ID, engine(0), name)
+				assert.Assert(t, time.Since(start) < 550*time.Millisecond, "%s waited for %s", name, time.Since(start))
+				return nil
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		for range 3 {
+			start, call := time.Now(), newCall()
+			call.Prefill = 0 // so that the engine's prefill does not delay the next call
+			placement, err := f.placeAndHold(f.vms[2], call, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, placement.Server.ID, engine(1))
+			assert.Assert(t, time.Since(start) < 50*time.Millisecond, "waited for %s", time.Since(start))
+		}
+		assert.NilError(t, g.Wait())
+	})
+}
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -345,7 +345,7 @@
 
 func serverEntry(i int) srvtab.Entry {
 	return srvtab.Entry{
-		ID: ident.Server(fmt.Sprintf("s%d", i)), Service: "engines", Domain: "a", Slots: 24,
+		ID: ident.Server(fmt.Sprintf("s%d", i)), Service: "engines", Domain: "a", Slots: 24, Version: "v1",
 		Addr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)),
 	}
 }
--- /dev/null
+++ b/internal/route/relay/version_test.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/test/check"
+)
+
+// setVersions sets the versions of the servers' software, in the order of their names.
+func (h *harness) setVersions(versions ...ident.Version) {
+	for i, v := range versions {
+		e := serverEntry(i)
+		e.Version = v
+		h.table.Put(e)
+	}
+}
+
+// versionOf returns the version of a server's software.
+func (h *harness) versionOf(id ident.Server) ident.Version { return h.table.View().Server(id).Version }
+
+// TestVersionOfContinuation guards against streams that go on at an engine with another version
+// of the software, by each way in which they can go on.
+func TestVersionOfContinuation(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path     string
+		versions []ident.Version
+		fault    func(h *harness)
+		lost     refuse.Reason // no engine may continue the stream
+	}{
+		"migration": {
+			path: "/long/x", versions: []ident.Version{"v1", "v2", "v1", "v2"},
+			fault: func(h *harness) { after(100*time.Millisecond, h.retireRunningServer) },
+		},
+		"backup": {
+			path: "/long/x", versions: []ident.Version{"v1", "v2", "v1", "v2"},
+			fault: func(h *harness) { after(2*time.Second, h.retireRunningServer) },
+		},
+		"crash, with a backup": {
+			path: "/long/x", versions: []ident.Version{"v1", "v2", "v1", "v2"},
+			fault: func(h *harness) { after(2*time.Second, func() { h.engines.crash(h.runningServer()) }) },
+		},
+		"crash of the version's only engine": {
+			path: "/long/x", versions: []ident.Version{"v1", "v2", "v3", "v4"}, lost: refuse.ServerLost,
+			fault: func(h *harness) { after(2*time.Second, func() { h.engines.crash(h.runningServer()) }) },
+		},
+		"resumption": {
+			path: "/short/x", versions: []ident.Version{"v1", "v2", "v1", "v2"},
+			fault: func(h *harness) { after(time.Second, func() { h.engines.crash(h.runningServer()) }) },
+		},
+		"resumption without another engine of the version": {
+			path: "/short/x", versions: []ident.Version{"v1", "v2", "v3", "v4"}, lost: refuse.NoServer,
+			fault: func(h *harness) { after(time.Second, func() { h.engines.crash(h.runningServer()) }) },
+		},
+		"migration from the version's only engine": {
+			path: "/long/x", versions: []ident.Version{"v1", "v2", "v3", "v4"},
+			fault: func(h *harness) { after(time.Second, h.retireRunningServer) },
+		},
+		"the backup is replaced by a server of another version": {
+			path: "/long/x", versions: []ident.Version{"v1", "v1"}, lost: refuse.ServerLost,
+			fault: func(h *harness) {
+				after(1900*time.Millisecond, func() {
+					other := map[ident.Server]int{"s0": 1, "s1": 0}[h.runningServer()]
+					e := serverEntry(other)
+					e.Version = "v2"
+					h.table.Put(e)
+				})
+				after(2*time.Second, func() { h.engines.crash(h.runningServer()) })
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, len(tc.versions))
+				h.setVersions(tc.versions...)
+				var began ident.Version
+				after(50*time.Millisecond, func() { began = h.versionOf(h.runningServer()) })
+				tc.fault(h)
+				c, r := h.serve(t.Context(), tc.path)
+				if tc.lost != refuse.Unspecified {
+					assert.Assert(t, c.aborted && !c.ended)
+					check.Refusal(t, h.records[0].Refusal, tc.lost, refuse.RanPartial)
+					return
+				}
+				assertComplete(t, c, r, h.engines.events)
+				assert.Equal(t, h.versionOf(h.records[0].Server), began)
+			})
+		})
+	}
+}
+
+// TestUnknownVersion guards against streams that go on at another engine although the version of
+// the software that began them is not known.
+func TestUnknownVersion(t *testing.T) {
+	for _, path := range []string{"/long/x", "/short/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 0)
+			for i := range 3 {
+				e := serverEntry(i)
+				e.Version = ""
+				h.table.Put(e)
+			}
+			after(2*time.Second, func() { h.engines.crash(h.runningServer()) })
+			c, _ := h.serve(t.Context(), path)
+			assert.Assert(t, c.aborted && !c.ended)
+			assert.Equal(t, len(h.engines.started)+len(h.engines.continued), 1)
+		})
+	}
+}
--- a/internal/route/stream/backup.go
+++ b/internal/route/stream/backup.go
@@ -70,7 +70,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, backupTimeout)
 	defer cancel()
-	placement, err := f.Placer.Place(ctx, f.placementRequest(pick.Backup, m.to.Domain, []ident.Server{m.to.ID, f.server.ID}))
+	req := f.placementRequest(pick.Backup, m.to.Domain, []ident.Server{m.to.ID, f.server.ID})
+	req.Version = m.to.Version
+	placement, err := f.Placer.Place(ctx, req)
 	if err != nil {
 		f.LogInfo("no backup engine available", zap.String("server", string(m.to.ID)), zap.Error(err))
 		return nil
@@ -80,7 +82,7 @@
 
 // backupUsable reports whether the stream may continue at the engine of b.
 func (f *forwarder) backupUsable(b *backupCopy) bool {
-	return b != nil && !b.engine.IsRetired() && f.CheckContinuable(b.engine) == nil && f.Health.PauseRemaining(b.engine.ID, time.Now()) == 0
+	return b != nil && !b.engine.IsRetired() && f.CheckContinuable(b.engine) == nil && f.CheckVersion(b.engine, f.server.Version) == nil && f.Health.PauseRemaining(b.engine.ID, time.Now()) == 0
 }
 
 // markArrived stops counting the copy as in transit to the backup engine once it is
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -125,6 +125,7 @@
 	}
 	f.lastEventAt = now
 	f.Result.Events += n
+	f.version = f.server.Version
 	f.updateReservations()
 	if err := f.Writer.WriteChunk(p); err != nil {
 		return refuse.New(refuse.ClientDisconnected, "an event could not be written: %v", err).WithRan(refuse.RanPartial)
@@ -214,6 +215,9 @@
 
 // resume runs a resumable stream again, starting after the last forwarded event.
 func (f *forwarder) resume(ctx context.Context, cause error) *refuse.Refusal {
+	if f.lastID != "" && f.version == "" {
+		return f.lostRefusal(errUnknownVersion)
+	}
 	for f.mayRetry() {
 		f.reservation.Release()
 		s, refusal := f.place(ctx)
--- a/internal/route/stream/migrate.go
+++ b/internal/route/stream/migrate.go
@@ -40,6 +40,10 @@
 	err         error
 }
 
+// errUnknownVersion reports that a stream cannot continue, because it is not known which version
+// of the software produced its events.
+var errUnknownVersion = errors.New("stream: the version of the engine's software is not known")
+
 // startMigration starts to migrate the stream from a retired engine in the
 // background, while the stream continues there. It returns nil if the stream cannot
 // migrate.
@@ -69,8 +73,11 @@
 // migrate copies the KV cache to another engine while the run continues, then stops
 // the run and copies what was added since.
 func (f *forwarder) migrate(ctx context.Context, from *srvtab.Server) migration {
+	if from.Version == "" {
+		return migration{err: errUnknownVersion}
+	}
 	req := f.placementRequest(pick.Migration, from.Domain, []ident.Server{from.ID})
-	req.Backup = f.canBackUp()
+	req.Version, req.Backup = from.Version, f.canBackUp()
 	req.Source = from.ID
 	req.MaxWait = migrationWait
 	var err error
@@ -126,11 +133,14 @@
 // recoverRun stops a run whose connection broke and copies its KV cache to another
 // engine, if its engine is still reachable.
 func (f *forwarder) recoverRun(ctx context.Context) migration {
-	if !f.canMigrate() {
+	switch {
+	case !f.canMigrate():
 		return migration{err: errors.New("the stream cannot migrate")}
+	case f.server.Version == "":
+		return migration{err: errUnknownVersion}
 	}
 	req := f.placementRequest(pick.Migration, f.server.Domain, []ident.Server{f.server.ID})
-	req.Backup = f.canBackUp()
+	req.Version, req.Backup = f.server.Version, f.canBackUp()
 	placement, err := f.Placer.Place(ctx, req)
 	if err != nil {
 		return migration{err: err}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -35,6 +35,7 @@
 	backup          *backupCopy
 	migrator        *migr.Migrator
 	conn            *events.Conn
+	version         ident.Version // of the software that produced the stream's events; only it can produce the rest. Empty: there is no event yet
 	lastID          string
 	connectFailures int          // number of engines to which the connection failed
 	ran             refuse.Ran   // whether the call may have run
@@ -194,12 +195,12 @@
 
 // send sends the call to an engine and returns the response.
 func (f *forwarder) send(ctx context.Context, s *srvtab.Server, from port.CacheRef) (*port.Response, error) {
-	check := f.CheckAccepting
+	check, version := f.CheckAccepting, f.version
 	if from.Addr.IsValid() {
-		check = f.CheckContinuable
+		check, version = f.CheckContinuable, f.server.Version
 	}
-	if err := check(s); err != nil {
-		return nil, err
+	if err := errors.Join(check(s), f.CheckVersion(s, version)); err != nil {
+		return nil, &port.SendError{Unsent: true, Err: err}
 	}
 	f.server = s
 	f.Result.Server, f.Result.Version = s.ID, s.Version
@@ -261,6 +262,8 @@
 		return placement.Server, nil
 	case f.connectFailures > 0 && errors.Is(err, pick.ErrNoServer):
 		return nil, f.UnreachableRefusal(f.connectFailures)
+	case errors.Is(err, pick.ErrNoServer) && f.version != "" && !f.Servers.View().AcceptsVersion(f.Service.Name, f.version):
+		return nil, f.versionGoneRefusal()
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, f.NoServerRefusal()
 	case errors.As(err, &noCapacity):
@@ -271,6 +274,12 @@
 	}
 }
 
+// versionGoneRefusal returns the refusal of a stream for whose version no server accepts work. No
+// server returns to it, so that there is no time after which the client should retry.
+func (f *forwarder) versionGoneRefusal() *refuse.Refusal {
+	return refuse.New(refuse.VersionGone, "no server of service %s runs version %s, which began the stream, and takes work", f.Service.Name, f.version)
+}
+
 // prefillTokens returns the number of prompt tokens that an engine has to prefill before
 // the first event.
 func (f *forwarder) prefillTokens() int {
@@ -294,7 +303,7 @@
 func (f *forwarder) placementRequest(purpose pick.Purpose, from ident.FailureDomain, exclude []ident.Server) pick.Request {
 	r := pick.Request{
 		Service: f.Service.Name, Purpose: purpose, Rank: f.priority(), Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
-		From: from, Exclude: exclude, Domains: f.AllowedDomains(),
+		From: from, Exclude: exclude, Domains: f.AllowedDomains(), Version: f.version,
 	}
 	if f.Service.ColdTime > 0 {
 		r.ColdTime, r.ColdLimit = f.Service.ColdTime, rates.GrantLimit(f.Config.ColdLimit(f.Service.ColdRate))
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -115,6 +115,21 @@
 	return &port.SendError{Unsent: true, Err: errNotAccepting}
 }
 
+// errOtherVersion is returned instead of an attempt to continue a stream at a server that runs
+// another version of the software, or whose version is not known.
+var errOtherVersion = errors.New("task: the server runs another version of the software")
+
+// CheckVersion returns an error unless a server runs the given version of the software; an empty
+// one stands for any. It is checked when the call is sent, because the server may have been
+// replaced since it was chosen.
+func (t *Task) CheckVersion(s *srvtab.Server, v ident.Version) error {
+	now := t.Servers.View().Server(s.ID)
+	if v == "" || s.Version == v && (now == nil || now.Version == v) {
+		return nil
+	}
+	return errOtherVersion
+}
+
 // IsNotAccepting reports whether an attempt was not made because its server accepts no new
 // work.
 func IsNotAccepting(err error) bool { return errors.Is(err, errNotAccepting) }
--- a/internal/state/index/index.go
+++ b/internal/state/index/index.go
@@ -1,6 +1,7 @@
 package index
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -13,24 +14,35 @@
 type Item interface {
 	// Key returns the server's ID.
 	Key() ident.Server
-	// Place returns the server's service and failure domain. It returns false if the server
+	// Place returns the server's service, and its group in it. It returns false if the server
 	// is only found by its ID.
-	Place() (ident.Service, ident.FailureDomain, bool)
+	Place() (ident.Service, Group, bool)
+}
+
+// Group identifies the servers of a service that are in one failure domain and run one version
+// of the software.
+type Group struct {
+	Domain  ident.FailureDomain
+	Version ident.Version
+}
+
+func compareGroups(a, b Group) int {
+	return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Version, b.Version))
 }
 
 // Index is a set of servers. It is not safe for concurrent use; its snapshots are.
 type Index[V Item] struct {
 	all      btree.Map[ident.Server, V]
-	services map[ident.Service]domains[V] // none is empty
+	services map[ident.Service]groups[V] // none is empty
 	// changed are the services that differ from the last snapshot.
 	changed map[ident.Service]struct{}
 	last    *Snapshot[V]
 }
 
-// domains are the servers of one service by failure domain.
-type domains[V Item] map[ident.FailureDomain]*domain[V]
+// groups are the servers of one service.
+type groups[V Item] map[Group]*group[V]
 
-type domain[V Item] struct {
+type group[V Item] struct {
 	servers btree.Map[ident.Server, V]
 	copied  *btree.Map[ident.Server, V] // of the last snapshot; nil: servers has changed since
 }
@@ -38,7 +50,7 @@
 // New returns an empty index.
 func New[V Item]() *Index[V] {
 	return &Index[V]{
-		services: make(map[ident.Service]domains[V]),
+		services: make(map[ident.Service]groups[V]),
 		changed:  make(map[ident.Service]struct{}),
 		last:     &Snapshot[V]{all: &btree.Map[ident.Server, V]{}, services: make(map[ident.Service]*service[V])},
 	}
@@ -76,12 +88,12 @@
 	}
 	list := x.services[name]
 	if list == nil {
-		list = make(domains[V])
+		list = make(groups[V])
 		x.services[name] = list
 	}
 	d := list[at]
 	if d == nil {
-		d = &domain[V]{}
+		d = &group[V]{}
 		list[at] = d
 	}
 	d.servers.Set(v.Key(), v)
@@ -140,18 +152,18 @@
 	return s
 }
 
-func (list domains[V]) snapshot(inUse func(ident.FailureDomain) bool) *service[V] {
+func (list groups[V]) snapshot(inUse func(ident.FailureDomain) bool) *service[V] {
 	out := &service[V]{}
-	for _, name := range slices.Sorted(maps.Keys(list)) {
-		d := list[name]
-		if !inUse(name) {
+	for _, key := range slices.SortedFunc(maps.Keys(list), compareGroups) {
+		d := list[key]
+		if !inUse(key.Domain) {
 			out.unused += d.servers.Len()
 			continue
 		}
 		if d.copied == nil {
 			d.copied = d.servers.Copy()
 		}
-		out.pools = append(out.pools, Pool[V]{Domain: name, servers: d.copied})
+		out.pools = append(out.pools, Pool[V]{Group: key, servers: d.copied})
 	}
 	return out
 }
--- a/internal/state/index/index_test.go
+++ b/internal/state/index/index_test.go
@@ -16,14 +16,14 @@
 type item struct {
 	id      ident.Server
 	service ident.Service
-	domain  ident.FailureDomain
+	group   Group
 	listed  bool
 }
 
 func (i item) Key() ident.Server { return i.id }
 
-func (i item) Place() (ident.Service, ident.FailureDomain, bool) {
-	return i.service, i.domain, i.listed
+func (i item) Place() (ident.Service, Group, bool) {
+	return i.service, i.group, i.listed
 }
 
 // contents returns the servers of a service as a snapshot lists them, after it has checked
@@ -33,7 +33,7 @@
 	for _, p := range s.Pools(name) {
 		assert.Assert(t, p.Len() > 0)
 		for i := range p.Len() {
-			assert.Equal(t, p.At(i).domain, p.Domain)
+			assert.Equal(t, p.At(i).group, p.Group)
 			out = append(out, p.At(i))
 		}
 	}
@@ -66,7 +66,11 @@
 			default:
 				v := item{
 					id: id, service: ident.Service(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")),
-					domain: ident.FailureDomain(rapid.SampledFrom([]string{"d0", "d1", "d2"}).Draw(t, "domain")), listed: rapid.Bool().Draw(t, "listed"),
+					group: Group{
+						Domain:  ident.FailureDomain(rapid.SampledFrom([]string{"d0", "d1", "d2"}).Draw(t, "domain")),
+						Version: ident.Version(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")),
+					},
+					listed: rapid.Bool().Draw(t, "listed"),
 				}
 				x.Set(v)
 				model[id] = v
@@ -84,7 +88,7 @@
 				for _, v := range s.want {
 					switch {
 					case v.service != name || !v.listed:
-					case v.domain == s.not:
+					case v.group.Domain == s.not:
 						unused++
 					default:
 						listed++
--- a/internal/state/index/snapshot.go
+++ b/internal/state/index/snapshot.go
@@ -21,9 +21,9 @@
 	list   atomic.Pointer[[]V]
 }
 
-// Pool is the servers of a service in one failure domain.
+// Pool is the servers of one group of a service.
 type Pool[V Item] struct {
-	Domain  ident.FailureDomain
+	Group
 	servers *btree.Map[ident.Server, V]
 }
 
@@ -48,7 +48,7 @@
 }
 
 // Pools returns the servers of a service in failure domains that are in use, in the order of
-// the domains. The caller must not modify the list.
+// the domains and then of the versions' names. The caller must not modify the list.
 func (s *Snapshot[V]) Pools(name ident.Service) []Pool[V] {
 	if svc := s.services[name]; svc != nil {
 		return svc.pools
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -42,8 +42,8 @@
 func (s *Server) Key() ident.Server { return s.ID }
 
 // Place implements index.Item. Servers that are draining are found by their ID only.
-func (s *Server) Place() (ident.Service, ident.FailureDomain, bool) {
-	return s.Service, s.Domain, !s.Draining
+func (s *Server) Place() (ident.Service, index.Group, bool) {
+	return s.Service, index.Group{Domain: s.Domain, Version: s.Version}, !s.Draining
 }
 
 // Retired returns a channel that is closed once the server accepts no new work.
--- a/internal/state/srvtab/view.go
+++ b/internal/state/srvtab/view.go
@@ -1,6 +1,7 @@
 package srvtab
 
 import (
+	"slices"
 	"time"
 
 	"umberladder/internal/core/ident"
@@ -14,17 +15,23 @@
 	returnedAt     map[ident.FailureDomain]time.Time // when this VM learned of the end of each evacuation
 }
 
-// Pool is the servers of a service in one failure domain that accept new work.
+// Pool is the servers of a service that accept new work, in one failure domain and of one version.
 type Pool = index.Pool[*Server]
 
-// PoolsOf returns the servers of a service that accept new work by failure domain, in the
-// order of the domains. The caller must not modify the list.
+// PoolsOf returns the servers of a service that accept new work by failure domain and version,
+// in the order of these names. The caller must not modify the list.
 func (v *View) PoolsOf(name ident.Service) []Pool { return v.servers.Pools(name) }
 
 // ServersOf returns the servers of a service that accept new work. The caller must not
 // modify the list.
 func (v *View) ServersOf(name ident.Service) []*Server { return v.servers.List(name) }
 
+// AcceptsVersion reports whether a server of a service that runs a version of the software
+// accepts new work.
+func (v *View) AcceptsVersion(name ident.Service, version ident.Version) bool {
+	return slices.ContainsFunc(v.PoolsOf(name), func(p Pool) bool { return p.Version == version })
+}
+
 // Server returns a known server, which may be draining or evacuated, or nil.
 func (v *View) Server(id ident.Server) *Server {
 	s, _ := v.servers.Get(id)
