Find which version began a stream that its client takes up

Callers who took a stream up at another VM got the rest of it from any version of the software. Cause: Resumes was not read, and nothing but the VM that forwarded the first event knew the version.

That VM now records it, before the event goes out. While a service's servers run several versions, or this VM's data on servers are not current, each record goes to three other VMs, in other failure domains where possible; when a second version appears, so do the records of the streams before that. A VM to which a client comes back looks into its own records and else asks the others (one round trip, 90 ms at most). One version for as long as the stream can have lived needs neither. What is not known is not guessed: the call is refused at once, with version-unknown, and a time only if another VM may know; with version-gone and no time if no server of the version takes work.

--- a/internal/peer/gossip/agent.go
+++ b/internal/peer/gossip/agent.go
@@ -14,6 +14,7 @@
 	"umberladder/internal/peer/wire"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/origin"
 )
 
 const (
@@ -48,6 +49,12 @@
 	HandlePlacementRequest(req coord.Request, reply func(coord.Response))
 	// HandlePlacementResponse handles the response to a placement request of this VM.
 	HandlePlacementResponse(resp coord.Response)
+	// HandleOrigins keeps origins of streams that another VM sends.
+	HandleOrigins(list []origin.Record)
+	// AnswerOriginQuery answers another VM's query for the origin of a stream.
+	AnswerOriginQuery(q origin.Query) origin.Answer
+	// HandleOriginAnswer handles the answer to a query of this VM.
+	HandleOriginAnswer(a origin.Answer)
 	// StateChanged returns a channel that receives a value when there is a change to
 	// announce to all VMs.
 	StateChanged() <-chan struct{}
@@ -66,11 +73,12 @@
 	Reports    Kind = iota // a VM's own state, to hubs and coordinators
 	Responses              // a hub's, to a report or unsolicited
 	Placements             // placement requests and responses
+	Origins                // origins of streams, queries and answers
 	NumKinds
 )
 
 // String returns the kind's name in metrics.
-func (k Kind) String() string { return [...]string{"reports", "answers", "seats"}[k] }
+func (k Kind) String() string { return [...]string{"reports", "answers", "seats", "origins"}[k] }
 
 // Traffic is a number of sent messages and their total size in bytes.
 type Traffic struct {
@@ -233,6 +241,18 @@
 	a.write(Placements, &wire.Message{VM: a.vm, PlacementRequest: &req}, to)
 }
 
+// SendRecords sends origins of streams to another VM.
+func (a *Agent) SendRecords(to netip.AddrPort, list []origin.Record) {
+	for _, part := range wire.SplitOrigins(list) {
+		a.write(Origins, &wire.Message{VM: a.vm, Origins: part}, to)
+	}
+}
+
+// SendQuery asks another VM for the origin of a stream.
+func (a *Agent) SendQuery(to netip.AddrPort, q origin.Query) {
+	a.write(Origins, &wire.Message{VM: a.vm, OriginQuery: &q}, to)
+}
+
 // handle passes a message to the delegate's method for its kind.
 func (a *Agent) handle(m *wire.Message, from netip.AddrPort) {
 	switch {
@@ -243,6 +263,13 @@
 		})
 	case m.PlacementResponse != nil:
 		a.delegate.HandlePlacementResponse(*m.PlacementResponse)
+	case len(m.Origins) > 0:
+		a.delegate.HandleOrigins(m.Origins)
+	case m.OriginQuery != nil:
+		answer := a.delegate.AnswerOriginQuery(*m.OriginQuery)
+		a.write(Origins, &wire.Message{VM: a.vm, OriginAnswer: &answer}, from)
+	case m.OriginAnswer != nil:
+		a.delegate.HandleOriginAnswer(*m.OriginAnswer)
 	case m.Hub != nil:
 		a.delegate.HandleResponse(m, from, time.Now())
 	default:
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -29,6 +29,7 @@
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubreg"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/origin"
 	"umberladder/internal/state/srvtab"
 	_ "umberladder/internal/test/check" // fixes the seed
 )
@@ -308,6 +309,9 @@
 }
 func (v *node) HandlePlacementRequest(coord.Request, func(coord.Response)) {}
 func (v *node) HandlePlacementResponse(coord.Response)                     {}
+func (v *node) HandleOrigins([]origin.Record)                              {}
+func (v *node) AnswerOriginQuery(origin.Query) origin.Answer               { return origin.Answer{} }
+func (v *node) HandleOriginAnswer(origin.Answer)                           {}
 func (v *node) StateChanged() <-chan struct{}                              { return v.changed }
 func (v *node) LoadsChanged() <-chan struct{}                              { return nil }
 func (v *node) Coordinators() []netip.AddrPort                             { return nil }
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -16,6 +16,7 @@
 	"umberladder/internal/route/coord"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/origin"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -59,9 +60,12 @@
 	Reply           *VersionReply
 	Hub             *HubResponse // in responses to VMs that report to this one
 
-	// A message with PlacementRequest or PlacementResponse holds nothing else.
+	// A message with one of the following holds nothing else.
 	PlacementRequest  *coord.Request
 	PlacementResponse *coord.Response
+	Origins           []origin.Record
+	OriginQuery       *origin.Query
+	OriginAnswer      *origin.Answer
 }
 
 // VersionReply reports a settings version and when it was last known to be the newest.
@@ -100,6 +104,9 @@
 	fieldServersRev        = 25 // plus one
 	fieldIsolated          = 26
 	fieldBrittle           = 27
+	fieldOrigin            = 28
+	fieldOriginQuery       = 29
+	fieldOriginAnswer      = 30
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -194,7 +201,7 @@
 	if m.PlacementResponse != nil {
 		b = appendBytes(b, fieldPlacementResponse, encodePlacementResponse(m.PlacementResponse))
 	}
-	return b
+	return m.appendOrigins(b)
 }
 
 func (r *VersionReply) encode() []byte {
@@ -294,6 +301,8 @@
 		m.PlacementRequest, err = decodePlacementRequest(m.VM, data)
 	case fieldPlacementResponse:
 		m.PlacementResponse, err = decodePlacementResponse(data)
+	case fieldOrigin, fieldOriginQuery, fieldOriginAnswer:
+		err = m.setOrigin(n, data)
 	default:
 		m.setNumber(n, v)
 	}
@@ -428,6 +437,8 @@
 		switch typ {
 		case protowire.VarintType:
 			v, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			v, n = protowire.ConsumeFixed64(b)
 		case protowire.BytesType:
 			data, n = protowire.ConsumeBytes(b)
 		default:
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -17,6 +17,7 @@
 	"umberladder/internal/route/pick"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/origin"
 	"umberladder/internal/state/srvtab"
 	_ "umberladder/internal/test/check" // fixes the seed
 )
@@ -67,6 +68,12 @@
 		}}
 		m.PlacementResponse = &coord.Response{ID: 9, State: coord.NoCapacity, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), RetryAfter: time.Second}
 	}
+	if rapid.Bool().Draw(t, "origins") {
+		r := origin.Record{Stream: origin.Stream(rapid.Uint64().Draw(t, "stream")), Service: "s", Version: "v1", TTL: time.Duration(n.Draw(t, "ttl"))}
+		m.Origins = []origin.Record{r, r}
+		m.OriginQuery = &origin.Query{ID: 4, Stream: r.Stream, Service: "s", Lifetime: r.TTL}
+		m.OriginAnswer = &origin.Answer{ID: 5, VM: m.VM, Record: &r, Only: ident.Version(name.Draw(t, "only")), Several: rapid.Bool().Draw(t, "several")}
+	}
 	return m
 }
 
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -16,6 +16,8 @@
 	metricMigrations      = "umberladder_moves_total"
 	metricAttempts        = "umberladder_sent_total"
 	metricCloseDelimited  = "umberladder_close_delimited_total"
+	metricTakenUp         = "umberladder_streams_taken_up_total"
+	metricOrigins         = "umberladder_stream_origins"
 	metricStoreCalls      = "umberladder_store_calls_total"
 	metricLogLines        = "umberladder_log_lines_total"
 	metricLogDropped      = "umberladder_log_left_out_total"
@@ -62,6 +64,8 @@
 		{metricMigrations, "counter", "times a stream went on at another engine, by service and kind"},
 		{metricAttempts, "counter", "sendings of calls to servers, by service and kind"},
 		{metricCloseDelimited, "counter", "calls whose server marked the end of its response only by closing the connection, by service, kind and whether the response was delivered completely"},
+		{metricTakenUp, "counter", "calls that took up a stream, by service and where the version that began it was found: own-record, peer-record, only-version"},
+		{metricOrigins, "gauge", "streams of which this VM keeps a record of the version that began them"},
 		{metricStoreCalls, "gauge", "calls to the store since the start, by kind"},
 		{metricLogLines, "gauge", "log lines written since the start"},
 		{metricLogDropped, "gauge", "log lines left out since the start"},
@@ -75,7 +79,7 @@
 		{metricLivePeers, "gauge", "other VMs that are heard; one that is no hub hears the hubs"},
 		{metricIsHub, "gauge", "1 if this VM is one of the hubs, to which the others report"},
 		{metricReporters, "gauge", "VMs that report to this one"},
-		{metricMessages, "gauge", "messages sent to other VMs since the start, by kind: reports, answers, seats"},
+		{metricMessages, "gauge", "messages sent to other VMs since the start, by kind: reports, answers, seats, origins"},
 		{metricMessageBytes, "gauge", "bytes of these messages, by kind"},
 		{metricWatchesStore, "gauge", "1 if this VM watches the store, 0 if others tell it"},
 		{metricPlacements, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
@@ -121,6 +125,7 @@
 		metricBrittle:        func() float64 { return float64(len(v.node.Reject.Services(time.Now()))) },
 		metricServersCutOff:  func() float64 { return float64(v.node.Reach.CutOffCount(time.Now())) },
 		metricTunnels:        func() float64 { return float64(v.tunnels.Open()) },
+		metricOrigins:        func() float64 { return float64(v.node.Origins.Len()) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
 	} {
 		v.metricSet.NewGauge(name, f)
--- a/internal/proc/edge/recorder.go
+++ b/internal/proc/edge/recorder.go
@@ -33,6 +33,9 @@
 	r.metricSet.GetOrCreateHistogram(metricMaxEventGap + labels).Update(res.MaxEventGap.Seconds())
 	r.metricSet.GetOrCreateCounter(metricMigrations + labels).Add(res.Migrations)
 	r.metricSet.GetOrCreateCounter(metricAttempts + labels).Add(res.Attempts)
+	if res.Origin != "" {
+		r.metricSet.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,source=%q}`, metricTakenUp, res.Service, res.Origin)).Inc()
+	}
 	if res.CloseDelimited {
 		r.metricSet.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,kind=%q,delivered="%t"}`, metricCloseDelimited, res.Service, kind, res.Refusal == nil)).Inc()
 	}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -127,6 +127,7 @@
 		Reject:    node.Reject,
 		Poison:    node.Poison,
 		Placer:    v.placer,
+		Origins:   node.Origins,
 		Backend:   backend,
 		Clock:     uptime.Now,
 		Log:       log.Named(logger.CallsLogger),
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -29,6 +29,7 @@
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubreg"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/origin"
 	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 )
@@ -53,6 +54,7 @@
 	Reach          *reach.Tracker
 	Reject         *reject.Tracker
 	ServerFollower *follow.ServerFollower
+	Origins        *origin.Finder
 
 	updates          *delta.Sender
 	packer           *wire.Packer
@@ -92,6 +94,9 @@
 	n.registrar = hubreg.New(self, start, n.Hubs, deps.Registry, n.Poison, n.reportNow, log)
 	n.settingsFollower = follow.NewSettingsFollower(deps.Settings, n.Settings, n.Servers, uptime.Now, n.settingsFromPeers, n.probesStore, n.announce, log)
 	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, cfg.ServerHeartbeat, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
+	n.Origins = origin.New(uint64(start.UnixNano()), origin.Deps{
+		VM: cfg.Name, Servers: n.Servers, DataAge: n.ServerFollower.Age, Holders: n.Hubs.Responding, Transport: n, Log: log,
+	})
 	n.updates, n.packer = delta.NewSender(n.ServerFollower), wire.NewPacker()
 	return n
 }
@@ -115,7 +120,7 @@
 	}
 	n.agent.Store(agent)
 	for _, loop := range []func(context.Context){
-		n.settingsFollower.Run, n.ServerFollower.Run, n.ServerFollower.Expire, n.registrar.Run, agent.RunSender, agent.RunReceiver,
+		n.settingsFollower.Run, n.ServerFollower.Run, n.ServerFollower.Expire, n.registrar.Run, n.Origins.Run, agent.RunSender, agent.RunReceiver,
 	} {
 		n.group.Go(func() error {
 			loop(ctx)
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -31,6 +31,7 @@
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/task"
 	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/origin"
 	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 )
@@ -283,6 +284,7 @@
 	quarantine *poison.Detector
 	relay      *Relay
 	group      *errgroup.Group
+	origins    *origin.Finder
 	records    []*task.Result
 	clock      func() uptime.Instant
 	refresh    func() error
@@ -325,6 +327,9 @@
 	reservations, health := alloc.New(), health.New()
 	h.quarantine = poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {})
 	chooser := pick.NewChooser(h.table, reservations, health, rates.New(nil, nil))
+	h.origins = origin.New(0, origin.Deps{
+		VM: "vm", Servers: h.table, DataAge: func() time.Duration { return 0 }, Holders: func(time.Time) []hubs.Candidate { return nil }, Log: zap.NewNop(),
+	})
 	noCoordinators := func(ident.Service, time.Time) []hubs.CoordinatorCandidate { return nil }
 	h.relay = New(task.Deps{
 		Config: task.Config{
@@ -337,8 +342,9 @@
 		Settings: h.settings, Refresher: h, Servers: h.table,
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
-		Reject: reject.New(func(reject.Limit) {}),
-		Placer: placer.New("vm", 0, chooser, coord.New(chooser), noCoordinators, nil, func(string) {}, zap.NewNop()),
+		Reject:  reject.New(func(reject.Limit) {}),
+		Origins: h.origins,
+		Placer:  placer.New("vm", 0, chooser, coord.New(chooser), noCoordinators, nil, func(string) {}, zap.NewNop()),
 	})
 	return h
 }
--- a/internal/route/relay/version_test.go
+++ b/internal/route/relay/version_test.go
@@ -9,6 +9,8 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/state/origin"
+	"umberladder/internal/state/srvtab"
 	"umberladder/internal/test/check"
 )
 
@@ -112,3 +114,55 @@
 		})
 	}
 }
+
+// TestTakenUpStream checks where a stream goes on that its client takes up.
+func TestTakenUpStream(t *testing.T) {
+	for name, tc := range map[string]struct {
+		versions []ident.Version // of the servers when it is taken up
+		began    ident.Version   // recorded for the attempt; empty: there is no record
+		reason   refuse.Reason   // of the refusal; zero: it goes on
+	}{
+		"its version":                        {versions: []ident.Version{"v1", "v2", "v3"}, began: "v2"},
+		"its version is gone":                {versions: []ident.Version{"v1", "v1", "v3"}, began: "v2", reason: refuse.VersionGone},
+		"unknown, with several versions":     {versions: []ident.Version{"v1", "v2", "v3"}, reason: refuse.VersionUnknown},
+		"unknown, shortly after the start":   {versions: []ident.Version{"v1", "v1", "v1"}, reason: refuse.VersionUnknown},
+		"its version, shortly after a start": {versions: []ident.Version{"v1", "v1", "v1"}, began: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 3)
+				h.setVersions(tc.versions...)
+				call := h.call("/short/x")
+				call.ID, call.Resumes, call.LastEventID = "second", "first", "40"
+				if tc.began != "" {
+					h.origins.Began(origin.Record{Stream: origin.StreamOf("first"), Service: "engines", Version: tc.began, TTL: time.Minute})
+				}
+				start, c := time.Now(), &client{}
+				r := h.relay.Serve(t.Context(), call, c)
+				_ = h.group.Wait()
+				if tc.reason != refuse.Unspecified {
+					check.Refusal(t, r, tc.reason, refuse.RanNo)
+					assert.Equal(t, time.Since(start), time.Duration(0), "refused at once")
+					assert.Equal(t, r.RetryAfter > 0, tc.reason == refuse.VersionUnknown, "no server returns to a version that is gone")
+					return
+				}
+				assert.Assert(t, r == nil && c.ended, "%v", r)
+				assert.Equal(t, h.versionOf(h.records[0].Server), tc.began)
+			})
+		})
+	}
+	t.Run("the only version for long", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 0)
+			h.table.Replace([]srvtab.Entry{serverEntry(0)}, time.Time{}, time.Now())
+			time.Sleep(2 * time.Minute)
+			h.settings.ConfirmNewest(h.clock())
+			call := h.call("/short/x")
+			call.ID, call.Resumes, call.LastEventID = "second", "first", "40"
+			c := &client{}
+			r := h.relay.Serve(t.Context(), call, c)
+			_ = h.group.Wait()
+			assert.Assert(t, r == nil && c.ended, "%v", r)
+		})
+	})
+}
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -98,6 +98,7 @@
 	}
 	f.Health.Success(f.server.ID, time.Now())
 	f.Completed()
+	f.Origins.Completed(f.stream())
 	return nil
 }
 
@@ -125,7 +126,10 @@
 	}
 	f.lastEventAt = now
 	f.Result.Events += n
-	f.version = f.server.Version
+	if f.version = f.server.Version; !f.originRecorded {
+		f.originRecorded = true
+		f.recordOrigin()
+	}
 	f.updateReservations()
 	if err := f.Writer.WriteChunk(p); err != nil {
 		return refuse.New(refuse.ClientDisconnected, "an event could not be written: %v", err).WithRan(refuse.RanPartial)
--- /dev/null
+++ b/internal/route/stream/origin.go
@@ -0,0 +1,77 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/internal/core/refuse"
+	"umberladder/internal/state/origin"
+	"umberladder/internal/state/routes"
+)
+
+const (
+	// attemptsPerStream is how many attempts of its client, each as long as the route allows,
+	// a stream may last.
+	attemptsPerStream = 2
+	// originRetryAfter is the retry delay of a call whose stream's origin another VM may know.
+	originRetryAfter = 200 * time.Millisecond
+)
+
+// streamLifetime returns how long a stream may last over the attempts of its client.
+func (f *forwarder) streamLifetime() time.Duration { return attemptsPerStream * f.Route.Timeout }
+
+// takesUp reports whether the call takes up a stream that an earlier attempt of its client began.
+func (f *forwarder) takesUp() bool { return f.Call.Resumes != "" || f.Call.LastEventID != "" }
+
+// stream returns the stream that the call begins or takes up.
+func (f *forwarder) stream() origin.Stream {
+	if f.takesUp() {
+		return origin.StreamOf(f.Call.Resumes)
+	}
+	return origin.StreamOf(f.Call.ID)
+}
+
+// findOrigin binds a call that takes up a stream to the service and the version that began it.
+func (f *forwarder) findOrigin(ctx context.Context) *refuse.Refusal {
+	if !f.takesUp() {
+		return nil
+	}
+	start := time.Now()
+	o, err := f.Origins.Find(ctx, f.stream(), f.Service.Name, f.streamLifetime())
+	switch {
+	case errors.Is(err, origin.ErrUnanswered):
+		return refuse.New(refuse.VersionUnknown, "which version began the stream of attempt %.40q is not known to this VM, and others did not respond", f.Call.Resumes).
+			WithRetryAfter(originRetryAfter)
+	case err != nil:
+		return refuse.New(refuse.VersionUnknown, "no VM knows which version began the stream of attempt %.40q", f.Call.Resumes)
+	}
+	f.LogInfo("stream taken up", zap.String("version", string(o.Version)), zap.String("source", string(o.Source)),
+		zap.String("record-from", string(o.VM)), zap.Duration("waited", time.Since(start)))
+	f.version, f.Result.Origin = o.Version, o.Source
+	return f.bindService(o)
+}
+
+// bindService makes the service that began the stream that of the call. The route may share its
+// calls between several.
+func (f *forwarder) bindService(o origin.Origin) *refuse.Refusal {
+	if o.Service == f.Service.Name {
+		return nil
+	}
+	leadsThere := slices.ContainsFunc(f.Route.Shares, func(s routes.Share) bool { return s.Service == o.Service })
+	if svc := f.Settings.Load().Service(o.Service); leadsThere && svc != nil {
+		f.Service, f.Result.Service = svc, o.Service
+		return nil
+	}
+	return refuse.New(refuse.VersionGone, "route %s does not lead to service %s any more, which began the stream", f.Route.Name, o.Service)
+}
+
+// recordOrigin records what began a stream that the client may take up, before it can do so.
+func (f *forwarder) recordOrigin() {
+	if f.Route.Resumable && f.version != "" {
+		f.Origins.Began(origin.Record{Stream: f.stream(), Service: f.Service.Name, Version: f.version, TTL: f.streamLifetime()})
+	}
+}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -36,6 +36,7 @@
 	migrator        *migr.Migrator
 	conn            *events.Conn
 	version         ident.Version // of the software that produced the stream's events; only it can produce the rest. Empty: there is no event yet
+	originRecorded  bool
 	lastID          string
 	connectFailures int          // number of engines to which the connection failed
 	ran             refuse.Ran   // whether the call may have run
@@ -57,6 +58,9 @@
 		migrator: migr.New(t.Backend, t.Group, t.Call.ID, t.LogInfo),
 	}
 	defer f.release()
+	if refusal := f.findOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	refusal := f.start(ctx)
 	if refusal != nil {
 		return task.AdjustReason(refusal)
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -18,6 +18,7 @@
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
+	"umberladder/internal/state/origin"
 	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 )
@@ -49,6 +50,7 @@
 	Reject    *reject.Tracker
 	Poison    *poison.Detector
 	Placer    Placer
+	Origins   Origins
 	Backend   port.Backend
 	Clock     uptime.Clock
 	Log       *zap.Logger
@@ -68,6 +70,17 @@
 	Place(ctx context.Context, r pick.Request) (pick.Placement, error)
 }
 
+// Origins knows which version of the software began the streams that clients take up.
+type Origins interface {
+	// Began records that the first event of a stream is about to be forwarded.
+	Began(r origin.Record)
+	// Completed drops the record of a stream.
+	Completed(s origin.Stream)
+	// Find returns what began a stream, at most lifetime ago, whose route leads to a service. Its
+	// error is an origin.ErrUnknown.
+	Find(ctx context.Context, s origin.Stream, service ident.Service, lifetime time.Duration) (origin.Origin, error)
+}
+
 // Recorder records the results of calls.
 type Recorder interface {
 	RecordResult(r *Result)
@@ -81,6 +94,7 @@
 	Service         ident.Service
 	Server          ident.Server
 	Version         ident.Version   // of the software of Server
+	Origin          origin.Source   // where the version that began the stream was found; empty: the call takes up none
 	Via             ident.VM        // VM through which the server was reached last; empty: directly
 	Status          int             // sent to the client; zero: none
 	Refusal         *refuse.Refusal // nil: a server's response was delivered
--- a/internal/state/hubs/carry.go
+++ b/internal/state/hubs/carry.go
@@ -81,17 +81,33 @@
 		out = append(out, l.list...)
 	}
 	if len(out) == 0 {
-		for _, c := range t.topCandidates(now) {
-			if p := t.peers[c.VM]; !p.notResponding(now) && (p == nil || !p.isolated) {
-				out = append(out, c)
-			}
-		}
+		out = slices.DeleteFunc(t.responding(now), func(c Candidate) bool {
+			p := t.peers[c.VM]
+			return p != nil && p.isolated
+		})
 	}
 	out = slices.DeleteFunc(out, func(c Candidate) bool { return c.VM == t.self.VM || !c.Addr.IsValid() })
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return compactByVM(out)
 }
 
+// Responding returns the first other VMs of the order that may respond, whatever their roles are.
+func (t *Tracker) Responding(now time.Time) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.responding(now)
+}
+
+func (t *Tracker) responding(now time.Time) []Candidate {
+	var out []Candidate
+	for _, c := range t.topCandidates(now) {
+		if c.VM != t.self.VM && c.Addr.IsValid() && !t.peers[c.VM].notResponding(now) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // compactByVM removes repeated VMs from a short list.
 func compactByVM(list []Candidate) []Candidate {
 	out := list[:0]
--- /dev/null
+++ b/internal/state/origin/finder_test.go
@@ -0,0 +1,338 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/state/hubs"
+	"umberladder/internal/state/srvtab"
+)
+
+const (
+	service  = ident.Service("engines")
+	lifetime = 12 * time.Second
+	netDelay = time.Millisecond
+	// maxHolders is how many other VMs a VM knows, as in package hubs.
+	maxHolders = 8
+)
+
+// vm is one VM of a fleet. Its data on servers are its own.
+type vm struct {
+	fleet  *fleet
+	name   ident.VM
+	addr   netip.AddrPort
+	domain ident.FailureDomain
+	table  *srvtab.Table
+	finder *Finder
+	age    time.Duration // of the data on servers
+	down   bool          // it neither sends nor receives
+	sent   int
+}
+
+// fleet is a set of VMs in virtual time. The first maxHolders VMs hold records.
+type fleet struct {
+	vms   []*vm
+	group errgroup.Group
+	loss  float64
+	rng   *rand.Rand
+}
+
+// deliver runs f at the VM with an address after a delay, unless the datagram is lost.
+func (v *vm) deliver(to netip.AddrPort, f func(to *vm)) {
+	v.sent++
+	if v.down || v.fleet.rng.Float64() < v.fleet.loss {
+		return
+	}
+	v.fleet.group.Go(func() error {
+		time.Sleep(netDelay)
+		for _, other := range v.fleet.vms {
+			if other.addr == to && !other.down {
+				f(other)
+			}
+		}
+		return nil
+	})
+}
+
+func (v *vm) SendRecords(to netip.AddrPort, list []Record) {
+	v.deliver(to, func(other *vm) { other.finder.HandleRecords(list) })
+}
+
+func (v *vm) SendQuery(to netip.AddrPort, q Query) {
+	v.deliver(to, func(other *vm) {
+		a := other.finder.Answer(q)
+		other.deliver(v.addr, func(*vm) { v.finder.HandleAnswer(a) })
+	})
+}
+
+func (v *vm) holders(time.Time) []hubs.Candidate {
+	var out []hubs.Candidate
+	for _, o := range v.fleet.vms[:min(len(v.fleet.vms), maxHolders)] {
+		if o != v {
+			out = append(out, hubs.Candidate{VM: o.name, Addr: o.addr, Domain: o.domain})
+		}
+	}
+	return out
+}
+
+// setVersions makes the VM's servers those of the given versions, one each.
+func (v *vm) setVersions(versions ...ident.Version) {
+	var list []srvtab.Entry
+	for _, version := range versions {
+		list = append(list, srvtab.Entry{ID: ident.Server("s-" + version), Service: service, Domain: "a", Slots: 1, Version: version})
+	}
+	v.table.Replace(list, time.Time{}, time.Now())
+}
+
+// testFleet runs fn with a fleet whose servers have run version v1 for longer than any stream.
+func testFleet(t *testing.T, vms int, fn func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{rng: rand.New(rand.NewPCG(1, uint64(vms)))}
+		ctx, cancel := context.WithCancel(t.Context())
+		for n := range vms {
+			v := &vm{
+				fleet: f, name: ident.VM(fmt.Sprint("vm-", n)), addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+n)),
+				domain: ident.FailureDomain(fmt.Sprint("d", n%4)), table: srvtab.NewTable(func() {}),
+			}
+			v.finder = New(0, Deps{VM: v.name, Servers: v.table, DataAge: func() time.Duration { return v.age }, Holders: v.holders, Transport: v, Log: zap.NewNop()})
+			v.setVersions("v1")
+			f.vms = append(f.vms, v)
+			f.group.Go(func() error {
+				v.finder.Run(ctx)
+				return nil
+			})
+		}
+		defer func() {
+			cancel()
+			assert.NilError(t, f.group.Wait())
+		}()
+		time.Sleep(2 * lifetime)
+		fn(t, f)
+	})
+}
+
+func (f *fleet) setVersions(versions ...ident.Version) {
+	for _, v := range f.vms {
+		v.setVersions(versions...)
+	}
+	time.Sleep(10 * netDelay)
+}
+
+func record(n int, version ident.Version) Record {
+	return Record{Stream: StreamOf(ident.Request(fmt.Sprint("attempt-", n))), Service: service, Version: version, TTL: lifetime}
+}
+
+// find looks for the origin of a stream at a VM.
+func (v *vm) find(n int) (Origin, error) {
+	return v.finder.Find(context.Background(), record(n, "").Stream, service, lifetime)
+}
+
+func TestFind(t *testing.T) {
+	t.Run("one version: nothing is sent or asked", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.vms[0].finder.Began(record(1, "v1"))
+			start := time.Now()
+			o, err := f.vms[6].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o, Origin{Service: service, Version: "v1", Source: FromOnlyVersion})
+			assert.Equal(t, time.Since(start), time.Duration(0))
+			for _, v := range f.vms {
+				assert.Equal(t, v.sent, 0)
+			}
+		})
+	})
+	t.Run("the VM that began it", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.setVersions("v1", "v2")
+			f.vms[0].finder.Began(record(1, "v2"))
+			o, err := f.vms[0].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o, Origin{Service: service, Version: "v2", Source: FromOwnRecord})
+		})
+	})
+	t.Run("another VM, after that one was lost", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.setVersions("v1", "v2", "v3")
+			f.vms[0].finder.Began(record(1, "v2"))
+			time.Sleep(2 * netDelay)
+			f.vms[0].down = true
+			start := time.Now()
+			for _, v := range f.vms[1:] {
+				o, err := v.find(1)
+				assert.NilError(t, err)
+				assert.Equal(t, o.Version, ident.Version("v2"))
+			}
+			assert.Assert(t, time.Since(start) <= 6*2*netDelay, "%s", time.Since(start))
+		})
+	})
+	t.Run("streams that were under way when the second version appeared", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.vms[0].finder.Began(record(1, "v1"))
+			f.setVersions("v1", "v2")
+			f.vms[0].down = true
+			o, err := f.vms[5].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v1"))
+			assert.Assert(t, o.Source != FromOnlyVersion)
+		})
+	})
+	t.Run("a version that is gone is still remembered", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.setVersions("v1", "v2")
+			f.vms[0].finder.Began(record(1, "v1"))
+			f.setVersions("v2")
+			f.vms[0].down = true
+			o, err := f.vms[5].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v1"))
+			_, err = f.vms[5].find(2)
+			assert.ErrorIs(t, err, ErrUnknown)
+			time.Sleep(2 * lifetime)
+			o, err = f.vms[5].find(2)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v2"))
+		})
+	})
+	t.Run("a VM that has just started asks those that have not", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			v := f.vms[3]
+			v.table = srvtab.NewTable(func() {})
+			v.finder.Servers = v.table
+			v.setVersions("v1")
+			o, err := v.find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v1"))
+			assert.Assert(t, o.VM != "")
+		})
+	})
+	t.Run("streams before and after the store was lost", func(t *testing.T) {
+		testFleet(t, 12, func(t *testing.T, f *fleet) {
+			f.vms[0].finder.Began(record(1, "v1"))
+			for _, v := range f.vms {
+				v.age = 20 * time.Second
+			}
+			time.Sleep(2 * checkInterval)
+			f.vms[10].finder.Began(record(2, "v1"))
+			time.Sleep(2 * netDelay)
+			f.vms[0].down, f.vms[10].down = true, true
+			for n := 1; n <= 2; n++ {
+				o, err := f.vms[11].find(n)
+				assert.NilError(t, err)
+				assert.Equal(t, o.Version, ident.Version("v1"))
+			}
+			_, err := f.vms[11].find(3)
+			assert.ErrorIs(t, err, ErrUnknown)
+		})
+	})
+}
+
+// TestNoGuess guards against VMs that take the only version that they know for the one that
+// began a stream, although others may know more.
+func TestNoGuess(t *testing.T) {
+	t.Run("a VM out of touch", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			cut := f.vms[6]
+			cut.age = 5 * time.Second
+			for _, v := range f.vms[:6] {
+				v.setVersions("v1", "v2")
+			}
+			time.Sleep(10 * netDelay)
+			f.vms[0].finder.Began(record(1, "v2"))
+			cut.down = true
+			start := time.Now()
+			_, err := cut.find(1)
+			assert.ErrorIs(t, err, ErrUnanswered)
+			assert.ErrorIs(t, err, ErrUnknown)
+			assert.Assert(t, time.Since(start) <= findTimeout+netDelay, "%s", time.Since(start))
+			cut.down = false
+			o, err := cut.find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v2"))
+			_, err = cut.find(2)
+			assert.ErrorIs(t, err, ErrUnknown, "others know of a second version")
+		})
+	})
+	t.Run("an attempt that nobody knows", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.setVersions("v1", "v2")
+			start := time.Now()
+			_, err := f.vms[0].find(9)
+			assert.Assert(t, err == ErrUnknown, "%v", err) //nolint:errorlint // not ErrUnanswered
+			assert.Equal(t, time.Since(start), 2*netDelay, "refused as soon as all have answered")
+		})
+	})
+	t.Run("a client that names no attempt", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.setVersions("v1", "v2")
+			f.vms[0].finder.Began(record(1, "v1"))
+			_, err := f.vms[0].finder.Find(t.Context(), StreamOf(""), service, lifetime)
+			assert.ErrorIs(t, err, ErrUnknown)
+		})
+	})
+}
+
+// TestLostVMs checks how many streams still find their origin when half of the VMs are killed at
+// once, with 4% of the datagrams lost.
+func TestLostVMs(t *testing.T) {
+	for _, vms := range []int{7, 300} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			testFleet(t, vms, func(t *testing.T, f *fleet) {
+				const streams, rounds = 100, 20
+				f.loss = 0.04
+				f.setVersions("v1", "v2")
+				found := 0
+				for round := range rounds {
+					for n := range streams {
+						f.vms[(round+n)%vms].finder.Began(record(round*streams+n, "v2"))
+					}
+					time.Sleep(2 * netDelay)
+					perm := f.rng.Perm(vms)
+					for _, i := range perm[:vms/2] {
+						f.vms[i].down = true
+					}
+					for n := range streams {
+						o, err := f.vms[perm[vms/2+n%(vms-vms/2)]].find(round*streams + n)
+						if err == nil {
+							assert.Equal(t, o.Version, ident.Version("v2"))
+							found++
+						}
+					}
+					for _, v := range f.vms {
+						v.down = false
+					}
+				}
+				t.Logf("%d of %d found", found, streams*rounds)
+				// Those that go on have to be more than half of the share of new streams that begin.
+				assert.Assert(t, found*4 >= 3*streams*rounds, "%d of %d found", found, streams*rounds)
+			})
+		})
+	}
+}
+
+// TestRecords checks that records expire and are bounded in number.
+func TestRecords(t *testing.T) {
+	r, now := newRecords(), time.Now()
+	for n := range maxRecords + 10 {
+		r.put(record(n, "v1"), false, now)
+	}
+	assert.Equal(t, r.len(), maxRecords)
+	_, ok := r.get(record(3, "").Stream, now.Add(lifetime-time.Millisecond))
+	assert.Assert(t, ok)
+	_, ok = r.get(record(3, "").Stream, now.Add(lifetime))
+	assert.Assert(t, !ok)
+	r.put(record(maxRecords+1, "v1"), false, now.Add(lifetime))
+	assert.Equal(t, r.len(), 1)
+	assert.Equal(t, len(r.takeUnsent(func(ident.Service) bool { return true }, now.Add(lifetime))), 1)
+	assert.Equal(t, len(r.takeUnsent(func(ident.Service) bool { return true }, now.Add(lifetime))), 0)
+}
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -110,6 +110,12 @@
 	batches     int
 	unpublished bool
 
+	versionCounts versionCounts
+	versions      map[ident.Service][]versionSpan // replaced, never modified
+	completeSince time.Time                       // when the first complete list was applied
+	diverged      chan struct{}
+	hasDiverged   bool // a service has got a further version since the last view
+
 	evacuations    Evacuations
 	evacuatedSince map[ident.FailureDomain]time.Time // replaced, never modified
 	returnedAt     map[ident.FailureDomain]time.Time // replaced, never modified
@@ -129,6 +135,9 @@
 		retired:    make(map[ident.Server]time.Time),
 		drains:     make(map[ident.Server]*drain),
 		announcing: make(map[ident.Server]*drain),
+
+		versionCounts: make(versionCounts),
+		diverged:      make(chan struct{}, 1),
 	}
 	t.publish()
 	return t
@@ -184,6 +193,10 @@
 		s.retirement.fire()
 	}
 	t.servers.Set(s)
+	t.countVersion(s.Service, s.Version, 1)
+	if old != nil {
+		t.countVersion(old.Service, old.Version, -1)
+	}
 	t.recordCold(s, cold, now)
 	return true
 }
@@ -309,6 +322,9 @@
 		}
 		t.drop(id)
 	}
+	if t.completeSince.IsZero() {
+		t.completeSince = now
+	}
 	t.publish()
 	return changed, missing
 }
@@ -354,6 +370,7 @@
 		return
 	}
 	t.servers.Delete(id)
+	t.countVersion(s.Service, s.Version, -1)
 	s.retirement.fire()
 }
 
@@ -384,7 +401,8 @@
 	if t.unpublished {
 		return
 	}
-	v := &View{evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt}
+	v := &View{evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt, versions: t.versions, completeSince: t.completeSince}
 	v.servers = t.servers.Snapshot(func(d ident.FailureDomain) bool { return !v.IsEvacuated(d) })
 	t.view.Store(v)
+	t.announceVersions()
 }
--- a/internal/state/srvtab/view.go
+++ b/internal/state/srvtab/view.go
@@ -13,6 +13,8 @@
 	servers        *index.Snapshot[*Server]
 	evacuatedSince map[ident.FailureDomain]time.Time // when this VM learned of each evacuation
 	returnedAt     map[ident.FailureDomain]time.Time // when this VM learned of the end of each evacuation
+	versions       map[ident.Service][]versionSpan
+	completeSince  time.Time // since when the list of servers has been complete; zero: it is not
 }
 
 // Pool is the servers of a service that accept new work, in one failure domain and of one version.
