--- a/internal/load/soak/client.go
+++ b/internal/load/soak/client.go
@@ -26,7 +26,10 @@
 	violation      string // a violated guarantee that the client saw
 	body           string // of the request; empty: the default body
 	respondedAt    time.Time
-	drainingServer string // the server that responded, if its response announced a drain
+	drainingServer string  // the server that responded, if its response announced a drain
+	lastEvent      int     // number of the last event of a stream that the client has
+	leaveAfter     int     // the client leaves a stream after this event; zero: never
+	takeUp         *takeUp // nil: the call takes up no stream
 }
 
 // clientTimeout is how long a client waits for a response.
@@ -44,6 +47,10 @@
 	if c.body != "" {
 		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(c.body)), int64(len(c.body))
 	}
+	if t := c.takeUp; t != nil {
+		fake.Resume(req, t.first, t.last)
+		c.lastEvent = t.last
+	}
 	c.sentAt = time.Now()
 	resp, err := httpClient.Do(req)
 	if err != nil {
@@ -62,7 +69,7 @@
 	if !fake.Signed(resp, c.id) {
 		c.violation = "the response does not have the server's signature"
 	}
-	if strings.HasPrefix(c.path, "/stream/") {
+	if fake.IsStream(c.path) {
 		c.readStream(resp.Body)
 		return
 	}
@@ -77,44 +84,63 @@
 // in order.
 func (c *call) readStream(body io.Reader) {
 	s := bufio.NewScanner(body)
-	last := 0
 	for s.Scan() {
 		line := s.Text()
 		if v, ok := strings.CutPrefix(line, "id: "); ok {
 			n := 0
-			if _, err := fmt.Sscan(v, &n); err != nil || n != last+1 {
-				c.violation = fmt.Sprintf("event %s after %d", v, last)
+			if _, err := fmt.Sscan(v, &n); err != nil || n != c.lastEvent+1 {
+				c.violation = fmt.Sprintf("event %s after %d", v, c.lastEvent)
 			}
-			last = n
+			c.lastEvent = n
 		}
 		if v, ok := strings.CutPrefix(line, "data: "); ok && v != c.id {
 			c.violation = "event of another request: " + v
 		}
+		if line == "" && c.leaveAfter > 0 && c.lastEvent >= c.leaveAfter && c.lastEvent < fake.StreamEvents {
+			return
+		}
 	}
 	c.complete = s.Err() == nil
-	if c.complete && last != fake.StreamEvents {
-		c.violation = fmt.Sprintf("the stream ended without an error after event %d", last)
+	if c.complete && c.lastEvent != fake.StreamEvents {
+		c.violation = fmt.Sprintf("the stream ended without an error after event %d", c.lastEvent)
 	}
 }
 
+// paths returns the paths of the calls that clients send.
+func (r *run) paths() []string {
+	paths := []string{"/stream/", "/once/", "/once/", "/get/", "/get/"}
+	if r.cfg.Versions {
+		paths = append(paths, "/resume/", "/resume/")
+	}
+	return paths
+}
+
 // runClient sends calls to random VMs until ctx ends. It keeps its connections
 // open until the VM closes them.
 func (r *run) runClient(ctx context.Context, n int) error {
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(n)))
 	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer httpClient.CloseIdleConnections()
+	paths := r.paths()
 	for i := 0; ctx.Err() == nil; i++ {
 		v := r.vms[rng.IntN(len(r.vms))]
 		c := &call{
 			id:   fmt.Sprintf("s%d-c%d-%d", r.cfg.Seed, n, i),
-			path: []string{"/stream/", "/once/", "/once/", "/get/", "/get/"}[rng.IntN(5)] + "x",
+			path: paths[rng.IntN(len(paths))] + "x",
 			key:  fmt.Sprintf("key-%d", rng.IntN(numKeys)),
 			vm:   v.name,
 		}
+		canTakeUp := strings.HasPrefix(c.path, "/resume/")
+		if canTakeUp && rng.IntN(2) == 0 {
+			c.leaveAfter = 1 + rng.IntN(fake.StreamEvents)
+		}
 		r.send(ctx, httpClient, c, v.clientAddr)
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			r.addCall(c)
 		}
+		if canTakeUp {
+			r.takeStreamUp(ctx, rng, httpClient, c)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(rng.IntN(60)) * time.Millisecond):
--- a/internal/load/soak/fatal.go
+++ b/internal/load/soak/fatal.go
@@ -66,7 +66,7 @@
 		r.sleep(ctx, serverRestartDelay)
 		r.removeServer(b)
 		if ctx.Err() == nil {
-			return r.addServer(ctx, b.server.Service)
+			return r.addServerOf(ctx, b.server.Service, b.server.Version())
 		}
 		return nil
 	})
--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -42,6 +42,9 @@
 	if r.cfg.Ends {
 		kinds = append(kinds, faultKind{"close-delimited", r.useCloseDelimited}, faultKind{"stream-broken", r.breakStreams}, faultKind{"server-ended", r.endServer})
 	}
+	if r.cfg.Versions {
+		kinds = append(kinds, faultKind{"roll", r.roll})
+	}
 	if r.cfg.Evacuations {
 		kinds = append(kinds, faultKind{"evacuate", r.evacuate})
 	}
@@ -220,16 +223,20 @@
 
 // addReplacement starts another server of the same service and reports success.
 func (r *run) addReplacement(ctx context.Context, b *backend) bool {
-	return r.addServer(ctx, b.server.Service) == nil
+	return r.addServerOf(ctx, b.server.Service, b.server.Version()) == nil
 }
 
-// retireServer starts a replacement for a server, sets the server's entry to
-// draining, and terminates it 4 s later.
+// retireServer starts a replacement for a server and retires the server.
 func (r *run) retireServer(ctx context.Context) {
 	b := r.pickServer()
 	if b == nil || !r.addReplacement(ctx, b) {
 		return
 	}
+	r.retire(ctx, b)
+}
+
+// retire sets a server's entry to draining, and terminates it 4 s later.
+func (r *run) retire(ctx context.Context, b *backend) {
 	b.server.MarkDraining()
 	r.markRetired(b)
 	r.group.Go(func() error {
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -50,6 +50,7 @@
 	Evacuations   bool // also have operators evacuate a failure domain
 	Cuts          bool // also cut VMs off from all servers, and make servers brittle
 	Ends          bool // also have servers mark the ends of responses in other ways, or break off
+	Versions      bool // also roll engines to other versions of the software, and have clients take streams up
 	Program       string
 	Dir           string
 }
@@ -61,6 +62,9 @@
 	Served     int            `json:"served"`
 	Refused    int            `json:"refused"`
 	Failed     int            `json:"failed"`
+	Mixed      int            `json:"mixed"`    // streams that hold events of several versions
+	TakenUp    int            `json:"taken-up"` // streams that clients took up while enough servers of their version served
+	WentOn     int            `json:"went-on"`  // those of them that brought further events
 	Faults     map[string]int `json:"faults"`
 	Violations []string       `json:"violated"`
 }
@@ -96,6 +100,8 @@
 	impairments map[string][]span      // by VM: when it or its connection to the store was impaired
 	stops       map[string][]time.Time // by VM: when its process was stopped or paused
 	nextID      int
+	releases    int      // versions of the engines after the first
+	mixed       []string // streams that hold events of several versions
 }
 
 // Run runs one soak.
@@ -192,6 +198,11 @@
 }
 
 func (r *run) addServer(ctx context.Context, service string) error {
+	return r.addServerOf(ctx, service, fake.DefaultVersion)
+}
+
+// addServerOf starts a server that runs a version of the software.
+func (r *run) addServerOf(ctx context.Context, service, version string) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return trace.Wrap(err)
@@ -208,7 +219,7 @@
 	s.OnFatal(func() { r.crashOnFatal(ctx, b) })
 	r.backends = append(r.backends, b)
 	r.applyCuts(b)
-	s.Register()
+	s.SetVersion(version)
 	r.group.Go(func() error { _ = s.Serve(ln); return nil })
 	return nil
 }
@@ -256,7 +267,7 @@
 			rep.Violations = append(rep.Violations, fmt.Sprintf("%s at %s, %s: %s", c.id, c.vm, c.path, violation))
 		}
 	}
-	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations())...)
+	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations(), r.versionViolations(rep))...)
 	slices.Sort(rep.Violations)
 	return rep
 }
@@ -326,7 +337,7 @@
 	switch {
 	case (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests) && len(runs) > 0:
 		return "was refused as not run, but ran"
-	case newRuns > 1 && !strings.HasPrefix(c.path, "/get/"):
+	case newRuns > 1 && !strings.HasPrefix(c.path, "/get/") && !strings.HasPrefix(c.path, "/resume/"):
 		return fmt.Sprintf("ran %d times", newRuns)
 	case !revoked.IsZero() && c.sentAt.Sub(revoked) > revokeBound && len(runs) > 0:
 		return "ran with a revoked key"
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -73,6 +73,40 @@
 	}
 }
 
+// TestVersionViolations checks that streams of several versions, and too few that go on after
+// their clients took them up, are detected.
+func TestVersionViolations(t *testing.T) {
+	calls := func(n, wentOn int) []*call {
+		var out []*call
+		for i := range n {
+			first, second := &call{path: "/resume/x", lastEvent: 5}, &call{path: "/resume/x", lastEvent: 5, takeUp: &takeUp{last: 5, counts: true}}
+			if i < wentOn {
+				second.lastEvent = 6
+			}
+			out = append(out, first, second)
+		}
+		return out
+	}
+	for name, tc := range map[string]struct {
+		calls []*call
+		mixed []string
+		want  string
+	}{
+		"all went on":           {calls: calls(20, 20)},
+		"half went on":          {calls: calls(20, 10)},
+		"less than half":        {calls: calls(20, 9), want: "9 of 20 streams"},
+		"too few to count":      {calls: calls(11, 0)},
+		"two of two versions":   {mixed: []string{"a", "b"}},
+		"three of two versions": {mixed: []string{"a", "b", "c"}, want: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := (&run{calls: tc.calls, mixed: tc.mixed}).versionViolations(&Report{})
+			assert.Equal(t, len(got) > 0, tc.want != "", "%v", got)
+			assert.Assert(t, strings.Contains(strings.Join(got, " "), tc.want))
+		})
+	}
+}
+
 // TestProxy checks in every mode whether a byte passes through the proxy and back.
 func TestProxy(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
