Prefer versions that are not being withdrawn for new streams

Callers lost streams during rollouts although engines had room: new streams began at engines of the version that was being replaced, moved from one to the next, and were lost with the last. Since streams are bound to their version, where they begin decides. Engines of a version of which one has begun to drain within 10 s, while none of another version has, get half their weight for new streams, and none of that concerns services with one version. Measured: the tests of pick, placer, relay and srvtab pass.

--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -146,6 +146,7 @@
 // excluded.
 func (c *Chooser) choose(r *Request, purpose Purpose, version ident.Version, load loadFunc, from ident.FailureDomain, exclude []ident.Server, now time.Time) (s *srvtab.Server, known bool) {
 	view := c.servers.View()
+	withdrawn := withdrawnFor(r, purpose, version, view, now)
 	engines := newSample(view.PoolsOf(r.Service), func(p *srvtab.Pool) bool { return r.mayUse(p, version) }, r.isReserved, exclude)
 	var list []*srvtab.Server
 	var servers []assign.Server
@@ -162,6 +163,9 @@
 			CrossDomain:    s.Domain != from,
 			Weight:         c.health.Weight(s.ID, now) * assign.FailureWeight(l.Failures),
 		}
+		if slices.Contains(withdrawn, s.Version) {
+			state.Weight *= withdrawnWeight
+		}
 		if !state.HasCapacity(r.Need, purpose.maxFill()) || c.isAvoided(s.ID, now) ||
 			purpose != Backup && !c.rates.CanGrant(s.ID, now) || c.isPaced(r, purpose, view, s, now) {
 			return false
@@ -175,6 +179,19 @@
 	return nil, !engines.exhausted()
 }
 
+// withdrawnWeight is the weight of engines of a version that is being withdrawn, where the
+// choice is free. A stream that begins there has to migrate, perhaps several times, and is lost
+// with the version's last engine.
+const withdrawnWeight = 0.5
+
+// withdrawnFor returns the versions that are being withdrawn, if a new run may choose.
+func withdrawnFor(r *Request, purpose Purpose, version ident.Version, view *srvtab.View, now time.Time) []ident.Version {
+	if purpose != NewRun || version != "" || r.Brief {
+		return nil
+	}
+	return view.Withdrawn(r.Service, now)
+}
+
 // slots returns how many calls a server may run. Brief calls are placed because their servers
 // may not be overrun; a VM that decides by itself then keeps to its share.
 func (c *Chooser) slots(r *Request, s *srvtab.Server, now time.Time) int {
--- a/internal/state/srvtab/drain.go
+++ b/internal/state/srvtab/drain.go
@@ -87,6 +87,7 @@
 	s := *old
 	s.Draining = true
 	t.servers.Set(&s)
+	t.recordVersionDrain(s.Entry)
 	s.retirement.fire()
 }
 
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -197,6 +197,9 @@
 	if old != nil {
 		t.countVersion(old.Service, old.Version, -1)
 	}
+	if s.Draining && old != nil && !old.Draining {
+		t.recordVersionDrain(s.Entry)
+	}
 	t.recordCold(s, cold, now)
 	return true
 }
--- a/internal/state/srvtab/version.go
+++ b/internal/state/srvtab/version.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"umberladder/internal/core/ident"
@@ -12,10 +11,15 @@
 // remembered. It is longer than the streams live that it may have begun.
 const versionMemory = 5 * time.Minute
 
+// withdrawTime is how long after a server of a version has begun to drain others of that version
+// are expected to follow.
+const withdrawTime = 10 * time.Second
+
 // versionSpan is a version of the software that servers of a service run or ran.
 type versionSpan struct {
-	version ident.Version
-	goneAt  time.Time // when the last of its servers was dropped; zero: there are some
+	version   ident.Version
+	goneAt    time.Time // when the last of its servers was dropped; zero: there are some
+	drainedAt time.Time // when one of its servers last began to drain; zero: none has
 }
 
 // versionCounts counts the servers of each version, by service.
@@ -33,27 +37,61 @@
 	switch {
 	case counts[v] == 0:
 		delete(counts, v)
-		t.setSpan(service, versionSpan{version: v, goneAt: time.Now()})
+		t.setSpan(service, v, func(s *versionSpan) { s.goneAt = time.Now() })
 	case counts[v] == 1 && delta > 0:
-		t.setSpan(service, versionSpan{version: v})
+		t.setSpan(service, v, func(s *versionSpan) { s.goneAt = time.Time{} })
 	}
 	if len(counts) == 0 {
 		delete(t.versionCounts, service)
 	}
 }
 
-// setSpan replaces what is known of a version, and drops versions that are gone for long.
-func (t *Table) setSpan(service ident.Service, span versionSpan) {
+// setSpan changes what is known of a version, and drops versions that are gone for long.
+func (t *Table) setSpan(service ident.Service, v ident.Version, change func(*versionSpan)) {
 	now := time.Now()
-	list := slices.DeleteFunc(slices.Clone(t.versions[service]), func(s versionSpan) bool {
-		return s.version == span.version || !s.goneAt.IsZero() && now.Sub(s.goneAt) > versionMemory
-	})
+	span := versionSpan{version: v, goneAt: now}
+	var others []versionSpan
+	for _, s := range t.versions[service] {
+		switch {
+		case s.version == v:
+			span = s
+		case s.goneAt.IsZero() || now.Sub(s.goneAt) <= versionMemory:
+			others = append(others, s)
+		}
+	}
+	wasGone := !span.goneAt.IsZero()
+	change(&span)
 	t.versions = maps.Clone(t.versions)
 	if t.versions == nil {
 		t.versions = make(map[ident.Service][]versionSpan)
 	}
-	t.versions[service] = append(list, span)
-	t.hasDiverged = t.hasDiverged || len(list) > 0 && span.goneAt.IsZero()
+	t.versions[service] = append(others, span)
+	t.hasDiverged = t.hasDiverged || len(others) > 0 && wasGone && span.goneAt.IsZero()
+}
+
+// recordVersionDrain records that a server has begun to drain.
+func (t *Table) recordVersionDrain(e Entry) {
+	t.setSpan(e.Service, e.Version, func(span *versionSpan) { span.drainedAt = time.Now() })
+}
+
+// Withdrawn returns the versions of a service of which servers drain one after the other, while
+// none of another version does that servers run. Their other servers are expected to follow.
+func (v *View) Withdrawn(service ident.Service, now time.Time) []ident.Version {
+	var withdrawn []ident.Version
+	present := 0
+	for _, s := range v.versions[service] {
+		if !s.goneAt.IsZero() {
+			continue
+		}
+		present++
+		if now.Sub(s.drainedAt) < withdrawTime {
+			withdrawn = append(withdrawn, s.version)
+		}
+	}
+	if len(withdrawn) == present {
+		return nil
+	}
+	return withdrawn
 }
 
 // announceVersions makes Diverged receive a value if there is reason to. It must be called after
