Complete versions of servers that other VMs did not pass on

Callers would lose streams after an upgrade of the VMs: entries that a hub of earlier software passed on have no version, an unknown version matches none, and an entry is not sent again while it stays as it is. Found by reading; srvtab.TestMissingVersions. VMs of both softwares side by side were not run. Measured: the tests of srvtab and peers pass.

--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -57,6 +57,7 @@
 	Origins        *origin.Finder
 
 	updates          *delta.Sender
+	serverSource     follow.ServerSource
 	packer           *wire.Packer
 	cfg              *conf.Edge
 	settingsFollower *follow.SettingsFollower
@@ -76,15 +77,16 @@
 	start := time.Now()
 	self := hubs.Candidate{VM: cfg.Name, Addr: cfg.Peers, Capacity: hubs.CapacityOf(cfg.Cores, cfg.LinkBitsPerSecond), Domain: cfg.Domain}
 	n := &Node{
-		Settings:    routes.NewCurrent(uptime.Now),
-		Alloc:       alloc.New(),
-		Hubs:        hubs.New(self, cfg.Seeds, start),
-		Reach:       reach.New(),
-		cfg:         cfg,
-		share:       deps.Share,
-		group:       group,
-		log:         log,
-		announceNow: make(chan struct{}, 1),
+		Settings:     routes.NewCurrent(uptime.Now),
+		Alloc:        alloc.New(),
+		Hubs:         hubs.New(self, cfg.Seeds, start),
+		Reach:        reach.New(),
+		cfg:          cfg,
+		serverSource: deps.Servers,
+		share:        deps.Share,
+		group:        group,
+		log:          log,
+		announceNow:  make(chan struct{}, 1),
 	}
 	n.Servers = srvtab.NewTable(n.announce)
 	n.Budget = retry.NewFleetBudget(cfg.RetryBudget.Ratio, cfg.RetryBudget.Extra, cfg.RetryBudget.Window, n.Hubs)
@@ -120,7 +122,7 @@
 	}
 	n.agent.Store(agent)
 	for _, loop := range []func(context.Context){
-		n.settingsFollower.Run, n.ServerFollower.Run, n.ServerFollower.Expire, n.registrar.Run, n.Origins.Run, agent.RunSender, agent.RunReceiver,
+		n.settingsFollower.Run, n.ServerFollower.Run, n.ServerFollower.Expire, n.registrar.Run, n.Origins.Run, n.completeVersions, agent.RunSender, agent.RunReceiver,
 	} {
 		n.group.Go(func() error {
 			loop(ctx)
--- a/internal/state/srvtab/version.go
+++ b/internal/state/srvtab/version.go
@@ -107,6 +107,32 @@
 	}
 }
 
+// SetVersion sets the version of a known server whose version is not known.
+func (t *Table) SetVersion(id ident.Server, v ident.Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(id)
+	if s == nil || s.Version != "" || v == "" {
+		return
+	}
+	e := s.Entry
+	e.Version = v
+	t.put(e)
+	t.publish()
+}
+
+// LacksVersions reports whether the versions of some servers are not known.
+func (v *View) LacksVersions() bool {
+	for _, list := range v.versions {
+		for _, s := range list {
+			if s.version == "" && s.goneAt.IsZero() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Diverged returns a channel that receives a value when a service gets servers of a version of
 // the software besides those that it had.
 func (t *Table) Diverged() <-chan struct{} { return t.diverged }
--- a/internal/state/srvtab/version_test.go
+++ b/internal/state/srvtab/version_test.go
@@ -61,3 +61,21 @@
 		assert.Equal(t, len(table.versions["s"]), 3)
 	})
 }
+
+// TestMissingVersions checks that versions which VMs of earlier software did not pass on are
+// completed, and that known ones are kept.
+func TestMissingVersions(t *testing.T) {
+	table := NewTable(func() {})
+	for id, v := range map[ident.Server]ident.Version{"a": "", "b": "v1"} {
+		table.Put(Entry{ID: id, Service: "s", Domain: "a", Slots: 1, Version: v})
+	}
+	assert.Assert(t, table.View().LacksVersions())
+	for _, id := range []ident.Server{"a", "b", "unknown"} {
+		table.SetVersion(id, "v2")
+	}
+	view := table.View()
+	assert.Assert(t, !view.LacksVersions())
+	assert.Equal(t, view.Server("a").Version, ident.Version("v2"))
+	assert.Equal(t, view.Server("b").Version, ident.Version("v1"))
+	assert.Equal(t, view.Len(), 2)
+}
