Send records of streams while a VM does not know past versions

Callers of a large fleet that had just started could not take up streams within the first seconds: the VM that began one is not among those that are asked, it sent no record as it saw one version only, and no VM knew whether another one had run before. A VM sends records until it knows the versions for as long as a stream can have lived. Evidence: the new case of origin.TestFind (300 VMs) failed before. Measured: go test -race ./internal/state/origin passes.

--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -132,10 +132,11 @@
 func (f *Finder) Completed(s Stream) { f.records.remove(s) }
 
 // needsRecords reports whether other VMs need the records of a service's streams: servers run, or
-// ran within a time, more than one version, or may do so without this VM's knowledge.
+// ran within a time, more than one version, or may do so or have done so without this VM's
+// knowledge.
 func (f *Finder) needsRecords(s ident.Service, within time.Duration, now time.Time) bool {
-	versions, _ := f.Servers.View().VersionsSince(s, now.Add(-within))
-	return len(versions) > 1 || !f.isCurrent()
+	versions, known := f.Servers.View().VersionsSince(s, now.Add(-within))
+	return len(versions) > 1 || !known || !f.isCurrent()
 }
 
 func (f *Finder) isCurrent() bool { return f.DataAge() < maxDataAge }
--- a/internal/state/origin/finder_test.go
+++ b/internal/state/origin/finder_test.go
@@ -216,6 +216,23 @@
 			assert.Assert(t, o.VM != "")
 		})
 	})
+	t.Run("a fleet that has just started", func(t *testing.T) {
+		testFleet(t, 300, func(t *testing.T, f *fleet) {
+			for _, v := range f.vms {
+				v.table = srvtab.NewTable(func() {})
+				v.finder.Servers = v.table
+			}
+			f.setVersions("v1")
+			f.vms[200].finder.Began(record(1, "v1"))
+			time.Sleep(2 * netDelay)
+			f.vms[200].down = true
+			o, err := f.vms[299].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v1"))
+			_, err = f.vms[299].find(2)
+			assert.ErrorIs(t, err, ErrUnknown, "it may have begun before the start")
+		})
+	})
 	t.Run("streams before and after the store was lost", func(t *testing.T) {
 		testFleet(t, 12, func(t *testing.T, f *fleet) {
 			f.vms[0].finder.Began(record(1, "v1"))
