--- a/internal/state/origin/finder_test.go
+++ b/internal/state/origin/finder_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,9 +36,10 @@
 	domain ident.FailureDomain
 	table  *srvtab.Table
 	finder *Finder
-	age    time.Duration // of the data on servers
-	down   bool          // it neither sends nor receives
-	sent   int
+	age    atomic.Int64 // of the data on servers, in nanoseconds
+	stop   context.CancelFunc
+	down   atomic.Bool // it neither sends nor receives
+	sent   atomic.Int64
 }
 
 // fleet is a set of VMs in virtual time. The first maxHolders VMs hold records.
@@ -44,19 +47,27 @@
 	vms   []*vm
 	group errgroup.Group
 	loss  float64
+	mu    sync.Mutex // guards rng
 	rng   *rand.Rand
 }
 
+// loses reports whether a datagram is lost.
+func (f *fleet) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64() < f.loss
+}
+
 // deliver runs f at the VM with an address after a delay, unless the datagram is lost.
 func (v *vm) deliver(to netip.AddrPort, f func(to *vm)) {
-	v.sent++
-	if v.down || v.fleet.rng.Float64() < v.fleet.loss {
+	v.sent.Add(1)
+	if v.down.Load() || v.fleet.loses() {
 		return
 	}
 	v.fleet.group.Go(func() error {
 		time.Sleep(netDelay)
 		for _, other := range v.fleet.vms {
-			if other.addr == to && !other.down {
+			if other.addr == to && !other.down.Load() {
 				f(other)
 			}
 		}
@@ -75,6 +86,26 @@
 	})
 }
 
+// start starts the VM, or starts it again after stop, without records and data on servers.
+func (v *vm) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop, v.table = cancel, srvtab.NewTable(func() {})
+	finder := New(0, Deps{
+		VM: v.name, Servers: v.table, DataAge: func() time.Duration { return time.Duration(v.age.Load()) },
+		Holders: v.holders, Transport: v, Log: zap.NewNop(),
+	})
+	v.finder = finder
+	v.fleet.group.Go(func() error {
+		finder.Run(ctx)
+		return nil
+	})
+}
+
+func (v *vm) restart() {
+	v.stop()
+	v.start()
+}
+
 func (v *vm) holders(time.Time) []hubs.Candidate {
 	var out []hubs.Candidate
 	for _, o := range v.fleet.vms[:min(len(v.fleet.vms), maxHolders)] {
@@ -99,22 +130,19 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{rng: rand.New(rand.NewPCG(1, uint64(vms)))}
-		ctx, cancel := context.WithCancel(t.Context())
 		for n := range vms {
 			v := &vm{
 				fleet: f, name: ident.VM(fmt.Sprint("vm-", n)), addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+n)),
-				domain: ident.FailureDomain(fmt.Sprint("d", n%4)), table: srvtab.NewTable(func() {}),
+				domain: ident.FailureDomain(fmt.Sprint("d", n%4)),
 			}
-			v.finder = New(0, Deps{VM: v.name, Servers: v.table, DataAge: func() time.Duration { return v.age }, Holders: v.holders, Transport: v, Log: zap.NewNop()})
-			v.setVersions("v1")
 			f.vms = append(f.vms, v)
-			f.group.Go(func() error {
-				v.finder.Run(ctx)
-				return nil
-			})
+			v.start()
+			v.setVersions("v1")
 		}
 		defer func() {
-			cancel()
+			for _, v := range f.vms {
+				v.stop()
+			}
 			assert.NilError(t, f.group.Wait())
 		}()
 		time.Sleep(2 * lifetime)
@@ -148,7 +176,7 @@
 			assert.Equal(t, o, Origin{Service: service, Version: "v1", Source: FromOnlyVersion})
 			assert.Equal(t, time.Since(start), time.Duration(0))
 			for _, v := range f.vms {
-				assert.Equal(t, v.sent, 0)
+				assert.Equal(t, v.sent.Load(), int64(0))
 			}
 		})
 	})
@@ -166,7 +194,7 @@
 			f.setVersions("v1", "v2", "v3")
 			f.vms[0].finder.Began(record(1, "v2"))
 			time.Sleep(2 * netDelay)
-			f.vms[0].down = true
+			f.vms[0].down.Store(true)
 			start := time.Now()
 			for _, v := range f.vms[1:] {
 				o, err := v.find(1)
@@ -180,7 +208,7 @@
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			f.vms[0].finder.Began(record(1, "v1"))
 			f.setVersions("v1", "v2")
-			f.vms[0].down = true
+			f.vms[0].down.Store(true)
 			o, err := f.vms[5].find(1)
 			assert.NilError(t, err)
 			assert.Equal(t, o.Version, ident.Version("v1"))
@@ -192,7 +220,7 @@
 			f.setVersions("v1", "v2")
 			f.vms[0].finder.Began(record(1, "v1"))
 			f.setVersions("v2")
-			f.vms[0].down = true
+			f.vms[0].down.Store(true)
 			o, err := f.vms[5].find(1)
 			assert.NilError(t, err)
 			assert.Equal(t, o.Version, ident.Version("v1"))
@@ -207,8 +235,7 @@
 	t.Run("a VM that has just started asks those that have not", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			v := f.vms[3]
-			v.table = srvtab.NewTable(func() {})
-			v.finder.Servers = v.table
+			v.restart()
 			v.setVersions("v1")
 			o, err := v.find(1)
 			assert.NilError(t, err)
@@ -219,13 +246,12 @@
 	t.Run("a fleet that has just started", func(t *testing.T) {
 		testFleet(t, 300, func(t *testing.T, f *fleet) {
 			for _, v := range f.vms {
-				v.table = srvtab.NewTable(func() {})
-				v.finder.Servers = v.table
+				v.restart()
 			}
 			f.setVersions("v1")
 			f.vms[200].finder.Began(record(1, "v1"))
 			time.Sleep(2 * netDelay)
-			f.vms[200].down = true
+			f.vms[200].down.Store(true)
 			o, err := f.vms[299].find(1)
 			assert.NilError(t, err)
 			assert.Equal(t, o.Version, ident.Version("v1"))
@@ -237,12 +263,13 @@
 		testFleet(t, 12, func(t *testing.T, f *fleet) {
 			f.vms[0].finder.Began(record(1, "v1"))
 			for _, v := range f.vms {
-				v.age = 20 * time.Second
+				v.age.Store(int64(20 * time.Second))
 			}
 			time.Sleep(2 * checkInterval)
 			f.vms[10].finder.Began(record(2, "v1"))
 			time.Sleep(2 * netDelay)
-			f.vms[0].down, f.vms[10].down = true, true
+			f.vms[0].down.Store(true)
+			f.vms[10].down.Store(true)
 			for n := 1; n <= 2; n++ {
 				o, err := f.vms[11].find(n)
 				assert.NilError(t, err)
@@ -260,19 +287,19 @@
 	t.Run("a VM out of touch", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			cut := f.vms[6]
-			cut.age = 5 * time.Second
+			cut.age.Store(int64(5 * time.Second))
 			for _, v := range f.vms[:6] {
 				v.setVersions("v1", "v2")
 			}
 			time.Sleep(10 * netDelay)
 			f.vms[0].finder.Began(record(1, "v2"))
-			cut.down = true
+			cut.down.Store(true)
 			start := time.Now()
 			_, err := cut.find(1)
 			assert.ErrorIs(t, err, ErrUnanswered)
 			assert.ErrorIs(t, err, ErrUnknown)
 			assert.Assert(t, time.Since(start) <= findTimeout+netDelay, "%s", time.Since(start))
-			cut.down = false
+			cut.down.Store(false)
 			o, err := cut.find(1)
 			assert.NilError(t, err)
 			assert.Equal(t, o.Version, ident.Version("v2"))
@@ -306,6 +333,7 @@
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
 			testFleet(t, vms, func(t *testing.T, f *fleet) {
 				const streams, rounds = 100, 20
+				kills := rand.New(rand.NewPCG(2, uint64(vms)))
 				f.loss = 0.04
 				f.setVersions("v1", "v2")
 				found := 0
@@ -314,9 +342,9 @@
 						f.vms[(round+n)%vms].finder.Began(record(round*streams+n, "v2"))
 					}
 					time.Sleep(2 * netDelay)
-					perm := f.rng.Perm(vms)
+					perm := kills.Perm(vms)
 					for _, i := range perm[:vms/2] {
-						f.vms[i].down = true
+						f.vms[i].down.Store(true)
 					}
 					for n := range streams {
 						o, err := f.vms[perm[vms/2+n%(vms-vms/2)]].find(round*streams + n)
@@ -326,7 +354,7 @@
 						}
 					}
 					for _, v := range f.vms {
-						v.down = false
+						v.down.Store(false)
 					}
 				}
 				t.Logf("%d of %d found", found, streams*rounds)
