Reword comments and names of the new code

What stopped a reader: a method named like its package, an assignment inside a condition, and comments in words of our own. No behaviour changes. Measured: go test ./internal/route/... ./internal/state/origin passes.

--- a/internal/load/soak/ends.go
+++ b/internal/load/soak/ends.go
@@ -18,7 +18,7 @@
 }
 
 // breakStreams makes an engine break off its streams inside an event for a time, and end them
-// regularly. Plain responses are not broken off: nothing would tell.
+// regularly. Plain responses are not broken off, as VMs could not detect that.
 func (r *run) breakStreams(ctx context.Context) {
 	b := r.pickServer()
 	if b == nil || b.server.Service != fake.EngineService {
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -301,7 +301,7 @@
 const endCheckTimeout = 150 * time.Millisecond
 
 // AcceptsConnections reports whether a server still accepts connections shortly after one of
-// them ended, as far as this VM or another one can tell.
+// them ended. It connects through another VM where this VM's links fail.
 func (c *Connector) AcceptsConnections(ctx context.Context, s *srvtab.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -98,7 +98,7 @@
 	}
 	f.Health.Success(f.server.ID, time.Now())
 	f.Completed()
-	f.Origins.Completed(f.stream())
+	f.Origins.Completed(f.streamID())
 	return nil
 }
 
@@ -126,9 +126,10 @@
 	}
 	f.lastEventAt = now
 	f.Result.Events += n
-	if f.version = f.server.Version; !f.originRecorded {
-		f.originRecorded = true
+	f.version = f.server.Version
+	if !f.originRecorded {
 		f.recordOrigin()
+		f.originRecorded = true
 	}
 	f.updateReservations()
 	if err := f.Writer.WriteChunk(p); err != nil {
--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -27,8 +27,8 @@
 // takesUp reports whether the call takes up a stream that an earlier attempt of its client began.
 func (f *forwarder) takesUp() bool { return f.Call.Resumes != "" || f.Call.LastEventID != "" }
 
-// stream returns the stream that the call begins or takes up.
-func (f *forwarder) stream() origin.Stream {
+// streamID identifies the stream that the call begins or takes up.
+func (f *forwarder) streamID() origin.Stream {
 	if f.takesUp() {
 		return origin.StreamOf(f.Call.Resumes)
 	}
@@ -41,7 +41,7 @@
 		return nil
 	}
 	start := time.Now()
-	o, err := f.Origins.Find(ctx, f.stream(), f.Service.Name, f.streamLifetime())
+	o, err := f.Origins.Find(ctx, f.streamID(), f.Service.Name, f.streamLifetime())
 	switch {
 	case errors.Is(err, origin.ErrUnanswered):
 		return refuse.New(refuse.VersionUnknown, "which version began the stream of attempt %.40q is not known to this VM, and others did not respond", f.Call.Resumes).
@@ -72,6 +72,6 @@
 // recordOrigin records what began a stream that the client may take up, before it can do so.
 func (f *forwarder) recordOrigin() {
 	if f.Route.Resumable && f.version != "" {
-		f.Origins.Began(origin.Record{Stream: f.stream(), Service: f.Service.Name, Version: f.version, TTL: f.streamLifetime()})
+		f.Origins.Began(origin.Record{Stream: f.streamID(), Service: f.Service.Name, Version: f.version, TTL: f.streamLifetime()})
 	}
 }
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -35,8 +35,8 @@
 	backup          *backupCopy
 	migrator        *migr.Migrator
 	conn            *events.Conn
-	version         ident.Version // of the software that produced the stream's events; only it can produce the rest. Empty: there is no event yet
-	originRecorded  bool
+	version         ident.Version // of the software that produces the stream's events; empty: there is no event yet
+	originRecorded  bool          // the origin of the stream has been recorded
 	lastID          string
 	connectFailures int          // number of engines to which the connection failed
 	ran             refuse.Ran   // whether the call may have run
@@ -46,7 +46,7 @@
 	gotEvent        bool         // the current connection has delivered an event
 	firstEventAt    time.Time    // time of the first event on the current connection
 	wasEstablished  bool         // an engine has run the call for establishedAfter
-	endUncertain    bool         // the end of a body that is not delimited is not the stream's, or may not be: the run is being stopped, or its engine may have ended
+	endUncertain    bool         // the end of a close-delimited body does not end the stream: the run is being stopped, or its engine may have ended
 	lastEventAt     time.Time
 	cancelMigration context.CancelFunc // cancels the migration in progress; nil: none was started
 }
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -123,8 +123,8 @@
 // one stands for any. It is checked when the call is sent, because the server may have been
 // replaced since it was chosen.
 func (t *Task) CheckVersion(s *srvtab.Server, v ident.Version) error {
-	now := t.Servers.View().Server(s.ID)
-	if v == "" || s.Version == v && (now == nil || now.Version == v) {
+	known := t.Servers.View().Server(s.ID)
+	if v == "" || s.Version == v && (known == nil || known.Version == v) {
 		return nil
 	}
 	return errOtherVersion
--- a/internal/state/origin/doc.go
+++ b/internal/state/origin/doc.go
@@ -1,4 +1,4 @@
-// Package origin tells which version of the servers' software began a stream that its client
+// Package origin finds which version of the servers' software began a stream that its client
 // takes up, at whichever VM it arrives.
 //
 // The VM that forwards a stream's first event knows the version. While the servers of a service
--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -78,7 +78,7 @@
 	VM     ident.VM
 	Record *Record // nil: the VM has none
 	// Only is the only version that servers of the service have run within the lifetime; empty:
-	// there are several, or the VM can't tell.
+	// there are several, or it is not known.
 	Only    ident.Version
 	Several bool // there are several
 }
@@ -220,7 +220,7 @@
 }
 
 // onlyVersion returns the only version that servers of a service have run within the lifetime of
-// a stream, or whether there are several. It returns neither if this VM can't tell.
+// a stream, or whether there are several. It returns neither if that is not known.
 func (f *Finder) onlyVersion(q Query, now time.Time) (only ident.Version, several bool) {
 	versions, known := f.Servers.View().VersionsSince(q.Service, now.Add(-q.Lifetime))
 	if len(versions) == 1 && known && f.isCurrent() {
