--- a/internal/load/soak/versions.go
+++ b/internal/load/soak/versions.go
@@ -42,11 +42,14 @@
 	n := 1 + r.rng.IntN(r.cfg.Servers)
 	pause := time.Duration(r.rng.IntN(400)) * time.Millisecond
 	r.group.Go(func() error {
-		for range n {
+		for i := 0; i < n && ctx.Err() == nil; i++ {
 			b := r.engineOfOtherVersion(target)
-			if b == nil || ctx.Err() != nil || r.addServerOf(ctx, fake.EngineService, target) != nil {
+			if b == nil {
 				return nil
 			}
+			if err := r.addServerOf(ctx, fake.EngineService, target); err != nil {
+				return err
+			}
 			r.retire(ctx, b)
 			r.sleep(ctx, pause)
 		}
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -297,10 +297,8 @@
 		m.Reply, err = decodeReply(data)
 	case fieldHub:
 		m.Hub, err = decodeHub(data)
-	case fieldPlacementRequest:
-		m.PlacementRequest, err = decodePlacementRequest(m.VM, data)
-	case fieldPlacementResponse:
-		m.PlacementResponse, err = decodePlacementResponse(data)
+	case fieldPlacementRequest, fieldPlacementResponse:
+		err = m.setPlacement(n, data)
 	case fieldOrigin, fieldOriginQuery, fieldOriginAnswer:
 		err = m.setOrigin(n, data)
 	default:
@@ -309,6 +307,17 @@
 	return err
 }
 
+// setPlacement decodes a field about the placement of a run.
+func (m *Message) setPlacement(n protowire.Number, data []byte) error {
+	var err error
+	if n == fieldPlacementRequest {
+		m.PlacementRequest, err = decodePlacementRequest(m.VM, data)
+	} else {
+		m.PlacementResponse, err = decodePlacementResponse(data)
+	}
+	return err
+}
+
 // addLimit decodes and adds a limit that servers have stated.
 func (m *Message) addLimit(n protowire.Number, data []byte) error {
 	if n == fieldBrittle {
