Write a stream's version once, before migrations read it

Callers could have got a stream that continued at a wrong version: the version was written again with each event while a migration in progress read it. It is now written with the first event only, before which no migration starts. A test's own variable raced too and is gone.

--- a/internal/route/relay/version_test.go
+++ b/internal/route/relay/version_test.go
@@ -80,8 +80,6 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness(t, len(tc.versions))
 				h.setVersions(tc.versions...)
-				var began ident.Version
-				after(50*time.Millisecond, func() { began = h.versionOf(h.runningServer()) })
 				tc.fault(h)
 				c, r := h.serve(t.Context(), tc.path)
 				if tc.lost != refuse.Unspecified {
@@ -90,7 +88,7 @@
 					return
 				}
 				assertComplete(t, c, r, h.engines.events)
-				assert.Equal(t, h.versionOf(h.records[0].Server), began)
+				assert.Equal(t, h.versionOf(h.records[0].Server), h.versionOf(ident.Server(h.engines.started[0])))
 			})
 		})
 	}
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -126,10 +126,10 @@
 	}
 	f.lastEventAt = now
 	f.Result.Events += n
-	f.version = f.server.Version
-	if !f.originRecorded {
+	if !f.hasEvents {
+		f.hasEvents = true
+		f.version = f.server.Version // migrations read it concurrently, once there are events
 		f.recordOrigin()
-		f.originRecorded = true
 	}
 	f.updateReservations()
 	if err := f.Writer.WriteChunk(p); err != nil {
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -36,7 +36,7 @@
 	migrator        *migr.Migrator
 	conn            *events.Conn
 	version         ident.Version // of the software that produces the stream's events; empty: there is no event yet
-	originRecorded  bool          // the origin of the stream has been recorded
+	hasEvents       bool          // an event was forwarded, from whichever engine
 	lastID          string
 	connectFailures int          // number of engines to which the connection failed
 	ran             refuse.Ran   // whether the call may have run
