Treat VMs that each know another only version as several versions

Callers could have got a stream that went on at a wrong version: of VMs that each knew of one version only, but not of the same, whichever came last in a random order was believed. Differing answers now count as several versions, so that the stream's origin is unknown and the call is refused. Evidence: origin.TestDifferingAnswers failed before and passes now. Measured: go test -race of origin and relay, and the platform's tests of versions, pass.

--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -311,7 +311,7 @@
 	o := Origin{Service: q.Service, Source: FromOnlyVersion}
 	_, several := f.onlyVersion(q, time.Now())
 	for _, a := range answers {
-		several = several || a.Several
+		several = several || a.Several || a.Only != "" && o.Version != "" && a.Only != o.Version
 		if a.Only != "" {
 			o.Version, o.VM = a.Only, a.VM
 		}
--- a/internal/state/origin/finder_test.go
+++ b/internal/state/origin/finder_test.go
@@ -326,6 +326,16 @@
 	})
 }
 
+// TestDifferingAnswers guards against a choice between VMs that each know of one version only, but
+// not of the same.
+func TestDifferingAnswers(t *testing.T) {
+	testFleet(t, 3, func(t *testing.T, f *fleet) {
+		answers := map[ident.VM]Answer{"a": {VM: "a", Only: "v1"}, "b": {VM: "b", Only: "v2"}}
+		_, err := f.vms[0].finder.conclude(Query{Service: service, Lifetime: lifetime}, answers, 2)
+		assert.ErrorIs(t, err, ErrUnknown)
+	})
+}
+
 // TestLostVMs checks how many streams still find their origin when half of the VMs are killed at
 // once, with 4% of the datagrams lost.
 func TestLostVMs(t *testing.T) {
