Log the parts of prompts under which answers break off

'answer broke off' names all parts of the prompt but the last. A server whose end is not confirmed is logged with what each VM answered.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -47,6 +47,7 @@
 	LastEventID   string        // identifier of the last event that the client received; empty: none
 	Resumes       ident.Request // attempt of the client that brought the first event of the stream that it takes up; empty: it takes up none
 	Prompt        *Prompt       // nil: not a generation
+	PromptParts   []Part        // parts of the prompt in order, the last of which is the request's own
 
 	Arrived       time.Time
 	ArrivedUptime uptime.Instant // arrival time by the clock that includes suspensions of the VM
@@ -58,13 +59,12 @@
 	Tokens     int // of the prompt
 	MaxTokens  int // maximum number of generated tokens
 	LengthHint int // the client's estimate of the number of generated tokens; zero: none
-	Parts      []Part
 }
 
 // Part is a section of a prompt that other prompts may share.
 type Part struct {
 	ID     string
-	Tokens int
+	Tokens int // zero: not known
 }
 
 // ExpectedMemory returns the memory, in tokens, that the generation is expected to use at its
@@ -78,6 +78,10 @@
 	return p.Tokens + out
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last,
+// which is the request's own.
+func (c *Call) SharedParts() []Part { return c.PromptParts[:max(len(c.PromptParts)-1, 0)] }
+
 // Fingerprint identifies a request by its method, workspace, host, target and body. A
 // client's retry has another request identifier and the same fingerprint. Zero means that no
 // fingerprint is known.
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -281,6 +281,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
+	var unconfirmed []error
 	for _, peer := range c.Peers(time.Now()) {
 		conn, err := c.Tunnels.Connect(ctx, peer.Addr, s.ID, false)
 		switch {
@@ -289,11 +290,17 @@
 			return false
 		case errors.Is(err, tunnel.ErrRefused):
 			return true
-		case ctx.Err() != nil:
-			return false
 		}
+		unconfirmed = append(unconfirmed, fmt.Errorf("%s: %w", peer.VM, err))
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	ended := ctx.Err() == nil && c.reach.Blames(s.ID, time.Now())
+	if !ended {
+		c.Log.Info("end of the server not confirmed by other VMs", zap.String("server", string(s.ID)), zap.Errors("errors", unconfirmed))
 	}
-	return c.reach.Blames(s.ID, time.Now())
+	return ended
 }
 
 // endCheckTimeout bounds the check whether a server still accepts connections. A connection
--- a/internal/route/task/crash.go
+++ b/internal/route/task/crash.go
@@ -29,7 +29,17 @@
 		crashes = t.Poison.RecordCrash(t.Result.Fingerprint, s.ID, time.Now())
 	}
 	t.LogInfo("answer broke off", zap.String("server", string(s.ID)), zap.Stringer("fingerprint", t.Result.Fingerprint),
-		zap.Bool("server-ended", ended), zap.Int("crashes", crashes))
+		zap.Strings("prompt-parts", t.sharedPartIDs()), zap.Bool("server-ended", ended), zap.Int("crashes", crashes))
+}
+
+// sharedPartIDs returns the identifiers of the parts of the prompt that other requests may
+// share: all but the last.
+func (t *Task) sharedPartIDs() []string {
+	var out []string
+	for _, p := range t.Call.SharedParts() {
+		out = append(out, p.ID)
+	}
+	return out
 }
 
 // Completed records that a server ran the call to its end.
