Quarantine prompt parts that crash servers

Callers: requests that share one part of their prompts crashed engine after engine (75 in 30 s on 12 engines); the longer streams of all other clients broke off with them.

Cause: evidence was kept for the request as a whole, by a fingerprint of its bytes. Class: what is remembered by the identity of a whole request though only a part of it matters.

Change: the suspects of a crash are the request and all parts of its prompt but the last; one mechanism for both. A response that got past its beginning (complete, or a second after its first event) is a pass of all its suspects; passes of the last minute count too, and VMs report them once a suspect has two crashes. The most incriminated suspect is quarantined at three crashes more than passes; what it explains does not count against others, so that a shared first part is not blamed. Among equals the most specific one is. A verdict that the evidence no longer supports ends: more specific suspects with as much evidence replace it, and parts replace a request that was sent again and again. Unique suspects no longer displace those with more crashes. Refused with a reason of its own, part-quarantined, 503, not run.

Why it works: a fatal part takes all crashes and never passes; what sound requests share passes within seconds.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -82,9 +82,9 @@
 // which is the request's own.
 func (c *Call) SharedParts() []Part { return c.PromptParts[:max(len(c.PromptParts)-1, 0)] }
 
-// Fingerprint identifies a request by its method, workspace, host, target and body. A
-// client's retry has another request identifier and the same fingerprint. Zero means that no
-// fingerprint is known.
+// Fingerprint identifies a request by its method, workspace, host, target and body, or a part of
+// prompts by its identifier and the service that reads it. A client's retry has another request
+// identifier and the same fingerprint. Zero means that no fingerprint is known.
 type Fingerprint uint64
 
 // String returns the fingerprint in hexadecimal.
@@ -93,11 +93,27 @@
 // Fingerprint returns the call's fingerprint within a workspace, which is empty for a public
 // route. It does not depend on the API key, because a workspace may change its keys.
 func (c *Call) Fingerprint(ws ident.Workspace) Fingerprint {
+	h := newFingerprint(c.Method, string(ws), c.Host, c.Target)
+	_, _ = h.Write(c.Body)
+	return Fingerprint(h.Sum64())
+}
+
+// PartFingerprints returns the fingerprints of the parts of the prompt that other requests to
+// the service may share, in order.
+func (c *Call) PartFingerprints(service ident.Service) []Fingerprint {
+	var out []Fingerprint
+	for _, p := range c.SharedParts() {
+		out = append(out, Fingerprint(newFingerprint("prompt part", string(service), p.ID).Sum64()))
+	}
+	return out
+}
+
+// newFingerprint returns a hash of the parts.
+func newFingerprint(parts ...string) *xxhash.Digest {
 	h := xxhash.New()
-	for _, s := range []string{c.Method, string(ws), c.Host, c.Target} {
+	for _, s := range parts {
 		_, _ = h.WriteString(s)      // never fails
 		_, _ = h.Write([]byte{0xff}) // never occurs in UTF-8, so the parts are unambiguous
 	}
-	_, _ = h.Write(c.Body)
-	return Fingerprint(h.Sum64())
+	return h
 }
--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -36,6 +36,7 @@
 	Unreachable               // this VM reaches no backend server, directly or through other VMs
 	VersionGone               // no backend server runs the version of the software that began the stream
 	VersionUnknown            // which version of the software began the stream can't be determined now
+	PartQuarantined           // backend servers crashed each time they ran a request with a part of this prompt
 	numReasons
 )
 
@@ -76,6 +77,7 @@
 	Unreachable:        {"unreachable", 503, "This VM can't reach the backend servers"},
 	VersionGone:        {"version-gone", 503, "No backend server runs the version that began the stream"},
 	VersionUnknown:     {"version-unknown", 503, "Which version began the stream can't be known now"},
+	PartQuarantined:    {"part-quarantined", 503, "Backend servers crashed when they ran requests with a part of this prompt"},
 	ClientDisconnected: {"caller-left", 499, "The caller closed the connection"},
 }
 
--- a/internal/peer/gossip/findings_test.go
+++ b/internal/peer/gossip/findings_test.go
@@ -10,10 +10,13 @@
 
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/poison"
 )
 
+// fatalRequest is a request that crashes servers.
+var fatalRequest = []poison.Suspect{{ID: 7, Depth: poison.WholeRequest}}
+
 const (
-	fatalRequest call.Fingerprint = 7
 	// maxLearnTime is how long VMs may take to refuse a request after the third server
 	// has crashed under it.
 	maxLearnTime = 3 * time.Second
@@ -28,7 +31,7 @@
 func countQuarantined(list []*node) int {
 	n := 0
 	for _, v := range list {
-		if _, ok := v.poison.QuarantinedUntil(fatalRequest, time.Now()); ok {
+		if _, _, ok := v.poison.Quarantined(fatalRequest, time.Now()); ok {
 			n++
 		}
 	}
@@ -143,11 +146,11 @@
 		list := f.nonHubs()
 		for i, v := range list {
 			for n := range 5 {
-				v.poison.RecordCrash(call.Fingerprint(1000+5*i+n), ident.Server(fmt.Sprint("i-", n)), time.Now())
+				v.poison.RecordCrash(suspect(1000+5*i+n), ident.Server(fmt.Sprint("i-", n)), time.Now())
 			}
 		}
 		for n := range 3 * 20 { // quarantines 20 requests
-			list[n%len(list)].poison.RecordCrash(call.Fingerprint(1+n%20), ident.Server(fmt.Sprint("j-", n)), time.Now())
+			list[n%len(list)].poison.RecordCrash(suspect(1+n%20), ident.Server(fmt.Sprint("j-", n)), time.Now())
 		}
 		time.Sleep(2 * maxLearnTime)
 		for _, v := range list {
@@ -162,3 +165,7 @@
 		}
 	})
 }
+
+func suspect(n int) []poison.Suspect {
+	return []poison.Suspect{{ID: call.Fingerprint(n), Depth: poison.WholeRequest}}
+}
--- a/internal/peer/wire/finding.go
+++ b/internal/peer/wire/finding.go
@@ -10,15 +10,17 @@
 	"umberladder/internal/policy/poison"
 )
 
-// Field numbers of a finding and of a crash in it.
+// Field numbers of a finding and of a crash or pass in it.
 const (
-	findingRequest     = 1
+	findingSuspect     = 1
 	findingCrash       = 2
-	findingCleared     = 3
+	findingReleased    = 3
 	findingQuarantined = 4
+	findingPass        = 5
+	findingDepth       = 6
 
-	crashServer = 1
-	crashAge    = 2
+	evidenceServer = 1
+	evidenceAge    = 2
 )
 
 // encodeTime returns a point in time as an age in milliseconds, since VMs' clocks differ.
@@ -44,13 +46,14 @@
 }
 
 func encodeFinding(f *poison.Finding, now time.Time) []byte {
-	b := appendNumber(nil, findingRequest, uint64(f.Request))
-	for s, at := range f.Crashes {
-		c := appendString(nil, crashServer, string(s))
-		b = appendBytes(b, findingCrash, appendNumber(c, crashAge, encodeTime(at, now)))
+	b := appendNumber(nil, findingSuspect, uint64(f.ID))
+	b = appendEvidence(b, findingCrash, f.Crashes, now)
+	b = appendEvidence(b, findingPass, f.Passes, now)
+	if f.Depth != 0 {
+		b = appendNumber(b, findingDepth, uint64(f.Depth))
 	}
-	if !f.Cleared.IsZero() {
-		b = appendNumber(b, findingCleared, encodeTime(f.Cleared, now))
+	if !f.Released.IsZero() {
+		b = appendNumber(b, findingReleased, encodeTime(f.Released, now))
 	}
 	if !f.Quarantined.IsZero() {
 		b = appendNumber(b, findingQuarantined, encodeTime(f.Quarantined, now))
@@ -58,20 +61,28 @@
 	return b
 }
 
+func appendEvidence(b []byte, field protowire.Number, m map[ident.Server]time.Time, now time.Time) []byte {
+	for s, at := range m {
+		e := appendString(nil, evidenceServer, string(s))
+		b = appendBytes(b, field, appendNumber(e, evidenceAge, encodeTime(at, now)))
+	}
+	return b
+}
+
 func decodeFinding(b []byte, now time.Time) (poison.Finding, error) {
-	f := poison.Finding{Crashes: make(map[ident.Server]time.Time)}
+	f := poison.Finding{Crashes: make(map[ident.Server]time.Time), Passes: make(map[ident.Server]time.Time)}
 	err := forEachField(b, func(n protowire.Number, data []byte, v uint64) error {
 		switch {
-		case n == findingRequest:
-			f.Request = call.Fingerprint(v)
+		case n == findingSuspect:
+			f.ID = call.Fingerprint(v)
 		case n == findingCrash:
-			s, at, err := decodeCrash(data, now)
-			if err != nil {
-				return err
-			}
-			f.Crashes[s] = at
-		case n == findingCleared && v > 0:
-			f.Cleared = decodeTime(v, now)
+			return decodeEvidence(f.Crashes, data, now)
+		case n == findingPass:
+			return decodeEvidence(f.Passes, data, now)
+		case n == findingDepth:
+			f.Depth = uint8(min(v, poison.WholeRequest)) //nolint:gosec // WholeRequest is the maximum of the type
+		case n == findingReleased && v > 0:
+			f.Released = decodeTime(v, now)
 		case n == findingQuarantined && v > 0:
 			f.Quarantined = decodeTime(v, now)
 		}
@@ -80,17 +91,19 @@
 	return f, err
 }
 
-func decodeCrash(b []byte, now time.Time) (ident.Server, time.Time, error) {
+// decodeEvidence adds a crash or a pass to m.
+func decodeEvidence(m map[ident.Server]time.Time, b []byte, now time.Time) error {
 	var s ident.Server
 	at := now
 	err := forEachField(b, func(n protowire.Number, data []byte, v uint64) error {
 		switch {
-		case n == crashServer:
+		case n == evidenceServer:
 			s = ident.Server(data)
-		case n == crashAge && v > 0:
+		case n == evidenceAge && v > 0:
 			at = decodeTime(v, now)
 		}
 		return nil
 	})
-	return s, at, err
+	m[s] = at
+	return err
 }
--- a/internal/peer/wire/finding_test.go
+++ b/internal/peer/wire/finding_test.go
@@ -17,8 +17,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
 		list := []poison.Finding{
-			{Request: 1 << 63, Crashes: map[ident.Server]time.Time{"a": now, "b": now.Add(-time.Minute)}, Quarantined: now.Add(-time.Second)},
-			{Request: 2, Crashes: map[ident.Server]time.Time{}, Cleared: now.Add(-5 * time.Millisecond)},
+			{Suspect: poison.Suspect{ID: 1 << 63, Depth: poison.WholeRequest}, Crashes: map[ident.Server]time.Time{"a": now, "b": now.Add(-time.Minute)}, Quarantined: now.Add(-time.Second)},
+			{Suspect: poison.Suspect{ID: 2, Depth: 1}, Passes: map[ident.Server]time.Time{"a": now.Add(-time.Second)}, Released: now.Add(-5 * time.Millisecond)},
 		}
 		b := (&Message{VM: "vm", Findings: list}).Encode()
 		const passed = 300 * time.Millisecond
@@ -26,13 +26,20 @@
 		m, err := Decode(b)
 		assert.NilError(t, err)
 		for i := range list {
-			assert.Equal(t, m.Findings[i].Request, list[i].Request)
-			assert.Equal(t, len(m.Findings[i].Crashes), len(list[i].Crashes))
-			for id, at := range list[i].Crashes {
-				assert.Assert(t, m.Findings[i].Crashes[id].Equal(at.Add(passed)))
-			}
-			assert.Equal(t, m.Findings[i].Cleared.IsZero(), list[i].Cleared.IsZero())
+			assert.Equal(t, m.Findings[i].Suspect, list[i].Suspect)
+			assertLater(t, m.Findings[i].Crashes, list[i].Crashes, passed)
+			assertLater(t, m.Findings[i].Passes, list[i].Passes, passed)
+			assert.Equal(t, m.Findings[i].Released.IsZero(), list[i].Released.IsZero())
 			assert.Equal(t, m.Findings[i].Quarantined.IsZero(), list[i].Quarantined.IsZero())
 		}
 	})
 }
+
+// assertLater fails the test unless got holds the entries of want, each later by d.
+func assertLater(t *testing.T, got, want map[ident.Server]time.Time, d time.Duration) {
+	t.Helper()
+	assert.Equal(t, len(got), len(want))
+	for id, at := range want {
+		assert.Assert(t, got[id].Equal(at.Add(d)))
+	}
+}
--- a/internal/policy/poison/detector.go
+++ b/internal/policy/poison/detector.go
@@ -21,63 +21,45 @@
 	// timestampTolerance bounds by how much a timestamp becomes later with each VM that
 	// relays it. Messages carry ages, which do not include the network latency.
 	timestampTolerance = time.Second
+	// timestampUnit is the precision of timestamps in messages.
+	timestampUnit = time.Millisecond
 	// minSharedCrashes is the minimum number of crashes for which a hub sends the evidence
-	// against a request to all VMs, so that any VM that completes the request clears it.
+	// against a suspect to all VMs, so that VMs at which it passes report that.
 	minSharedCrashes = 2
-	// maxRequests bounds the number of requests with stored evidence, and maxAnnounced the
-	// number of requests in one message.
-	maxRequests  = 1024
-	maxAnnounced = 100
-	// completedSlots is the number of slots for recently completed requests. For
-	// completedPeriod after a request has completed, crashes are not evidence against it.
-	completedSlots  = 1024
-	completedPeriod = 10 * time.Second
+	// maxCredit bounds how many crashes passes make up for in advance. Servers of a rack or
+	// a failure domain crash at once.
+	maxCredit = 3
+	// takeOverCrashes is by how many crashes the evidence against a less specific suspect
+	// has to exceed that against a quarantined one.
+	takeOverCrashes = 2
+	// crashDelay is how long after the end of a short response its server may crash because
+	// of it.
+	crashDelay = time.Second
+	// maxSuspects bounds the number of suspects with stored evidence. maxAnnounced and
+	// maxAnnouncedEvidence bound the number of suspects, and of their crashes and passes, in
+	// one message.
+	maxSuspects          = 1024
+	maxAnnounced         = 100
+	maxAnnouncedEvidence = 400
 )
 
-// Finding holds the evidence against one request and its quarantine.
-type Finding struct {
-	Request     call.Fingerprint
-	Crashes     map[ident.Server]time.Time // by server: when it crashed shortly after starting to run the request
-	Cleared     time.Time                  // when the request last completed; zero: not known to have completed
-	Quarantined time.Time                  // when the request was quarantined; zero: it was not
-}
-
-// quarantined reports whether the request was quarantined after it last completed.
-func (f *Finding) quarantined() bool { return f.Quarantined.After(f.Cleared) }
-
-// expire drops everything that is not later than oldest.
-func (f *Finding) expire(oldest time.Time) {
-	maps.DeleteFunc(f.Crashes, func(_ ident.Server, at time.Time) bool { return !at.After(oldest) })
-	if !f.Cleared.After(oldest) {
-		f.Cleared = time.Time{}
-	}
-	if !f.Quarantined.After(oldest) {
-		f.Quarantined = time.Time{}
-	}
-}
-
-// empty reports whether the finding holds no information.
-func (f *Finding) empty() bool {
-	return len(f.Crashes) == 0 && f.Cleared.IsZero() && f.Quarantined.IsZero()
-}
-
-// record is a finding and the times that decide whether it is announced and stored.
-type record struct {
-	Finding
-	changed time.Time // when the finding last changed on this VM
-	stored  time.Time // when the quarantine was last seen in the store or written to it
-}
-
 // Config holds the settings of a Detector.
 type Config struct {
-	CrashLimit int           // number of crashed servers that quarantines a request
+	CrashLimit int           // number of crashed servers that quarantines a suspect
 	Duration   time.Duration // how long a quarantine lasts and evidence is kept
 }
 
-// Change lists the requests whose quarantine started or ended.
+// Verdict is a suspect that is quarantined, or was until now, and the servers whose crashes are
+// evidence against it.
+type Verdict struct {
+	Suspect
+	Servers []ident.Server
+}
+
+// Change lists the suspects whose quarantine started or ended.
 type Change struct {
-	Quarantined []call.Fingerprint
-	Released    []call.Fingerprint
+	Quarantined []Verdict
+	Released    []Verdict
 }
 
 // Empty reports whether no quarantine changed.
@@ -86,44 +68,51 @@
 // Detector holds the evidence and the quarantines that one VM knows. It is safe for
 // concurrent use.
 type Detector struct {
-	cfg      Config
-	onChange func(c Change)
+	cfg         Config
+	maxEvidence int // per suspect, of crashes and of passes
+	onChange    func(c Change)
 
-	completed   [completedSlots]completion
-	quarantined atomic.Pointer[map[call.Fingerprint]time.Time] // quarantined requests, and when the quarantine ends
+	quarantined atomic.Pointer[map[call.Fingerprint]time.Time] // quarantined suspects, and when the quarantine ends
 
 	mu               sync.Mutex
-	requests         map[call.Fingerprint]*record
-	attributed       map[ident.Server]struct{} // servers whose crashes are attributed to quarantined requests
-	hubs             map[ident.VM]hubResponse  // last responses
-	reporters        map[ident.VM]uint64       // quarantine digests of the VMs that report to this one
-	announceAllUntil time.Time                 // end of the period in which all findings are announced
-	expiredAt        time.Time                 // when expired evidence was last removed
+	records          map[call.Fingerprint]*record
+	passes           passLog
+	hubs             map[ident.VM]hubResponse // last responses
+	reporters        map[ident.VM]uint64      // quarantine digests of the VMs that report to this one
+	announceAllUntil time.Time                // end of the period in which all findings are announced
+	expiredAt        time.Time                // when expired evidence was last removed
 }
 
 // New returns a detector without evidence. The detector calls onChange, without holding
-// locks, after each recorded crash and completion on this VM and after a change of
-// quarantines. In both cases, the findings must be reported to other VMs.
+// locks, after each recorded crash and pass that is new evidence, and after a change of
+// quarantines. In all cases, the findings must be reported to other VMs.
 func New(cfg Config, onChange func(c Change)) *Detector {
 	d := &Detector{
-		cfg: cfg, onChange: onChange,
-		requests:   make(map[call.Fingerprint]*record),
-		attributed: make(map[ident.Server]struct{}),
-		hubs:       make(map[ident.VM]hubResponse),
-		reporters:  make(map[ident.VM]uint64),
+		cfg: cfg, maxEvidence: cfg.CrashLimit + maxCredit + 2, onChange: onChange,
+		records:   make(map[call.Fingerprint]*record),
+		hubs:      make(map[ident.VM]hubResponse),
+		reporters: make(map[ident.VM]uint64),
 	}
 	d.quarantined.Store(&map[call.Fingerprint]time.Time{})
 	return d
 }
 
-// QuarantinedUntil returns when a request's quarantine ends, and false if the request is not
-// quarantined.
-func (d *Detector) QuarantinedUntil(f call.Fingerprint, now time.Time) (time.Time, bool) {
-	until, ok := (*d.quarantined.Load())[f]
-	return until, ok && now.Before(until)
+// Quarantined returns the first of the suspects that is quarantined and when its quarantine
+// ends, and false if none is.
+func (d *Detector) Quarantined(list []Suspect, now time.Time) (Suspect, time.Time, bool) {
+	m := *d.quarantined.Load()
+	if len(m) == 0 {
+		return Suspect{}, time.Time{}, false
+	}
+	for _, s := range list {
+		if until, ok := m[s.ID]; ok && now.Before(until) {
+			return s, until, true
+		}
+	}
+	return Suspect{}, time.Time{}, false
 }
 
-// QuarantinedCount returns the number of quarantined requests.
+// QuarantinedCount returns the number of quarantined suspects.
 func (d *Detector) QuarantinedCount(now time.Time) int {
 	n := 0
 	for _, until := range *d.quarantined.Load() {
@@ -134,56 +123,65 @@
 	return n
 }
 
-// completion is the last completed request of a slot on this VM. Its fields are not written
-// in one atomic operation: a reader may miss a completion if two are written concurrently.
-type completion struct {
-	request atomic.Uint64
-	at      atomic.Int64 // in Unix nanoseconds
-}
-
-// recentlyCompleted reports whether the request has completed on this VM within
-// completedPeriod.
-func (d *Detector) recentlyCompleted(f call.Fingerprint, now time.Time) bool {
-	c := &d.completed[f%completedSlots]
-	return c.request.Load() == uint64(f) && now.UnixNano()-c.at.Load() < int64(completedPeriod)
-}
-
-// RecordCompletion records that a server ran the request to completion.
-func (d *Detector) RecordCompletion(f call.Fingerprint, now time.Time) {
-	c := &d.completed[f%completedSlots]
-	c.request.Store(uint64(f))
-	c.at.Store(now.UnixNano())
+// RecordPass records that a server got past the beginning of its response to a request with
+// these suspects.
+func (d *Detector) RecordPass(list []Suspect, server ident.Server, now time.Time) {
 	d.mu.Lock()
-	if r := d.requests[f]; r == nil || now.Sub(r.Cleared) < timestampTolerance {
+	isNew := false
+	for _, s := range list {
+		d.passes.add(s.ID, server, now)
+		if r := d.records[s.ID]; r != nil && r.needsPass(server, r.lastCrash(), now) {
+			isNew = d.addPass(r, pass{server: server, at: now}, now) || isNew
+		}
+	}
+	if !isNew {
 		d.mu.Unlock()
 		return
 	}
-	d.apply(&Finding{Request: f, Cleared: now}, now)
-	change := d.evaluate(now)
+	c := d.evaluate(now)
 	d.mu.Unlock()
-	d.onChange(change)
+	d.onChange(c)
 }
 
-// RecordCrash records that a server crashed shortly after it had started to run the request.
-// It returns the number of such servers whose crashes are not attributed to other requests.
-// It ignores the crash if the request has recently completed on this VM, because the crash
-// is then a coincidence.
-func (d *Detector) RecordCrash(f call.Fingerprint, server ident.Server, now time.Time) int {
-	if d.recentlyCompleted(f, now) {
-		return 0
+// addPass adds a pass on this VM to a record and reports whether it is new evidence.
+func (d *Detector) addPass(r *record, p pass, now time.Time) bool {
+	f := Finding{Suspect: r.Suspect, Passes: map[ident.Server]time.Time{p.server: p.at}}
+	if !r.merge(&f, d.maxEvidence) {
+		return false
 	}
+	r.changed = now
+	return true
+}
+
+// RecordCrash records that a server crashed when it had only just begun to respond to a
+// request with these suspects. It returns the number of crashes that count against the most
+// suspicious one.
+func (d *Detector) RecordCrash(list []Suspect, server ident.Server, now time.Time) int {
 	d.mu.Lock()
-	d.apply(&Finding{Request: f, Crashes: map[ident.Server]time.Time{server: now}}, now)
+	d.addCrash(list, server, now, now)
 	c := d.evaluate(now)
 	n := 0
-	if r := d.requests[f]; r != nil {
-		n = d.crashCount(r)
+	for _, s := range list {
+		if r := d.records[s.ID]; r != nil {
+			n = max(n, r.score(nil))
+		}
 	}
 	d.mu.Unlock()
 	d.onChange(c)
 	return n
 }
 
+// addCrash adds the crash of a server to the evidence against suspects. If one of them is
+// quarantined, the crash is evidence against it alone.
+func (d *Detector) addCrash(list []Suspect, server ident.Server, at, now time.Time) {
+	if s, _, ok := d.Quarantined(list, now); ok {
+		list = []Suspect{s}
+	}
+	for _, s := range list {
+		d.apply(&Finding{Suspect: s, Crashes: map[ident.Server]time.Time{server: at}}, now)
+	}
+}
+
 // Merge adds the findings of another VM and returns the resulting change of quarantines. It
 // may modify the list.
 func (d *Detector) Merge(list []Finding, now time.Time) Change {
@@ -210,111 +208,138 @@
 	return c
 }
 
-// apply merges one finding and reports whether it holds new information.
+// apply merges one finding and reports whether it holds new information. New crashes are
+// weighed against what has recently passed on this VM.
 func (d *Detector) apply(f *Finding, now time.Time) bool {
-	r := d.requests[f.Request]
+	r := d.records[f.ID]
 	if r == nil {
-		d.evictOldest()
-		r = &record{Finding: Finding{Request: f.Request, Crashes: make(map[ident.Server]time.Time)}}
-		d.requests[f.Request] = r
+		d.evictWeakest()
+		r = &record{Finding: newFinding(f.Suspect)}
+		d.records[f.ID] = r
 	}
-	if !r.merge(f) {
+	crashes := len(r.Crashes)
+	if !r.merge(f, d.maxEvidence) {
 		return false
 	}
 	r.changed = now
+	if len(r.Crashes) > crashes {
+		for _, p := range d.passes.recent(f.ID, now) {
+			if r.needsPass(p.server, now.Add(-passPeriod), now) {
+				d.addPass(r, p, now)
+			}
+		}
+	}
 	return true
 }
 
-// merge adds the new information of a finding and reports whether there is any.
-func (r *record) merge(f *Finding) bool {
-	changed := false
-	if f.Cleared.Sub(r.Cleared) > timestampTolerance {
-		r.Cleared, changed = f.Cleared, true
-	}
-	for s, at := range f.Crashes {
-		if _, known := r.Crashes[s]; !known && at.After(r.Cleared) {
-			r.Crashes[s], changed = at, true
+// evaluate decides which suspects are quarantined and returns the change. A suspect that this
+// VM's evidence does not convict is released, unless the VM knows of the quarantine but not of
+// its grounds.
+func (d *Detector) evaluate(now time.Time) Change {
+	d.expire(now)
+	var candidates []suspicion
+	explained := make(map[ident.Server]struct{})
+	for _, r := range d.records {
+		switch {
+		case len(r.Crashes) >= d.cfg.CrashLimit:
+			candidates = append(candidates, suspicion{record: r, score: r.score(nil)})
+		case r.quarantined():
+			r.explain(explained)
 		}
 	}
-	maps.DeleteFunc(r.Crashes, func(_ ident.Server, at time.Time) bool { return !at.After(r.Cleared) })
-	if f.Quarantined.After(r.Cleared) && !r.quarantined() {
-		r.Quarantined, changed = f.Quarantined, true
+	slices.SortFunc(candidates, func(x, y suspicion) int { return moreSpecific(x.Suspect, y.Suspect) })
+	open := candidates[:0:0]
+	for _, s := range candidates {
+		switch {
+		case !s.quarantined():
+			open = append(open, s)
+		case s.score >= d.cfg.CrashLimit && !d.isSuperseded(s, candidates):
+			s.explain(explained)
+		default:
+			s.Released, s.changed = later(now, s.Quarantined), now
+			open = append(open, s)
+		}
 	}
-	return changed
+	d.convict(open, explained, now)
+	return d.updateQuarantined(now)
 }
 
-// evaluate quarantines the requests that have reached the crash limit, those with the most
-// crashes first, because the same crashes are then no longer evidence against other
-// requests. It returns the change of quarantines.
-func (d *Detector) evaluate(now time.Time) Change {
-	d.expire(now)
-	d.attributeCrashes()
-	for {
-		var worst *record
-		for _, r := range d.requests {
-			if !r.quarantined() && d.crashCount(r) >= d.cfg.CrashLimit && (worst == nil || d.precedes(r, worst)) {
-				worst = r
+// convict quarantines suspects, those with the highest scores first. Crashes that they explain
+// do not count against the others.
+func (d *Detector) convict(list []suspicion, explained map[ident.Server]struct{}, now time.Time) {
+	for len(list) > 0 {
+		worst := 0
+		for i := range list {
+			if list[i].score = list[i].record.score(explained); list[i].score > list[worst].score {
+				worst = i
 			}
 		}
-		if worst == nil {
-			return d.updateQuarantined(now)
+		s := list[worst]
+		if s.score < d.cfg.CrashLimit {
+			return
 		}
-		worst.Quarantined, worst.changed = now, now
-		d.attributeCrashes()
+		list = slices.Delete(list, worst, worst+1)
+		s.explain(explained)
+		s.Quarantined, s.changed = later(now, s.Released.Add(timestampUnit)), now
 	}
 }
 
-// attributeCrashes collects the servers whose crashes are attributed to quarantined
-// requests.
-func (d *Detector) attributeCrashes() {
-	clear(d.attributed)
-	for _, r := range d.requests {
-		if !r.quarantined() {
-			continue
-		}
-		for s := range r.Crashes {
-			d.attributed[s] = struct{}{}
-		}
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
 	}
+	return y
 }
 
-// precedes orders requests by their crash counts, highest first. Ties are broken by the
-// fingerprint, so that VMs agree.
-func (d *Detector) precedes(r, o *record) bool {
-	return cmp.Or(cmp.Compare(d.crashCount(o), d.crashCount(r)), cmp.Compare(r.Request, o.Request)) < 0
+// suspicion is a record and its score.
+type suspicion struct {
+	*record
+	score int
 }
 
-// crashCount returns the number of servers that crashed while running a request, without
-// crashes that are attributed to other, quarantined requests.
-func (d *Detector) crashCount(r *record) int {
-	if r.quarantined() || len(d.attributed) == 0 {
-		return len(r.Crashes)
-	}
-	n := 0
-	for s := range r.Crashes {
-		if _, ok := d.attributed[s]; !ok {
-			n++
+// isSuperseded reports whether another suspect explains the crashes for which s is
+// quarantined: a more specific one with as much evidence against it, such as a part that always
+// follows s in the prompt, or a less specific one with clearly more, such as a part of a request
+// that was sent again and again before others with the same part.
+func (d *Detector) isSuperseded(s suspicion, candidates []suspicion) bool {
+	return slices.ContainsFunc(candidates, func(o suspicion) bool {
+		if o.Depth == s.Depth || o.Depth > s.Depth && o.score < s.score || o.Depth < s.Depth && o.score < s.score+takeOverCrashes {
+			return false
 		}
+		explained := make(map[ident.Server]struct{}, len(o.Crashes))
+		o.explain(explained)
+		return s.record.score(explained) < d.cfg.CrashLimit
+	})
+}
+
+// explain adds the servers whose crashes the suspect explains.
+func (r *record) explain(explained map[ident.Server]struct{}) {
+	for s := range r.Crashes {
+		explained[s] = struct{}{}
 	}
-	return n
 }
 
-// updateQuarantined updates the set of quarantined requests and returns its changes.
+// updateQuarantined updates the set of quarantined suspects and returns its changes.
 func (d *Detector) updateQuarantined(now time.Time) Change {
 	var c Change
 	old, quarantined := *d.quarantined.Load(), make(map[call.Fingerprint]time.Time)
-	for f, r := range d.requests {
+	for f, r := range d.records {
 		if until := r.Quarantined.Add(d.cfg.Duration); r.quarantined() && now.Before(until) {
 			quarantined[f] = until
 			if _, ok := old[f]; !ok {
-				c.Quarantined = append(c.Quarantined, f)
+				c.Quarantined = append(c.Quarantined, r.verdict())
 			}
 		}
 	}
 	for f := range old {
-		if _, ok := quarantined[f]; !ok {
-			c.Released = append(c.Released, f)
+		if _, ok := quarantined[f]; ok {
+			continue
+		}
+		v := Verdict{Suspect: Suspect{ID: f}}
+		if r := d.records[f]; r != nil {
+			v = r.verdict()
 		}
+		c.Released = append(c.Released, v)
 	}
 	if !maps.EqualFunc(quarantined, old, time.Time.Equal) {
 		d.quarantined.Store(&quarantined)
@@ -322,6 +347,10 @@
 	return c
 }
 
+func (r *record) verdict() Verdict {
+	return Verdict{Suspect: r.Suspect, Servers: slices.Sorted(maps.Keys(r.Crashes))}
+}
+
 // expire removes expired evidence, at most once per expireInterval.
 func (d *Detector) expire(now time.Time) {
 	if now.Sub(d.expiredAt) < expireInterval {
@@ -329,45 +358,57 @@
 	}
 	d.expiredAt = now
 	oldest := now.Add(-d.cfg.Duration)
-	for f, r := range d.requests {
+	for f, r := range d.records {
 		if r.expire(oldest); r.empty() {
-			delete(d.requests, f)
+			delete(d.records, f)
 		}
 	}
 }
 
-// evictOldest makes space for a new finding: if there are maxRequests, it removes the oldest
-// one that is not a quarantine.
-func (d *Detector) evictOldest() {
-	if len(d.requests) < maxRequests {
+// evictWeakest makes space for a new finding: if there are maxSuspects, it removes the quarter
+// with the least evidence. Unique suspects must not displace one whose evidence grows.
+func (d *Detector) evictWeakest() {
+	if len(d.records) < maxSuspects {
 		return
 	}
-	var oldest *record
-	for _, r := range d.requests {
-		if !r.quarantined() && (oldest == nil || r.changed.Before(oldest.changed)) {
-			oldest = r
+	list := slices.SortedFunc(maps.Values(d.records), strongestFirst)
+	for _, r := range list[maxSuspects*3/4:] {
+		if !r.quarantined() {
+			delete(d.records, r.ID)
 		}
 	}
-	if oldest != nil {
-		delete(d.requests, oldest.Request)
+}
+
+// strongestFirst orders records: quarantined ones first, then by the number of crashes, then
+// the newest first.
+func strongestFirst(x, y *record) int {
+	rank := func(r *record) int {
+		if r.quarantined() {
+			return 0
+		}
+		return 1
 	}
+	return cmp.Or(cmp.Compare(rank(x), rank(y)), cmp.Compare(len(y.Crashes), len(x.Crashes)), y.changed.Compare(x.changed), cmp.Compare(x.ID, y.ID))
 }
 
-// sorted returns up to maxAnnounced of the findings that include selects, newest first.
+// sorted returns those of the findings that include selects, strongest first, as far as they
+// fit into a message.
 func (d *Detector) sorted(include func(r *record) bool) []Finding {
 	var list []*record
-	for _, r := range d.requests {
+	for _, r := range d.records {
 		if include(r) {
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(x, y *record) int {
-		return cmp.Or(y.changed.Compare(x.changed), cmp.Compare(x.Request, y.Request))
-	})
+	slices.SortFunc(list, strongestFirst)
 	out := make([]Finding, 0, min(len(list), maxAnnounced))
+	evidence := 0
 	for _, r := range list[:min(len(list), maxAnnounced)] {
+		if evidence += len(r.Crashes) + len(r.Passes); evidence > maxAnnouncedEvidence && len(out) > 0 {
+			break
+		}
 		f := r.Finding
-		f.Crashes = maps.Clone(f.Crashes)
+		f.Crashes, f.Passes = maps.Clone(f.Crashes), maps.Clone(f.Passes)
 		out = append(out, f)
 	}
 	return out
--- a/internal/policy/poison/share.go
+++ b/internal/policy/poison/share.go
@@ -31,7 +31,7 @@
 	d.hubs[vm] = hubResponse{instance: instance, digest: digest, at: now}
 }
 
-// Digest returns a hash of the set of quarantined requests, or zero if it is empty.
+// Digest returns a hash of the set of quarantined suspects, or zero if it is empty.
 func (d *Detector) Digest(now time.Time) uint64 {
 	sum := uint64(0)
 	for f, until := range *d.quarantined.Load() {
@@ -71,19 +71,19 @@
 
 // Response returns the findings that this VM, as a hub, sends to another VM: all
 // quarantines if the VM's differ, and the recently changed findings with at least
-// minSharedCrashes crashes or a completion.
+// minSharedCrashes crashes or a release.
 func (d *Detector) Response(to ident.VM, now time.Time) []Finding {
 	own := d.Digest(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.announcements(now, d.reporters[to] != own, func(r *record) bool { return !r.Cleared.IsZero() || len(r.Crashes) >= minSharedCrashes })
+	return d.announcements(now, d.reporters[to] != own, func(r *record) bool { return !r.Released.IsZero() || len(r.Crashes) >= minSharedCrashes })
 }
 
 // announcements returns the recently changed findings: quarantines, and other findings that
 // share accepts. If all is set, it also returns the quarantines that have not changed
 // recently.
 func (d *Detector) announcements(now time.Time, all bool, share func(r *record) bool) []Finding {
-	if len(d.requests) == 0 {
+	if len(d.records) == 0 {
 		return nil
 	}
 	d.expire(now)
@@ -96,9 +96,9 @@
 	})
 }
 
-// Quarantine is a quarantined request as the store keeps it.
+// Quarantine is a quarantined suspect as the store keeps it.
 type Quarantine struct {
-	Request call.Fingerprint
+	Suspect call.Fingerprint
 	Until   time.Time
 }
 
@@ -110,13 +110,13 @@
 		if latest := now.Add(d.cfg.Duration); until.After(latest) {
 			until = latest // written by a VM whose clock is ahead
 		}
-		found = append(found, Finding{Request: e.Request, Quarantined: until.Add(-d.cfg.Duration)})
+		found = append(found, Finding{Suspect: Suspect{ID: e.Suspect}, Quarantined: until.Add(-d.cfg.Duration)})
 	}
 	d.Merge(found, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range list {
-		if r := d.requests[e.Request]; r != nil {
+		if r := d.records[e.Suspect]; r != nil {
 			r.stored = now
 		}
 	}
@@ -129,9 +129,9 @@
 	defer d.mu.Unlock()
 	var out []Quarantine
 	for f, until := range *d.quarantined.Load() {
-		r := d.requests[f]
+		r := d.records[f]
 		if r != nil && now.Before(until) && now.Sub(r.Quarantined) >= age && now.Sub(r.stored) >= unseen {
-			out = append(out, Quarantine{Request: f, Until: until})
+			out = append(out, Quarantine{Suspect: f, Until: until})
 		}
 	}
 	return out
--- a/internal/proc/peers/crashes.go
+++ b/internal/proc/peers/crashes.go
@@ -5,21 +5,20 @@
 
 	"go.uber.org/zap"
 
-	"umberladder/internal/core/call"
 	"umberladder/internal/peer/wire"
 	"umberladder/internal/policy/poison"
 )
 
-// quarantinesChanged propagates changes of the findings about requests that crash
-// servers. Every VM reports changed findings to the hubs immediately. If requests were
-// quarantined or released, a hub also announces them to all VMs immediately, and writes
-// new quarantines to the store immediately.
+// quarantinesChanged propagates changes of the findings about what makes servers crash. Every
+// VM reports changed findings to the hubs immediately. If a quarantine started or ended, a hub
+// also announces it to all VMs immediately, and writes new quarantines to the store
+// immediately.
 func (n *Node) quarantinesChanged(c poison.Change) {
-	for _, f := range c.Quarantined {
-		n.log.Warn("request quarantined", zap.Stringer("fingerprint", f))
+	for _, v := range c.Quarantined {
+		n.log.Warn(describeSuspect(v)+" quarantined", zap.Stringer("fingerprint", v.ID), zap.Any("crashed", v.Servers))
 	}
-	for _, f := range c.Released {
-		n.log.Info("request released", zap.Stringer("fingerprint", f))
+	for _, v := range c.Released {
+		n.log.Info(describeSuspect(v)+" released", zap.Stringer("fingerprint", v.ID))
 	}
 	n.reportNow()
 	if c.Empty() {
@@ -31,12 +30,21 @@
 	}
 }
 
-// mergeFindings merges another VM's findings about requests that crash servers.
+// describeSuspect returns what a suspect is. One that is known only from the store is not told
+// apart from a request.
+func describeSuspect(v poison.Verdict) string {
+	if v.Depth > 0 && v.Depth < poison.WholeRequest {
+		return "prompt part"
+	}
+	return "request"
+}
+
+// mergeFindings merges another VM's findings about what makes servers crash.
 func (n *Node) mergeFindings(m *wire.Message, now time.Time) {
 	c := n.Poison.Merge(m.Findings, now)
-	for _, list := range [][]call.Fingerprint{c.Quarantined, c.Released} {
-		for _, f := range list {
-			n.log.Info("quarantine decision changed by another VM's findings", zap.Stringer("fingerprint", f), zap.String("reported-by", string(m.VM)))
+	for _, list := range [][]poison.Verdict{c.Quarantined, c.Released} {
+		for _, v := range list {
+			n.log.Info("quarantine decision changed by another VM's findings", zap.Stringer("fingerprint", v.ID), zap.String("reported-by", string(m.VM)))
 		}
 	}
 }
--- a/internal/route/relay/crash_test.go
+++ b/internal/route/relay/crash_test.go
@@ -10,6 +10,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/route/port"
 	"umberladder/internal/test/check"
 )
@@ -24,7 +25,7 @@
 // isQuarantined reports whether a call of the path would be refused by the
 // quarantine.
 func (h *harness) isQuarantined(path string) bool {
-	_, ok := h.quarantine.QuarantinedUntil(h.call(path).Fingerprint("team"), time.Now())
+	_, _, ok := h.quarantine.Quarantined(poison.Suspects(h.call(path).Fingerprint("team"), nil), time.Now())
 	return ok
 }
 
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -203,6 +203,7 @@
 		return refuse.New(refuse.NoServer, "route %s leads to service %s, which the settings do not define", route.Name, name).WithRetryAfter(task.NoServerRetryAfter)
 	}
 	a.Result.Service = name
+	a.IdentifySuspects()
 	if refusal := a.RegionRefusal(); refusal != nil {
 		return refusal
 	}
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -97,7 +97,7 @@
 		return refuse.New(refuse.ClientDisconnected, "the end could not be written: %v", err).WithRan(refuse.RanPartial)
 	}
 	f.Health.Success(f.server.ID, time.Now())
-	f.Completed()
+	f.RecordPass(f.server)
 	f.Origins.Completed(f.streamID())
 	return nil
 }
@@ -124,6 +124,9 @@
 	if !f.gotEvent {
 		f.gotEvent, f.firstEventAt = true, now
 	}
+	if !f.wasEstablished && f.established() {
+		f.RecordPass(f.server)
+	}
 	f.lastEventAt = now
 	f.Result.Events += n
 	if !f.hasEvents {
--- a/internal/route/task/crash.go
+++ b/internal/route/task/crash.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/poison"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -23,10 +24,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	ended := t.Backend.RefusesConnections(ctx, s)
+	ended, now := t.Backend.RefusesConnections(ctx, s), time.Now()
 	crashes := 0
 	if ended {
-		crashes = t.Poison.RecordCrash(t.Result.Fingerprint, s.ID, time.Now())
+		crashes = t.Poison.RecordCrash(t.Result.Suspects, s.ID, now)
 	}
 	t.LogInfo("answer broke off", zap.String("server", string(s.ID)), zap.Stringer("fingerprint", t.Result.Fingerprint),
 		zap.Strings("prompt-parts", t.sharedPartIDs()), zap.Bool("server-ended", ended), zap.Int("crashes", crashes))
@@ -42,18 +43,28 @@
 	return out
 }
 
-// Completed records that a server ran the call to its end.
-func (t *Task) Completed() { t.Poison.RecordCompletion(t.Result.Fingerprint, time.Now()) }
+// RecordPass records that a server got past the beginning of its response, during which some
+// requests crash it.
+func (t *Task) RecordPass(s *srvtab.Server) { t.Poison.RecordPass(t.Result.Suspects, s.ID, time.Now()) }
 
-// QuarantineRefusal returns the refusal of a call whose request is quarantined, or
-// nil if it may run.
+// IdentifySuspects sets what of the call may make servers of its service crash.
+func (t *Task) IdentifySuspects() {
+	t.Result.Suspects = poison.Suspects(t.Result.Fingerprint, t.Call.PartFingerprints(t.Service.Name))
+}
+
+// QuarantineRefusal returns the refusal of a call whose request, or a part of whose prompt, is
+// quarantined, or nil if it may run.
 func (t *Task) QuarantineRefusal() *refuse.Refusal {
 	now := time.Now()
-	until, ok := t.Poison.QuarantinedUntil(t.Result.Fingerprint, now)
+	s, until, ok := t.Poison.Quarantined(t.Result.Suspects, now)
 	if !ok {
 		return nil
 	}
 	remaining := until.Sub(now)
-	return refuse.New(refuse.Quarantined, "backend servers crashed when they began to run request %s; it is not sent to others for %s",
-		t.Result.Fingerprint, remaining.Round(time.Second)).WithRetryAfter(remaining)
+	if s.Depth == poison.WholeRequest {
+		return refuse.New(refuse.Quarantined, "backend servers crashed when they began to run request %s; it is not sent to others for %s",
+			s.ID, remaining.Round(time.Second)).WithRetryAfter(remaining)
+	}
+	return refuse.New(refuse.PartQuarantined, "backend servers crashed when they began to run requests with part %.40q of the prompt, fingerprint %s; such requests are not sent to others for %s",
+		t.Call.PromptParts[s.Depth-1].ID, s.ID, remaining.Round(time.Second)).WithRetryAfter(remaining)
 }
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -90,6 +90,7 @@
 type Result struct {
 	Call            *call.Call
 	Fingerprint     call.Fingerprint // zero: the call was refused before its workspace was known
+	Suspects        []poison.Suspect // what may make servers crash: the request, and parts of its prompt
 	Route           *routes.Route    // nil: none was found
 	Service         ident.Service
 	Server          ident.Server
