Do not take an internal error for a pass of a request

Cause: any complete response but 'not executed' counted as a run of the request to its end. A server that fails part of its requests with status 500 without running them so cleared requests, and since now parts of prompts, under which other servers crash.

Change: only responses below 500 are passes. TestInternalErrors, in which each second server responds with 500 and the others crash, failed before (the request was not quarantined).

--- a/internal/route/relay/crash_test.go
+++ b/internal/route/relay/crash_test.go
@@ -142,3 +142,29 @@
 		assert.Assert(t, !h.isQuarantined("/short/x"))
 	})
 }
+
+// TestInternalErrors guards against taking an internal error for a sign that a request does no
+// harm: a server may send it without running the request. Each second server that the request
+// reaches responds so, the others crash.
+func TestInternalErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers = 12
+		h := newHarness(t, servers)
+		n := 0
+		for i := range servers {
+			id := ident.Server(fmt.Sprintf("s%d", i))
+			h.engines.respond[id] = func() (*port.Response, error) {
+				if n++; n%2 == 0 {
+					return respondError()
+				}
+				h.engines.terminated[id] = true
+				return failSilent()
+			}
+		}
+		for range 4 {
+			_, _ = h.serveWithFreshSettings(t, "/get/x")
+			time.Sleep(5 * time.Second)
+		}
+		assert.Assert(t, h.isQuarantined("/get/x"))
+	})
+}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return refuse.New(refuse.ServerLost, "server %s broke off its response with status %d: %v", s.ID, resp.Status, err).WithRan(f.ran), true
 	}
-	f.RecordPass(s)
+	f.RecordResponse(s, resp.Status)
 	if resp.Status >= http.StatusInternalServerError && f.mayRetry() {
 		return nil, false
 	}
--- a/internal/route/task/crash.go
+++ b/internal/route/task/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +48,14 @@
 // requests crash it.
 func (t *Task) RecordPass(s *srvtab.Server) { t.Poison.RecordPass(t.Result.Suspects, s.ID, time.Now()) }
 
+// RecordResponse records that a server sent a complete response. An internal error says nothing
+// about what the request does to servers: it may have been sent before the request ran.
+func (t *Task) RecordResponse(s *srvtab.Server, status int) {
+	if status < http.StatusInternalServerError {
+		t.RecordPass(s)
+	}
+}
+
 // IdentifySuspects sets what of the call may make servers of its service crash.
 func (t *Task) IdentifySuspects() {
 	t.Result.Suspects = poison.Suspects(t.Result.Fingerprint, t.Call.PartFingerprints(t.Service.Name))
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -174,7 +174,7 @@
 		return nil, &port.SendError{Err: err}
 	}
 	if !resp.NotExecuted {
-		r.RecordPass(s)
+		r.RecordResponse(s, resp.Status)
 	}
 	if resp.Status < http.StatusInternalServerError {
 		r.Health.Success(s.ID, time.Now())
