Keep crash evidence until the end of a server is confirmed

Callers: requests that crash servers reached more of them than needed.

Cause: a broken answer counted only if the server's address refused connections within 50 ms and another VM confirmed it at once.

Change: an unconfirmed crash is kept for 8 s. It becomes evidence when the crash of that server is known from another answer, here or at another VM, or when its entry is gone without a drain. That includes servers that fall silent: their entries lapse after three heartbeats.

Evidence: TestUnconfirmedCrash; without what confirms them, four of its seven cases fail (that is the code before, where nothing was kept).

--- a/internal/policy/poison/detector.go
+++ b/internal/policy/poison/detector.go
@@ -77,6 +77,7 @@
 	mu               sync.Mutex
 	records          map[call.Fingerprint]*record
 	passes           passLog
+	unconfirmed      map[ident.Server][]unconfirmed
 	hubs             map[ident.VM]hubResponse // last responses
 	reporters        map[ident.VM]uint64      // quarantine digests of the VMs that report to this one
 	announceAllUntil time.Time                // end of the period in which all findings are announced
@@ -89,9 +90,10 @@
 func New(cfg Config, onChange func(c Change)) *Detector {
 	d := &Detector{
 		cfg: cfg, maxEvidence: cfg.CrashLimit + maxCredit + 2, onChange: onChange,
-		records:   make(map[call.Fingerprint]*record),
-		hubs:      make(map[ident.VM]hubResponse),
-		reporters: make(map[ident.VM]uint64),
+		records:     make(map[call.Fingerprint]*record),
+		unconfirmed: make(map[ident.Server][]unconfirmed),
+		hubs:        make(map[ident.VM]hubResponse),
+		reporters:   make(map[ident.VM]uint64),
 	}
 	d.quarantined.Store(&map[call.Fingerprint]time.Time{})
 	return d
@@ -159,6 +161,7 @@
 func (d *Detector) RecordCrash(list []Suspect, server ident.Server, now time.Time) int {
 	d.mu.Lock()
 	d.addCrash(list, server, now, now)
+	d.confirmSameCrash(server, now, now)
 	c := d.evaluate(now)
 	n := 0
 	for _, s := range list {
@@ -197,6 +200,11 @@
 		f.expire(oldest)
 		changed = !f.empty() && d.apply(f, now) || changed
 	}
+	for i := range list {
+		for s, at := range list[i].Crashes {
+			changed = d.confirmSameCrash(s, at, now) || changed
+		}
+	}
 	var c Change
 	if changed {
 		c = d.evaluate(now)
@@ -363,6 +371,7 @@
 			delete(d.records, f)
 		}
 	}
+	d.expireUnconfirmed(now)
 }
 
 // evictWeakest makes space for a new finding: if there are maxSuspects, it removes the quarter
--- a/internal/policy/poison/detector_test.go
+++ b/internal/policy/poison/detector_test.go
@@ -245,6 +245,40 @@
 	}
 }
 
+// TestUnconfirmedCrash guards against losing the evidence of responses that broke off where the
+// end of the server could not be confirmed.
+func TestUnconfirmedCrash(t *testing.T) {
+	start := time.Now()
+	never, always := func(ident.Server) bool { return false }, func(ident.Server) bool { return true }
+	for name, tc := range map[string]struct {
+		confirm func(d *Detector)
+		want    bool
+	}{
+		"nothing confirms it": {func(d *Detector) { d.ConfirmEnded(never, start) }, false},
+		"the server is gone":  {func(d *Detector) { d.ConfirmEnded(always, start.Add(5*time.Second)) }, true},
+		"the server is gone much later": {func(d *Detector) {
+			d.crash(9, start.Add(time.Minute), other)
+			d.ConfirmEnded(always, start.Add(time.Minute))
+		}, false},
+		"another response shows the crash":     {func(d *Detector) { d.crash(2, start.Add(time.Millisecond), other) }, true},
+		"another response shows a later crash": {func(d *Detector) { d.crash(2, start.Add(3*time.Second), other) }, false},
+		"another VM reports the crash": {func(d *Detector) {
+			d.Merge([]Finding{{Suspect: other, Crashes: map[ident.Server]time.Time{server(2): start}}}, start)
+		}, true},
+		"another VM reports that it knew before": {func(d *Detector) { d.crash(2, start, other); d.RecordUnconfirmed([]Suspect{fatal}, server(2), start) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDetector()
+			d.crash(0, start, fatal)
+			d.crash(1, start, fatal)
+			d.RecordUnconfirmed([]Suspect{fatal}, server(2), start)
+			assertQuarantined(t, d, start)
+			tc.confirm(d)
+			assert.Equal(t, d.isQuarantined(fatal, start.Add(time.Second)), tc.want)
+		})
+	}
+}
+
 // TestMerge guards against VMs that disagree after they have exchanged all findings, in any
 // order, repeatedly and partly over other VMs, and against evidence that is not evaluated.
 func TestMerge(t *testing.T) {
--- a/internal/proc/peers/crashes.go
+++ b/internal/proc/peers/crashes.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/wire"
 	"umberladder/internal/policy/poison"
 )
@@ -48,3 +49,11 @@
 		}
 	}
 }
+
+// confirmCrashes turns responses that broke off at servers whose end could not be confirmed
+// into evidence, once the servers' entries are gone. Servers that drained are known to be
+// retired before that.
+func (n *Node) confirmCrashes(now time.Time) {
+	view := n.Servers.View()
+	n.Poison.ConfirmEnded(func(id ident.Server) bool { return view.Server(id) == nil }, now)
+}
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -85,6 +85,7 @@
 	n := d.node
 	m.Loads = n.Alloc.Local()
 	m.Attempts = n.Budget.Report(now)
+	n.confirmCrashes(now)
 	m.Findings = n.Poison.Report(now)
 	m.Limits = n.Rates.Report(now)
 	d.fillCommon(m, now)
--- a/internal/route/task/crash.go
+++ b/internal/route/task/crash.go
@@ -29,6 +29,8 @@
 	crashes := 0
 	if ended {
 		crashes = t.Poison.RecordCrash(t.Result.Suspects, s.ID, now)
+	} else {
+		t.Poison.RecordUnconfirmed(t.Result.Suspects, s.ID, now)
 	}
 	t.LogInfo("answer broke off", zap.String("server", string(s.ID)), zap.Stringer("fingerprint", t.Result.Fingerprint),
 		zap.Strings("prompt-parts", t.sharedPartIDs()), zap.Bool("server-ended", ended), zap.Int("crashes", crashes))
