--- a/internal/peer/gossip/findings_test.go
+++ b/internal/peer/gossip/findings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -169,3 +170,62 @@
 func suspect(n int) []poison.Suspect {
 	return []poison.Suspect{{ID: call.Fingerprint(n), Depth: poison.WholeRequest}}
 }
+
+// TestPartFindings guards against VMs that do not agree on which part of prompts crashes
+// servers, and against blaming the first part that sound requests share. Fatal requests, no two
+// alike, reach random VMs; sound ones with the same first part pass at random VMs. Half of the
+// VMs, all hubs among them, are killed after the second crash.
+func TestPartFindings(t *testing.T) {
+	const (
+		loss       = 0.04
+		interval   = 120 * time.Millisecond // between two fatal requests
+		soundRate  = 4                      // sound requests per fatal one
+		maxCrashes = 5                      // VMs have maxLearnTime after them
+		maxLate    = 3                      // further requests that reach servers
+	)
+	shared, fatalPart := call.Fingerprint(1), call.Fingerprint(2)
+	for _, n := range []int{7, vms} {
+		t.Run(fmt.Sprint(n, " VMs"), func(t *testing.T) {
+			runFleet(t, n, loss, func(t *testing.T, f *fleet) {
+				rng := rand.New(rand.NewPCG(uint64(n), 0))
+				up := func() *node { list := f.up(); return list[rng.IntN(len(list))] }
+				time.Sleep(4 * time.Second)
+				var limit time.Time
+				crashes, late, killed := 0, 0, false
+				for i := range 100 {
+					for j := range soundRate {
+						up().poison.RecordPass(poison.Suspects(call.Fingerprint(1000*i+j+10), []call.Fingerprint{shared}), ident.Server(fmt.Sprint("i-", j)), time.Now())
+					}
+					v, request := up(), poison.Suspects(call.Fingerprint(1000*i+9), []call.Fingerprint{shared, fatalPart})
+					if _, _, refused := v.poison.Quarantined(request, time.Now()); !refused && i > 20 {
+						if crashes++; crashes == maxCrashes {
+							limit = time.Now().Add(maxLearnTime)
+						}
+						if !limit.IsZero() && time.Now().After(limit) {
+							late++
+						}
+						v.poison.RecordCrash(request, ident.Server(fmt.Sprint("i-", i, "-crashed")), time.Now())
+					}
+					if crashes == 2 && !killed {
+						killed = true
+						f.killHubs()
+						for i, v := range f.up() {
+							if i%2 == 0 {
+								f.kill(v)
+							}
+						}
+					}
+					time.Sleep(interval)
+				}
+				t.Logf("%d servers crashed", crashes)
+				assert.Assert(t, late <= maxLate, "%d late arrivals, %d servers crashed", late, crashes)
+				for _, v := range f.up() {
+					_, _, ok := v.poison.Quarantined([]poison.Suspect{{ID: fatalPart}}, time.Now())
+					assert.Assert(t, ok, "%s does not refuse the fatal part", v.self.VM)
+					_, _, ok = v.poison.Quarantined([]poison.Suspect{{ID: shared}}, time.Now())
+					assert.Assert(t, !ok, "%s refuses the shared part", v.self.VM)
+				}
+			})
+		})
+	}
+}
