Count passes of servers that crash soon after them

Cause: a pass did not count if its server crashed within a second after it. A popular request passes on each server all the time, so on few servers none of its passes counted.

Change: all passes count. A fatal request whose short response ends before the crash is no evidence against itself then, but others with the same part break off.

--- a/internal/policy/poison/detector.go
+++ b/internal/policy/poison/detector.go
@@ -32,9 +32,6 @@
 	// takeOverCrashes is by how many crashes the evidence against a less specific suspect
 	// has to exceed that against a quarantined one.
 	takeOverCrashes = 2
-	// crashDelay is how long after the end of a short response its server may crash because
-	// of it.
-	crashDelay = time.Second
 	// maxSuspects bounds the number of suspects with stored evidence. maxAnnounced and
 	// maxAnnouncedEvidence bound the number of suspects, and of their crashes and passes, in
 	// one message.
--- a/internal/policy/poison/finding.go
+++ b/internal/policy/poison/finding.go
@@ -125,7 +125,7 @@
 // each crash raises it by one and each pass lowers it by one, to -maxCredit at least, so that
 // neither one pass nor a long history without crashes outweighs a series of crashes. A series
 // of maxCredit passes clears the suspect of all crashes before it. Crashes of explained servers
-// do not count, nor does a pass if its server crashed soon after it.
+// do not count.
 func (r *record) score(explained map[ident.Server]struct{}) int {
 	list := make([]observation, 0, len(r.Crashes)+len(r.Passes))
 	for s, at := range r.Crashes {
@@ -133,10 +133,8 @@
 			list = append(list, observation{at: at, crash: true})
 		}
 	}
-	for s, at := range r.Passes {
-		if crash, ok := r.Crashes[s]; !ok || crash.Before(at) || crash.Sub(at) > crashDelay {
-			list = append(list, observation{at: at})
-		}
+	for _, at := range r.Passes {
+		list = append(list, observation{at: at})
 	}
 	slices.SortFunc(list, func(x, y observation) int {
 		if c := x.at.Compare(y.at); c != 0 || x.crash == y.crash {
