Play fatal prompt parts and floods of one VM in the soak

--parts: clients send requests with a part that crashes servers, no two alike, to random VMs, as first or middle part, several such parts at once, beside sound requests with the same caller and other parts. Checked: from 3 s on, at least three quarters of the usual share of what that VM has read is served.

--- a/cmd/stress/soak.go
+++ b/cmd/stress/soak.go
@@ -49,6 +49,8 @@
 	f.BoolVar(&cfg.Versions, "versions", false, "also roll engines to other versions of their software and back, and have clients take streams up at other VMs")
 	f.BoolVar(&cfg.Cuts, "cuts", false, "also cut VMs off from all servers, and make plain servers brittle")
 	f.BoolVar(&cfg.Crashes, "crashes", false, "also have requests crash servers, and servers announce drains and pauses in responses")
+	f.BoolVar(&cfg.Parts, "parts", false, "also have parts of prompts crash servers, beside sound requests with the same other parts")
+	f.BoolVar(&cfg.Floods, "floods", false, "also have a balancer hand most new connections to one VM")
 	f.StringVar(&cfg.Program, "program", "bin/umberladder", "path of the umberladder program")
 	f.StringVar(&cfg.Dir, "dir", "run/soak", "directory for settings and logs")
 	return c
--- a/internal/load/soak/client.go
+++ b/internal/load/soak/client.go
@@ -26,10 +26,14 @@
 	violation      string // a violated guarantee that the client saw
 	body           string // of the request; empty: the default body
 	respondedAt    time.Time
-	drainingServer string  // the server that responded, if its response announced a drain
-	lastEvent      int     // number of the last event of a stream that the client has
-	leaveAfter     int     // the client leaves a stream after this event; zero: never
-	takeUp         *takeUp // nil: the call takes up no stream
+	drainingServer string   // the server that responded, if its response announced a drain
+	lastEvent      int      // number of the last event of a stream that the client has
+	leaveAfter     int      // the client leaves a stream after this event; zero: never
+	takeUp         *takeUp  // nil: the call takes up no stream
+	prompt         []string // parts of its prompt; nil: it has none
+	fatalPart      string   // the part that crashes servers; empty: none does
+	refusal        string   // body of a refusal
+	timedOut       bool     // the client left after its timeout
 }
 
 // clientTimeout is how long a client waits for a response.
@@ -47,6 +51,9 @@
 	if c.body != "" {
 		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(c.body)), int64(len(c.body))
 	}
+	if c.prompt != nil {
+		fake.SetPrompt(req, c.prompt...)
+	}
 	if t := c.takeUp; t != nil {
 		fake.Resume(req, t.first, t.last)
 		c.lastEvent = t.last
@@ -54,6 +61,7 @@
 	c.sentAt = time.Now()
 	resp, err := httpClient.Do(req)
 	if err != nil {
+		c.timedOut = errors.Is(err, context.DeadlineExceeded)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -62,8 +70,8 @@
 		c.drainingServer = runs[len(runs)-1].Server
 	}
 	if c.status != http.StatusOK {
-		_, err = io.Copy(io.Discard, resp.Body)
-		c.complete = err == nil
+		b, err := io.ReadAll(resp.Body)
+		c.complete, c.refusal = err == nil, string(b)
 		return
 	}
 	if !fake.Signed(resp, c.id) {
@@ -123,13 +131,16 @@
 	defer httpClient.CloseIdleConnections()
 	paths := r.paths()
 	for i := 0; ctx.Err() == nil; i++ {
-		v := r.vms[rng.IntN(len(r.vms))]
+		v := r.chooseVM(rng, httpClient)
 		c := &call{
 			id:   fmt.Sprintf("s%d-c%d-%d", r.cfg.Seed, n, i),
 			path: paths[rng.IntN(len(paths))] + "x",
 			key:  fmt.Sprintf("key-%d", rng.IntN(numKeys)),
 			vm:   v.name,
 		}
+		if r.cfg.Parts {
+			c.prompt = soundPrompt(rng, c.id)
+		}
 		canTakeUp := strings.HasPrefix(c.path, "/resume/")
 		if canTakeUp && rng.IntN(2) == 0 {
 			c.leaveAfter = 1 + rng.IntN(fake.StreamEvents)
--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -36,6 +36,12 @@
 	if r.cfg.Crashes {
 		kinds = append(kinds, faultKind{"fatal-request", r.fatalRequest}, faultKind{"drain-announced", r.announceDrain}, faultKind{"server-busy", r.busyServer})
 	}
+	if r.cfg.Parts {
+		kinds = append(kinds, faultKind{"fatal-part", r.fatalPart})
+	}
+	if r.cfg.Floods {
+		kinds = append(kinds, faultKind{"flood", r.startFlood})
+	}
 	if r.cfg.Cuts {
 		kinds = append(kinds, faultKind{"vm-cut-off", r.cutVMs}, faultKind{"servers-brittle", r.makeBrittle})
 	}
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,6 +52,8 @@
 	Cuts          bool // also cut VMs off from all servers, and make servers brittle
 	Ends          bool // also have servers mark the ends of responses in other ways, or break off
 	Versions      bool // also roll engines to other versions of the software, and have clients take streams up
+	Parts         bool // also have parts of prompts crash servers
+	Floods        bool // also have a balancer hand most connections to one VM
 	Program       string
 	Dir           string
 }
@@ -87,7 +90,10 @@
 	storeProxies []*Proxy // by VM: the proxy between it and the store
 	group        errgroup.Group
 
+	flooded atomic.Pointer[flood] // nil: connections are spread over the VMs
+
 	mu          sync.Mutex
+	floods      []*flood
 	backends    []*backend
 	calls       []*call
 	faults      map[string]int
@@ -267,7 +273,7 @@
 			rep.Violations = append(rep.Violations, fmt.Sprintf("%s at %s, %s: %s", c.id, c.vm, c.path, violation))
 		}
 	}
-	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations(), r.versionViolations(rep))...)
+	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations(), r.versionViolations(rep), r.partViolations(), r.floodViolations())...)
 	slices.Sort(rep.Violations)
 	return rep
 }
