--- a/internal/load/soak/flood.go
+++ b/internal/load/soak/flood.go
@@ -60,7 +60,7 @@
 func (r *run) floodViolations() []string {
 	served, read := 0, 0
 	for _, c := range r.calls {
-		if c.fatalPart == "" && c.read() && r.wasHealthy(c.vm, c.sentAt) {
+		if r.countsForFlood(c) {
 			read++
 			served += c.served()
 		}
@@ -70,7 +70,7 @@
 	for _, f := range r.floods {
 		n, ok := 0, 0
 		for _, c := range r.calls {
-			if c.fatalPart == "" && c.vm == f.vm.name && c.read() && c.sentAt.After(f.from.Add(healthyTime)) && c.sentAt.Before(f.to) && r.wasHealthy(c.vm, c.sentAt) {
+			if c.vm == f.vm.name && r.countsForFlood(c) && c.sentAt.After(f.from.Add(healthyTime)) && c.sentAt.Before(f.to) {
 				n++
 				ok += c.served()
 			}
@@ -82,6 +82,12 @@
 	return out
 }
 
+// countsForFlood reports whether a call could be served and an unimpaired VM has read it.
+func (r *run) countsForFlood(c *call) bool {
+	revoked, ok := r.revoked[c.key]
+	return c.fatalPart == "" && c.read() && r.wasHealthy(c.vm, c.sentAt) && !(ok && c.sentAt.After(revoked))
+}
+
 // read reports whether a VM has read the call: it responded, or the client left after its
 // timeout.
 func (c *call) read() bool { return c.status != 0 || c.timedOut }
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -211,3 +211,46 @@
 		assert.Equal(t, r.drainViolation(add(drainBound/2, call{vm: vm}), ran), "")
 	}
 }
+
+// TestPartAndFloodViolations checks that the soak detects parts of prompts that keep crashing
+// servers, sound requests that are refused because of a shared part, and a VM that serves too
+// few of the calls that it got in a flood.
+func TestPartAndFloodViolations(t *testing.T) {
+	now := time.Now()
+	newRun := func() *run { return &run{runLog: fake.NewRunLog(), revoked: make(map[string]time.Time)} }
+	t.Run("parts", func(t *testing.T) {
+		r := newRun()
+		for n := range maxPartCrashes + maxLateRuns + 1 {
+			assert.Equal(t, len(r.partViolations()), 0, "%d crashes", n)
+			c := &call{id: fmt.Sprint("r", n), fatalPart: "p", vm: "vm", sentAt: now}
+			if n >= maxPartCrashes {
+				c.sentAt = now.Add(2 * healthyTime)
+			}
+			r.runLog.RecordStart(c.id, &fake.Run{Server: c.id, Start: now})
+			r.calls = append(r.calls, c)
+		}
+		assert.Equal(t, len(r.partViolations()), 1)
+	})
+	t.Run("refused sound requests", func(t *testing.T) {
+		r := newRun()
+		for range maxSoundRefused + 1 {
+			assert.Equal(t, len(r.partViolations()), 0)
+			r.calls = append(r.calls, &call{status: 503, refusal: "{" + partReason + "}"})
+		}
+		assert.Equal(t, len(r.partViolations()), 1)
+	})
+	t.Run("floods", func(t *testing.T) {
+		r := newRun()
+		r.floods = []*flood{{span: span{now, now.Add(floodTime)}, vm: &vm{name: "a"}}}
+		for n := range 10 * minFloodCalls {
+			c := &call{vm: "b", status: 200, complete: true, sentAt: now}
+			if n < minFloodCalls {
+				c.vm, c.sentAt, c.complete = "a", now.Add(healthyTime+time.Second), n > minFloodCalls/2
+			}
+			r.calls = append(r.calls, c)
+		}
+		assert.Equal(t, len(r.floodViolations()), 1)
+		r.calls[0].complete, r.calls[1].complete, r.calls[2].complete, r.calls[3].complete, r.calls[4].complete, r.calls[5].complete = true, true, true, true, true, true
+		assert.Equal(t, len(r.floodViolations()), 0)
+	})
+}
