--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -39,8 +39,8 @@
 	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 3})
 }
 
-// closeUnread closes a connection that is not served. A reset tells the client at once, and
-// keeps no state of the connection.
+// closeUnread closes a connection that is not served. A reset reaches the client at once and
+// leaves no state of the connection in the kernel.
 func closeUnread(nc net.Conn) {
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/internal/policy/poison/detector.go
+++ b/internal/policy/poison/detector.go
@@ -172,7 +172,7 @@
 }
 
 // addCrash adds the crash of a server to the evidence against suspects. If one of them is
-// quarantined, the crash is evidence against it alone.
+// quarantined, the crash is evidence against that one only.
 func (d *Detector) addCrash(list []Suspect, server ident.Server, at, now time.Time) {
 	if s, _, ok := d.Quarantined(list, now); ok {
 		list = []Suspect{s}
--- a/internal/policy/shed/gate.go
+++ b/internal/policy/shed/gate.go
@@ -46,7 +46,7 @@
 	// other VMs' requests are not known.
 	excess   func(now time.Time) float64
 	onChange func(shedding bool)
-	float64  func() float64 // returns a random number in [0, 1)
+	random   func() float64 // returns a number in [0, 1)
 
 	mu         sync.Mutex
 	floors     map[ident.FailureDomain]*floor
@@ -73,7 +73,7 @@
 // New returns a gate that admits all connections until it has measured an overload. It calls
 // onChange, without holding locks, when it starts and stops shedding connections.
 func New(excess func(now time.Time) float64, onChange func(shedding bool)) *Gate {
-	return &Gate{excess: excess, onChange: onChange, float64: rand.Float64, admitted: 1, floors: make(map[ident.FailureDomain]*floor)}
+	return &Gate{excess: excess, onChange: onChange, random: rand.Float64, admitted: 1, floors: make(map[ident.FailureDomain]*floor)}
 }
 
 // Connecting records that a connection to a server is being opened.
@@ -142,7 +142,7 @@
 func (g *Gate) Admit(now time.Time) bool {
 	g.mu.Lock()
 	share := g.shareAt(now)
-	admit := share == 1 || g.float64() < share
+	admit := share == 1 || g.random() < share
 	if !admit {
 		g.shed++
 	}
--- a/internal/policy/shed/gate_test.go
+++ b/internal/policy/shed/gate_test.go
@@ -30,7 +30,7 @@
 
 func newSimulation(capacity, excess float64) *simulation {
 	g := New(func(time.Time) float64 { return excess }, func(bool) {})
-	g.float64 = rand.New(rand.NewPCG(1, 2)).Float64
+	g.random = rand.New(rand.NewPCG(1, 2)).Float64
 	return &simulation{gate: g, now: time.Now(), capacity: capacity}
 }
 
--- a/internal/proc/peers/crashes.go
+++ b/internal/proc/peers/crashes.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// describeSuspect returns what a suspect is. One that is known only from the store is not told
-// apart from a request.
+// describeSuspect returns the kind of a suspect. Suspects read from the store do not state it
+// and are described as requests.
 func describeSuspect(v poison.Verdict) string {
 	if v.Depth > 0 && v.Depth < poison.WholeRequest {
 		return "prompt part"
