--- a/internal/load/soak/flood.go
+++ b/internal/load/soak/flood.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -58,34 +60,53 @@
 // floodViolations returns a violation for each flood in which too few of the calls were served
 // that the flooded VM had read, from healthyTime after its start on.
 func (r *run) floodViolations() []string {
-	served, read := 0, 0
-	for _, c := range r.calls {
-		if r.countsForFlood(c) {
-			read++
-			served += c.served()
-		}
-	}
-	usual := float64(served) / float64(max(read, 1))
+	usual := r.tally(func(*call) bool { return true }).share()
 	var out []string
 	for _, f := range r.floods {
-		n, ok := 0, 0
-		for _, c := range r.calls {
-			if c.vm == f.vm.name && r.countsForFlood(c) && c.sentAt.After(f.from.Add(healthyTime)) && c.sentAt.Before(f.to) {
-				n++
-				ok += c.served()
-			}
-		}
-		if n >= minFloodCalls && float64(ok) < minFloodServed*usual*float64(n) {
-			out = append(out, fmt.Sprintf("%s got most connections and served %d of %d calls, %.2f are usual", f.vm.name, ok, n, usual))
+		t := r.tally(func(c *call) bool {
+			return c.vm == f.vm.name && c.sentAt.After(f.from.Add(healthyTime)) && c.sentAt.Before(f.to)
+		})
+		if t.read >= minFloodCalls && t.share() < minFloodServed*usual {
+			out = append(out, fmt.Sprintf("%s got most connections and served %d of %d calls, %.2f are usual", f.vm.name, t.served, t.read, usual))
 		}
 	}
 	return out
 }
 
-// countsForFlood reports whether a call could be served and an unimpaired VM has read it.
+// tally counts calls that a VM has read, and those of them that were served.
+type tally struct{ read, served int }
+
+func (t tally) share() float64 { return float64(t.served) / float64(max(t.read, 1)) }
+
+// tally counts the calls that include selects, as far as they count for floods.
+func (r *run) tally(include func(c *call) bool) tally {
+	var t tally
+	for _, c := range r.calls {
+		if r.countsForFlood(c) && include(c) {
+			t.read++
+			t.served += c.served()
+		}
+	}
+	return t
+}
+
+// countsForFlood reports whether a call could be served and an unimpaired VM has read it. Calls
+// that failed because servers had ended, as many do when requests crash them, do not count.
 func (r *run) countsForFlood(c *call) bool {
-	revoked, ok := r.revoked[c.key]
-	return c.fatalPart == "" && c.read() && r.wasHealthy(c.vm, c.sentAt) && !(ok && c.sentAt.After(revoked))
+	revoked := r.revoked[c.key]
+	valid := revoked.IsZero() || c.sentAt.Before(revoked)
+	return c.fatalPart == "" && c.body == "" && valid && c.read() && !c.failedByServers() && r.wasHealthy(c.vm, c.sentAt)
+}
+
+// serverReasons are the reasons of refusals that are due to servers.
+var serverReasons = []string{"unreachable", "server-died", "server-refused", "no-server", "quarantined", "part-quarantined"}
+
+// failedByServers reports whether the call failed because of a server.
+func (c *call) failedByServers() bool {
+	brokenOff := c.status == http.StatusOK && !c.complete
+	return brokenOff || c.status == http.StatusInternalServerError || slices.ContainsFunc(serverReasons, func(reason string) bool {
+		return strings.Contains(c.refusal, fmt.Sprintf("\"reason\":%q", reason))
+	})
 }
 
 // read reports whether a VM has read the call: it responded, or the client left after its
