--- a/internal/peer/gossip/findings_test.go
+++ b/internal/peer/gossip/findings_test.go
@@ -217,7 +217,7 @@
 					}
 					time.Sleep(interval)
 				}
-				t.Logf("%d servers crashed", crashes)
+				t.Logf("%d servers crashed, %d late arrivals", crashes, late)
 				assert.Assert(t, late <= maxLate, "%d late arrivals, %d servers crashed", late, crashes)
 				for _, v := range f.up() {
 					_, _, ok := v.poison.Quarantined([]poison.Suspect{{ID: fatalPart}}, time.Now())
