--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -70,12 +70,14 @@
 // ExpectedMemory returns the memory, in tokens, that the generation is expected to use at its
 // end. The number of generated tokens is taken from LengthHint, which about half of the
 // generations exceed, and is at most MaxTokens.
-func (p *Prompt) ExpectedMemory() int {
-	out := p.MaxTokens
+func (p *Prompt) ExpectedMemory() int { return p.Tokens + p.ExpectedOutput() }
+
+// ExpectedOutput returns the number of tokens that the generation is expected to generate.
+func (p *Prompt) ExpectedOutput() int {
 	if p.LengthHint > 0 {
-		out = min(p.LengthHint, p.MaxTokens)
+		return min(p.LengthHint, p.MaxTokens)
 	}
-	return p.Tokens + out
+	return p.MaxTokens
 }
 
 // SharedParts returns the parts of the prompt that other requests may share: all but the last,
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -222,7 +222,7 @@
 	if l.Failures > 0 {
 		b = appendNumber(b, loadFailures, uint64(l.Failures))
 	}
-	return b
+	return appendPace(b, l)
 }
 
 func encodeAttempts(name ident.Service, attempts retry.Attempts) []byte {
@@ -395,6 +395,8 @@
 			l.CopiesOut = int(v)
 		case loadFailures:
 			l.Failures = int(v)
+		default:
+			setPace(&l, n, v)
 		}
 		return nil
 	})
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -32,6 +32,7 @@
 	for range rapid.IntRange(0, 4).Draw(t, "loads") {
 		m.Loads[ident.Server(name.Draw(t, "server"))] = alloc.Load{
 			Calls: n.Draw(t, "calls"), Tokens: n.Draw(t, "tokens"), Backlog: n.Draw(t, "backlog"), CopiesIn: n.Draw(t, "copies-in"), CopiesOut: n.Draw(t, "copies-out"),
+			PaceRuns: n.Draw(t, "pace-runs"), PaceMicros: n.Draw(t, "pace-micros"),
 		}
 		m.Attempts[ident.Service(name.Draw(t, "service"))] = retry.Attempts{First: n.Draw(t, "first"), Retries: n.Draw(t, "retries")}
 		m.Retired = append(m.Retired, ident.Server(name.Draw(t, "retired")))
@@ -65,6 +66,7 @@
 		m.PlacementRequest = &coord.Request{VM: m.VM, ID: 8, Run: pick.Request{
 			Service: "s", Purpose: pick.Migration, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Prefill: n.Draw(t, "prefill"), EngineMemory: n.Draw(t, "memory"),
 			From: "a", Source: "s", Exclude: []ident.Server{"x", "y"}, Unreachable: []ident.Server{"z"}, Version: ident.Version(name.Draw(t, "run-version")), Backup: rapid.Bool().Draw(t, "backup"), MaxWait: time.Duration(n.Draw(t, "wait")), TargetWait: time.Second, RetryKey: rapid.Uint64().Draw(t, "retry-key"),
+			Output: n.Draw(t, "output"), GapTarget: time.Duration(n.Draw(t, "gap-target")), EventTokens: n.Draw(t, "event-tokens"), LatencyTarget: time.Duration(n.Draw(t, "latency-target")),
 		}}
 		m.PlacementResponse = &coord.Response{ID: 9, State: coord.NoCapacity, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), RetryAfter: time.Second}
 	}
@@ -95,7 +97,7 @@
 	m := &Message{VM: "a", Instance: 1, Seq: 2, Loads: make(map[ident.Server]alloc.Load), ServerUpdate: &follow.Update{Rev: 9}}
 	for n := range 5000 {
 		id := ident.Server(fmt.Sprintf("i-%08x@%d", n, 1<<40+n))
-		m.Loads[id] = alloc.Load{Calls: 24, Tokens: 30_000, Backlog: 5000, CopiesIn: 3, CopiesOut: 1}
+		m.Loads[id] = alloc.Load{Calls: 24, Tokens: 30_000, Backlog: 5000, CopiesIn: 3, CopiesOut: 1, PaceRuns: 24, PaceMicros: 24 * 29_000}
 		if n < 250 {
 			m.ServerUpdate.Changes = append(m.ServerUpdate.Changes, follow.Change{Rev: 5, Entry: srvtab.Entry{
 				ID: id, Service: "a-service-of-usual-length", Domain: "a-failure-domain", Addr: netip.MustParseAddrPort("10.200.100.100:10000"), Slots: 24,
--- a/internal/peer/wire/placement.go
+++ b/internal/peer/wire/placement.go
@@ -77,6 +77,7 @@
 	if run.Brief {
 		b = appendNumber(b, requestBrief, 1)
 	}
+	b = appendExpectations(b, run)
 	b = appendNumber(b, requestTargetWait, uint64(run.TargetWait))
 	b = appendNumber(b, requestRetryKey, run.RetryKey)
 	return appendNumber(b, requestMaxWait, uint64(run.MaxWait))
@@ -138,6 +139,8 @@
 		run.TargetWait = time.Duration(v)
 	case requestMaxWait:
 		run.MaxWait = time.Duration(v)
+	default:
+		setExpectation(run, n, v)
 	}
 }
 
--- a/internal/route/alloc/tracker.go
+++ b/internal/route/alloc/tracker.go
@@ -33,6 +33,9 @@
 	CopiesIn  int // KV caches in transit to the server
 	CopiesOut int // KV caches in transit from the server, except backup copies sent as their runs grow
 	Failures  int // runs in the last FailureMemory without a response, or without one in time
+
+	PaceRuns   int // runs that have measured their time per token at the server
+	PaceMicros int // sum of these times, in microseconds
 }
 
 // Plus returns the sum of the loads.
@@ -40,6 +43,7 @@
 	return Load{
 		Calls: l.Calls + o.Calls, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog,
 		CopiesIn: l.CopiesIn + o.CopiesIn, CopiesOut: l.CopiesOut + o.CopiesOut, Failures: l.Failures + o.Failures,
+		PaceRuns: l.PaceRuns + o.PaceRuns, PaceMicros: l.PaceMicros + o.PaceMicros,
 	}
 }
 
@@ -47,6 +51,7 @@
 	return Load{
 		Calls: l.Calls - o.Calls, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog,
 		CopiesIn: l.CopiesIn - o.CopiesIn, CopiesOut: l.CopiesOut - o.CopiesOut, Failures: l.Failures - o.Failures,
+		PaceRuns: l.PaceRuns - o.PaceRuns, PaceMicros: l.PaceMicros - o.PaceMicros,
 	}
 }
 
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -71,6 +71,11 @@
 	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
 	Brief        bool                  // the run usually ends within milliseconds, like a plain call
 	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
+
+	Output        int           // tokens that the run is expected to generate; zero: unknown
+	GapTarget     time.Duration // target for the time between two events; zero: none
+	EventTokens   int           // tokens per event; zero: unknown
+	LatencyTarget time.Duration // target for the time to the first event; zero: none
 }
 
 // Continues reports whether a stream that has begun needs the capacity.
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -309,12 +309,31 @@
 		Service: f.Service.Name, Purpose: purpose, Rank: f.priority(), Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
 		From: from, Exclude: exclude, Domains: f.AllowedDomains(), Version: f.version,
 	}
+	r.Output, r.EventTokens = f.expectedOutput(), f.eventTokens()
+	r.GapTarget, r.LatencyTarget = f.Route.GapTarget, f.Route.LatencyTarget
 	if f.Service.ColdTime > 0 {
 		r.ColdTime, r.ColdLimit = f.Service.ColdTime, rates.GrantLimit(f.Config.ColdLimit(f.Service.ColdRate))
 	}
 	return r
 }
 
+// expectedOutput returns the number of tokens that the stream is expected to generate from now
+// on, at least one event of a generation; zero: unknown.
+func (f *forwarder) expectedOutput() int {
+	if f.Call.Prompt == nil {
+		return 0
+	}
+	return max(f.Call.Prompt.ExpectedOutput()-int(f.generated.Load()), f.eventTokens(), 1)
+}
+
+// eventTokens returns the number of tokens per event; zero: unknown.
+func (f *forwarder) eventTokens() int {
+	if f.Service.Engine == nil {
+		return 0
+	}
+	return f.Service.Engine.TokensPerEvent
+}
+
 // priority returns the stream's priority; 0 is the most urgent.
 func (f *forwarder) priority() int { return f.Route.Priority }
 
