Place short runs by the delay that their prompts cause to streams

The cost of an engine for a run of under 100 expected output tokens is mostly the prefill time of its prompt times the runs in flight there. The prefill backlog counts, steeply so once the predicted first event exceeds half of the latency target, and memory counts little. Other runs are placed as before. No engine speeds are known yet.

--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -78,18 +78,17 @@
 // NewRand returns a random number generator for one choice.
 func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// ChooseEngine returns the index of the engine with the lowest cost for a generation that
-// requires the given number of tokens of memory, or -1 if none has capacity. It fills an
-// engine's memory up to the fraction maxFill. An engine in another failure domain costs
-// crossDomainCost more.
-func ChooseEngine(required int, maxFill, crossDomainCost float64, servers []Server, rng *rand.Rand) int {
+// ChooseEngine returns the index of the engine with the lowest cost for a run, or -1 if none has
+// capacity. It fills an engine's memory up to the fraction maxFill. An engine in another failure
+// domain costs crossDomainCost more.
+func ChooseEngine(run *Run, maxFill, crossDomainCost float64, servers []Server, rng *rand.Rand) int {
 	best, cost := -1, 0.0
 	for i := range servers {
 		s := &servers[i]
-		if s.Skip || !s.HasCapacity(required, maxFill) {
+		if s.Skip || !s.HasCapacity(run.Required, maxFill) {
 			continue
 		}
-		if c := s.cost(required, crossDomainCost) + jitterWeight*rng.Float64(); best < 0 || c < cost {
+		if c := s.cost(run, crossDomainCost) + jitterWeight*rng.Float64(); best < 0 || c < cost {
 			best, cost = i, c
 		}
 	}
@@ -105,17 +104,27 @@
 	return s.InFlight < s.Slots && float64(s.ReservedTokens+required) <= maxFill*float64(s.Memory)
 }
 
-func (s *Server) cost(required int, crossDomainCost float64) float64 {
-	c := float64(s.ReservedTokens+required)/float64(s.Memory) +
-		inFlightWeight*float64(s.InFlight)/float64(s.Slots) +
-		backlogWeight*float64(s.PrefillBacklog)/float64(s.Memory) +
-		incomingCopyWeight*float64(s.IncomingCopies)
+func (s *Server) cost(run *Run, crossDomainCost float64) float64 {
+	var c float64
+	if run.isShort() {
+		c = s.shortCost(run)
+	} else {
+		c = s.fillCost(run.Required)
+	}
 	if s.CrossDomain {
 		c += crossDomainCost
 	}
 	return c / max(s.Weight, 0.05)
 }
 
+// fillCost returns the cost of the server by how full it is.
+func (s *Server) fillCost(required int) float64 {
+	return float64(s.ReservedTokens+required)/float64(s.Memory) +
+		inFlightWeight*float64(s.InFlight)/float64(s.Slots) +
+		backlogWeight*float64(s.PrefillBacklog)/float64(s.Memory) +
+		incomingCopyWeight*float64(s.IncomingCopies)
+}
+
 // ChoosePlain returns the index of the plain server with the lowest fraction of its slots
 // in use, relative to its weight, or -1 if there is none. A server in another failure
 // domain costs as much as one more call in flight.
--- a/internal/policy/assign/assign_test.go
+++ b/internal/policy/assign/assign_test.go
@@ -37,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(1, 2))
 			for range 20 {
-				assert.Equal(t, ChooseEngine(tc.required, tc.maxFill, tc.crossDomainCost, tc.servers, rng), tc.want)
+				assert.Equal(t, ChooseEngine(&Run{Required: tc.required}, tc.maxFill, tc.crossDomainCost, tc.servers, rng), tc.want)
 			}
 		})
 	}
@@ -59,6 +59,6 @@
 		servers[i] = engine(func(s *Server) { s.ReservedTokens = i * 500 })
 	}
 	for b.Loop() {
-		ChooseEngine(4000, MaxCallFill, CrossDomainCallCost, servers, rng)
+		ChooseEngine(&Run{Required: 4000}, MaxCallFill, CrossDomainCallCost, servers, rng)
 	}
 }
--- /dev/null
+++ b/internal/policy/assign/short.go
@@ -0,0 +1,55 @@
+package assign
+
+import "time"
+
+const (
+	// shortOutput is the number of expected output tokens below which a run is short: it is in
+	// the batch for tens of decode steps, and its prompt takes longer than its output.
+	shortOutput = 100
+	// prefillRate is the number of prompt tokens per second that an engine processes while it
+	// also decodes the streams of a batch.
+	prefillRate = 7000.0
+	// delayWeight is the cost of each second by which the prefill of a short run's prompt
+	// delays a stream of the batch, in cost per second and stream. A prompt of 2,500 tokens
+	// costs 0.25 for each stream under way.
+	delayWeight = 0.7
+	// shortBacklogWeight is the cost per second of prefill backlog ahead of a short run's prompt.
+	shortBacklogWeight = 0.5
+	// shortMemoryWeight is the cost of a full memory to a short run, which holds its memory for
+	// a fraction of a second. Without it, short runs take the memory of engines on which
+	// streams and copies have room.
+	shortMemoryWeight = 0.2
+	// latencyShare is the fraction of the latency target within which the first event of a
+	// short run should come. The remainder is left for the wait for capacity and for steps
+	// that take longer than usual.
+	latencyShare = 0.5
+	// overdueWeight is the cost per second by which the predicted first event of a short run
+	// exceeds latencyShare of its target. A tenth of a second costs more than the delay of
+	// one more stream, so that short runs do not gather on an engine beyond their target.
+	overdueWeight = 4.0
+)
+
+// Run describes a run that is placed.
+type Run struct {
+	Required      int           // memory that it requires, in tokens
+	Prefill       int           // prompt tokens that need prefill
+	Output        int           // tokens that it is expected to generate; zero: unknown
+	LatencyTarget time.Duration // target for the time to its first event; zero: none
+}
+
+// isShort reports whether the run's prompt takes more of an engine's time than its output.
+func (r *Run) isShort() bool { return r.Output > 0 && r.Output < shortOutput && r.Prefill > 0 }
+
+// shortCost returns the cost of the server for a short run, without that of another failure
+// domain: mostly the delay of the streams of its batch.
+func (s *Server) shortCost(r *Run) float64 {
+	prefill := float64(r.Prefill) / prefillRate
+	backlog := float64(s.PrefillBacklog) / prefillRate
+	c := delayWeight*prefill*float64(s.InFlight) +
+		shortBacklogWeight*backlog +
+		shortMemoryWeight*float64(s.ReservedTokens+r.Required)/float64(s.Memory)
+	if r.LatencyTarget > 0 {
+		c += overdueWeight * max(0, backlog+prefill-latencyShare*r.LatencyTarget.Seconds())
+	}
+	return c
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -173,7 +173,7 @@
 		list, servers = append(list, s), append(servers, state)
 		return true
 	})
-	if i := assign.ChooseEngine(r.Need, purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
+	if i := assign.ChooseEngine(r.assignment(purpose), purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
 		return list[i], true
 	}
 	return nil, !engines.exhausted()
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -104,6 +104,15 @@
 	return l
 }
 
+// assignment describes what is placed to the choice of an engine.
+func (r *Request) assignment(purpose Purpose) *assign.Run {
+	run := &assign.Run{Required: r.Need}
+	if purpose == NewRun {
+		run.Prefill, run.Output, run.LatencyTarget = r.Prefill, r.Output, r.LatencyTarget
+	}
+	return run
+}
+
 // BackupLoad returns the load of the copy of the run's KV cache.
 func (r *Request) BackupLoad() alloc.Load { return alloc.Load{Tokens: r.Need, CopiesIn: 1} }
 
