Measure the time per token of engines and weigh it in placements

Streams measure the fastest of their last groups of events, and the loads of VMs carry the sums. Where the engines of a service differ by what was measured, a new run costs its predicted seconds, and prompts avoid streams whose next event they would delay past the gap target. Elsewhere the cost stays as it was.

--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -55,6 +55,8 @@
 	CrossDomain    bool    // in another failure domain than the sender of the call or the KV cache
 	Weight         float64 // fraction of its normal load that it should get, 0 to 1
 	Skip           bool    // must not be chosen
+
+	Pace Pace // speed of an engine
 }
 
 // MaxServiceFillForCopies returns the fill of all of a service's engines together below
@@ -109,8 +111,9 @@
 	if run.isShort() {
 		c = s.shortCost(run)
 	} else {
-		c = s.fillCost(run.Required)
+		c = s.fillCost(run.Required) + s.timeCost(run)
 	}
+	c += s.gapCost(run)
 	if s.CrossDomain {
 		c += crossDomainCost
 	}
--- a/internal/policy/assign/short.go
+++ b/internal/policy/assign/short.go
@@ -35,6 +35,8 @@
 	Prefill       int           // prompt tokens that need prefill
 	Output        int           // tokens that it is expected to generate; zero: unknown
 	LatencyTarget time.Duration // target for the time to its first event; zero: none
+	GapTarget     time.Duration // target for the time between two events of the service's streams; zero: none
+	EventTokens   int           // tokens per event of these streams
 }
 
 // isShort reports whether the run's prompt takes more of an engine's time than its output.
@@ -43,8 +45,8 @@
 // shortCost returns the cost of the server for a short run, without that of another failure
 // domain: mostly the delay of the streams of its batch.
 func (s *Server) shortCost(r *Run) float64 {
-	prefill := float64(r.Prefill) / prefillRate
-	backlog := float64(s.PrefillBacklog) / prefillRate
+	prefill := float64(r.Prefill) / prefillRate * s.Pace.slowdown()
+	backlog := float64(s.PrefillBacklog) / prefillRate * s.Pace.slowdown()
 	c := delayWeight*prefill*float64(s.InFlight) +
 		shortBacklogWeight*backlog +
 		shortMemoryWeight*float64(s.ReservedTokens+r.Required)/float64(s.Memory)
--- a/internal/route/alloc/tracker.go
+++ b/internal/route/alloc/tracker.go
@@ -55,6 +55,11 @@
 	}
 }
 
+func (l Load) withoutPace() Load {
+	l.PaceRuns, l.PaceMicros = 0, 0
+	return l
+}
+
 // Tracker tracks the loads of all VMs. It is safe for concurrent use.
 type Tracker struct {
 	mu        sync.Mutex
@@ -116,8 +121,12 @@
 		return
 	}
 	r.tracker.local[r.server] = r.tracker.local[r.server].minus(r.load).Plus(l)
+	onlyPace := l.withoutPace() == r.load.withoutPace()
 	r.load = l
-	r.tracker.markDirty(l)
+	if !onlyPace {
+		// Times per token are reported with the next message, without causing one.
+		r.tracker.markDirty(l)
+	}
 }
 
 // Load returns the load of the call.
--- a/internal/route/alloc/tracker_test.go
+++ b/internal/route/alloc/tracker_test.go
@@ -83,3 +83,16 @@
 		assert.Equal(t, tracker.All(time.Now())["s"].Failures, 0)
 	})
 }
+
+// TestPaceSendsNoMessage guards against a message to the other VMs for each time per token that a
+// stream measures.
+func TestPaceSendsNoMessage(t *testing.T) {
+	tracker := New()
+	r := tracker.Reserve("e", Load{Calls: 1, Tokens: 100})
+	<-tracker.Dirty()
+	r.Resize(Load{Calls: 1, Tokens: 100, PaceRuns: 1, PaceMicros: 7000})
+	assert.Equal(t, len(tracker.Dirty()), 0)
+	assert.Equal(t, tracker.Load("e").PaceMicros, 7000)
+	r.Resize(Load{Calls: 1, Tokens: 228, PaceRuns: 1, PaceMicros: 7000})
+	assert.Equal(t, len(tracker.Dirty()), 1)
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -8,6 +8,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/assign"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/state/srvtab"
@@ -21,15 +22,19 @@
 	health  *health.Tracker
 	rates   *rates.Limiter
 	pacer   *rates.Pacer
+	paces   *pace.Table
 
 	mu         sync.Mutex
 	avoidUntil map[ident.Server]time.Time // by server, until when it gets no runs
 	lastLossAt time.Time                  // when a server was last found lost without notice
+	onPace     func(pace.Change)          // nil: none
 }
 
 // NewChooser returns a Chooser.
 func NewChooser(servers *srvtab.Table, tracker *alloc.Tracker, h *health.Tracker, r *rates.Limiter) *Chooser {
-	return &Chooser{servers: servers, tracker: tracker, health: h, rates: r, pacer: rates.NewPacer(), avoidUntil: make(map[ident.Server]time.Time)}
+	c := &Chooser{servers: servers, tracker: tracker, health: h, rates: r, pacer: rates.NewPacer(), avoidUntil: make(map[ident.Server]time.Time)}
+	c.paces = pace.NewTable(c.paceChanged)
+	return c
 }
 
 // View returns the servers known now.
@@ -148,6 +153,7 @@
 	view := c.servers.View()
 	withdrawn := withdrawnFor(r, purpose, version, view, now)
 	engines := newSample(view.PoolsOf(r.Service), func(p *srvtab.Pool) bool { return r.mayUse(p, version) }, r.isReserved, exclude)
+	speeds := c.paces.View(r.Service, r.GapTarget, r.EventTokens, now)
 	var list []*srvtab.Server
 	var servers []assign.Server
 	engines.collect(from, func(s *srvtab.Server) bool {
@@ -162,6 +168,7 @@
 			IncomingCopies: purpose.transfersAhead(l),
 			CrossDomain:    s.Domain != from,
 			Weight:         c.health.Weight(s.ID, now) * assign.FailureWeight(l.Failures),
+			Pace:           paceOf(&speeds, purpose, s.ID, l),
 		}
 		if slices.Contains(withdrawn, s.Version) {
 			state.Weight *= withdrawnWeight
@@ -173,7 +180,7 @@
 		list, servers = append(list, s), append(servers, state)
 		return true
 	})
-	if i := assign.ChooseEngine(r.assignment(purpose), purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
+	if i := assign.ChooseEngine(r.assignment(purpose, &speeds), purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
 		return list[i], true
 	}
 	return nil, !engines.exhausted()
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -8,6 +8,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/assign"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/state/srvtab"
 )
@@ -104,11 +105,13 @@
 	return l
 }
 
-// assignment describes what is placed to the choice of an engine.
-func (r *Request) assignment(purpose Purpose) *assign.Run {
+// assignment describes what is placed to the choice of an engine. speeds is what is known of the
+// service's engines.
+func (r *Request) assignment(purpose Purpose, speeds *pace.View) *assign.Run {
 	run := &assign.Run{Required: r.Need}
 	if purpose == NewRun {
 		run.Prefill, run.Output, run.LatencyTarget = r.Prefill, r.Output, r.LatencyTarget
+		run.GapTarget, run.EventTokens = speeds.GapTarget, speeds.EventTokens
 	}
 	return run
 }
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/route/events"
 	"umberladder/internal/route/port"
 )
@@ -129,6 +130,7 @@
 	}
 	f.lastEventAt = now
 	f.Result.Events += n
+	f.measurePace(n, now)
 	if !f.hasEvents {
 		f.hasEvents = true
 		f.version = f.server.Version // migrations read it concurrently, once there are events
@@ -141,6 +143,21 @@
 	return nil
 }
 
+// measurePace records that events arrived, and adds the time per token to the stream's load once
+// it is known. It is reported with the next message to the other VMs.
+func (f *forwarder) measurePace(events int, now time.Time) {
+	if !f.meter.Observe(events, now) {
+		return
+	}
+	perToken := f.meter.PerToken(f.eventTokens())
+	if perToken == 0 {
+		return
+	}
+	load := f.reservation.Load()
+	load.PaceRuns, load.PaceMicros = 1, max(int(perToken.Microseconds()), 1)
+	f.reservation.Resize(load)
+}
+
 // updateReservations adjusts the memory reserved for the stream at its engine and its
 // backup engine.
 func (f *forwarder) updateReservations() {
@@ -256,5 +273,6 @@
 		f.established()
 	}
 	f.endUncertain, f.gotEvent = false, false
+	f.meter = pace.Meter{}
 	f.conn = events.New(f.Group, resp.Body, resp.Delimited)
 }
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -15,6 +15,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/admit"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/events"
@@ -49,6 +50,8 @@
 	endUncertain    bool         // the end of a close-delimited body does not end the stream: the run is being stopped, or its engine may have ended
 	lastEventAt     time.Time
 	cancelMigration context.CancelFunc // cancels the migration in progress; nil: none was started
+
+	meter pace.Meter // measures the time per token on the current connection
 }
 
 // Serve serves a call whose response is a stream of events.
