Bound predicted first events by the slowest an engine may be, and report slow engines

Short runs that start within 0.4 of their latency target start in time even if the engine falls to 2.5 times its usual time per token. VMs that decide by themselves spread over engines that differ. A gauge and log lines name slow engines.

--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -90,7 +90,7 @@
 		if s.Skip || !s.HasCapacity(run.Required, maxFill) {
 			continue
 		}
-		if c := s.cost(run, crossDomainCost) + jitterWeight*rng.Float64(); best < 0 || c < cost {
+		if c := s.cost(run, crossDomainCost) + s.jitterWeight(run)*rng.Float64(); best < 0 || c < cost {
 			best, cost = i, c
 		}
 	}
--- a/internal/policy/assign/pace.go
+++ b/internal/policy/assign/pace.go
@@ -29,7 +29,11 @@
 	gapRamp = 0.25
 	// startingShare is the part of the cost of a stream under way for a call in flight that has
 	// not measured its time per token: it is in prefill, or ends after few events.
-	startingShare = 0.25
+	startingShare = 0.5
+	// localJitterWeight scales the random cost of engines that differ, if several VMs may choose
+	// at the same moment with the same loads and speeds. It is as high as the difference between
+	// a slow and a fast engine, so that they do not all choose the fastest.
+	localJitterWeight = 0.3
 	// minSlowdown and maxSlowdown bound the measured time per token relative to the median.
 	minSlowdown = 0.25
 	maxSlowdown = 4.0
@@ -73,6 +77,14 @@
 	return min(max(excess/gapRamp, 0), 1)
 }
 
+// jitterWeight returns the weight of the random cost of the server for a run.
+func (s *Server) jitterWeight(r *Run) float64 {
+	if r.Local && s.Pace.known() {
+		return localJitterWeight
+	}
+	return jitterWeight
+}
+
 // gapCost returns the cost of the gap targets that the run's prompt, or later prompts, may make
 // the engine miss. It is zero if the engines do not differ.
 func (s *Server) gapCost(r *Run) float64 {
--- a/internal/policy/assign/pace_test.go
+++ b/internal/policy/assign/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,16 @@
 			}
 		})
 	}
+	t.Run("VMs that decide by themselves do not all choose the fastest engine", func(t *testing.T) {
+		servers := []Server{paced(2, 1), paced(2, fast), paced(2, 1), paced(2, fast), paced(2, 1)}
+		local, counts := long, make([]int, len(servers))
+		local.Local = true
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 60 {
+			counts[ChooseEngine(&local, MaxCallFill, CrossDomainCallCost, servers, rng)]++
+		}
+		assert.Assert(t, slices.Max(counts) <= 30, "chosen: %v", counts)
+	})
 	t.Run("speeds that do not differ change no cost", func(t *testing.T) {
 		for _, run := range []Run{short, long} {
 			s := paced(3, slow)
--- a/internal/policy/assign/short.go
+++ b/internal/policy/assign/short.go
@@ -19,10 +19,10 @@
 	// a fraction of a second. Without it, short runs take the memory of engines on which
 	// streams and copies have room.
 	shortMemoryWeight = 0.2
-	// latencyShare is the fraction of the latency target within which the first event of a
-	// short run should come. The remainder is left for the wait for capacity and for steps
-	// that take longer than usual.
-	latencyShare = 0.5
+	// latencyShare is the fraction of the latency target within which the first event of a run
+	// should be predicted. An engine may be worstSlowdown times slower than usual while it
+	// prefills the prompt, and the event should still come in time.
+	latencyShare = 1 / worstSlowdown
 	// overdueWeight is the cost per second by which the predicted first event of a short run
 	// exceeds latencyShare of its target. A tenth of a second costs more than the delay of
 	// one more stream, so that short runs do not gather on an engine beyond their target.
@@ -35,6 +35,7 @@
 	Prefill       int           // prompt tokens that need prefill
 	Output        int           // tokens that it is expected to generate; zero: unknown
 	LatencyTarget time.Duration // target for the time to its first event; zero: none
+	Local         bool          // decided by the VM that serves the run, as others may do at the same time
 	GapTarget     time.Duration // target for the time between two events of the service's streams; zero: none
 	EventTokens   int           // tokens per event of these streams
 }
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -45,6 +45,7 @@
 	metricServersCutOff   = "umberladder_servers_cut_off"
 	metricTunnels         = "umberladder_tunnels"
 	metricConnsShed       = "umberladder_client_connections_shed_total"
+	metricEnginesSlow     = "umberladder_engines_slow"
 )
 
 // Metric describes one metric.
@@ -89,6 +90,7 @@
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
 		{metricBrittle, "gauge", "services whose servers fail if they reject too many requests"},
+		{metricEnginesSlow, "gauge", "engines whose time per token is over 1.3 times the median of their service, as far as this VM has placed runs of it"},
 		{metricConnections, "counter", "attempts to connect to servers, by path (direct, or through a peer VM) and outcome"},
 		{metricServersCutOff, "gauge", "servers that this VM reaches only through other VMs"},
 		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
@@ -129,6 +131,7 @@
 		metricServersCutOff:  func() float64 { return float64(v.node.Reach.CutOffCount(time.Now())) },
 		metricTunnels:        func() float64 { return float64(v.tunnels.Open()) },
 		metricOrigins:        func() float64 { return float64(v.node.Origins.Len()) },
+		metricEnginesSlow:    func() float64 { return float64(v.chooser.SlowEngines(time.Now())) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
 	} {
 		v.metricSet.NewGauge(name, f)
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -18,6 +18,7 @@
 	"umberladder/internal/peer/share"
 	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/shed"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/logger"
@@ -88,6 +89,7 @@
 	metricSet   *metrics.Set
 	logSink     *logger.Writer
 	node        *peers.Node
+	chooser     *pick.Chooser
 	coordinator *coord.Coordinator
 	placer      *placer.Placer
 	prober      *probe.Prober
@@ -109,7 +111,8 @@
 	v.tunnels = tunnel.NewServer(node.Servers, conns, log)
 	healthTracker := health.New()
 	chooser := pick.NewChooser(node.Servers, node.Alloc, healthTracker, node.Rates)
-	v.coordinator = coord.New(chooser)
+	chooser.OnPaceChange(v.paceChanged)
+	v.chooser, v.coordinator = chooser, coord.New(chooser)
 	v.prober = probe.New(node.Servers, backend, node.ServicesToProbe, node.Alloc.Load, chooser.MarkUnreachable, group, log)
 	v.placer = placer.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.coordinator, node.CoordinatorOrder, node, v.countPlacement, log)
 	v.relay = relay.New(task.Deps{
@@ -166,6 +169,15 @@
 	v.log.Warn(msg, zap.Float64("requests-over-mean", v.node.Budget.Excess(time.Now())), zap.Uint64("shed", v.gate.ShedCount()), zap.Int64("connections", v.front.OpenConns()))
 }
 
+// paceChanged logs that an engine becomes slow or is no longer slow.
+func (v *VM) paceChanged(c pace.Change) {
+	msg := "engine is slow no more"
+	if c.Slow {
+		msg = "engine is slow"
+	}
+	v.log.Info(msg, zap.String("service", string(c.Service)), zap.String("server", string(c.Server)), zap.Duration("per-token", c.PerToken), zap.Duration("median", c.Median))
+}
+
 func (v *VM) limits() front.Limits {
 	s := v.node.Settings.Load()
 	if s == nil {
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -108,7 +108,7 @@
 // assignment describes what is placed to the choice of an engine. speeds is what is known of the
 // service's engines.
 func (r *Request) assignment(purpose Purpose, speeds *pace.View) *assign.Run {
-	run := &assign.Run{Required: r.Need}
+	run := &assign.Run{Required: r.Need, Local: r.Local}
 	if purpose == NewRun {
 		run.Prefill, run.Output, run.LatencyTarget = r.Prefill, r.Output, r.LatencyTarget
 		run.GapTarget, run.EventTokens = speeds.GapTarget, speeds.EventTokens
