--- a/internal/policy/assign/short.go
+++ b/internal/policy/assign/short.go
@@ -19,6 +19,10 @@
 	// a fraction of a second. Without it, short runs take the memory of engines on which
 	// streams and copies have room.
 	shortMemoryWeight = 0.2
+	// shortBaseCost is the cost of an idle engine to a short run, as much as that of one stream
+	// under way. Without it, an idle engine that fails runs would cost next to nothing, whatever
+	// its weight.
+	shortBaseCost = 0.25
 	// latencyShare is the fraction of the latency target within which the first event of a run
 	// should be predicted. An engine may be worstSlowdown times slower than usual while it
 	// prefills the prompt, and the event should still come in time.
@@ -48,7 +52,8 @@
 func (s *Server) shortCost(r *Run) float64 {
 	prefill := float64(r.Prefill) / prefillRate * s.Pace.slowdown()
 	backlog := float64(s.PrefillBacklog) / prefillRate * s.Pace.slowdown()
-	c := delayWeight*prefill*float64(s.InFlight) +
+	c := shortBaseCost +
+		delayWeight*prefill*float64(s.InFlight) +
 		shortBacklogWeight*backlog +
 		shortMemoryWeight*float64(s.ReservedTokens+r.Required)/float64(s.Memory)
 	if r.LatencyTarget > 0 {
--- a/internal/policy/assign/short_test.go
+++ b/internal/policy/assign/short_test.go
@@ -32,6 +32,7 @@
 		"a run without prefill counts as long":             {run: Run{Required: 2600, Output: 8}, servers: []Server{streams(3), full}, want: 0},
 		"waits for one prompt rather than delay 5 streams": {run: short, servers: []Server{streams(5), backlog(1, 2550)}, want: 1},
 		"does not gather beyond its latency target":        {run: short, servers: []Server{streams(3), backlog(1, 3500)}, want: 0},
+		"avoids an idle engine that fails":                 {run: short, servers: []Server{streams(4), engine(func(s *Server) { s.Weight = FailureWeight(2) })}, want: 0},
 		"avoids a failing engine":                          {run: short, servers: []Server{streams(3), engine(func(s *Server) { s.InFlight, s.Weight = 1, 0.1 })}, want: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
