--- a/internal/route/alloc/tracker.go
+++ b/internal/route/alloc/tracker.go
@@ -33,6 +33,9 @@
 	CopiesIn  int // KV caches in transit to the server
 	CopiesOut int // KV caches in transit from the server, except backup copies sent as their runs grow
 	Failures  int // runs in the last FailureMemory without a response, or without one in time
+
+	PaceRuns   int // runs that have measured their time per token at the server
+	PaceMicros int // sum of these times, in microseconds
 }
 
 // Plus returns the sum of the loads.
@@ -40,6 +43,7 @@
 	return Load{
 		Calls: l.Calls + o.Calls, Tokens: l.Tokens + o.Tokens, Backlog: l.Backlog + o.Backlog,
 		CopiesIn: l.CopiesIn + o.CopiesIn, CopiesOut: l.CopiesOut + o.CopiesOut, Failures: l.Failures + o.Failures,
+		PaceRuns: l.PaceRuns + o.PaceRuns, PaceMicros: l.PaceMicros + o.PaceMicros,
 	}
 }
 
@@ -47,9 +51,15 @@
 	return Load{
 		Calls: l.Calls - o.Calls, Tokens: l.Tokens - o.Tokens, Backlog: l.Backlog - o.Backlog,
 		CopiesIn: l.CopiesIn - o.CopiesIn, CopiesOut: l.CopiesOut - o.CopiesOut, Failures: l.Failures - o.Failures,
+		PaceRuns: l.PaceRuns - o.PaceRuns, PaceMicros: l.PaceMicros - o.PaceMicros,
 	}
 }
 
+func (l Load) withoutPace() Load {
+	l.PaceRuns, l.PaceMicros = 0, 0
+	return l
+}
+
 // Tracker tracks the loads of all VMs. It is safe for concurrent use.
 type Tracker struct {
 	mu        sync.Mutex
@@ -111,8 +121,12 @@
 		return
 	}
 	r.tracker.local[r.server] = r.tracker.local[r.server].minus(r.load).Plus(l)
+	onlyPace := l.withoutPace() == r.load.withoutPace()
 	r.load = l
-	r.tracker.markDirty(l)
+	if !onlyPace {
+		// Times per token are reported with the next message, without causing one.
+		r.tracker.markDirty(l)
+	}
 }
 
 // Load returns the load of the call.
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -8,6 +8,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/assign"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/state/srvtab"
 )
@@ -71,6 +72,11 @@
 	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
 	Brief        bool                  // the run usually ends within milliseconds, like a plain call
 	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
+
+	Output        int           // tokens that the run is expected to generate; zero: unknown
+	GapTarget     time.Duration // target for the time between two events; zero: none
+	EventTokens   int           // tokens per event; zero: unknown
+	LatencyTarget time.Duration // target for the time to the first event; zero: none
 }
 
 // Continues reports whether a stream that has begun needs the capacity.
@@ -99,6 +105,17 @@
 	return l
 }
 
+// assignment describes what is placed to the choice of an engine. speeds is what is known of the
+// service's engines.
+func (r *Request) assignment(purpose Purpose, speeds *pace.View) *assign.Run {
+	run := &assign.Run{Required: r.Need, Local: r.Local}
+	if purpose == NewRun {
+		run.Prefill, run.Output, run.LatencyTarget = r.Prefill, r.Output, r.LatencyTarget
+		run.GapTarget, run.EventTokens = speeds.GapTarget, speeds.EventTokens
+	}
+	return run
+}
+
 // BackupLoad returns the load of the copy of the run's KV cache.
 func (r *Request) BackupLoad() alloc.Load { return alloc.Load{Tokens: r.Need, CopiesIn: 1} }
 
