Use the priority that a workspace states in place of its route's

Only the queue of the coordinator and plain calls at brittle servers read the priority, and both read the route's. An absent priority of a workspace was decoded as 0, which is the most urgent. A queued call takes a changed priority over when its request is repeated.

--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -172,6 +172,9 @@
 	old := c.requests[key]
 	if old != nil {
 		old.lastSeen, old.respond = now, reply
+		if old.entry != nil && old.Run.Rank != r.Run.Rank {
+			c.queueFor(old.Run.Service).setRank(old, r.Run.Rank, now)
+		}
 		reply(old.response)
 		return
 	}
@@ -470,6 +473,15 @@
 	return true
 }
 
+// setRank changes the rank of a queued request. It keeps its level, and its deadline within it.
+func (sq *serviceQueue) setRank(r *request, rank int, now time.Time) {
+	bound := r.entry.Deadline.Sub(now)
+	sq.remove(r)
+	r.Run.Rank = rank
+	r.entry = sq.queues[r.level].Push(r, rank, now, bound)
+	sq.addTokens(r, r.Run.Need)
+}
+
 func (sq *serviceQueue) remove(r *request) {
 	sq.queues[r.level].Remove(r.entry)
 	r.entry = nil
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -53,6 +53,7 @@
 	Service      ident.Service
 	Purpose      Purpose
 	Rank         int                   // 0 is the most urgent
+	CurrentRank  func() int            // returns the rank by the settings in force, which may change while the request is queued; nil: Rank does not change
 	Need         int                   // memory that the run uses soon, in tokens
 	Prefill      int                   // prompt tokens that the engine has to prefill first
 	EngineMemory int                   // memory of each engine, in tokens
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -249,6 +249,9 @@
 		r := r
 		r.MaxWait = max(0, r.MaxWait-time.Since(start))
 		r.TargetWait = max(0, r.TargetWait-time.Since(start))
+		if r.CurrentRank != nil {
+			r.Rank = r.CurrentRank()
+		}
 		p.send(cand, coord.Request{VM: p.vm, ID: id, Run: r})
 		timer := time.NewTimer(interval)
 		select {
--- a/internal/route/placer/placer_test.go
+++ b/internal/route/placer/placer_test.go
@@ -272,6 +272,37 @@
 			assert.DeepEqual(t, started, []string{"migration", "urgent", "long"})
 		})
 	})
+	t.Run("a rank that changes takes effect while the call is queued", func(t *testing.T) {
+		testFleet(t, 3, 1, func(t *testing.T, f *fleet) {
+			f.fillEngine(t, 400*time.Millisecond)
+			var started []string
+			var g errgroup.Group
+			raised := time.Now().Add(50 * time.Millisecond)
+			var mu sync.Mutex
+			for _, name := range []string{"first", "second"} {
+				r := newCall()
+				r.Need = 15_000 // only one fits at a time
+				if name == "second" {
+					r.CurrentRank = func() int {
+						if time.Now().Before(raised) {
+							return 1
+						}
+						return 0
+					}
+				}
+				g.Go(func() error {
+					_, err := f.placeAndHold(f.vms[2], r, 50*time.Millisecond)
+					mu.Lock()
+					defer mu.Unlock()
+					started = append(started, name)
+					return err
+				})
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.NilError(t, g.Wait())
+			assert.DeepEqual(t, started, []string{"second", "first"})
+		})
+	})
 	t.Run("a repeated call yields to calls that can start in time", func(t *testing.T) {
 		testFleet(t, 3, 1, func(t *testing.T, f *fleet) {
 			f.fillEngine(t, 1200*time.Millisecond)
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -280,6 +280,7 @@
 	engines    *fakeEngines
 	table      *srvtab.Table
 	settings   *routes.Current
+	placer     *recordingPlacer
 	budget     *fakeBudget
 	quarantine *poison.Detector
 	relay      *Relay
@@ -300,6 +301,27 @@
 	return b.remaining >= 0
 }
 
+// soleVM is the demand of a VM without peers.
+type soleVM struct{}
+
+func (soleVM) Rates(ident.Service, time.Time) (own, all float64) { return 0, 0 }
+
+func (soleVM) VMs(time.Time) int { return 1 }
+
+// recordingPlacer places runs and keeps the requests for them.
+type recordingPlacer struct {
+	task.Placer
+	mu       sync.Mutex
+	requests []pick.Request
+}
+
+func (p *recordingPlacer) Place(ctx context.Context, r pick.Request) (pick.Placement, error) {
+	p.mu.Lock()
+	p.requests = append(p.requests, r)
+	p.mu.Unlock()
+	return p.Placer.Place(ctx, r)
+}
+
 func (h *harness) RecordResult(e *task.Result) { h.records = append(h.records, e) }
 
 func (h *harness) Refresh(context.Context, time.Duration) error {
@@ -326,11 +348,13 @@
 	h.settings.Update(snapshot(1), h.clock())
 	reservations, health := alloc.New(), health.New()
 	h.quarantine = poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {})
-	chooser := pick.NewChooser(h.table, reservations, health, rates.New(nil, nil))
+	chooser := pick.NewChooser(h.table, reservations, health, rates.New(soleVM{}, nil))
 	h.origins = origin.New(0, origin.Deps{
 		VM: "vm", Servers: h.table, DataAge: func() time.Duration { return 0 }, Holders: func(time.Time) []hubs.Candidate { return nil }, Log: zap.NewNop(),
 	})
+	h.placer = &recordingPlacer{}
 	noCoordinators := func(ident.Service, time.Time) []hubs.CoordinatorCandidate { return nil }
+	h.placer.Placer = placer.New("vm", 0, chooser, coord.New(chooser), noCoordinators, nil, func(string) {}, zap.NewNop())
 	h.relay = New(task.Deps{
 		Config: task.Config{
 			Domain:      "a",
@@ -344,7 +368,7 @@
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
 		Reject:  reject.New(func(reject.Limit) {}),
 		Origins: h.origins,
-		Placer:  placer.New("vm", 0, chooser, coord.New(chooser), noCoordinators, nil, func(string) {}, zap.NewNop()),
+		Placer:  h.placer,
 	})
 	return h
 }
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -306,7 +306,7 @@
 // placementRequest describes the capacity that the stream needs.
 func (f *forwarder) placementRequest(purpose pick.Purpose, from ident.FailureDomain, exclude []ident.Server) pick.Request {
 	r := pick.Request{
-		Service: f.Service.Name, Purpose: purpose, Rank: f.priority(), Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
+		Service: f.Service.Name, Purpose: purpose, Rank: f.Priority(), CurrentRank: f.Priority, Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
 		From: from, Exclude: exclude, Domains: f.AllowedDomains(), Version: f.version,
 	}
 	if f.Service.ColdTime > 0 {
@@ -315,9 +315,6 @@
 	return r
 }
 
-// priority returns the stream's priority; 0 is the most urgent.
-func (f *forwarder) priority() int { return f.Route.Priority }
-
 // engineCapacity returns the memory of an engine in tokens. It is practically unlimited
 // for services without a configured capacity.
 func (f *forwarder) engineCapacity() int {
--- a/internal/route/unary/place.go
+++ b/internal/route/unary/place.go
@@ -46,7 +46,7 @@
 // arrival.
 func (r *requester) placementRequest(elapsed time.Duration) pick.Request {
 	req := pick.Request{
-		Service: r.Service.Name, Purpose: pick.NewRun, Rank: r.Route.Priority, Need: 1, EngineMemory: unlimitedMemory, Brief: true,
+		Service: r.Service.Name, Purpose: pick.NewRun, Rank: r.Priority(), CurrentRank: r.Priority, Need: 1, EngineMemory: unlimitedMemory, Brief: true,
 		From: r.Config.Domain, Exclude: slices.Collect(maps.Keys(r.tried)), Unreachable: r.unreachable, Domains: r.AllowedDomains(),
 	}
 	req.TargetWait = admit.OnTimeWait(r.Route.LatencyTarget, elapsed, 0)
--- a/internal/state/routes/types.go
+++ b/internal/state/routes/types.go
@@ -56,7 +56,7 @@
 type Workspace struct {
 	Name     ident.Workspace
 	Keys     []string
-	Priority int            // overrides the priority of a route
+	Priority *int           // replaces the priority of a route; nil: the workspace states none
 	Regions  []ident.Region // the workspace's calls may run only in these regions; empty: in all
 }
 
