--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -21,8 +21,12 @@
 	Copy        CacheRef              // KV cache to continue from
 	LastEventID string                // ID of the last event that the client received
 	Domains     []ident.FailureDomain // failure domains of VMs that the call may pass through; nil: all
+	Urgency     *int                  // at the engine, 0 (first) to MaxUrgency (last); nil: not stated
 }
 
+// MaxUrgency is the urgency of the calls that an engine admits last and preempts first.
+const MaxUrgency = 9
+
 // CacheRef identifies the KV cache of a run that continues on another engine.
 type CacheRef struct {
 	Addr netip.AddrPort // engine that has the cache; not valid: none
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -47,6 +47,7 @@
 	runs       map[string]*run // by server and request
 	started    []string        // servers that started the call from the beginning
 	continued  []string        // servers that continued the call from a copy
+	urgencies  []*int          // of the attempts
 	migrations int
 	noCapacity bool // no engine accepts a migration
 	noCopy     bool // engines do not have the copy
@@ -103,6 +104,7 @@
 func (e *fakeEngines) Send(_ context.Context, s port.Attempt) (*port.Response, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.urgencies = append(e.urgencies, s.Urgency)
 	if f := e.respond[s.Server.ID]; f != nil {
 		return f()
 	}
--- a/internal/route/relay/priority_test.go
+++ b/internal/route/relay/priority_test.go
@@ -56,3 +56,43 @@
 		}
 	}
 }
+
+// TestUrgency guards against an urgency at engines that does not follow the priority of the
+// workspace, and against one that is stated where the workspace states no priority.
+func TestUrgency(t *testing.T) {
+	urgencies := func(t *testing.T, path string, workspace *int, retire bool) []int {
+		t.Helper()
+		var out []int
+		withHarness(t, 2, func(t *testing.T, h *harness) {
+			s := withPriority(2, workspace)
+			s.Service("engines").Engine.CanMigrate = true
+			h.settings.Update(s, h.clock())
+			if retire {
+				time.AfterFunc(time.Second, h.retireRunningServer)
+			}
+			_, refusal := h.serve(t.Context(), path)
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			for _, u := range h.engines.urgencies {
+				if u == nil {
+					out = append(out, -1)
+				} else {
+					out = append(out, *u)
+				}
+			}
+		})
+		return out
+	}
+	zero, two, many := 0, 2, 1<<60
+	t.Run("stated", func(t *testing.T) {
+		assert.DeepEqual(t, urgencies(t, "/long/x", &zero, false), []int{1})
+		assert.DeepEqual(t, urgencies(t, "/long/x", &two, false), []int{5})
+		assert.DeepEqual(t, urgencies(t, "/long/x", &many, false), []int{9})
+	})
+	t.Run("of a stream that continues", func(t *testing.T) {
+		assert.DeepEqual(t, urgencies(t, "/long/x", &zero, true), []int{1, 0})
+		assert.DeepEqual(t, urgencies(t, "/long/x", &two, true), []int{5, 4})
+	})
+	t.Run("absent", func(t *testing.T) {
+		assert.DeepEqual(t, urgencies(t, "/long/x", nil, true), []int{-1, -1})
+	})
+}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -208,7 +208,7 @@
 	}
 	f.server = s
 	f.Result.Server, f.Result.Version = s.ID, s.Version
-	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID, Domains: f.AllowedDomains()}
+	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID, Domains: f.AllowedDomains(), Urgency: f.urgency(from)}
 	if f.backup != nil {
 		attempt.Backup = f.backup.engine.Addr
 	}
@@ -228,6 +228,21 @@
 	return resp, nil
 }
 
+// urgency returns the urgency of the stream at its engine, or nil if the workspace states no
+// priority. Engines preempt the least urgent streams first; one that continues, whose loss costs
+// more, precedes others of its priority.
+func (f *forwarder) urgency(from port.CacheRef) *int {
+	priority, stated := f.WorkspacePriority()
+	if !stated || f.Service.Engine == nil {
+		return nil
+	}
+	u := min(2*min(priority, port.MaxUrgency)+1, port.MaxUrgency)
+	if from.Addr.IsValid() || f.hasEvents || f.version != "" {
+		u--
+	}
+	return &u
+}
+
 // startResponse writes the response header to the client.
 func (f *forwarder) startResponse(resp *port.Response) *refuse.Refusal {
 	f.headerSent = true
