Serve queued calls by shares of their workspaces

The coordinator ordered queued calls by rank 0, then earliest deadline, so that calls of a workspace with little traffic waited behind those of one with much. Calls whose workspace is not known are ordered as before. The package is divided by job: queues and levels, grants, estimates, shares.

--- /dev/null
+++ b/internal/route/coord/estimate.go
@@ -0,0 +1,76 @@
+package coord
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rateWindow is the time constant of the moving average of granted tokens.
+	rateWindow = time.Second
+	// minBusyTime is how long the queues must have been non-empty before the grant
+	// rate is used for estimates.
+	minBusyTime = 100 * time.Millisecond
+	// maxEstimate caps wait estimates; it is longer than any wait.
+	maxEstimate = time.Hour
+)
+
+// decayRates updates the grant rates. It resets them while the queues are empty,
+// because they then say nothing about the engines' throughput.
+func (sq *serviceQueue) decayRates(now time.Time) {
+	if sq.queueLen() == 0 {
+		sq.grantRate = [numLevels]float64{}
+		sq.busySince, sq.updatedAt = now, now
+		return
+	}
+	elapsed := now.Sub(sq.updatedAt)
+	if elapsed <= 0 {
+		return
+	}
+	for i := range sq.grantRate {
+		sq.grantRate[i] *= math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
+	}
+	sq.updatedAt = now
+}
+
+// estimateWait returns how long it takes to serve the request and all that
+// precede it at a level, at the recent grant rate; zero if that is not known.
+func (sq *serviceQueue) estimateWait(r *request, level int) time.Duration {
+	queued, rate := r.Run.Need, 0.0
+	for i := range level + 1 {
+		queued += sq.queuedTokens[i]
+		rate += sq.grantRate[i]
+	}
+	if r.isUrgent() {
+		queued = r.Run.Need + sq.urgentTokens
+	}
+	tokens := float64(queued)
+	if level == onTimeLevel {
+		tokens = min(tokens, sq.tokensUntilTurn(r))
+	}
+	busy := sq.updatedAt.Sub(sq.busySince)
+	if busy < minBusyTime {
+		return 0
+	}
+	// The grant rates are moving averages that start at zero, so after this time
+	// they are too low by the factor warmup.
+	warmup := 1 - math.Exp(-busy.Seconds()/rateWindow.Seconds())
+	seconds := tokens * warmup / rate
+	if seconds > maxEstimate.Seconds() {
+		return maxEstimate
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// tokensUntilTurn returns the tokens that are granted to all until a new request of the on-time
+// level has been served, if its workspace gets no more than its share.
+func (sq *serviceQueue) tokensUntilTurn(r *request) float64 {
+	l := sq.levels[onTimeLevel]
+	if r.Run.Continues() || !r.hasShare() || l.unknown > 0 {
+		return math.Inf(1)
+	}
+	class := l.class(&r.Run)
+	_, own := class.Queued(r.Run.Workspace)
+	share := class.Share(r.Run.Workspace, float64(r.Run.Weight)/weightUnit) * l.classShare(&r.Run)
+	return float64(sq.queuedTokens[continueLevel]) + (own+r.cost())/share
+}
--- /dev/null
+++ b/internal/route/coord/grants.go
@@ -0,0 +1,80 @@
+package coord
+
+import (
+	"errors"
+	"time"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/route/alloc"
+	"umberladder/internal/route/pick"
+)
+
+const (
+	// grantTTL is how long a grant is added to the reported loads. By then the
+	// VM that got it has reported the run in its own load, even if one message
+	// was lost.
+	grantTTL = 60 * time.Millisecond
+	// briefGrantTTL is the same for a brief run, which usually ends before a lost message
+	// would be repeated.
+	briefGrantTTL = 25 * time.Millisecond
+)
+
+// grant is capacity granted to a VM that may not have reported it yet.
+type grant struct {
+	server ident.Server
+	load   alloc.Load
+	until  time.Time
+}
+
+// tryPlace grants the request capacity, or responds with NoServer. It reports
+// whether it responded, and if not, whether the reason is a lack of capacity
+// rather than a busy link.
+func (c *Coordinator) tryPlace(sq *serviceQueue, r *request, now time.Time) (done, noCapacity bool) {
+	r.Run.Reserved = sq.blocked
+	placement, err := c.chooser.Choose(&r.Run, c.pendingGrants(now), now)
+	switch {
+	case errors.Is(err, pick.ErrNoServer):
+		r.response.State = NoServer
+	case err != nil:
+		var full *pick.NoCapacityError
+		return false, !errors.As(err, &full) || !full.LinkBusy
+	default:
+		r.response.State, r.response.Server = Granted, placement.Server.ID
+		c.grants = append(c.grants, grant{server: placement.Server.ID, load: r.Run.Load(), until: now.Add(r.grantTTL())})
+		if r.Run.Source != "" {
+			c.grants = append(c.grants, grant{server: r.Run.Source, load: alloc.Load{CopiesOut: 1}, until: now.Add(grantTTL)})
+		}
+		if placement.Backup != nil {
+			r.response.Backup = placement.Backup.ID
+			c.grants = append(c.grants, grant{server: placement.Backup.ID, load: r.Run.BackupLoad(), until: now.Add(grantTTL)})
+		}
+		sq.grantRate[r.levelAt(now)] += float64(r.Run.Need) / rateWindow.Seconds()
+		c.recordGrant(sq, r, now)
+	}
+	r.respond(r.response)
+	return true, false
+}
+
+func (r *request) grantTTL() time.Duration {
+	if r.Run.Brief {
+		return briefGrantTTL
+	}
+	return grantTTL
+}
+
+// pendingGrants returns the granted loads that VMs may not have reported yet.
+func (c *Coordinator) pendingGrants(now time.Time) map[ident.Server]alloc.Load {
+	n := 0
+	for n < len(c.grants) && now.After(c.grants[n].until) {
+		n++
+	}
+	c.grants = c.grants[n:]
+	out := make(map[ident.Server]alloc.Load, len(c.grants))
+	for _, g := range c.grants {
+		if now.After(g.until) {
+			continue // brief grants end before longer ones that were made earlier
+		}
+		out[g.server] = out[g.server].Plus(g.load)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/route/coord/queue.go
@@ -0,0 +1,271 @@
+package coord
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/fair"
+)
+
+// maxLate is the maximum number of queued calls that cannot start in time. They
+// get the capacity that other calls do not use; calls beyond this number are
+// refused at once.
+const maxLate = 16
+
+// maxSkipped is how many workspaces whose next calls no engine has room for are passed over until
+// capacity is free again. Each costs one choice of an engine.
+const maxSkipped = 8
+
+// Priority levels of queued requests, in the order in which they are served.
+const (
+	continueLevel = iota // streams that have begun
+	onTimeLevel          // calls that can still start in time
+	lateLevel            // calls that cannot start in time
+	numLevels
+)
+
+// serviceQueue holds the requests queued for capacity on a service's engines.
+type serviceQueue struct {
+	service ident.Service
+	levels  [numLevels]*levelQueue
+	// blocked are the versions of the software for whose engines a stream that has begun waits
+	// for capacity rather than for a link; the empty version stands for all.
+	blocked      []ident.Version
+	urgentTokens int                // tokens of queued requests of streams that have begun, and of queued calls of rank 0
+	queuedTokens [numLevels]int     // tokens of queued requests
+	grantRate    [numLevels]float64 // recently granted tokens per second while the queues were non-empty
+	busySince    time.Time          // since when the queues have been non-empty
+	updatedAt    time.Time          // when the rates were last updated
+
+	meter     *fair.Meter[ident.Workspace]
+	queued    map[ident.Workspace]int       // queued requests of each workspace whose share is known
+	limited   map[ident.Workspace]time.Time // workspaces held to their share, and when it last took effect
+	checkedAt time.Time                     // when limited was last checked for workspaces that no longer are
+}
+
+func newServiceQueue(s ident.Service) *serviceQueue {
+	sq := &serviceQueue{service: s, meter: fair.NewMeter[ident.Workspace](), queued: make(map[ident.Workspace]int), limited: make(map[ident.Workspace]time.Time)}
+	for i := range sq.levels {
+		sq.levels[i] = newLevelQueue()
+	}
+	return sq
+}
+
+// serveContinued grants capacity to streams that have begun, and that other calls must not
+// displace. Runs migrate one per source engine at a time: KV caches that share a link would all
+// arrive late. It returns the versions of which more capacity is needed.
+func (c *Coordinator) serveContinued(sq *serviceQueue, now time.Time) []ident.Version {
+	var blocked []ident.Version
+	for _, e := range sq.levels[continueLevel].ranked.Sorted() {
+		r := e.Value
+		switch {
+		case now.Sub(r.lastSeen) > requestTTL:
+			sq.remove(r, false, now)
+		case now.After(r.deadline):
+			sq.remove(r, false, now)
+			c.refuse(sq, r, now)
+		case !slices.Contains(blocked, r.Run.Version):
+			granted, noCapacity := c.tryPlace(sq, r, now)
+			if granted {
+				sq.remove(r, true, now)
+			}
+			if noCapacity {
+				blocked = append(blocked, r.Run.Version)
+			}
+		}
+	}
+	return blocked
+}
+
+// isBlocked reports whether streams that have begun precede a request for the engines of a
+// version, or of all versions if it is empty.
+func (sq *serviceQueue) isBlocked(v ident.Version) bool {
+	return slices.Contains(sq.blocked, "") || v != "" && slices.Contains(sq.blocked, v)
+}
+
+// serveLevel removes expired requests of a level and grants capacity to the
+// others. It reports whether more capacity may be free. A request for which there is none keeps
+// the others from being served only if it would do so without shares: requests that need much
+// would otherwise never get it.
+func (c *Coordinator) serveLevel(sq *serviceQueue, level int, hasCapacity bool, now time.Time) bool {
+	l := sq.levels[level]
+	if l.isShared() {
+		for r := l.expired(now); r != nil; r = l.expired(now) {
+			c.expire(sq, r, now)
+		}
+	}
+	defer l.resume(now)
+	for skipped := 0; l.len() > 0; {
+		r, withoutShares := l.first(), l.ranked.Peek().Value
+		if r == nil || skipped == maxSkipped {
+			r = withoutShares
+		}
+		switch {
+		case r.isExpired(level, now):
+			c.expire(sq, r, now)
+			continue
+		case !hasCapacity:
+			return false
+		}
+		if granted, _ := c.tryPlace(sq, r, now); granted {
+			sq.remove(r, true, now)
+			continue
+		}
+		if r == withoutShares {
+			return false
+		}
+		l.skip(r)
+		skipped++
+	}
+	return hasCapacity
+}
+
+// isExpired reports whether a request has to leave its level.
+func (r *request) isExpired(level int, now time.Time) bool {
+	return now.Sub(r.lastSeen) > requestTTL || level == onTimeLevel && now.After(r.startBy) || now.After(r.deadline)
+}
+
+// expire removes a request whose time at its level has ended. One that can no longer start in
+// time becomes late.
+func (c *Coordinator) expire(sq *serviceQueue, r *request, now time.Time) {
+	level := r.level
+	sq.remove(r, false, now)
+	switch {
+	case now.Sub(r.lastSeen) > requestTTL:
+	case level == onTimeLevel && now.After(r.startBy):
+		if !c.enqueue(sq, r, now) {
+			c.refuse(sq, r, now)
+		}
+	default:
+		c.refuse(sq, r, now)
+	}
+}
+
+// refuse responds to the request with NoCapacity.
+func (c *Coordinator) refuse(sq *serviceQueue, r *request, now time.Time) {
+	if r.Run.RetryKey != 0 {
+		c.refused[r.Run.RetryKey] = r.lastSeen
+	}
+	c.recordRefusal(sq, r, now)
+	r.response.State = NoCapacity
+	r.response.Share = sq.share(r, now)
+	r.response.OwnAhead = sq.ownQueued(r)
+	r.response.RetryAfter = min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), maxRetryAfter)
+	r.respond(r.response)
+}
+
+func (sq *serviceQueue) queueLen() int {
+	n := 0
+	for _, l := range sq.levels {
+		n += l.len()
+	}
+	return n
+}
+
+// levelAt returns the priority level of the request at a given time.
+func (r *request) levelAt(now time.Time) int {
+	switch {
+	case r.Run.Continues():
+		return continueLevel
+	case !now.Before(r.startBy):
+		return lateLevel
+	default:
+		return onTimeLevel
+	}
+}
+
+// mustQueue reports whether other requests have to be served before a new one.
+func (sq *serviceQueue) mustQueue(r *request) bool {
+	if r.Run.Continues() {
+		return sq.isBlocked(r.Run.Version)
+	}
+	return sq.isBlocked("") || sq.levels[onTimeLevel].len() > 0
+}
+
+// enqueue queues the request, or reports false if it would not be served in
+// time.
+func (c *Coordinator) enqueue(sq *serviceQueue, r *request, now time.Time) bool {
+	level := r.levelAt(now)
+	if level == onTimeLevel && sq.estimateWait(r, level) > r.startBy.Sub(now) {
+		level = lateLevel
+		c.checkLimited(sq, r, now)
+	}
+	remaining := r.deadline.Sub(now)
+	if remaining <= 0 || level == lateLevel && !c.makeLatePlace(sq, r, now) {
+		return false
+	}
+	bound := remaining
+	if level == onTimeLevel {
+		bound = r.startBy.Sub(now)
+	}
+	r.level = level
+	sq.push(r, bound, now)
+	return true
+}
+
+// makeLatePlace reports whether the late level has a place for the request. If it is full, a
+// request of the workspace that has most places for its weight is refused instead, unless the
+// request's own workspace would then have as many.
+func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, now time.Time) bool {
+	l := sq.levels[lateLevel]
+	if l.len() < maxLate {
+		return true
+	}
+	if !l.isShared() || !r.hasShare() {
+		return false
+	}
+	places := map[ident.Workspace]float64{r.Run.Workspace: 1 / float64(r.Run.Weight)}
+	var victim *request
+	queued := l.byExpiry.Sorted()
+	for _, e := range queued {
+		places[e.Value.Run.Workspace] += 1 / float64(e.Value.Run.Weight)
+	}
+	for _, e := range queued { // of one workspace, the request with the latest deadline
+		if victim == nil || cmp.Compare(places[e.Value.Run.Workspace], places[victim.Run.Workspace]) >= 0 {
+			victim = e.Value
+		}
+	}
+	if places[victim.Run.Workspace] <= places[r.Run.Workspace] {
+		return false
+	}
+	sq.remove(victim, false, now)
+	c.refuse(sq, victim, now)
+	return true
+}
+
+// setRank changes the rank of a queued request. It keeps its level, and its deadline within it.
+func (sq *serviceQueue) setRank(r *request, rank int, now time.Time) {
+	bound := r.expiry.Deadline.Sub(now)
+	sq.remove(r, false, now)
+	r.Run.Rank = rank
+	sq.push(r, bound, now)
+}
+
+// push queues a request at its level, which it has to leave after bound.
+func (sq *serviceQueue) push(r *request, bound time.Duration, now time.Time) {
+	sq.levels[r.level].push(r, bound, now)
+	sq.addTokens(r, r.Run.Need)
+	if r.hasShare() {
+		sq.queued[r.Run.Workspace]++
+	}
+}
+
+func (sq *serviceQueue) remove(r *request, granted bool, now time.Time) {
+	sq.levels[r.level].remove(r, granted, now)
+	sq.addTokens(r, -r.Run.Need)
+	if !r.hasShare() {
+		return
+	}
+	if sq.queued[r.Run.Workspace]--; sq.queued[r.Run.Workspace] == 0 {
+		delete(sq.queued, r.Run.Workspace)
+	}
+}
+
+func (sq *serviceQueue) addTokens(r *request, tokens int) {
+	sq.queuedTokens[r.level] += tokens
+	if r.isUrgent() {
+		sq.urgentTokens += tokens
+	}
+}
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -71,6 +71,9 @@
 	ColdTime     time.Duration         // how long a server is cold after its start
 	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
 	Brief        bool                  // the run usually ends within milliseconds, like a plain call
+	Workspace    ident.Workspace       // whose run it is; empty: of a public route
+	Subject      uint64                // identifies what the workspace's capacity is divided among: a prompt's first part, or an API key
+	Weight       int                   // of the workspace, in thousandths; zero: not known, and no share is applied
 	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
 }
 
@@ -116,6 +119,8 @@
 type NoCapacityError struct {
 	RetryAfter time.Duration // delay after which capacity is likely
 	Ahead      int           // runs queued before this one
+	OwnAhead   int           // of these, runs of the same workspace
+	Share      int           // of what was granted recently, what the workspace got, in thousandths
 	LinkBusy   bool          // the link of the source engine is busy, rather than all engines full
 }
 
