Send workspace, subject and weight with placement requests

Adds the setting workspace-weights, the metrics and the log lines about shares, and names the share of the workspace in refusals for lack of capacity.

--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -66,7 +67,10 @@
 			Service: "s", Purpose: pick.Migration, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Prefill: n.Draw(t, "prefill"), EngineMemory: n.Draw(t, "memory"),
 			From: "a", Source: "s", Exclude: []ident.Server{"x", "y"}, Unreachable: []ident.Server{"z"}, Version: ident.Version(name.Draw(t, "run-version")), Backup: rapid.Bool().Draw(t, "backup"), MaxWait: time.Duration(n.Draw(t, "wait")), TargetWait: time.Second, RetryKey: rapid.Uint64().Draw(t, "retry-key"),
 		}}
-		m.PlacementResponse = &coord.Response{ID: 9, State: coord.NoCapacity, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), RetryAfter: time.Second}
+		if run := &m.PlacementRequest.Run; rapid.Bool().Draw(t, "share") {
+			run.Workspace, run.Subject, run.Weight = "w", rapid.Uint64().Draw(t, "subject"), rapid.IntRange(1, math.MaxInt32).Draw(t, "weight")
+		}
+		m.PlacementResponse = &coord.Response{ID: 9, State: coord.NoCapacity, Server: "e", Backup: "b", Ahead: n.Draw(t, "ahead"), Share: n.Draw(t, "granted-share"), OwnAhead: n.Draw(t, "own-ahead"), RetryAfter: time.Second}
 	}
 	if rapid.Bool().Draw(t, "origins") {
 		r := origin.Record{Stream: origin.Stream(rapid.Uint64().Draw(t, "stream")), Service: "s", Version: "v1", TTL: time.Duration(n.Draw(t, "ttl"))}
--- a/internal/peer/wire/placement.go
+++ b/internal/peer/wire/placement.go
@@ -33,6 +33,9 @@
 	requestColdTime     = 18
 	requestBrief        = 19
 	requestVersion      = 20
+	requestWorkspace    = 21
+	requestSubject      = 22
+	requestWeight       = 23
 
 	responseID         = 1
 	responseState      = 2
@@ -40,6 +43,8 @@
 	responseBackup     = 4
 	responseAhead      = 5
 	responseRetryAfter = 6
+	responseShare      = 7
+	responseOwnAhead   = 8
 )
 
 func encodePlacementRequest(req *coord.Request) []byte {
@@ -77,6 +82,11 @@
 	if run.Brief {
 		b = appendNumber(b, requestBrief, 1)
 	}
+	if run.Weight > 0 {
+		b = appendString(b, requestWorkspace, string(run.Workspace))
+		b = appendFixed(b, requestSubject, run.Subject)
+		b = appendNumber(b, requestWeight, uint64(run.Weight))
+	}
 	b = appendNumber(b, requestTargetWait, uint64(run.TargetWait))
 	b = appendNumber(b, requestRetryKey, run.RetryKey)
 	return appendNumber(b, requestMaxWait, uint64(run.MaxWait))
@@ -99,6 +109,8 @@
 			run.Unreachable = append(run.Unreachable, ident.Server(data))
 		case requestDomain:
 			run.Domains = append(run.Domains, ident.FailureDomain(data))
+		case requestWorkspace:
+			run.Workspace = ident.Workspace(data)
 		case requestVersion:
 			run.Version = ident.Version(data)
 		case requestSource:
@@ -134,6 +146,10 @@
 		run.ColdTime = time.Duration(v)
 	case requestRetryKey:
 		run.RetryKey = v
+	case requestSubject:
+		run.Subject = v
+	case requestWeight:
+		run.Weight = int(min(v, math.MaxInt32))
 	case requestTargetWait:
 		run.TargetWait = time.Duration(v)
 	case requestMaxWait:
@@ -151,6 +167,12 @@
 		b = appendString(b, responseBackup, string(resp.Backup))
 	}
 	b = appendNumber(b, responseAhead, uint64(resp.Ahead))
+	if resp.Share > 0 {
+		b = appendNumber(b, responseShare, uint64(resp.Share))
+	}
+	if resp.OwnAhead > 0 {
+		b = appendNumber(b, responseOwnAhead, uint64(resp.OwnAhead))
+	}
 	return appendNumber(b, responseRetryAfter, uint64(resp.RetryAfter))
 }
 
@@ -168,6 +190,10 @@
 			resp.Backup = ident.Server(data)
 		case responseAhead:
 			resp.Ahead = int(v)
+		case responseShare:
+			resp.Share = int(v)
+		case responseOwnAhead:
+			resp.OwnAhead = int(v)
 		case responseRetryAfter:
 			resp.RetryAfter = time.Duration(v)
 		}
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -38,6 +38,9 @@
 	// Regions are the regions of the failure domains.
 	Regions   map[ident.FailureDomain]ident.Region
 	ColdLimit ColdLimit
+	// WorkspaceWeights are the weights of workspaces where they compete for too little capacity;
+	// those of all others are DefaultWorkspaceWeight.
+	WorkspaceWeights map[ident.Workspace]float64
 	// ServerHeartbeat is the interval at which servers write their entries in the store.
 	ServerHeartbeat time.Duration
 }
@@ -52,6 +55,14 @@
 // Of returns the limit at a stated rate, in requests per second. Zero: there is no limit.
 func (l ColdLimit) Of(rate float64) float64 { return l.Factor*rate + l.Slack }
 
+// WorkspaceWeight returns the weight of a workspace.
+func (e *Edge) WorkspaceWeight(w ident.Workspace) float64 {
+	if weight, ok := e.WorkspaceWeights[w]; ok {
+		return weight
+	}
+	return DefaultWorkspaceWeight
+}
+
 // RetryBudget limits retries, summed over all VMs: in each window, at most Ratio
 // times the first attempts plus Extra.
 type RetryBudget struct {
@@ -82,6 +93,8 @@
 	Regions    map[string]string `json:"regions,omitzero"`
 	ColdLimit  coldLimitWire     `json:"cold-limit,omitzero"`
 	Heartbeat  *string           `json:"server-heartbeat,omitzero"`
+	// Weights are the weights of workspaces by their names.
+	Weights map[string]float64 `json:"workspace-weights,omitzero"`
 }
 
 type coldLimitWire struct {
@@ -115,6 +128,7 @@
 	DefaultColdFactor        = 1.0
 	DefaultColdSlack         = 0.0
 	DefaultServerHeartbeat   = 1200 * time.Millisecond
+	DefaultWorkspaceWeight   = 1.0
 	// DefaultQuarantineCrashes and DefaultQuarantineTime are the defaults for the
 	// quarantine of requests.
 	DefaultQuarantineCrashes = 3
@@ -184,7 +198,8 @@
 			Factor: f.Float("/cold-limit/factor", w.ColdLimit.Factor, DefaultColdFactor, 0, 1000),
 			Slack:  f.Float("/cold-limit/slack", w.ColdLimit.Slack, DefaultColdSlack, 0, 1e6),
 		},
-		ServerHeartbeat: f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
+		WorkspaceWeights: parseWeights(f, w.Weights),
+		ServerHeartbeat:  f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
 	}
 	return e, f.Err()
 }
@@ -199,6 +214,22 @@
 	return out
 }
 
+// Range of the weight of a workspace.
+const (
+	minWorkspaceWeight = 0.001
+	maxWorkspaceWeight = 1000
+)
+
+// parseWeights parses the weights of workspaces, in the order of their names.
+func parseWeights(f *config.Validator, weights map[string]float64) map[ident.Workspace]float64 {
+	out := make(map[ident.Workspace]float64, len(weights))
+	for _, name := range slices.Sorted(maps.Keys(weights)) {
+		weight := weights[name]
+		out[ident.Workspace(name)] = f.Float("/workspace-weights/"+name, &weight, DefaultWorkspaceWeight, minWorkspaceWeight, maxWorkspaceWeight)
+	}
+	return out
+}
+
 // parseSeeds parses the addresses of the seed VMs.
 func parseSeeds(f *config.Validator, list []string) []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(list))
@@ -243,6 +274,7 @@
 		{"cold-limit/factor", formatFloat(DefaultColdFactor), "requests within a second to a server that is cold, over all VMs, as a multiple of the rate that its service states"},
 		{"cold-limit/slack", formatFloat(DefaultColdSlack), "requests beyond these"},
 		{"server-heartbeat", DefaultServerHeartbeat.String(), "interval at which servers write their entries in the store; an entry lapses after three"},
+		{"workspace-weights", "{}", "weights of workspaces that compete for too little capacity, by name; those of all others are 1"},
 	}
 }
 
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -22,15 +22,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, e.RevokeBound, conf.DefaultRevokeBound)
 	for path, change := range map[string][2]string{
-		"/name":             {`"edge-1"`, `"Edge 1"`},
-		"/ready-address":    {`"10.0.0.1:81"`, `"10.0.0.1"`},
-		"/stop-grace":       {`{"name"`, `{"stop-grace":"soon","name"`},
-		"/retry-budget":     {`{"name"`, `{"retry-budget":3,"name"`},
-		"/seeds/1":          {`{"name"`, `{"seeds":["10.0.0.1:80","x"],"name"`},
-		"/processor-cores":  {`{"name"`, `{"processor-cores":0,"name"`},
-		"/cold-limit/slack": {`{"name"`, `{"cold-limit":{"slack":-1},"name"`},
-		"/regions/b":        {`{"name"`, `{"regions":{"a":"north","b":""},"name"`},
-		"/retry-budget/x":   {`{"name"`, `{"retry-budget":{"x":1},"name"`},
+		"/name":                {`"edge-1"`, `"Edge 1"`},
+		"/ready-address":       {`"10.0.0.1:81"`, `"10.0.0.1"`},
+		"/stop-grace":          {`{"name"`, `{"stop-grace":"soon","name"`},
+		"/retry-budget":        {`{"name"`, `{"retry-budget":3,"name"`},
+		"/seeds/1":             {`{"name"`, `{"seeds":["10.0.0.1:80","x"],"name"`},
+		"/processor-cores":     {`{"name"`, `{"processor-cores":0,"name"`},
+		"/cold-limit/slack":    {`{"name"`, `{"cold-limit":{"slack":-1},"name"`},
+		"/workspace-weights/w": {`{"name"`, `{"workspace-weights":{"v":2,"w":0},"name"`},
+		"/regions/b":           {`{"name"`, `{"regions":{"a":"north","b":""},"name"`},
+		"/retry-budget/x":      {`{"name"`, `{"retry-budget":{"x":1},"name"`},
 	} {
 		_, err := conf.ParseEdge([]byte(strings.Replace(edge, change[0], change[1], 1)))
 		check.FieldError(t, err, path, "")
@@ -63,3 +64,10 @@
 	assert.Equal(t, e.Regions["b"], ident.Region("south"))
 	assert.Equal(t, e.ColdLimit.Of(35), 57.5)
 }
+
+func TestWorkspaceWeights(t *testing.T) {
+	e, err := conf.ParseEdge([]byte(strings.Replace(edge, `{"name"`, `{"workspace-weights":{"v":2.5},"name"`, 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, e.WorkspaceWeight("v"), 2.5)
+	assert.Equal(t, e.WorkspaceWeight("w"), conf.DefaultWorkspaceWeight)
+}
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -37,6 +37,9 @@
 	metricReady           = "umberladder_ready"
 	metricPlacements      = "umberladder_placements_total"
 	metricQueued          = "umberladder_waiting_at_home"
+	metricGrantedTokens   = "umberladder_granted_tokens_total"
+	metricRefusedRuns     = "umberladder_runs_refused_total"
+	metricWaitingShares   = "umberladder_workspaces_waiting"
 	metricQuarantined     = "umberladder_quarantined_requests"
 	metricServersLimited  = "umberladder_servers_limited"
 	metricEvacuated       = "umberladder_failure_domains_evacuated"
@@ -86,6 +89,9 @@
 		{metricWatchesStore, "gauge", "1 if this VM watches the store, 0 if others tell it"},
 		{metricPlacements, "counter", "placements of runs at engines, by outcome: by-home, alone (no home answered), no-room, no-server, client-left"},
 		{metricQueued, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
+		{metricGrantedTokens, "counter", "tokens of memory (for plain calls, slots) granted here to runs of all VMs while there are workspaces, by rank (0, 1, 2+) and whether the workspace had got more than its share"},
+		{metricRefusedRuns, "counter", "runs of all VMs refused here for lack of room while there are workspaces, by the same"},
+		{metricWaitingShares, "gauge", "workspaces that have runs waiting for room here"},
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
 		{metricBrittle, "gauge", "services whose servers fail if they reject too many requests"},
@@ -122,6 +128,7 @@
 		},
 		metricWatchesStore:   func() float64 { return boolValue(v.node.WatchesStore()) },
 		metricQueued:         func() float64 { return float64(v.coordinator.QueueLen()) },
+		metricWaitingShares:  func() float64 { return float64(v.coordinator.WaitingWorkspaces()) },
 		metricReady:          func() float64 { return boolValue(v.Ready()) },
 		metricServersLimited: func() float64 { return float64(v.node.Rates.LimitedCount(time.Now())) },
 		metricEvacuated:      func() float64 { return float64(len(v.node.Servers.Evacuations().Domains)) },
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/share"
@@ -109,16 +110,17 @@
 	v.tunnels = tunnel.NewServer(node.Servers, conns, log)
 	healthTracker := health.New()
 	chooser := pick.NewChooser(node.Servers, node.Alloc, healthTracker, node.Rates)
-	v.coordinator = coord.New(chooser)
+	v.coordinator = coord.New(chooser).WithObserver(shareObserver{log: log, metricSet: v.metricSet})
 	v.prober = probe.New(node.Servers, backend, node.ServicesToProbe, node.Alloc.Load, chooser.MarkUnreachable, group, log)
 	v.placer = placer.New(cfg.Name, uint64(time.Now().UnixNano()), chooser, v.coordinator, node.CoordinatorOrder, node, v.countPlacement, log)
 	v.relay = relay.New(task.Deps{
 		Config: task.Config{
-			Domain:      cfg.Domain,
-			RevokeDelay: func() time.Duration { return v.cfg.Load().RevokeBound },
-			ApplyDelay:  func() time.Duration { return v.cfg.Load().ApplyBound },
-			Regions:     cfg.Regions,
-			ColdLimit:   func(rate float64) float64 { return v.cfg.Load().ColdLimit.Of(rate) },
+			Domain:          cfg.Domain,
+			RevokeDelay:     func() time.Duration { return v.cfg.Load().RevokeBound },
+			ApplyDelay:      func() time.Duration { return v.cfg.Load().ApplyBound },
+			Regions:         cfg.Regions,
+			ColdLimit:       func(rate float64) float64 { return v.cfg.Load().ColdLimit.Of(rate) },
+			WorkspaceWeight: func(w ident.Workspace) float64 { return v.cfg.Load().WorkspaceWeight(w) },
 		},
 		Settings:  node.Settings,
 		Refresher: node,
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -114,7 +114,7 @@
 		}
 		switch resp.State {
 		case coord.NoCapacity:
-			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead}
+			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead, OwnAhead: resp.OwnAhead, Share: resp.Share}
 		case coord.NoServer:
 			// The coordinator may know fewer servers than this VM.
 			placement, err := p.placeLocally(ctx, r, start)
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -286,8 +286,8 @@
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, f.NoServerRefusal()
 	case errors.As(err, &noCapacity):
-		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait, %d engines could not be reached",
-			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.connectFailures).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
+		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait%s, %d engines could not be reached",
+			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.ShareDetail(noCapacity), f.connectFailures).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
 	default:
 		return nil, f.CancellationRefusal(ctx, f.ran)
 	}
@@ -324,6 +324,7 @@
 		Service: f.Service.Name, Purpose: purpose, Rank: f.Priority(), CurrentRank: f.Priority, Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
 		From: from, Exclude: exclude, Domains: f.AllowedDomains(), Version: f.version,
 	}
+	f.SetShare(&r)
 	if f.Service.ColdTime > 0 {
 		r.ColdTime, r.ColdLimit = f.Service.ColdTime, rates.GrantLimit(f.Config.ColdLimit(f.Service.ColdRate))
 	}
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -35,6 +35,9 @@
 	// ColdLimit returns how many requests a cold server may get within a second from all
 	// VMs, given the rate that its service states; zero: any number.
 	ColdLimit func(rate float64) float64
+	// WorkspaceWeight returns the weight of a workspace where workspaces compete for too little
+	// capacity; nil: all weights are 1.
+	WorkspaceWeight func(w ident.Workspace) float64
 }
 
 // Deps holds the dependencies for serving calls.
--- a/internal/route/unary/place.go
+++ b/internal/route/unary/place.go
@@ -35,8 +35,8 @@
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, nil
 	case errors.As(err, &noCapacity):
-		return nil, refuse.New(refuse.NoCapacity, "no server of service %s, which are brittle, has room within %s, %d calls wait",
-			r.Service.Name, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead).WithRan(r.ran()).WithRetryAfter(overloadRetryAfter)
+		return nil, refuse.New(refuse.NoCapacity, "no server of service %s, which are brittle, has room within %s, %d calls wait%s",
+			r.Service.Name, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, r.ShareDetail(noCapacity)).WithRan(r.ran()).WithRetryAfter(overloadRetryAfter)
 	default:
 		return nil, r.CancellationRefusal(ctx, r.ran())
 	}
@@ -49,6 +49,7 @@
 		Service: r.Service.Name, Purpose: pick.NewRun, Rank: r.Priority(), CurrentRank: r.Priority, Need: 1, EngineMemory: unlimitedMemory, Brief: true,
 		From: r.Config.Domain, Exclude: slices.Collect(maps.Keys(r.tried)), Unreachable: r.unreachable, Domains: r.AllowedDomains(),
 	}
+	r.SetShare(&req)
 	req.TargetWait = admit.OnTimeWait(r.Route.LatencyTarget, elapsed, 0)
 	req.MaxWait = admit.MaxWait(req.TargetWait, r.Deadline.Sub(r.Call.Arrived), elapsed)
 	if r.Service.ColdTime > 0 {
--- a/internal/state/routes/snapshot.go
+++ b/internal/state/routes/snapshot.go
@@ -89,6 +89,9 @@
 // RequiresKey reports whether calls of the route need an API key.
 func (s *Snapshot) RequiresKey(r *Route) bool { return s.keysRequired && !r.Public }
 
+// HasWorkspaces reports whether there are workspaces.
+func (s *Snapshot) HasWorkspaces() bool { return s.keysRequired }
+
 // IsRegionBound reports whether any route or workspace is bound to regions.
 func (s *Snapshot) IsRegionBound() bool { return s.regionBound }
 
