Merge the priorities and shares of workspaces

A workspace's stated priority replaces that of its routes, and calls that wait at a service's coordinator are served by start-time fair queueing of workspaces and subjects in place of their deadlines alone.

--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -114,7 +114,7 @@
 		}
 		switch resp.State {
 		case coord.NoCapacity:
-			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead}
+			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead, OwnAhead: resp.OwnAhead, Share: resp.Share}
 		case coord.NoServer:
 			// The coordinator may know fewer servers than this VM.
 			placement, err := p.placeLocally(ctx, r, start)
@@ -249,6 +249,9 @@
 		r := r
 		r.MaxWait = max(0, r.MaxWait-time.Since(start))
 		r.TargetWait = max(0, r.TargetWait-time.Since(start))
+		if r.CurrentRank != nil {
+			r.Rank = r.CurrentRank()
+		}
 		p.send(cand, coord.Request{VM: p.vm, ID: id, Run: r})
 		timer := time.NewTimer(interval)
 		select {
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -211,7 +211,7 @@
 	}
 	f.server = s
 	f.Result.Server, f.Result.Version = s.ID, s.Version
-	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID, Domains: f.AllowedDomains()}
+	attempt := port.Attempt{Call: f.Call, Server: s, Workspace: f.Workspace, Timeout: f.Remaining(), Copy: from, LastEventID: f.lastID, Domains: f.AllowedDomains(), Urgency: f.urgency(from)}
 	if f.backup != nil {
 		attempt.Backup = f.backup.engine.Addr
 	}
@@ -231,6 +231,21 @@
 	return resp, nil
 }
 
+// urgency returns the urgency of the stream at its engine, or nil if the workspace states no
+// priority. Engines preempt the least urgent streams first; one that continues, whose loss costs
+// more, precedes others of its priority.
+func (f *forwarder) urgency(from port.CacheRef) *int {
+	priority, stated := f.WorkspacePriority()
+	if !stated || f.Service.Engine == nil {
+		return nil
+	}
+	u := min(2*min(priority, port.MaxUrgency)+1, port.MaxUrgency)
+	if from.Addr.IsValid() || f.hasEvents || f.version != "" {
+		u--
+	}
+	return &u
+}
+
 // startResponse writes the response header to the client.
 func (f *forwarder) startResponse(resp *port.Response) *refuse.Refusal {
 	f.headerSent = true
@@ -274,8 +289,8 @@
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, f.NoServerRefusal()
 	case errors.As(err, &noCapacity):
-		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait, %d engines could not be reached",
-			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.connectFailures).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
+		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait%s, %d engines could not be reached",
+			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.ShareDetail(noCapacity), f.connectFailures).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
 	default:
 		return nil, f.CancellationRefusal(ctx, f.ran)
 	}
@@ -309,11 +324,12 @@
 // placementRequest describes the capacity that the stream needs.
 func (f *forwarder) placementRequest(purpose pick.Purpose, from ident.FailureDomain, exclude []ident.Server) pick.Request {
 	r := pick.Request{
-		Service: f.Service.Name, Purpose: purpose, Rank: f.priority(), Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
+		Service: f.Service.Name, Purpose: purpose, Rank: f.Priority(), CurrentRank: f.Priority, Need: f.tokensNeeded(), EngineMemory: f.engineCapacity(),
 		From: from, Exclude: exclude, Domains: f.AllowedDomains(), Version: f.version,
 	}
 	r.Output, r.EventTokens = f.expectedOutput(), f.eventTokens()
 	r.GapTarget, r.LatencyTarget = f.Route.GapTarget, f.Route.LatencyTarget
+	f.SetShare(&r)
 	if f.Service.ColdTime > 0 {
 		r.ColdTime, r.ColdLimit = f.Service.ColdTime, rates.GrantLimit(f.Config.ColdLimit(f.Service.ColdRate))
 	}
@@ -337,9 +353,6 @@
 	return f.Service.Engine.TokensPerEvent
 }
 
-// priority returns the stream's priority; 0 is the most urgent.
-func (f *forwarder) priority() int { return f.Route.Priority }
-
 // engineCapacity returns the memory of an engine in tokens. It is practically unlimited
 // for services without a configured capacity.
 func (f *forwarder) engineCapacity() int {
