--- a/internal/route/coord/doc.go
+++ b/internal/route/coord/doc.go
@@ -9,6 +9,12 @@
 // coordinator by priority, and refused at once if the estimated wait is too
 // long.
 //
+// Where VMs state the workspaces of their runs, queued runs are served by the
+// shares of the workspaces (policy/fair), and a wait is estimated from the runs
+// of the same workspace. The order is that of rank and deadline if a queued run
+// states none, as those of older VMs or of settings without workspaces. Shares
+// apply to queued runs only: as long as no run waits, each gets what it asks for.
+//
 // The coordinator holds no state that must survive it. The next VM in the order
 // receives the same load reports and takes over as soon as the first does not
 // respond to requests; a VM that gets no response from either places its runs
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -88,7 +88,8 @@
 // serveLevel removes expired requests of a level and grants capacity to the
 // others. It reports whether more capacity may be free. A request for which there is none keeps
 // the others from being served only if it would do so without shares: requests that need much
-// would otherwise never get it.
+// would otherwise never get it. One that is bound to failure domains
+// does not.
 func (c *Coordinator) serveLevel(sq *serviceQueue, level int, hasCapacity bool, now time.Time) bool {
 	l := sq.levels[level]
 	if l.isShared() {
@@ -97,12 +98,15 @@
 		}
 	}
 	defer l.resume(now)
-	for skipped := 0; l.len() > 0; {
+	var tried []*request
+	for l.len() > 0 {
 		r, withoutShares := l.first(), l.ranked.Peek().Value
-		if r == nil || skipped == maxSkipped {
+		if r == nil || len(tried) >= maxSkipped {
 			r = withoutShares
 		}
 		switch {
+		case slices.Contains(tried, r):
+			return false
 		case r.isExpired(level, now):
 			c.expire(sq, r, now)
 			continue
@@ -113,11 +117,11 @@
 			sq.remove(r, true, now)
 			continue
 		}
-		if r == withoutShares {
+		if r == withoutShares && !(l.isShared() && len(r.Run.Domains) > 0) {
 			return false
 		}
 		l.skip(r)
-		skipped++
+		tried = append(tried, r)
 	}
 	return hasCapacity
 }
--- a/internal/route/relay/priority_test.go
+++ b/internal/route/relay/priority_test.go
@@ -7,6 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/call"
+	"umberladder/internal/core/ident"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/state/routes"
 )
 
@@ -57,6 +59,48 @@
 	}
 }
 
+// TestShare guards against placement requests that don't say whose share a call uses, and against
+// shares where there are no workspaces.
+func TestShare(t *testing.T) {
+	request := func(t *testing.T, s *routes.Snapshot, change func(*call.Call)) pick.Request {
+		t.Helper()
+		var out pick.Request
+		withHarness(t, 1, func(t *testing.T, h *harness) {
+			h.settings.Update(s, h.clock())
+			h.relay.Config.WorkspaceWeight = func(w ident.Workspace) float64 {
+				assert.Equal(t, w, ident.Workspace("team"))
+				return 2.5
+			}
+			c := h.call("/long/x")
+			change(c)
+			assert.Assert(t, h.relay.Serve(t.Context(), c, &client{}) == nil)
+			assert.NilError(t, h.group.Wait())
+			out = h.placer.requests[0]
+		})
+		return out
+	}
+	plain := request(t, withPriority(2, nil), func(*call.Call) {})
+	assert.Equal(t, plain.Workspace, ident.Workspace("team"))
+	assert.Equal(t, plain.Weight, 2500)
+	shared := func(parts ...string) uint64 {
+		return request(t, withPriority(2, nil), func(c *call.Call) {
+			for _, p := range parts {
+				c.PromptParts = append(c.PromptParts, call.Part{ID: p, Tokens: 100})
+			}
+		}).Subject
+	}
+	assert.Equal(t, shared("own"), plain.Subject, "a part that no other request shares")
+	assert.Assert(t, shared("a", "own") != plain.Subject)
+	assert.Equal(t, shared("a", "b", "own"), shared("a", "c", "other"))
+	assert.Assert(t, shared("a", "own") != shared("b", "own"))
+	s := routes.New(routes.Parts{
+		Version: 2, Services: []*routes.Service{withPriority(2, nil).Service("engines")},
+		Routes: []*routes.Route{withPriority(2, nil).Find("h", "/long/x")},
+	})
+	none := request(t, s, func(c *call.Call) { c.APIKey = "" })
+	assert.DeepEqual(t, []any{none.Workspace, none.Subject, none.Weight}, []any{ident.Workspace(""), uint64(0), 0})
+}
+
 // TestUrgency guards against an urgency at engines that does not follow the priority of the
 // workspace, and against one that is stated where the workspace states no priority.
 func TestUrgency(t *testing.T) {
