--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -117,7 +117,7 @@
 			sq.remove(r, true, now)
 			continue
 		}
-		if r == withoutShares && !(l.isShared() && len(r.Run.Domains) > 0) {
+		if r == withoutShares && (!l.isShared() || len(r.Run.Domains) == 0) {
 			return false
 		}
 		l.skip(r)
