--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -286,8 +286,8 @@
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, f.NoServerRefusal()
 	case errors.As(err, &noCapacity):
-		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait%s, %d engines could not be reached",
-			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.ShareDetail(noCapacity), f.connectFailures).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
+		return nil, refuse.New(refuse.NoCapacity, "no engine of service %s has room for %d tokens within %s, %d calls wait, %d engines could not be reached%s",
+			f.Service.Name, req.Need, req.MaxWait.Round(time.Millisecond), noCapacity.Ahead, f.connectFailures, f.ShareDetail(noCapacity)).WithRetryAfter(admit.RetryAfter(noCapacity.RetryAfter, f.Remaining()))
 	default:
 		return nil, f.CancellationRefusal(ctx, f.ran)
 	}
--- a/internal/route/task/share.go
+++ b/internal/route/task/share.go
@@ -41,11 +41,15 @@
 }
 
 // ShareDetail returns the part of a refusal for lack of capacity that says what the call's
-// workspace got. It is empty if the coordinator does not know.
+// workspace got, if the coordinator knows. It is empty for calls of public routes.
 func (t *Task) ShareDetail(e *pick.NoCapacityError) string {
-	if t.Workspace == "" || e.Share == 0 && e.OwnAhead == 0 {
+	if t.Workspace == "" {
 		return ""
 	}
-	return fmt.Sprintf(", of priority %d; workspace %s got %.1f%% of what was granted and has %d of these calls",
-		t.Priority(), t.Workspace, float64(e.Share)/(weightUnit/100), e.OwnAhead)
+	detail := fmt.Sprintf("; the call has priority %d", t.Priority())
+	if e.Share > 0 || e.OwnAhead > 0 {
+		detail += fmt.Sprintf(", workspace %s got %.1f%% of what was granted recently and has %d calls that wait",
+			t.Workspace, float64(e.Share)/(weightUnit/100), e.OwnAhead)
+	}
+	return detail
 }
