--- a/internal/policy/pace/table.go
+++ b/internal/policy/pace/table.go
@@ -31,6 +31,10 @@
 	// recoveredFactor is the multiple of the median below which an engine is no longer slow.
 	// It is lower than slowFactor, so that an engine near it is not reported repeatedly.
 	recoveredFactor = 1.2
+	// confirmTime is how long an engine must be over or under these multiples before it is
+	// reported as slow or as recovered. The first streams of an engine may have measured it
+	// only while it also prefilled prompts.
+	confirmTime = 2 * time.Second
 	// slowestShare is the fraction of engines that are not among the slowest tenth.
 	slowestShare = 0.9
 )
@@ -66,6 +70,7 @@
 	measuredAt time.Time // when a stream last reported it
 	updatedAt  time.Time
 	slow       bool
+	changingAt time.Time // since when the time per token contradicts slow; zero: it does not
 }
 
 // NewTable returns a Table without measurements. onChange is called, with the Table locked, when
@@ -178,13 +183,30 @@
 	s.median = known[len(known)/2]
 	s.differ = exceeds(known[int(slowestShare*float64(len(known)))], s.median, slowFactor)
 	for id, e := range s.engines {
-		if !e.slow && exceeds(e.perToken, s.median, slowFactor) || e.slow && !exceeds(e.perToken, s.median, recoveredFactor) {
-			e.slow = !e.slow
+		if e.reclassify(s.median, now) {
 			t.onChange(Change{Service: name, Server: id, Slow: e.slow, PerToken: e.perToken, Median: s.median})
 		}
 	}
 }
 
+// reclassify updates whether the engine is reported as slow, and reports whether that changed.
+func (e *engine) reclassify(median time.Duration, now time.Time) bool {
+	factor := slowFactor
+	if e.slow {
+		factor = recoveredFactor
+	}
+	switch {
+	case exceeds(e.perToken, median, factor) == e.slow:
+		e.changingAt = time.Time{}
+	case e.changingAt.IsZero():
+		e.changingAt = now
+	case now.Sub(e.changingAt) >= confirmTime:
+		e.slow, e.changingAt = !e.slow, time.Time{}
+		return true
+	}
+	return false
+}
+
 func exceeds(a, b time.Duration, factor float64) bool { return float64(a) > factor*float64(b) }
 
 // SlowCount returns the number of engines that are classified as slow.
