Request no tunnels over the links that this VM overloads

Cause: an overloaded VM's connections take over 30 ms, after which each requested tunnels through up to four other VMs over the same links. Those delayed the direct connections further, and a server reached through a tunnel first counted as cut off, so that later calls asked other VMs first.

Change: while the VM measures an overload and a direct connection to any server has succeeded within 250 ms, a tunnel is requested only once the direct connection has failed, and a slow connection is not recorded as a cut. A VM that is cut off connects to none, and requests tunnels as before.

--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -196,6 +196,18 @@
 	return true
 }
 
+// reachedTime is how long a direct connection shows that this VM's links work. An overloaded VM
+// opens several connections in that time.
+const reachedTime = 250 * time.Millisecond
+
+// Reaches reports whether a direct connection to any server has succeeded within reachedTime. Some
+// time out while the VM is overloaded.
+func (t *Tracker) Reaches(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.directAt) < reachedTime
+}
+
 // minFailed is the number of servers that must have failed in a row for ReachesNone.
 const minFailed = 2
 
--- a/internal/policy/shed/gate.go
+++ b/internal/policy/shed/gate.go
@@ -163,6 +163,15 @@
 	return g.shareAt(now) < 1
 }
 
+// Overloaded reports whether this VM is overloaded or was so recently, however many requests the
+// other VMs get. It lasts until measurements would allow all connections to be admitted again.
+func (g *Gate) Overloaded(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh(now)
+	return g.admitted < 1
+}
+
 // ShedCount returns the number of connections that were not admitted.
 func (g *Gate) ShedCount() uint64 {
 	g.mu.Lock()
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -25,6 +25,12 @@
 	// peerDelay is how long a direct connection is waited for before a tunnel through another VM is requested.
 	// A handshake takes a few milliseconds, and a lost packet is repeated after a second.
 	peerDelay = 30 * time.Millisecond
+	// overloadedPeerDelay replaces peerDelay while this VM is overloaded and its direct connections
+	// succeed. It is longer than the platform's 400 ms for a direct connection, so that a tunnel is
+	// requested only once that has failed. A tunnel goes over the same links: with 30 ms, each slow
+	// connection caused up to four more. 400 ms was too short where connections took 200 to 370 ms on
+	// average.
+	overloadedPeerDelay = time.Second
 	// nextPeerDelay is how long one VM may take to open a tunnel before the next one is tried.
 	nextPeerDelay = 50 * time.Millisecond
 	// peerTimeout bounds a connection through another VM.
@@ -45,8 +51,9 @@
 	Connect(ctx context.Context, via netip.AddrPort, server ident.Server, newWork bool) (net.Conn, error)
 }
 
-// Meter measures how long direct connections take.
+// Meter measures how long direct connections take, and from that whether this VM is overloaded.
 type Meter interface {
+	Overloaded(now time.Time) bool
 	Connecting()
 	Connected(domain ident.FailureDomain, took time.Duration, now time.Time)
 	Failed()
@@ -142,7 +149,7 @@
 	case len(ways) == 0 && c.reach.ReachesNone(now) && !c.reach.TryDirect(s.ID, now):
 		return nil, false
 	case plan == reach.DirectFirst && len(ways) > 0:
-		ways[0].wait = peerDelay
+		ways[0].wait = c.peerDelay(now)
 		return append([]way{direct}, ways...), false
 	case plan == reach.Both && len(ways) > 0:
 		ways[0].wait = 0
@@ -153,6 +160,21 @@
 	}
 }
 
+// peerDelay returns how long to wait for a direct connection to a server that is not known to be
+// cut off before a tunnel is requested.
+func (c *Connector) peerDelay(now time.Time) time.Duration {
+	if c.overloaded(now) {
+		return overloadedPeerDelay
+	}
+	return peerDelay
+}
+
+// overloaded reports whether direct connections are slow because this VM is overloaded, rather than
+// because its links are cut.
+func (c *Connector) overloaded(now time.Time) bool {
+	return c.Meter.Overloaded(now) && c.reach.Reaches(now)
+}
+
 // dial connects to a server over this VM's own links.
 func (c *Connector) dial(ctx context.Context, s *srvtab.Server) (net.Conn, error) {
 	c.Meter.Connecting()
@@ -262,6 +284,9 @@
 		return
 	}
 	now := time.Now()
+	if r.errs[direct] == nil && c.overloaded(now) {
+		return // the direct connection is slow, which is not the server's cut
+	}
 	if r.errs[direct] == nil {
 		c.reach.Failed(s.ID, now) // it is still pending and clears this if it succeeds
 	}
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -100,19 +100,24 @@
 	return out
 }
 
-// noMeter measures nothing.
-type noMeter struct{}
+// fixedMeter measures nothing. It reports whether this VM is overloaded.
+type fixedMeter bool
 
-func (noMeter) Connecting()                                             {}
-func (noMeter) Connected(ident.FailureDomain, time.Duration, time.Time) {}
-func (noMeter) Failed()                                                 {}
+func (fixedMeter) Connecting()                                             {}
+func (fixedMeter) Connected(ident.FailureDomain, time.Duration, time.Time) {}
+func (fixedMeter) Failed()                                                 {}
+func (m fixedMeter) Overloaded(time.Time) bool                             { return bool(m) }
 
 // newConnector returns a connector to the network, and a function that waits for the
 // attempts that are still pending.
 func newConnector(t *testing.T, n *network) (*path.Connector, func()) {
+	return newConnectorWith(t, n, fixedMeter(false))
+}
+
+func newConnectorWith(t *testing.T, n *network, m path.Meter) (*path.Connector, func()) {
 	var g errgroup.Group
 	c := path.New(reach.New(), path.Deps{
-		Dialer: n, Tunnels: n, Peers: n.candidates, IsolationChanged: func() {}, Count: func(string, string) {}, Meter: noMeter{}, Group: &g, Log: zap.NewNop(),
+		Dialer: n, Tunnels: n, Peers: n.candidates, IsolationChanged: func() {}, Count: func(string, string) {}, Meter: m, Group: &g, Log: zap.NewNop(),
 	})
 	return c, func() { assert.NilError(t, g.Wait()) }
 }
@@ -235,6 +240,48 @@
 	})
 }
 
+// TestOverloaded guards against an overloaded VM that delays its direct connections further by
+// requesting tunnels over the same links, and against one that is cut off and requests none.
+func TestOverloaded(t *testing.T) {
+	slow := outcome{after: 150 * time.Millisecond}
+	for name, tc := range map[string]struct {
+		idle   time.Duration // since the last direct connection
+		direct outcome
+		via    ident.VM
+		after  time.Duration
+		asked  int32 // other VMs asked
+	}{
+		"slow":                            {direct: slow, after: slow.after},
+		"refused":                         {direct: refused, via: "a", after: 2 * roundTrip, asked: 1},
+		"silent":                          {direct: hang, via: "a", after: connectTimeout + roundTrip, asked: 1},
+		"no recent connection":            {idle: 300 * time.Millisecond, direct: slow, via: "a", after: 32 * time.Millisecond, asked: 1},
+		"no recent connection and silent": {idle: 300 * time.Millisecond, direct: hang, via: "a", after: 32 * time.Millisecond, asked: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &network{setup: setup{direct: ok, peers: map[ident.VM]outcome{"a": ok}}}
+				c, wait := newConnectorWith(t, n, fixedMeter(true))
+				connect := func() (ident.VM, time.Duration) {
+					start := time.Now()
+					conn, via, err := c.Connect(t.Context(), server, path.Purpose{})
+					assert.NilError(t, err)
+					assert.NilError(t, conn.Close())
+					return via, time.Since(start)
+				}
+				connect()
+				time.Sleep(tc.idle)
+				n.direct = tc.direct
+				via, after := connect()
+				assert.Equal(t, via, tc.via)
+				assert.Equal(t, after, tc.after)
+				assert.Equal(t, n.asked.Load(), tc.asked)
+				wait()
+				assert.Equal(t, n.open.Load(), int32(0), "open connections")
+			})
+		})
+	}
+}
+
 // TestIsolated guards against calls that wait for time-outs at a VM that reaches no server and
 // knows no other VM. They fail at once, except for some that find out whether that has ended.
 func TestIsolated(t *testing.T) {
