--- a/internal/state/follow/log_test.go
+++ b/internal/state/follow/log_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/uptime"
+	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -28,3 +29,17 @@
 	}
 	assert.Equal(t, f.table.View().Len(), maxLogged+maxChanges)
 }
+
+// TestUnreadMembersLogged guards against a line for each message from each VM about members of the
+// settings that are not read: there is one for each version.
+func TestUnreadMembersLogged(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	f := NewSettingsFollower(nil, routes.NewCurrent(uptime.Now), srvtab.NewTable(func() {}), uptime.Now, nil, nil, func() {}, zap.New(core))
+	for _, version := range []uint64{3, 3, 4, 3} {
+		f.apply(routes.New(routes.Parts{Version: version, Unread: []string{"services[].tls"}}), uptime.Now())
+	}
+	assert.Equal(t, logs.Len(), 2)
+	assert.DeepEqual(t, logs.All()[1].ContextMap(), map[string]any{"version": uint64(4), "members": []any{"services[].tls"}})
+	f.apply(routes.New(routes.Parts{Version: 5}), uptime.Now())
+	assert.Equal(t, logs.Len(), 2)
+}
--- a/internal/state/follow/settings.go
+++ b/internal/state/follow/settings.go
@@ -297,5 +297,8 @@
 		return false
 	}
 	s.log.Info("settings in force", zap.Uint64("version", snap.Version))
+	if len(snap.Unread) > 0 {
+		s.log.Warn("members of the settings are not read", zap.Uint64("version", snap.Version), zap.Strings("members", snap.Unread))
+	}
 	return true
 }
--- a/internal/state/routes/snapshot.go
+++ b/internal/state/routes/snapshot.go
@@ -12,6 +12,7 @@
 	Version      uint64
 	Limits       Limits
 	Source       *Document // the document that it was read from
+	Unread       []string  // paths of members of the document that have no effect
 	services     map[ident.Service]*Service
 	hosts        map[string][]*Route // longest prefix first
 	keys         map[string]*Workspace
@@ -24,6 +25,7 @@
 	Version    uint64
 	Limits     Limits
 	Source     *Document
+	Unread     []string
 	Routes     []*Route
 	Services   []*Service
 	Workspaces []*Workspace
@@ -35,6 +37,7 @@
 		Version:      p.Version,
 		Limits:       p.Limits,
 		Source:       p.Source,
+		Unread:       p.Unread,
 		services:     make(map[ident.Service]*Service, len(p.Services)),
 		hosts:        make(map[string][]*Route),
 		keys:         make(map[string]*Workspace),
