Read registrations often when contact with all VMs is lost

Of 41 late requests, 36 reached VMs that knew no other VM.

Change: a VM that loses contact with all others reads the registrations every 0.3 s for 5.5 s, as after a start.

--- a/internal/state/hubreg/hubreg.go
+++ b/internal/state/hubreg/hubreg.go
@@ -24,7 +24,9 @@
 	// readInterval is how often the registrations are read. The response also shows
 	// that the store is reachable.
 	readInterval = 4 * time.Second
-	// isolatedReadInterval is the pause between reads while a starting VM is isolated.
+	// isolatedReadInterval is the pause between reads in the first ReachableTime after a VM has
+	// started or lost contact with all others. When the hubs and their standbys are lost at once,
+	// VMs find each other only by the registrations.
 	isolatedReadInterval = 300 * time.Millisecond
 	// retryPause is the pause after a first failed call. If the next call fails too, as
 	// when the store refuses a VM, the usual pause between reads applies.
@@ -88,7 +90,8 @@
 // hub.
 type Registrar struct {
 	self         hubs.Candidate
-	startedAt    time.Time
+	isolatedAt   time.Time // start, or when contact with all other VMs was lost
+	isolated     bool
 	hubs         *hubs.Tracker
 	registry     Registry
 	quarantined  Quarantine
@@ -104,7 +107,7 @@
 // New returns the Registrar of a VM that started at startedAt. It calls onRead after each
 // read of the registrations while the VM is isolated.
 func New(self hubs.Candidate, startedAt time.Time, tracker *hubs.Tracker, registry Registry, quarantined Quarantine, onRead func(), log *zap.Logger) *Registrar {
-	return &Registrar{self: self, startedAt: startedAt, hubs: tracker, registry: registry, quarantined: quarantined, wake: make(chan struct{}, 1), onRead: onRead, log: log}
+	return &Registrar{self: self, isolatedAt: startedAt, isolated: true, hubs: tracker, registry: registry, quarantined: quarantined, wake: make(chan struct{}, 1), onRead: onRead, log: log}
 }
 
 // Wake makes a hub perform the next step at once, so that it stores quarantined requests.
@@ -131,7 +134,7 @@
 }
 
 // wait waits for d. Wake ends the wait early on a hub, unless the last call to the store
-// failed.
+// failed. The wait also ends early when contact with all other VMs is lost.
 func (r *Registrar) wait(ctx context.Context, d time.Duration) {
 	wake := r.wake
 	if r.failures > 0 || !r.hubs.IsHub(time.Now()) {
@@ -139,11 +142,32 @@
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-	case <-t.C:
+	check := time.NewTicker(isolatedReadInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+			return
+		case <-t.C:
+			return
+		case now := <-check.C:
+			if wasIsolated := r.isolated; r.checkIsolation(now) && !wasIsolated && r.failures == 0 {
+				return
+			}
+		}
+	}
+}
+
+// checkIsolation reports whether no other VM is live, and records since when.
+func (r *Registrar) checkIsolation(now time.Time) bool {
+	isolated := r.hubs.LivePeers(now) == 0
+	if isolated && !r.isolated {
+		r.isolatedAt = now
 	}
+	r.isolated = isolated
+	return isolated
 }
 
 // startDelay returns how long a starting VM waits before it registers.
@@ -155,7 +179,7 @@
 	switch {
 	case err != nil && r.failures == 1:
 		return retryPause
-	case r.hubs.LivePeers(now) == 0 && now.Sub(r.startedAt) < ReachableTime:
+	case r.checkIsolation(now) && now.Sub(r.isolatedAt) < ReachableTime:
 		return isolatedReadInterval
 	default:
 		return readInterval
--- a/internal/state/hubreg/hubreg_test.go
+++ b/internal/state/hubreg/hubreg_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,3 +169,33 @@
 		})
 	})
 }
+
+// TestContactLost guards against VMs that find each other only seconds after the hubs and their
+// standbys were lost at once. A VM that loses contact with all others reads the registrations
+// often, but not for long.
+func TestContactLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeRegistry{registered: make(map[ident.VM]netip.AddrPort)}
+		tracker := hubs.New(candidate(1), nil, time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		var reads atomic.Int64
+		g.Go(func() error {
+			New(candidate(1), time.Now(), tracker, r, noQuarantine{}, func() { reads.Add(1) }, zap.NewNop()).Run(ctx)
+			return nil
+		})
+		for range 100 { // 20 s in contact
+			tracker.HandleReport(hubs.Report{Candidate: candidate(2)}, time.Now())
+			time.Sleep(200 * time.Millisecond)
+		}
+		reads.Store(0)
+		time.Sleep(hubs.PeerTimeout + 3*isolatedReadInterval)
+		assert.Assert(t, reads.Load() >= 2, "%d reads", reads.Load())
+		time.Sleep(ReachableTime)
+		reads.Store(0)
+		time.Sleep(10 * readInterval)
+		assert.Assert(t, reads.Load() <= 11, "%d reads", reads.Load())
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+}
