Report the time per token of streams with their memory

Each group of four events changed the stream's load, which sends a message to the coordinators: some nine per second and stream. A stream reports its first measurement at once and later ones with its memory, every 128 tokens.

--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -10,6 +10,7 @@
 
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/pace"
+	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/events"
 	"umberladder/internal/route/port"
 )
@@ -143,19 +144,26 @@
 	return nil
 }
 
-// measurePace records that events arrived, and adds the time per token to the stream's load once
-// it is known. It is reported with the next message to the other VMs.
+// measurePace records that events arrived, and adds the time per token to the stream's load when it
+// is first known. Later measurements are reported with the memory: a change of the load sends a
+// message, and a group of events is complete ten times per second.
 func (f *forwarder) measurePace(events int, now time.Time) {
 	if !f.meter.Observe(events, now) {
 		return
 	}
+	if load := f.reservation.Load(); load.PaceRuns == 0 && f.addPace(&load) {
+		f.reservation.Resize(load)
+	}
+}
+
+// addPace adds the time per token to a load, if it is known.
+func (f *forwarder) addPace(l *alloc.Load) bool {
 	perToken := f.meter.PerToken(f.eventTokens())
 	if perToken == 0 {
-		return
+		return false
 	}
-	load := f.reservation.Load()
-	load.PaceRuns, load.PaceMicros = 1, max(int(perToken.Microseconds()), 1)
-	f.reservation.Resize(load)
+	l.PaceRuns, l.PaceMicros = 1, max(int(perToken.Microseconds()), 1)
+	return true
 }
 
 // updateReservations adjusts the memory reserved for the stream at its engine and its
@@ -172,6 +180,7 @@
 	f.reportedTokens = generated
 	load := f.reservation.Load()
 	load.Tokens = f.tokensNeeded()
+	f.addPace(&load)
 	f.reservation.Resize(load)
 	if f.backup != nil {
 		load = f.backup.reservation.Load()
