Add policy/timing, which weights plain servers by response times at all VMs

A VM sums responses, their total time and rejections by server over the last second; hubs return the sums of all other VMs. The weight is the median of the service's mean response times divided by the server's own, 0.1 to 2, if they differ by more than 1.3 and by more than the noise of the means. A server that gets few calls keeps its last weight, which fades within 3 s, and gets probes.

--- /dev/null
+++ b/internal/policy/timing/assess.go
@@ -0,0 +1,207 @@
+package timing
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"umberladder/internal/core/ident"
+)
+
+const (
+	// minResponses is the number of responses in the window from which their mean counts.
+	minResponses = 5
+	// minRatio is the ratio to the median from which response times count as different.
+	minRatio = 1.3
+	// endRatio is the ratio to the median below which a slow server is slow no more. It is
+	// below minRatio, so that a server at the limit does not alternate.
+	endRatio = 1.15
+	// noiseMargin is the number of standard errors by which two means must differ. Without
+	// it, servers alike with 40 calls per second are told apart about each second second.
+	noiseMargin = 2.0
+	// minWeight bounds what slow response times can take away from a server, and maxWeight
+	// what fast ones can give it. They also bound what wrong reports can do.
+	minWeight, maxWeight = 0.1, 2.0
+	// retention is how long the mean of a server counts that has too few responses for a new
+	// one, because it gets few calls. Its weight fades during the last part, fadeTime.
+	retention = 3 * time.Second
+	fadeTime  = 2 * time.Second
+	// probeRate is the number of calls per second that all VMs together send to a slow
+	// server, so that enough of them respond in each window to show when it has recovered.
+	probeRate = 1.5 * minResponses
+	// overloadRatio is the ratio to the median load from which a server gets probes.
+	overloadRatio = 3.0
+)
+
+// Assessment is how a server's response times compare with those of its service.
+type Assessment struct {
+	Weight   float64       // fraction of its normal load that the server should get, minWeight to maxWeight
+	PeerLoad float64       // mean number of calls of the other VMs in flight
+	Probe    float64       // probability with which a call is sent to the server in spite of its weight
+	Slow     bool          // its response times are over minRatio times the median
+	Mean     time.Duration // of the response times; zero: not known
+	Median   time.Duration // of the means of the service's servers; zero: not known
+}
+
+// estimate is the mean response time of a server at a time when it had enough responses.
+type estimate struct {
+	at        time.Time
+	mean      time.Duration
+	responses int // number that the mean is based on
+}
+
+// load returns the mean number of calls in flight. By Little's law, this is the response time
+// of all calls of a window divided by its length. The number in flight at the time of the
+// reports is one sample, a report interval old, and random at usual loads. It counts only if
+// it is far above the mean, which shows that a server does not respond.
+func (s Stats) load() float64 { return max(float64(s.Time)/float64(Window), float64(s.InFlight)/2) }
+
+// assess sets the assessments of the servers, given the sums of all VMs.
+func (s *service) assess(list []ident.Server, all []Stats, out []Assessment, now time.Time) {
+	estimates := make([]estimate, len(list))
+	for i, id := range list {
+		estimates[i] = s.estimate(id, all[i], now)
+	}
+	s.expire(now)
+	reference := medianOf(estimates)
+	best, total := bestAccepted(all), 0
+	for i, id := range list {
+		total += all[i].calls()
+		a := &out[i]
+		a.Weight, a.Mean, a.Median = 1, estimates[i].mean, reference.mean
+		if estimates[i].mean > 0 && reference.mean > 0 {
+			a.Weight, a.Slow = timeWeight(estimates[i], reference, s.slow[id])
+			a.Weight = 1 + (a.Weight-1)*estimates[i].confidence(now)
+		}
+		a.Weight = min(max(a.Weight*acceptedWeight(all[i], best), minWeight), maxWeight)
+	}
+	setProbes(out, float64(total)/Window.Seconds())
+}
+
+// setProbes sets the probabilities of probes, given the rate of calls per second. Servers with
+// a low weight need them, and those whose load is far above that of the others. Otherwise, the
+// wrong report of one VM could keep all calls from a server.
+func setProbes(out []Assessment, rate float64) {
+	loads := make([]float64, len(out))
+	for i := range out {
+		loads[i] = out[i].PeerLoad
+	}
+	slices.Sort(loads)
+	for i := range out {
+		a := &out[i]
+		if rate > 0 && (a.Weight < 1 || a.PeerLoad+1 > overloadRatio*(loads[(len(loads)-1)/2]+1)) {
+			a.Probe = min(probeRate/rate, a.Weight/float64(len(out)))
+		}
+	}
+}
+
+// estimate returns the mean response time of a server; zero: not known.
+func (s *service) estimate(id ident.Server, sum Stats, now time.Time) estimate {
+	if sum.Responses >= minResponses {
+		e := estimate{at: now, mean: sum.mean(), responses: sum.Responses}
+		s.estimates[id] = e
+		return e
+	}
+	e, ok := s.estimates[id]
+	if !ok || now.Sub(e.at) > retention {
+		return estimate{}
+	}
+	// The few responses that there are replace their part of a mean of minResponses.
+	e.mean = (e.mean*time.Duration(minResponses-sum.Responses) + sum.Time) / minResponses
+	return e
+}
+
+// expire drops outdated estimates, so that those of former servers do not accumulate.
+func (s *service) expire(now time.Time) {
+	for id, e := range s.estimates {
+		if now.Sub(e.at) > retention {
+			delete(s.estimates, id)
+		}
+	}
+}
+
+// confidence returns how much an estimate counts, from 1 down to 0 at its retention.
+func (e estimate) confidence(now time.Time) float64 {
+	return min(float64(retention-now.Sub(e.at))/float64(fadeTime), 1)
+}
+
+// medianOf returns the median of the known estimates, the lower one of two; zero: none is known.
+func medianOf(estimates []estimate) estimate {
+	known := slices.DeleteFunc(slices.Clone(estimates), func(e estimate) bool { return e.mean == 0 })
+	if len(known) == 0 {
+		return estimate{}
+	}
+	slices.SortFunc(known, func(a, b estimate) int { return int(a.mean - b.mean) })
+	return known[(len(known)-1)/2]
+}
+
+// timeWeight returns the weight of a server by its response times, and whether it is slow.
+// The standard deviation of response times is taken to be as large as their mean.
+func timeWeight(e, reference estimate, wasSlow bool) (float64, bool) {
+	ratio := float64(e.mean) / float64(reference.mean)
+	margin := 1 + noiseMargin*math.Sqrt(1/float64(e.responses)+1/float64(reference.responses))
+	limit := max(minRatio, margin)
+	slow := ratio > limit || wasSlow && ratio > endRatio
+	if !slow && 1/ratio <= limit {
+		return 1, false
+	}
+	return 1 / ratio, slow
+}
+
+// acceptedWeight returns the weight of a server by the fraction of calls that it accepted,
+// squared because each call that it rejects costs another attempt. best is the largest
+// fraction of the service.
+func acceptedWeight(s Stats, best float64) float64 {
+	if best == 0 || s.calls() < minResponses {
+		return 1
+	}
+	relative := s.accepted() / best
+	if relative > 1/minRatio {
+		return 1
+	}
+	return relative * relative
+}
+
+func (s Stats) accepted() float64 { return float64(s.Responses) / float64(s.calls()) }
+
+// bestAccepted returns the largest fraction of calls that a server accepted.
+func bestAccepted(all []Stats) float64 {
+	best := 0.0
+	for _, s := range all {
+		if s.calls() >= minResponses {
+			best = max(best, s.accepted())
+		}
+	}
+	return best
+}
+
+// Probe returns the index of a server that gets a call in spite of its weight, or -1.
+func Probe(list []Assessment, skip func(i int) bool, rng *rand.Rand) int {
+	at := rng.Float64()
+	for i := range list {
+		if at -= list[i].Probe; at < 0 {
+			if skip(i) {
+				return -1
+			}
+			return i
+		}
+	}
+	return -1
+}
+
+// SampleLoad returns a random number of calls in flight, given their mean. Each VM draws
+// another one, so that VMs with the same figures do not all choose the same server.
+func SampleLoad(mean float64, rng *rand.Rand) int {
+	if !(mean > 0) {
+		return 0
+	}
+	if mean > 30 {
+		return max(int(math.Round(mean+math.Sqrt(mean)*rng.NormFloat64())), 0)
+	}
+	n, limit := 0, math.Exp(-mean)
+	for p := rng.Float64(); p > limit; p *= rng.Float64() {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/policy/timing/assess_test.go
@@ -0,0 +1,204 @@
+package timing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"umberladder/internal/core/ident"
+)
+
+var servers = []ident.Server{"a", "b", "c"}
+
+const ms = time.Millisecond
+
+// TestWeights checks the weights of three servers by their calls in the window.
+func TestWeights(t *testing.T) {
+	calls := func(responses int, mean time.Duration, rejections int) Stats {
+		return Stats{Responses: responses, Time: time.Duration(responses) * mean, Rejections: rejections}
+	}
+	usual := calls(40, 30*ms, 0)
+	for name, tc := range map[string]struct {
+		of   Stats // of the first server; the others have usual ones
+		want float64
+		slow bool
+	}{
+		"alike":                          {of: usual, want: 1},
+		"4 times slower":                 {of: calls(40, 120*ms, 0), want: 0.25, slow: true},
+		"4 times slower, few calls":      {of: calls(5, 120*ms, 0), want: 0.25, slow: true},
+		"too few calls":                  {of: calls(4, 120*ms, 0), want: 1},
+		"no calls":                       {want: 1},
+		"a difference within the noise":  {of: calls(40, 40*ms, 0), want: 1},
+		"the difference of a few calls":  {of: calls(5, 50*ms, 0), want: 1},
+		"many calls, a small difference": {of: calls(150, 36*ms, 0), want: 1},
+		"100 times slower":               {of: calls(40, 3000*ms, 0), want: minWeight, slow: true},
+		"100 times faster":               {of: calls(40, ms/3, 0), want: maxWeight},
+		"rejects half of its calls":      {of: calls(20, 30*ms, 20), want: 0.25},
+		"rejects all calls":              {of: calls(0, 0, 40), want: minWeight},
+		"rejects few calls":              {of: calls(36, 30*ms, 4), want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTracker()
+			tracker.HandleResponse("hub", 60, map[ident.Server]Stats{"a": tc.of, "b": usual, "c": usual}, start)
+			got := tracker.Assess("s", servers, start)
+			assert.Assert(t, got[0].Weight > tc.want-0.01 && got[0].Weight < tc.want+0.01, "%+v", got[0])
+			assert.Equal(t, got[0].Slow, tc.slow)
+			assert.Equal(t, got[0].Probe > 0, tc.want < 1, "probes")
+			assert.Equal(t, got[1].Weight, 1.0)
+		})
+	}
+}
+
+// TestWeightBounds guards against weights, probabilities and state outside of their bounds,
+// with random figures of VMs.
+func TestWeightBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, now := newTracker(), start
+		count := rapid.IntRange(0, maxCount)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * ms)
+			stats := make(map[ident.Server]Stats)
+			for _, id := range servers {
+				stats[id] = Stats{
+					Responses: count.Draw(t, "responses"), Time: time.Duration(rapid.Int64Range(0, int64(maxTime)).Draw(t, "time")),
+					Rejections: count.Draw(t, "rejections"), InFlight: count.Draw(t, "in-flight"),
+				}
+			}
+			tracker.HandleReport("vm", stats, now)
+			probes := 0.0
+			for _, a := range tracker.Assess("s", servers, now) {
+				assert.Assert(t, a.Weight >= minWeight && a.Weight <= maxWeight, "%+v", a)
+				assert.Assert(t, a.Probe >= 0 && a.PeerLoad >= 0, "%+v", a)
+				probes += a.Probe
+			}
+			assert.Assert(t, probes <= maxWeight, "%g", probes)
+			assert.Assert(t, len(tracker.services["s"].estimates) <= len(servers))
+		}
+	})
+}
+
+// TestFewCallsAfterSlowness guards against a slow server that counts as unknown because it
+// gets few calls, so that it gets all its calls back at once; against one that stays slow
+// without any call, and against a recovery that is seen late.
+func TestFewCallsAfterSlowness(t *testing.T) {
+	slow := func() *Tracker {
+		tracker := newTracker()
+		for _, id := range servers[1:] {
+			observe(tracker, id, 40, 30*ms, start)
+		}
+		observe(tracker, "a", 40, 120*ms, start)
+		tracker.Assess("s", servers, start)
+		return tracker
+	}
+	others := func(tracker *Tracker, now time.Time) {
+		for _, id := range servers[1:] {
+			observe(tracker, id, 40, 30*ms, now)
+		}
+	}
+	t.Run("no call", func(t *testing.T) {
+		tracker, last := slow(), 0.0
+		for at := 100 * ms; at <= 4*time.Second; at += 100 * ms {
+			now := start.Add(at)
+			others(tracker, now)
+			weight := tracker.Assess("s", servers, now)[0].Weight
+			assert.Assert(t, weight >= last, "%g after %g", weight, last)
+			assert.Assert(t, weight-last < 0.3, "from %g to %g in 0.1 s", last, weight)
+			last = weight
+		}
+		assert.Equal(t, last, 1.0)
+	})
+	for n, took := range map[int]time.Duration{3: 30 * ms, 7: 30 * ms, 4: 120 * ms} {
+		t.Run(fmt.Sprintf("%d calls of %s", n, took), func(t *testing.T) {
+			tracker, now := slow(), start.Add(time.Second)
+			others(tracker, now)
+			observe(tracker, "a", n, took, now)
+			weight := tracker.Assess("s", servers, now)[0].Weight
+			switch {
+			case took > 30*ms:
+				assert.Assert(t, weight < 0.3, "%g", weight)
+			case n >= minResponses:
+				assert.Equal(t, weight, 1.0)
+			default:
+				assert.Assert(t, weight > 0.25 && weight < 1, "%g", weight)
+			}
+		})
+	}
+}
+
+// TestChanges guards against a log line for each call, and against a server at the limit that
+// alternates between slow and not slow.
+func TestChanges(t *testing.T) {
+	var changes []Change
+	tracker, now := New(func(c Change) { changes = append(changes, c) }), start
+	second := func(mean time.Duration) {
+		now = now.Add(2 * time.Second)
+		for _, id := range servers[1:] {
+			observe(tracker, id, 400, 30*ms, now)
+		}
+		observe(tracker, "a", 400, mean, now)
+		tracker.Assess("s", servers, now)
+		tracker.Assess("s", servers, now)
+	}
+	for _, mean := range []time.Duration{30 * ms, 60 * ms, 37 * ms, 40 * ms, 37 * ms, 31 * ms, 37 * ms, 30 * ms} {
+		second(mean)
+	}
+	assert.Equal(t, len(changes), 2, "%v", changes)
+	assert.DeepEqual(t, changes[0], Change{Service: "s", Server: "a", Slow: true, Mean: 60 * ms, Median: 30 * ms})
+	assert.DeepEqual(t, changes[1], Change{Service: "s", Server: "a", Mean: 31 * ms, Median: 30 * ms})
+	second(60 * ms)
+	assert.DeepEqual(t, tracker.SlowCounts(now), []SlowCount{{Service: "s", Servers: 1}})
+	assert.DeepEqual(t, tracker.SlowCounts(now.Add(2*retention)), []SlowCount{{Service: "s"}})
+	tracker.Assess("s", servers[1:], now)
+	assert.DeepEqual(t, tracker.SlowCounts(now), []SlowCount{{Service: "s"}})
+}
+
+// TestWrongReport guards against one VM whose wrong figures keep all calls from a server: it
+// still gets probes.
+func TestWrongReport(t *testing.T) {
+	for name, wrong := range map[string]Stats{
+		"slow":        {Responses: 1000, Time: time.Hour},
+		"many calls":  {InFlight: maxCount},
+		"rejects all": {Rejections: maxCount},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTracker()
+			for n := range 60 {
+				tracker.HandleReport(ident.VM(fmt.Sprint(n)), map[ident.Server]Stats{"a": {Responses: 1, Time: 30 * ms}, "b": {Responses: 1, Time: 30 * ms}, "c": {Responses: 1, Time: 30 * ms}}, start)
+			}
+			tracker.HandleReport("wrong", map[ident.Server]Stats{"a": wrong}, start)
+			got := tracker.Assess("s", servers, start)[0]
+			assert.Assert(t, got.Weight >= minWeight, "%+v", got)
+			assert.Assert(t, got.Probe > 0, "%+v", got)
+		})
+	}
+}
+
+// TestProbe guards against probes more or less often than their probability, and of servers
+// that must not be chosen.
+func TestProbe(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	list := []Assessment{{Probe: 0.1}, {}, {Probe: 0.2}}
+	counts := make(map[int]int)
+	for range 10_000 {
+		counts[Probe(list, func(i int) bool { return i == 2 }, rng)]++
+	}
+	assert.Assert(t, counts[0] > 900 && counts[0] < 1100, "%v", counts)
+	assert.Equal(t, counts[0]+counts[-1], 10_000)
+}
+
+// TestSampleLoad guards against samples whose mean is not the given one.
+func TestSampleLoad(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, mean := range []float64{0, 0.1, 1.2, 6, 29, 31, 500} {
+		sum := 0
+		for range 10_000 {
+			sum += SampleLoad(mean, rng)
+		}
+		got := float64(sum) / 10_000
+		assert.Assert(t, got > 0.95*mean-0.02 && got < 1.05*mean+0.02, "%g, mean %g", got, mean)
+	}
+}
