Place plain calls by response times and calls in flight of all VMs

VMs report sums by plain server to the hubs with their regular message (field 31); hubs return the sums of all other VMs (hub field 7), at most 64 servers. Messages about changed loads and announcements leave them out. A VM weights servers by these figures, and adds a random sample of the other VMs' calls in flight to its own, so that VMs with the same figures choose different servers.

--- a/internal/peer/gossip/agent.go
+++ b/internal/peer/gossip/agent.go
@@ -205,6 +205,7 @@
 // sendLoads reports this VM's loads to the coordinators. It returns their number.
 func (a *Agent) sendLoads(now time.Time) int {
 	m := a.newReport(now)
+	m.Timings = nil // the hubs get them with each regular report
 	addrs := a.delegate.Coordinators()
 	for _, addr := range addrs {
 		a.write(Reports, m, addr)
--- a/internal/peer/wire/hub.go
+++ b/internal/peer/wire/hub.go
@@ -9,6 +9,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/state/hubs"
 )
 
@@ -20,6 +21,7 @@
 	Reporting       int                              // number of VMs whose attempts are in PeerAttempts
 	PeerAttempts    map[ident.Service]retry.Attempts // of all VMs but the receiver, in the window of the retry budget
 	Carriers        []hubs.Candidate                 // VMs that may carry connections to servers for the receiver, if it is isolated
+	Timings         map[ident.Server]timing.Stats    // response times of plain servers at all VMs but the receiver
 }
 
 // Field numbers of a hub's response and of a candidate in it.
@@ -30,6 +32,7 @@
 	hubReporting       = 4
 	hubPeerAttempts    = 5
 	hubCarrier         = 6
+	hubTiming          = 7
 
 	candidateVM       = 1
 	candidateAddr     = 2
@@ -50,7 +53,7 @@
 	for _, c := range h.Carriers {
 		b = appendBytes(b, hubCarrier, encodeCandidate(c))
 	}
-	return b
+	return appendTimings(b, hubTiming, h.Timings)
 }
 
 func encodeCandidate(c hubs.Candidate) []byte {
@@ -75,6 +78,8 @@
 			var c hubs.Candidate
 			c, err = decodeCandidate(data)
 			h.Carriers = append(h.Carriers, c)
+		case hubTiming:
+			err = addTiming(&h.Timings, data)
 		case hubKnown:
 			h.Known = int(min(v, math.MaxInt32))
 		case hubReporting:
--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -12,6 +12,7 @@
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/state/follow"
@@ -52,6 +53,8 @@
 	Isolated    bool // the VM reaches no backend server over its own links
 	// Brittle are the services whose servers fail if they reject too many requests.
 	Brittle []reject.Limit
+	// Timings are the response times of plain servers at the VM in the last timing.Window.
+	Timings map[ident.Server]timing.Stats
 
 	Capacity        hubs.Capacity
 	Domain          ident.FailureDomain // of the VM
@@ -107,6 +110,7 @@
 	fieldOrigin            = 28
 	fieldOriginQuery       = 29
 	fieldOriginAnswer      = 30
+	fieldTiming            = 31
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -178,6 +182,7 @@
 	for _, l := range m.Brittle {
 		b = appendBytes(b, fieldBrittle, encodeRejectLimit(l, time.Now()))
 	}
+	b = appendTimings(b, fieldTiming, m.Timings)
 	if m.Evacuations.Rev != 0 {
 		b = appendBytes(b, fieldEvacuations, encodeEvacuations(m.Evacuations))
 	}
@@ -289,8 +294,8 @@
 		var f poison.Finding
 		f, err = decodeFinding(data, time.Now())
 		m.Findings = append(m.Findings, f)
-	case fieldLimit, fieldBrittle:
-		err = m.addLimit(n, data)
+	case fieldLimit, fieldBrittle, fieldTiming:
+		err = m.addServerState(n, data)
 	case fieldEvacuations:
 		m.Evacuations, err = decodeEvacuations(data)
 	case fieldVersionReply:
@@ -318,16 +323,21 @@
 	return err
 }
 
-// addLimit decodes and adds a limit that servers have stated.
-func (m *Message) addLimit(n protowire.Number, data []byte) error {
-	if n == fieldBrittle {
+// addServerState decodes and adds a limit that servers have stated, or the response times of
+// a server.
+func (m *Message) addServerState(n protowire.Number, data []byte) error {
+	switch n {
+	case fieldTiming:
+		return addTiming(&m.Timings, data)
+	case fieldBrittle:
 		l, err := decodeRejectLimit(data, time.Now())
 		m.Brittle = append(m.Brittle, l)
 		return err
+	default:
+		l, err := decodeLimit(data, time.Now())
+		m.Limits = append(m.Limits, l)
+		return err
 	}
-	l, err := decodeLimit(data, time.Now())
-	m.Limits = append(m.Limits, l)
-	return err
 }
 
 // setNumber sets one numeric field of a message.
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/route/pick"
@@ -56,6 +58,19 @@
 			m.Hub.Carriers = []hubs.Candidate{{VM: "b", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Capacity: 11, Domain: "d"}}
 		}
 	}
+	if rapid.Bool().Draw(t, "timings") {
+		count := rapid.IntRange(0, math.MaxInt32)
+		m.Timings = map[ident.Server]timing.Stats{}
+		for range rapid.IntRange(1, 4).Draw(t, "timed") {
+			m.Timings[ident.Server(name.Draw(t, "timed-server"))] = timing.Stats{
+				Responses: count.Draw(t, "responses"), Time: time.Duration(n.Draw(t, "time")) * time.Microsecond,
+				Rejections: count.Draw(t, "rejections"), InFlight: count.Draw(t, "in-flight"),
+			}
+		}
+		if m.Hub != nil {
+			m.Hub.Timings = m.Timings
+		}
+	}
 	m.Isolated = rapid.Bool().Draw(t, "isolated")
 	if rapid.Bool().Draw(t, "reply") {
 		m.RequestTime = uint64(n.Draw(t, "request-time"))
@@ -132,3 +147,18 @@
 		}
 	})
 }
+
+// TestTimingSize guards against reports and responses that grow beyond what the network was
+// planned for: 45 bytes for each server.
+func TestTimingSize(t *testing.T) {
+	m := &Message{VM: "a", Hub: &HubResponse{}}
+	before := len(m.Encode())
+	m.Hub.Timings = make(map[ident.Server]timing.Stats)
+	for n := range timing.MaxServers {
+		id := ident.NewServer(fmt.Sprint("plain-", n), time.Unix(1_700_000_000, 0))
+		m.Hub.Timings[id] = timing.Stats{Responses: 120, Time: 4 * time.Second, Rejections: 130, InFlight: 12}
+	}
+	size := (len(m.Encode()) - before) / timing.MaxServers
+	t.Logf("%d bytes for each server", size)
+	assert.Assert(t, size <= 45, "%d bytes", size)
+}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -128,6 +128,7 @@
 		Health:    healthTracker,
 		Rates:     node.Rates,
 		Reject:    node.Reject,
+		Timings:   node.Timings,
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -88,6 +88,7 @@
 	n.confirmCrashes(now)
 	m.Findings = n.Poison.Report(now)
 	m.Limits = n.Rates.Report(now)
+	m.Timings = n.Timings.Report(n.ownCalls, now)
 	d.fillCommon(m, now)
 }
 
@@ -107,6 +108,7 @@
 	m.Hub.Carriers = d.node.Hubs.CarriersFor(to, now)
 	d.fillCommon(m, now)
 	if m.Reply != nil {
+		m.Hub.Timings = d.node.Timings.Response(to, d.node.ownCalls, now) // announcements to all VMs do without
 		d.setUpdate(m, d.node.updates.Missing, to, now)
 	} else {
 		d.setUpdate(m, d.node.updates.New, to, now)
@@ -156,6 +158,9 @@
 	n.Budget.HandleReport(m.VM, m.Attempts, now)
 	n.Poison.HandleReport(m.VM, m.QuarantineDigest)
 	n.Rates.HandleReport(m.VM, m.Limits, now)
+	if m.RequestTime != 0 { // reports of changed loads hold no response times
+		n.Timings.HandleReport(m.VM, m.Timings, now)
+	}
 	if m.HasLoads() {
 		n.Alloc.UpdatePeer(m.VM, m.Instance, m.Seq, m.Part, m.Loads, now)
 	}
@@ -172,6 +177,9 @@
 	n.Budget.HandleResponse(m.VM, retry.FleetTotal{At: now, Known: m.Hub.Known, Reporting: m.Hub.Reporting, Attempts: m.Hub.PeerAttempts})
 	n.Poison.HandleResponse(m.VM, m.Instance, m.QuarantineDigest, now)
 	n.Rates.HandleResponse(m.VM, m.Hub.Reporting, m.Limits, now)
+	if m.Reply != nil {
+		n.Timings.HandleResponse(m.VM, m.Hub.Reporting, m.Hub.Timings, now)
+	}
 	d.applyCommon(m, from, false, now)
 	if m.Reply != nil {
 		d.handleVersionReply(*m.Reply, from)
--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -21,6 +21,7 @@
 	"umberladder/internal/policy/reach"
 	"umberladder/internal/policy/reject"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
@@ -53,6 +54,7 @@
 	Rates          *rates.Limiter
 	Reach          *reach.Tracker
 	Reject         *reject.Tracker
+	Timings        *timing.Tracker
 	ServerFollower *follow.ServerFollower
 	Origins        *origin.Finder
 
@@ -93,6 +95,7 @@
 	n.Poison = poison.New(cfg.Quarantine, n.quarantinesChanged)
 	n.Rates = rates.New(n.Budget, n.limitChanged)
 	n.Reject = reject.New(n.brittlenessChanged)
+	n.Timings = timing.New(n.slownessChanged)
 	n.registrar = hubreg.New(self, start, n.Hubs, deps.Registry, n.Poison, n.reportNow, log)
 	n.settingsFollower = follow.NewSettingsFollower(deps.Settings, n.Settings, n.Servers, uptime.Now, n.settingsFromPeers, n.probesStore, n.announce, log)
 	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, cfg.ServerHeartbeat, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
--- a/internal/route/alloc/tracker.go
+++ b/internal/route/alloc/tracker.go
@@ -180,6 +180,13 @@
 	return maps.Clone(t.local)
 }
 
+// Own returns this VM's load of a server.
+func (t *Tracker) Own(server ident.Server) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.local[server]
+}
+
 // UpdatePeer replaces another VM's loads, unless the same or a later report was
 // received before. A higher instance means that the VM has restarted since. A
 // report may arrive in several parts with the same sequence number, in any order: the
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -24,6 +24,7 @@
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/route/pick"
@@ -343,6 +344,7 @@
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
 		Reject:  reject.New(func(reject.Limit) {}),
+		Timings: timing.New(func(timing.Change) {}),
 		Origins: h.origins,
 		Placer:  placer.New("vm", 0, chooser, coord.New(chooser), noCoordinators, nil, func(string) {}, zap.NewNop()),
 	})
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -15,6 +15,7 @@
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
@@ -48,6 +49,7 @@
 	Health    *health.Tracker
 	Rates     *rates.Limiter
 	Reject    *reject.Tracker
+	Timings   *timing.Tracker
 	Poison    *poison.Detector
 	Placer    Placer
 	Origins   Origins
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -11,7 +11,6 @@
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/policy/assign"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/task"
@@ -173,6 +172,7 @@
 		r.Health.Failure(s.ID, time.Now())
 		return nil, &port.SendError{Err: err}
 	}
+	r.observeTiming(s, resp, sent)
 	if !resp.NotExecuted {
 		r.RecordResponse(s, resp.Status)
 	}
@@ -191,10 +191,7 @@
 	if r.limited != nil {
 		return r.limited
 	}
-	ids := make([]ident.Server, len(list))
-	for i, s := range list {
-		ids[i] = s.ID
-	}
+	ids := serverIDs(list)
 	for i, skip := range r.Rates.Skips(r.Service.Name, ids, now) {
 		if r.limited == nil {
 			r.limited = make(map[ident.Server]bool, len(ids))
@@ -226,27 +223,3 @@
 		r.limited[list[i].ID] = r.limited[list[i].ID] || skip
 	}
 }
-
-// pick chooses a server that has not been tried yet, or returns nil if none is usable.
-func (r *requester) pick() *srvtab.Server {
-	now := time.Now()
-	list := r.Servers.View().ServersOf(r.Service.Name)
-	r.Alloc.Expire(now)
-	limited := r.rateLimited(list, now)
-	allowed := r.AllowedDomains()
-	servers := make([]assign.Server, len(list))
-	for i, s := range list {
-		servers[i] = assign.Server{
-			Slots:       s.Slots,
-			InFlight:    r.Alloc.Load(s.ID).Calls,
-			CrossDomain: s.Domain != r.Config.Domain,
-			Weight:      r.Health.Weight(s.ID, now),
-			Skip:        r.tried[s.ID] || allowed != nil && !slices.Contains(allowed, s.Domain) || r.Health.PauseRemaining(s.ID, now) > 0 || limited[s.ID],
-		}
-	}
-	i := assign.ChoosePlain(servers, assign.NewRand())
-	if i < 0 {
-		return nil
-	}
-	return list[i]
-}
