Send a plain call that failed alike at two servers to no third

A call that failed with the same status at two servers would likely fail at the next one too. Its retry isn't taken from the budget. A retry that was taken but not sent, because no server was left or none could be reached, is returned, and an attempt that replaces one that could not be sent takes no second one.

--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -251,6 +251,20 @@
 	return true
 }
 
+// ReturnRetry returns a retry that was taken from the budget at the given time and has not been
+// sent.
+func (b *FleetBudget) ReturnRetry(s ident.Service, takenAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, slot := b.counts[s], takenAt.UnixNano()/(int64(b.span)/slots)
+	if c == nil || slot > c.newest || c.newest-slot > slots {
+		return // it has left the window
+	}
+	if n := &c.retries[slot%(slots+1)]; *n > 0 {
+		*n--
+	}
+}
+
 // Excess returns this VM's first attempts in the window in relation to the mean of the VMs
 // whose attempts are known, or zero if no others are.
 func (b *FleetBudget) Excess(now time.Time) float64 {
--- a/internal/policy/retry/fleet_test.go
+++ b/internal/policy/retry/fleet_test.go
@@ -138,3 +138,32 @@
 		})
 	}
 }
+
+// TestReturnRetry guards against retries that count although they were not sent, and against
+// returned ones that free more of the budget than they took.
+func TestReturnRetry(t *testing.T) {
+	const extra, span = 10.0, 10 * time.Second
+	now := time.Unix(1_000_000, 0)
+	budget := NewFleetBudget(0, extra, span, fixedPeers{known: 1, reporting: 1})
+	budget.HandleReport("b", nil, now)
+	take := func(now time.Time) (n int) {
+		for budget.AllowRetry("s", now) {
+			n++
+		}
+		return n
+	}
+	all := take(now)
+	assert.Assert(t, all > 0)
+	later := now.Add(span / 2)
+	budget.ReturnRetry("s", now)
+	assert.Equal(t, take(later), 1)
+	budget.ReturnRetry("s", now.Add(-time.Hour))
+	budget.ReturnRetry("s", later.Add(time.Hour))
+	budget.ReturnRetry("other", now)
+	assert.Equal(t, take(later), 0)
+	afterWindow := later.Add(2 * span)
+	budget.HandleReport("b", nil, afterWindow)
+	assert.Equal(t, take(afterWindow), all)
+	budget.ReturnRetry("s", now)
+	assert.Equal(t, take(afterWindow), 0, "a retry that left the window before it was returned")
+}
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -294,6 +294,8 @@
 // fakeBudget is a retry budget with a fixed number of retries.
 type fakeBudget struct{ remaining int }
 
+func (b *fakeBudget) ReturnRetry(ident.Service, time.Time) { b.remaining++ }
+
 func (b *fakeBudget) RecordFirstAttempt(ident.Service, time.Time) {}
 
 func (b *fakeBudget) AllowRetry(ident.Service, time.Time) bool {
@@ -371,7 +373,7 @@
 	short.Resumable = true
 	return routes.New(routes.Parts{
 		Version:  version,
-		Routes:   []*routes.Route{long, short, route("/once/", call.AtMostOnce, 1), route("/get/", call.Idempotent, 2)},
+		Routes:   []*routes.Route{long, short, route("/once/", call.AtMostOnce, 1), route("/get/", call.Idempotent, 2), route("/retry/", call.Idempotent, 4)},
 		Services: []*routes.Service{{Name: "engines", Engine: engine}},
 		Workspaces: []*routes.Workspace{
 			{Name: "team", Keys: []string{"key"}},
--- a/internal/route/relay/plain_test.go
+++ b/internal/route/relay/plain_test.go
@@ -101,6 +101,52 @@
 	}
 }
 
+func respondStatus(status int) respondFunc {
+	return func() (*port.Response, error) {
+		return &port.Response{Status: status, Signed: true, Delimited: true, Body: &textBody{s: "no"}}, nil
+	}
+}
+
+// TestRetries checks at how many servers a call is tried that fails, and how many retries it
+// takes from the budget: one for each attempt after the first that is sent.
+func TestRetries(t *testing.T) {
+	internal, unavailable := respondStatus(500), respondStatus(503)
+	for name, tc := range map[string]struct {
+		servers   int
+		responses []respondFunc // of the first attempt, the second, and so on
+		status    int
+		attempts  int
+		retries   int
+	}{
+		"the same failure twice":            {servers: 4, responses: []respondFunc{internal, internal, respondOK}, status: 500, attempts: 2, retries: 1},
+		"two kinds of failure":              {servers: 4, responses: []respondFunc{internal, unavailable, respondOK}, status: 200, attempts: 3, retries: 2},
+		"the same failure after another":    {servers: 4, responses: []respondFunc{internal, unavailable, internal, respondOK}, status: 500, attempts: 3, retries: 2},
+		"a rejection is no failure":         {servers: 4, responses: []respondFunc{respondOverloaded, respondOverloaded, respondOK}, status: 200, attempts: 3, retries: 2},
+		"a connection fails before a retry": {servers: 4, responses: []respondFunc{internal, failUnsent, respondOK}, status: 200, attempts: 3, retries: 1},
+		"no server is left for a retry":     {servers: 1, responses: []respondFunc{internal, respondOK}, status: 500, attempts: 1},
+		"no other server is reachable":      {servers: 2, responses: []respondFunc{internal, failUnsent}, status: 500, attempts: 2},
+		"broken off twice":                  {servers: 3, responses: []respondFunc{failSilent, failSilent, respondOK}, status: 200, attempts: 3, retries: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, tc.servers)
+				attempts, budget := 0, h.budget.remaining
+				for i := range tc.servers {
+					h.engines.respond[serverEntry(i).ID] = func() (*port.Response, error) {
+						attempts++
+						return tc.responses[attempts-1]()
+					}
+				}
+				c, r := h.serve(t.Context(), "/retry/x")
+				assert.Assert(t, r == nil, "%v", r)
+				assert.Equal(t, c.status, tc.status)
+				assert.Equal(t, attempts, tc.attempts)
+				assert.Equal(t, budget-h.budget.remaining, tc.retries, "retries taken from the budget")
+			})
+		})
+	}
+}
+
 func TestAdmit(t *testing.T) {
 	revoked := routes.New(routes.Parts{
 		Version: 2, Routes: []*routes.Route{{Host: "h", Prefix: "/get/", Timeout: time.Second}},
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -64,6 +64,8 @@
 type Budget interface {
 	RecordFirstAttempt(service ident.Service, now time.Time)
 	AllowRetry(service ident.Service, now time.Time) bool
+	// ReturnRetry returns a retry that was allowed at the given time and has not been sent.
+	ReturnRetry(service ident.Service, allowedAt time.Time)
 }
 
 // Placer decides where runs go. Its error is pick.ErrNoServer, a
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -30,12 +30,14 @@
 	unreachable     []ident.Server        // servers that could not be connected to since the last placement
 	connectFailures int                   // number of servers to which the connection failed
 	lastFailure     *task.FullResponse    // failure response of the last server that responded
+	failures        map[int]int           // number of servers at which the call failed, by status
+	retryTakenAt    time.Time             // when a retry was taken from the budget for an attempt that has not been sent; zero: none was
 	refusal         *refuse.Refusal       // refusal if no further server responds; nil: no server was reached
 }
 
 // Serve serves a call whose response is one complete body.
 func Serve(ctx context.Context, t *task.Task) *refuse.Refusal {
-	r := &requester{Task: t, tried: make(map[ident.Server]bool)}
+	r := &requester{Task: t, tried: make(map[ident.Server]bool), failures: make(map[int]int)}
 	for r.mayTryNext() {
 		s, refusal := r.next(ctx)
 		if refusal != nil && r.lastFailure == nil {
@@ -55,7 +57,7 @@
 		if err == nil && r.handleResponse(s, resp) {
 			return t.WriteResponse(resp)
 		}
-		if err == nil && !resp.NotExecuted && t.Route.Kind != call.Idempotent {
+		if err == nil && !resp.NotExecuted && (t.Route.Kind != call.Idempotent || r.failsEverywhere(resp.Status)) {
 			break
 		}
 	}
@@ -64,6 +66,9 @@
 
 // finish ends a call that no server has served.
 func (r *requester) finish() *refuse.Refusal {
+	if !r.retryTakenAt.IsZero() {
+		r.Budget.ReturnRetry(r.Service.Name, r.retryTakenAt)
+	}
 	switch {
 	case r.lastFailure != nil:
 		return r.WriteResponse(r.lastFailure)
@@ -84,8 +89,23 @@
 	return r.refusal.Ran
 }
 
+// maxSameFailures is the number of servers at which a call may fail with the same status. It
+// would likely fail at the next one too, and if the cause is a dependency of all servers, the
+// retries add load to it.
+const maxSameFailures = 2
+
+// failsEverywhere reports whether the call failed with the given status at so many servers that
+// it is not sent to another one.
+func (r *requester) failsEverywhere(status int) bool {
+	if r.failures[status] < maxSameFailures {
+		return false
+	}
+	r.LogInfo("no retry", zap.String("reason", "the same failure at two servers"), zap.Int("status", status))
+	return true
+}
+
 // mayTryNext reports whether the call may be sent to another server. From the second
-// attempt on it takes a retry from the budget.
+// attempt on it takes a retry from the budget, once for each attempt that is sent.
 func (r *requester) mayTryNext() bool {
 	if r.Result.Attempts >= r.Route.MaxAttempts || !r.RetryUnsent(r.connectFailures) {
 		return false
@@ -94,7 +114,11 @@
 		r.refusal = q.WithRan(r.ran())
 		return false
 	}
-	if r.Result.Attempts == 0 || r.Budget.AllowRetry(r.Service.Name, time.Now()) {
+	if r.Result.Attempts == 0 || !r.retryTakenAt.IsZero() {
+		return true
+	}
+	if now := time.Now(); r.Budget.AllowRetry(r.Service.Name, now) {
+		r.retryTakenAt = now
 		return true
 	}
 	r.LogInfo("no retry", zap.String("reason", "the retry budget is used up"))
@@ -121,7 +145,7 @@
 		return true
 	}
 	r.Result.Attempts++
-	r.lastFailure = nil
+	r.lastFailure, r.retryTakenAt = nil, time.Time{}
 	r.LogInfo("no whole answer", zap.String("server", string(s.ID)), zap.Error(err))
 	r.CheckCrash(ctx, s)
 	r.refusal = refuse.New(refuse.ServerLost, "server %s broke off: %v", s.ID, err).WithRan(refuse.RanMaybe)
@@ -135,6 +159,7 @@
 		r.MarkGone(s)
 	}
 	r.Result.Attempts++
+	r.retryTakenAt = time.Time{}
 	switch {
 	case resp.NotExecuted:
 		r.refusal = refuse.New(refuse.ServerRejected, "server %s did not take the call, with status %d", s.ID, resp.Status).WithRan(r.ran()).WithRetryAfter(overloadRetryAfter)
@@ -143,6 +168,7 @@
 		return true
 	}
 	r.lastFailure = resp
+	r.failures[resp.Status]++
 	r.refusal = refuse.New(refuse.ServerLost, "server %s failed with status %d", s.ID, resp.Status).WithRan(refuse.RanMaybe)
 	return false
 }
