--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/gossip"
 )
 
@@ -41,6 +42,7 @@
 	metricServersLimited  = "umberladder_servers_limited"
 	metricEvacuated       = "umberladder_failure_domains_evacuated"
 	metricBrittle         = "umberladder_services_brittle"
+	metricPlainSlow       = "umberladder_plain_servers_slow"
 	metricConnections     = "umberladder_server_connections_total"
 	metricServersCutOff   = "umberladder_servers_cut_off"
 	metricTunnels         = "umberladder_tunnels"
@@ -89,6 +91,7 @@
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
 		{metricBrittle, "gauge", "services whose servers fail if they reject too many requests"},
+		{metricPlainSlow, "gauge", "plain servers that are slow: their mean response time is well over 1.3 times the median of their service; by service"},
 		{metricConnections, "counter", "attempts to connect to servers, by path (direct, or through a peer VM) and outcome"},
 		{metricServersCutOff, "gauge", "servers that this VM reaches only through other VMs"},
 		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
@@ -148,6 +151,24 @@
 	}
 }
 
+// registerSlowGauges exports the number of slow servers of each plain service that has had
+// calls. Services become known as they get calls.
+func (v *VM) registerSlowGauges() {
+	for _, c := range v.node.Timings.SlowCounts(time.Now()) {
+		v.metricSet.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", metricPlainSlow, c.Service), func() float64 { return v.slowServers(c.Service) })
+	}
+}
+
+// slowServers returns the number of slow servers of a plain service.
+func (v *VM) slowServers(s ident.Service) float64 {
+	for _, c := range v.node.Timings.SlowCounts(time.Now()) {
+		if c.Service == s {
+			return float64(c.Servers)
+		}
+	}
+	return 0
+}
+
 // countPlacement counts a placement by its outcome.
 func (v *VM) countPlacement(outcome string) {
 	v.metricSet.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricPlacements, outcome)).Inc()
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -293,6 +293,7 @@
 }
 
 func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
+	v.registerSlowGauges()
 	v.metricSet.WritePrometheus(ctx)
 	metrics.WriteProcessMetrics(ctx)
 }
