Choose plain servers by the figures of all VMs only where servers differ

Among servers alike, the samples of calls in flight outweighed this VM's health weights, and a failing server got twice the calls. A server that rejects calls loses more weight, one that gets enough calls gets no probes, and a fast one is weighted with caution.

--- a/internal/policy/timing/assess.go
+++ b/internal/policy/timing/assess.go
@@ -17,9 +17,14 @@
 	// endRatio is the ratio to the median below which a slow server is slow no more. It is
 	// below minRatio, so that a server at the limit does not alternate.
 	endRatio = 1.15
-	// noiseMargin is the number of standard errors by which two means must differ. Without
-	// it, servers alike with 40 calls per second are told apart about each second second.
-	noiseMargin = 2.0
+	// minAccepted is the fraction of calls that a server accepts, relative to the others, from
+	// which it loses no weight, and acceptedPower the power of smaller fractions that is its
+	// weight.
+	minAccepted   = 0.95
+	acceptedPower = 4
+	// noiseMargin is the number of standard errors by which two means must differ. With 2, a
+	// server that fails a third of its calls got 14% of the calls in place of 12%.
+	noiseMargin = 3.0
 	// minWeight bounds what slow response times can take away from a server, and maxWeight
 	// what fast ones can give it. They also bound what wrong reports can do.
 	minWeight, maxWeight = 0.1, 2.0
@@ -27,21 +32,25 @@
 	// one, because it gets few calls. Its weight fades during the last part, fadeTime.
 	retention = 3 * time.Second
 	fadeTime  = 2 * time.Second
-	// probeRate is the number of calls per second that all VMs together send to a slow
-	// server, so that enough of them respond in each window to show when it has recovered.
-	probeRate = 1.5 * minResponses
-	// overloadRatio is the ratio to the median load from which a server gets probes.
-	overloadRatio = 3.0
+	// probeCount is the number of calls in a window that all VMs together send to a slow
+	// server at least, so that enough of them respond to show when it has recovered.
+	probeCount = 1.5 * minResponses
+	// minProbe is the least probability of a probe of a server with a low weight or a high
+	// load. It bounds what the wrong report of one VM can do.
+	minProbe = 0.005
+	// overloadRatio is the ratio to the median load from which servers differ in load.
+	overloadRatio = 2.0
 )
 
 // Assessment is how a server's response times compare with those of its service.
 type Assessment struct {
-	Weight   float64       // fraction of its normal load that the server should get, minWeight to maxWeight
-	PeerLoad float64       // mean number of calls of the other VMs in flight
-	Probe    float64       // probability with which a call is sent to the server in spite of its weight
-	Slow     bool          // its response times are over minRatio times the median
-	Mean     time.Duration // of the response times; zero: not known
-	Median   time.Duration // of the means of the service's servers; zero: not known
+	Weight     float64       // fraction of its normal load that the server should get, minWeight to maxWeight
+	PeerLoad   float64       // mean number of calls of the other VMs in flight
+	Probe      float64       // probability with which a call is sent to the server in spite of its weight
+	Overloaded bool          // the other VMs' calls in flight are far more than at the median server
+	Slow       bool          // its response times are over minRatio times the median
+	Mean       time.Duration // of the response times; zero: not known
+	Median     time.Duration // of the means of the service's servers; zero: not known
 }
 
 // estimate is the mean response time of a server at a time when it had enough responses.
@@ -76,26 +85,40 @@
 		}
 		a.Weight = min(max(a.Weight*acceptedWeight(all[i], best), minWeight), maxWeight)
 	}
-	setProbes(out, float64(total)/Window.Seconds())
+	markOverloaded(out)
+	setProbes(out, all, total)
 }
 
-// setProbes sets the probabilities of probes, given the rate of calls per second. Servers with
-// a low weight need them, and those whose load is far above that of the others. Otherwise, the
-// wrong report of one VM could keep all calls from a server.
-func setProbes(out []Assessment, rate float64) {
+// markOverloaded sets which servers have far more calls of other VMs in flight than the median.
+func markOverloaded(out []Assessment) {
 	loads := make([]float64, len(out))
 	for i := range out {
 		loads[i] = out[i].PeerLoad
 	}
 	slices.Sort(loads)
+	for i := range out {
+		out[i].Overloaded = out[i].PeerLoad+1 > overloadRatio*(loads[(len(loads)-1)/2]+1)
+	}
+}
+
+// setProbes sets the probabilities of probes, given the calls in the window. Servers with a low
+// weight or a high load get as many as they lack of probeCount.
+func setProbes(out []Assessment, all []Stats, total int) {
 	for i := range out {
 		a := &out[i]
-		if rate > 0 && (a.Weight < 1 || a.PeerLoad+1 > overloadRatio*(loads[(len(loads)-1)/2]+1)) {
-			a.Probe = min(probeRate/rate, a.Weight/float64(len(out)))
+		if total > 0 && (a.Weight < 1 || a.Overloaded) {
+			missing := probeCount - float64(all[i].calls())
+			a.Probe = min(max(missing/float64(total), minProbe), a.Weight/float64(len(out)))
 		}
 	}
 }
 
+// Differ reports whether servers differ in their response times, in the calls that they accept
+// or in load.
+func Differ(list []Assessment) bool {
+	return slices.ContainsFunc(list, func(a Assessment) bool { return a.Weight != 1 || a.Overloaded })
+}
+
 // estimate returns the mean response time of a server; zero: not known.
 func (s *service) estimate(id ident.Server, sum Stats, now time.Time) estimate {
 	if sum.Responses >= minResponses {
@@ -137,30 +160,34 @@
 }
 
 // timeWeight returns the weight of a server by its response times, and whether it is slow.
-// The standard deviation of response times is taken to be as large as their mean.
+// The standard deviation of response times is taken to be as large as their mean. A fast server
+// is taken to be slower by one standard error: calls that go to it by mistake make it slow.
 func timeWeight(e, reference estimate, wasSlow bool) (float64, bool) {
 	ratio := float64(e.mean) / float64(reference.mean)
-	margin := 1 + noiseMargin*math.Sqrt(1/float64(e.responses)+1/float64(reference.responses))
-	limit := max(minRatio, margin)
-	slow := ratio > limit || wasSlow && ratio > endRatio
-	if !slow && 1/ratio <= limit {
+	standardError := math.Sqrt(1/float64(e.responses) + 1/float64(reference.responses))
+	limit := max(minRatio, 1+noiseMargin*standardError)
+	switch {
+	case ratio > limit || wasSlow && ratio > endRatio:
+		return 1 / ratio, true
+	case ratio < 1/limit:
+		return max(1/(ratio*(1+standardError)), 1), false
+	default:
 		return 1, false
 	}
-	return 1 / ratio, slow
 }
 
-// acceptedWeight returns the weight of a server by the fraction of calls that it accepted,
-// squared because each call that it rejects costs another attempt. best is the largest
-// fraction of the service.
+// acceptedWeight returns the weight of a server by the fraction of calls that it accepted. best
+// is the largest fraction of the service. A server with a third of the slots of the others
+// rejects only a few calls more than they do, so the fraction counts with a high power.
 func acceptedWeight(s Stats, best float64) float64 {
 	if best == 0 || s.calls() < minResponses {
 		return 1
 	}
 	relative := s.accepted() / best
-	if relative > 1/minRatio {
+	if relative > minAccepted {
 		return 1
 	}
-	return relative * relative
+	return math.Pow(relative, acceptedPower)
 }
 
 func (s Stats) accepted() float64 { return float64(s.Responses) / float64(s.calls()) }
--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -35,9 +35,13 @@
 		return chosen(list, assign.ChoosePlain(servers, rng))
 	}
 	assessments := r.Timings.Assess(r.Service.Name, serverIDs(list), now)
+	differ := timing.Differ(assessments)
 	for i, s := range list {
-		servers[i].InFlight = r.Alloc.Own(s.ID).Calls + timing.SampleLoad(assessments[i].PeerLoad, rng)
-		servers[i].Weight *= assessments[i].Weight
+		servers[i].InFlight = r.Alloc.Own(s.ID).Calls
+		if differ {
+			servers[i].InFlight += timing.SampleLoad(assessments[i].PeerLoad, rng)
+			servers[i].Weight *= servers[i].Weight * assessments[i].Weight
+		}
 	}
 	if i := timing.Probe(assessments, func(i int) bool { return servers[i].Skip }, rng); i >= 0 {
 		return list[i]
