--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -108,13 +108,22 @@
 	m.Hub.Carriers = d.node.Hubs.CarriersFor(to, now)
 	d.fillCommon(m, now)
 	if m.Reply != nil {
-		m.Hub.Timings = d.node.Timings.Response(to, d.node.ownCalls, now) // announcements to all VMs do without
+		d.fillTimings(m, to, now)
 		d.setUpdate(m, d.node.updates.Missing, to, now)
 	} else {
 		d.setUpdate(m, d.node.updates.New, to, now)
 	}
 }
 
+// fillTimings fills in the response times of plain servers. Only the hubs that watch the store
+// return them, two of four unless the store fails, because one response suffices.
+// Announcements to all VMs do without.
+func (d *delegate) fillTimings(m *wire.Message, to ident.VM, now time.Time) {
+	if d.node.Hubs.ShouldWatch(now) {
+		m.Hub.Timings = d.node.Timings.Response(to, d.node.ownCalls, now)
+	}
+}
+
 // fillCommon fills in the fields that reports and hub responses have in common.
 func (d *delegate) fillCommon(m *wire.Message, now time.Time) {
 	n := d.node
@@ -177,7 +186,7 @@
 	n.Budget.HandleResponse(m.VM, retry.FleetTotal{At: now, Known: m.Hub.Known, Reporting: m.Hub.Reporting, Attempts: m.Hub.PeerAttempts})
 	n.Poison.HandleResponse(m.VM, m.Instance, m.QuarantineDigest, now)
 	n.Rates.HandleResponse(m.VM, m.Hub.Reporting, m.Limits, now)
-	if m.Reply != nil {
+	if len(m.Hub.Timings) > 0 {
 		n.Timings.HandleResponse(m.VM, m.Hub.Reporting, m.Hub.Timings, now)
 	}
 	d.applyCommon(m, from, false, now)
--- a/internal/proc/peers/timing_test.go
+++ b/internal/proc/peers/timing_test.go
@@ -51,6 +51,10 @@
 func TestTimingsOfOtherVMs(t *testing.T) {
 	hub, a, b := newDelegate("hub"), newDelegate("a"), newDelegate("b")
 	now := time.Now()
+	exchange(t, a, hub, 1, now)
+	exchange(t, b, hub, 1, now)
+	now = now.Add(time.Minute) // the hub has joined the fleet and may be told to watch the store
+	exchange(t, a, hub, 1, now)
 	for _, d := range []*delegate{hub, a, b} {
 		for range 5 {
 			d.node.Timings.Observe("s1", 30*time.Millisecond, now)
@@ -74,8 +78,8 @@
 		assert.Equal(t, load(b), 3.0)
 		assert.Equal(t, load(hub), 3.0)
 	})
-	t.Run("a VM without calls reports nothing", func(t *testing.T) {
-		now = now.Add(2 * timing.Window)
+	t.Run("figures of calls that ended long ago are dropped", func(t *testing.T) {
+		now = now.Add(4 * timing.Window)
 		assert.Equal(t, exchange(t, a, hub, 1, now), 0)
 		assert.Equal(t, load(a), 0.0)
 	})
--- a/internal/route/unary/fleet_test.go
+++ b/internal/route/unary/fleet_test.go
@@ -63,6 +63,7 @@
 	rng     *rand.Rand
 	calls   []outcome
 	retries int
+	changes int // of servers between slow and not slow, at all VMs
 }
 
 // outcome is how a call ended.
@@ -159,7 +160,11 @@
 	return task.Deps{
 		Config:   task.Config{Domain: domain(n, sc.oneDomain), ColdLimit: func(float64) float64 { return 0 }},
 		Settings: routes.NewCurrent(nil), Servers: table, Alloc: alloc.New(), Budget: f, Health: health.New(), Rates: rates.New(nil, nil),
-		Reject: reject.New(func(reject.Limit) {}), Timings: timing.New(func(timing.Change) {}),
+		Reject: reject.New(func(reject.Limit) {}), Timings: timing.New(func(timing.Change) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.changes++
+		}),
 		Poison: poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {}), Backend: f, Log: zap.NewNop(),
 	}
 }
@@ -296,11 +301,11 @@
 		sc.baseline = base
 		for sc.seed = range seeds {
 			f := run(t, sc)
-			all.calls, all.retries = append(all.calls, f.calls...), all.retries+f.retries
+			all.calls, all.retries, all.changes = append(all.calls, f.calls...), all.retries+f.retries, all.changes+f.changes
 		}
-		t.Logf("own figures only: %-5v before: %s; changed: first second %s, then %s; restored: first second %s, second %s, then %s; %d retries", base,
+		t.Logf("own figures only: %-5v before: %s; changed: first second %s, then %s; restored: first second %s, second %s, then %s; %d retries; %.2f changes per run and VM", base,
 			all.summary(time.Second, changeAt), all.summary(changeAt, changeAt+time.Second), all.summary(changeAt+time.Second, restoreAt),
-			all.summary(restoreAt, restoreAt+time.Second), all.summary(restoreAt+time.Second, restoreAt+2*time.Second), all.summary(restoreAt+2*time.Second, endAt), all.retries)
+			all.summary(restoreAt, restoreAt+time.Second), all.summary(restoreAt+time.Second, restoreAt+2*time.Second), all.summary(restoreAt+2*time.Second, endAt), all.retries, float64(all.changes)/vmCount/seeds)
 		return all
 	}
 	return sum(false), sum(true)
--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -66,11 +66,12 @@
 }
 
 // observeTiming records how long a plain server took for a call, or that it did not run the
-// call. A failure says nothing about the time that calls take.
+// call. A failure says nothing about the time that calls take, and the way through another VM
+// takes time that is not the server's.
 func (r *requester) observeTiming(s *srvtab.Server, resp *port.Response, sent time.Time) {
 	now := time.Now()
 	switch {
-	case r.Service.Engine != nil || resp.Replaced:
+	case r.Service.Engine != nil || resp.Replaced || resp.Via != "":
 	case resp.NotExecuted && resp.Status == http.StatusServiceUnavailable && !resp.Draining:
 		r.Timings.ObserveRejection(s.ID, now)
 	case !resp.NotExecuted && resp.Status < http.StatusInternalServerError:
