--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -12,7 +12,9 @@
 	"umberladder/internal/state/srvtab"
 )
 
-// pick chooses a server that has not been tried yet, or returns nil if none is usable.
+// pick chooses a server that has not been tried yet, or returns nil if none is usable. Plain
+// servers that differ are chosen by the figures of all VMs. The samples of the other VMs' calls
+// in flight then outweigh this VM's health weights, which therefore count squared.
 func (r *requester) pick() *srvtab.Server {
 	now, rng := time.Now(), assign.NewRand()
 	list := r.Servers.View().ServersOf(r.Service.Name)
