--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -133,6 +133,7 @@
 		Health:    healthTracker,
 		Rates:     node.Rates,
 		Reject:    node.Reject,
+		Timings:   node.Timings,
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
@@ -306,6 +307,7 @@
 }
 
 func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
+	v.registerSlowGauges()
 	v.metricSet.WritePrometheus(ctx)
 	metrics.WriteProcessMetrics(ctx)
 }
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -24,6 +24,7 @@
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/coord"
 	"umberladder/internal/route/pick"
@@ -296,6 +297,8 @@
 // fakeBudget is a retry budget with a fixed number of retries.
 type fakeBudget struct{ remaining int }
 
+func (b *fakeBudget) ReturnRetry(ident.Service, time.Time) { b.remaining++ }
+
 func (b *fakeBudget) RecordFirstAttempt(ident.Service, time.Time) {}
 
 func (b *fakeBudget) AllowRetry(ident.Service, time.Time) bool {
@@ -369,6 +372,7 @@
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
 		Reject:  reject.New(func(reject.Limit) {}),
+		Timings: timing.New(func(timing.Change) {}),
 		Origins: h.origins,
 		Placer:  h.placer,
 	})
@@ -395,7 +399,7 @@
 	short.Resumable = true
 	return routes.New(routes.Parts{
 		Version:  version,
-		Routes:   []*routes.Route{long, short, route("/once/", call.AtMostOnce, 1), route("/get/", call.Idempotent, 2)},
+		Routes:   []*routes.Route{long, short, route("/once/", call.AtMostOnce, 1), route("/get/", call.Idempotent, 2), route("/retry/", call.Idempotent, 4)},
 		Services: []*routes.Service{{Name: "engines", Engine: engine}},
 		Workspaces: []*routes.Workspace{
 			{Name: "team", Keys: []string{"key"}},
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -15,6 +15,7 @@
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
+	"umberladder/internal/policy/timing"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/route/port"
@@ -51,6 +52,7 @@
 	Health    *health.Tracker
 	Rates     *rates.Limiter
 	Reject    *reject.Tracker
+	Timings   *timing.Tracker
 	Poison    *poison.Detector
 	Placer    Placer
 	Origins   Origins
@@ -65,6 +67,8 @@
 type Budget interface {
 	RecordFirstAttempt(service ident.Service, now time.Time)
 	AllowRetry(service ident.Service, now time.Time) bool
+	// ReturnRetry returns a retry that was allowed at the given time and has not been sent.
+	ReturnRetry(service ident.Service, allowedAt time.Time)
 }
 
 // Placer decides where runs go. Its error is pick.ErrNoServer, a
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -11,7 +11,6 @@
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/policy/assign"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/port"
 	"umberladder/internal/route/task"
@@ -31,12 +30,14 @@
 	unreachable     []ident.Server        // servers that could not be connected to since the last placement
 	connectFailures int                   // number of servers to which the connection failed
 	lastFailure     *task.FullResponse    // failure response of the last server that responded
+	failures        map[int]int           // number of servers at which the call failed, by status
+	retryTakenAt    time.Time             // when a retry was taken from the budget for an attempt that has not been sent; zero: none was
 	refusal         *refuse.Refusal       // refusal if no further server responds; nil: no server was reached
 }
 
 // Serve serves a call whose response is one complete body.
 func Serve(ctx context.Context, t *task.Task) *refuse.Refusal {
-	r := &requester{Task: t, tried: make(map[ident.Server]bool)}
+	r := &requester{Task: t, tried: make(map[ident.Server]bool), failures: make(map[int]int)}
 	for r.mayTryNext() {
 		s, refusal := r.next(ctx)
 		if refusal != nil && r.lastFailure == nil {
@@ -56,7 +57,7 @@
 		if err == nil && r.handleResponse(s, resp) {
 			return t.WriteResponse(resp)
 		}
-		if err == nil && !resp.NotExecuted && t.Route.Kind != call.Idempotent {
+		if err == nil && !resp.NotExecuted && (t.Route.Kind != call.Idempotent || r.failsEverywhere(resp.Status)) {
 			break
 		}
 	}
@@ -65,6 +66,9 @@
 
 // finish ends a call that no server has served.
 func (r *requester) finish() *refuse.Refusal {
+	if !r.retryTakenAt.IsZero() {
+		r.Budget.ReturnRetry(r.Service.Name, r.retryTakenAt)
+	}
 	switch {
 	case r.lastFailure != nil:
 		return r.WriteResponse(r.lastFailure)
@@ -85,8 +89,23 @@
 	return r.refusal.Ran
 }
 
+// maxSameFailures is the number of servers at which a call may fail with the same status. It
+// would likely fail at the next one too, and if the cause is a dependency of all servers, the
+// retries add load to it.
+const maxSameFailures = 2
+
+// failsEverywhere reports whether the call failed with the given status at so many servers that
+// it is not sent to another one.
+func (r *requester) failsEverywhere(status int) bool {
+	if r.failures[status] < maxSameFailures {
+		return false
+	}
+	r.LogInfo("no retry", zap.String("reason", "the same failure at two servers"), zap.Int("status", status))
+	return true
+}
+
 // mayTryNext reports whether the call may be sent to another server. From the second
-// attempt on it takes a retry from the budget.
+// attempt on it takes a retry from the budget, once for each attempt that is sent.
 func (r *requester) mayTryNext() bool {
 	if r.Result.Attempts >= r.Route.MaxAttempts || !r.RetryUnsent(r.connectFailures) {
 		return false
@@ -95,7 +114,11 @@
 		r.refusal = q.WithRan(r.ran())
 		return false
 	}
-	if r.Result.Attempts == 0 || r.Budget.AllowRetry(r.Service.Name, time.Now()) {
+	if r.Result.Attempts == 0 || !r.retryTakenAt.IsZero() {
+		return true
+	}
+	if now := time.Now(); r.Budget.AllowRetry(r.Service.Name, now) {
+		r.retryTakenAt = now
 		return true
 	}
 	r.LogInfo("no retry", zap.String("reason", "the retry budget is used up"))
@@ -122,7 +145,7 @@
 		return true
 	}
 	r.Result.Attempts++
-	r.lastFailure = nil
+	r.lastFailure, r.retryTakenAt = nil, time.Time{}
 	r.LogInfo("no whole answer", zap.String("server", string(s.ID)), zap.Error(err))
 	r.CheckCrash(ctx, s)
 	r.refusal = refuse.New(refuse.ServerLost, "server %s broke off: %v", s.ID, err).WithRan(refuse.RanMaybe)
@@ -136,6 +159,7 @@
 		r.MarkGone(s)
 	}
 	r.Result.Attempts++
+	r.retryTakenAt = time.Time{}
 	switch {
 	case resp.NotExecuted:
 		r.refusal = refuse.New(refuse.ServerRejected, "server %s did not take the call, with status %d", s.ID, resp.Status).WithRan(r.ran()).WithRetryAfter(overloadRetryAfter)
@@ -144,6 +168,7 @@
 		return true
 	}
 	r.lastFailure = resp
+	r.failures[resp.Status]++
 	r.refusal = refuse.New(refuse.ServerLost, "server %s failed with status %d", s.ID, resp.Status).WithRan(refuse.RanMaybe)
 	return false
 }
@@ -173,6 +198,7 @@
 		r.Health.Failure(s.ID, time.Now())
 		return nil, &port.SendError{Err: err}
 	}
+	r.observeTiming(s, resp, sent)
 	if !resp.NotExecuted {
 		r.RecordResponse(s, resp.Status)
 	}
@@ -191,10 +217,7 @@
 	if r.limited != nil {
 		return r.limited
 	}
-	ids := make([]ident.Server, len(list))
-	for i, s := range list {
-		ids[i] = s.ID
-	}
+	ids := serverIDs(list)
 	for i, skip := range r.Rates.Skips(r.Service.Name, ids, now) {
 		if r.limited == nil {
 			r.limited = make(map[ident.Server]bool, len(ids))
@@ -226,27 +249,3 @@
 		r.limited[list[i].ID] = r.limited[list[i].ID] || skip
 	}
 }
-
-// pick chooses a server that has not been tried yet, or returns nil if none is usable.
-func (r *requester) pick() *srvtab.Server {
-	now := time.Now()
-	list := r.Servers.View().ServersOf(r.Service.Name)
-	r.Alloc.Expire(now)
-	limited := r.rateLimited(list, now)
-	allowed := r.AllowedDomains()
-	servers := make([]assign.Server, len(list))
-	for i, s := range list {
-		servers[i] = assign.Server{
-			Slots:       s.Slots,
-			InFlight:    r.Alloc.Load(s.ID).Calls,
-			CrossDomain: s.Domain != r.Config.Domain,
-			Weight:      r.Health.Weight(s.ID, now),
-			Skip:        r.tried[s.ID] || allowed != nil && !slices.Contains(allowed, s.Domain) || r.Health.PauseRemaining(s.ID, now) > 0 || limited[s.ID],
-		}
-	}
-	i := assign.ChoosePlain(servers, assign.NewRand())
-	if i < 0 {
-		return nil
-	}
-	return list[i]
-}
