--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -323,7 +323,7 @@
 // expectedOutput returns the number of tokens that the stream is expected to generate from now
 // on, at least one event of a generation; zero: unknown.
 func (f *forwarder) expectedOutput() int {
-	if f.Call.Prompt == nil {
+	if f.Call.Prompt == nil || f.Call.Prompt.ExpectedOutput() <= 0 {
 		return 0
 	}
 	return max(f.Call.Prompt.ExpectedOutput()-int(f.generated.Load()), f.eventTokens(), 1)
