--- a/internal/policy/timing/assess.go
+++ b/internal/policy/timing/assess.go
@@ -161,7 +161,9 @@
 
 // timeWeight returns the weight of a server by its response times, and whether it is slow.
 // The standard deviation of response times is taken to be as large as their mean. A fast server
-// is taken to be slower by one standard error: calls that go to it by mistake make it slow.
+// is taken to be slower by one standard error: calls that go to it by mistake make it slow. Means
+// of few exponential times are often far below the true one, so the bound for a fast server is
+// the approximation of Wilson and Hilferty.
 func timeWeight(e, reference estimate, wasSlow bool) (float64, bool) {
 	ratio := float64(e.mean) / float64(reference.mean)
 	standardError := math.Sqrt(1/float64(e.responses) + 1/float64(reference.responses))
@@ -169,7 +171,7 @@
 	switch {
 	case ratio > limit || wasSlow && ratio > endRatio:
 		return 1 / ratio, true
-	case ratio < 1/limit:
+	case ratio < min(1/limit, math.Pow(max(1-noiseMargin*standardError/3, 0), 3)):
 		return max(1/(ratio*(1+standardError)), 1), false
 	default:
 		return 1, false
