Wait longer for the check of a response's end while this VM is overloaded

A complete close-delimited response counts as broken if its server accepts no connection within 150 ms. An overloaded VM requests tunnels only after a second, and its direct connections take 200 to 370 ms, so that it would have taken all such responses for broken. It now waits 500 ms. TestEndCheckOverloaded fails without the change.

--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -350,14 +350,23 @@
 	return ended
 }
 
-// endCheckTimeout bounds the check whether a server still accepts connections. A connection
-// through another VM is begun after peerDelay and takes two round trips more than a direct one.
-const endCheckTimeout = 150 * time.Millisecond
+const (
+	// endCheckTimeout bounds the check whether a server still accepts connections. A connection
+	// through another VM is begun after peerDelay and takes two round trips more than a direct one.
+	endCheckTimeout = 150 * time.Millisecond
+	// overloadedEndCheckTimeout replaces endCheckTimeout while this VM is overloaded: its direct
+	// connections then take 200 to 370 ms, and without one a complete response counts as broken.
+	overloadedEndCheckTimeout = 500 * time.Millisecond
+)
 
 // AcceptsConnections reports whether a server still accepts connections shortly after one of
 // them ended. It connects through another VM where this VM's links fail.
 func (c *Connector) AcceptsConnections(ctx context.Context, s *srvtab.Server) bool {
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	timeout := endCheckTimeout
+	if c.overloaded(time.Now()) {
+		timeout = overloadedEndCheckTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	select {
 	case <-time.After(httpc.EndCheckDelay):
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -282,6 +282,25 @@
 	}
 }
 
+// TestEndCheckOverloaded guards against complete responses that count as broken, because an
+// overloaded VM takes longer to connect to their server than the check usually waits.
+func TestEndCheckOverloaded(t *testing.T) {
+	for name, overloaded := range map[string]bool{"overloaded": true, "not overloaded": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &network{setup: setup{direct: ok}}
+				c, wait := newConnectorWith(t, n, fixedMeter(overloaded))
+				conn, _, err := c.Connect(t.Context(), server, path.Purpose{})
+				assert.NilError(t, err)
+				assert.NilError(t, conn.Close())
+				n.direct = outcome{after: 370 * time.Millisecond}
+				assert.Equal(t, c.AcceptsConnections(t.Context(), server), overloaded)
+				wait()
+			})
+		})
+	}
+}
+
 // TestIsolated guards against calls that wait for time-outs at a VM that reaches no server and
 // knows no other VM. They fail at once, except for some that find out whether that has ended.
 func TestIsolated(t *testing.T) {
