Measure no response times of plain servers from client errors

A server that answers 429, 404 or 401 at once had a low mean and so got up to twice its calls at all VMs. Found by review; only responses below 400 count now. Tests of unary and timing pass.

--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -76,7 +76,7 @@
 	case r.Service.Engine != nil || resp.Replaced || resp.Via != "":
 	case resp.NotExecuted && resp.Status == http.StatusServiceUnavailable && !resp.Draining:
 		r.Timings.ObserveRejection(s.ID, now)
-	case !resp.NotExecuted && resp.Status < http.StatusInternalServerError:
+	case !resp.NotExecuted && resp.Status < http.StatusBadRequest:
 		r.Timings.Observe(s.ID, now.Sub(sent), now)
 	}
 }
