Let the calls that are owed capacity by rank 0 get it when they cost much more

What rank 0 owes the others was bounded by 16 of the rank-0 calls just granted. Beside calls of 150 tokens, calls of 3,800 tokens got nothing, and a small call reduced what had accumulated. The bound now covers the next call of the others, and a grant of rank 0 never reduces the debt.

--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -45,8 +45,9 @@
 // the others are served at least a quarter as often as the mean.
 const urgentPart = 3
 
-// maxOwed bounds what the others are owed, in calls of rank 0: they may be unable to use what is
-// free for long, and would then get all capacity for as long afterwards.
+// maxOwed bounds what the others are owed, in calls of rank 0 or their own next call, whichever
+// costs more: they may be unable to use what is free for long, and would then get all capacity for
+// as long afterwards.
 const maxOwed = 16
 
 // levelQueue holds the queued requests of one priority level in two orders: one that takes no
@@ -117,7 +118,13 @@
 	case l.others.Len() == 0:
 		l.owed = 0
 	case r.Run.Rank == 0:
-		l.owed = min(l.owed+r.cost()/urgentPart, maxOwed*r.cost())
+		// The bound covers the next call of the others, which otherwise never becomes first if it
+		// costs much more than calls of rank 0.
+		largest := r.cost()
+		if other := l.others.Peek(); other != nil {
+			largest = max(largest, other.Cost)
+		}
+		l.owed = max(l.owed, min(l.owed+r.cost()/urgentPart, maxOwed*largest))
 	default:
 		l.owed = max(0, l.owed-r.cost())
 	}
