Keep calls bound to full failure domains from blocking others

If only such calls remained in time, late calls got nothing although other domains had room. One at the head of a workspace hid the workspace's unbound calls, and nine workspaces with such heads hid all further ones. They are now passed over one by one, under limits of their own.

--- a/internal/policy/fair/queue.go
+++ b/internal/policy/fair/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"time"
 
 	"umberladder/internal/policy/queue"
@@ -38,6 +39,7 @@
 	subBudget budget
 	seed      maphash.Seed
 	len       int
+	skipped   []*Entry[K, S, V] // entries left out by SkipEntry
 }
 
 // NewQueue returns an empty Queue.
@@ -103,8 +105,36 @@
 	}
 }
 
-// Resume returns the skipped flows to their places.
+// SkipEntry leaves out an entry, but not the others of its flow, until Resume is called.
+func (q *Queue[K, S, V]) SkipEntry(e *Entry[K, S, V]) {
+	if e.entry == nil || !e.sub.requests.Remove(e.entry) {
+		return
+	}
+	q.skipped = append(q.skipped, e)
+	if e.sub.requests.Len() == 0 {
+		e.flow.requests.set.hide(e.sub)
+	}
+	if e.flow.requests.set.first() == nil {
+		q.flows.hide(e.flow)
+	}
+}
+
+// isSkipped reports whether an entry of a subflow is left out by SkipEntry.
+func (q *Queue[K, S, V]) isSkipped(s *flow[S, *queue.Queue[*Entry[K, S, V]]]) bool {
+	return slices.ContainsFunc(q.skipped, func(e *Entry[K, S, V]) bool { return e.sub == s && e.entry != nil })
+}
+
+// Resume returns the skipped flows and entries to their places.
 func (q *Queue[K, S, V]) Resume(now time.Time) {
+	for _, e := range q.skipped {
+		if e.entry != nil {
+			e.entry = e.sub.requests.Push(e, 1, e.entry.Arrival, e.entry.Deadline.Sub(e.entry.Arrival))
+		}
+	}
+	for _, e := range q.skipped {
+		e.flow.requests.set.unhide(func(s *flow[S, *queue.Queue[*Entry[K, S, V]]]) bool { return s.requests.Len() > 0 }, now)
+	}
+	q.skipped = nil
 	q.flows.unhide(func(f *flow[K, *subflows[K, S, V]]) bool { return f.requests.len > 0 }, now)
 }
 
@@ -129,12 +159,19 @@
 	list.len--
 	list.cost -= e.Cost
 	q.len--
-	if e.sub.requests.Len() == 0 {
+	switch {
+	case e.sub.requests.Len() > 0:
+	case q.isSkipped(e.sub):
+		list.set.hide(e.sub)
+	default:
 		list.set.deactivate(e.sub, now)
 	}
-	if list.len == 0 {
+	switch {
+	case list.len == 0:
 		list.cost = 0
 		q.flows.deactivate(e.flow, now)
+	case list.set.first() == nil:
+		q.flows.hide(e.flow)
 	}
 	return true
 }
--- a/internal/policy/fair/queue_test.go
+++ b/internal/policy/fair/queue_test.go
@@ -319,3 +319,33 @@
 		})
 	}
 }
+
+// TestSkipEntry guards against a skipped entry that hides others of its flow, or that is lost or
+// granted early when others of its flow are removed meanwhile.
+func TestSkipEntry(t *testing.T) {
+	q := NewQueue[string, int, int]()
+	push := func(flow string, sub, v int) *Entry[string, int, int] {
+		return q.Push(flow, 1, sub, v, 1, epoch.Add(time.Duration(v)*time.Second), epoch)
+	}
+	first := push("a", 0, 1)
+	push("a", 0, 2)
+	push("a", 1, 3)
+	dropped := push("b", 0, 4)
+	assert.Equal(t, q.Peek(), first)
+	q.SkipEntry(first)
+	q.SkipEntry(dropped)
+	seen := map[int]bool{}
+	for e := q.Peek(); e != nil; e = q.Peek() {
+		seen[e.Value] = true
+		q.Grant(e, epoch)
+	}
+	assert.DeepEqual(t, seen, map[int]bool{2: true, 3: true})
+	assert.Equal(t, q.Len(), 2)
+	assert.Assert(t, q.Remove(dropped, epoch))
+	q.Resume(epoch)
+	assert.Equal(t, q.Peek(), first)
+	q.Grant(first, epoch)
+	assert.Assert(t, q.Peek() == nil)
+	assert.Equal(t, q.Len(), 0)
+	assert.Equal(t, q.flows.activeWeight, 0.0)
+}
--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -25,6 +25,9 @@
 
 func (r *request) isQueued() bool { return r.entry != nil }
 
+// isBound reports whether the request is bound to failure domains.
+func (r *request) isBound() bool { return len(r.Run.Domains) > 0 }
+
 // isUrgent reports whether the request is for a stream that has begun or has rank 0, and so
 // precedes the other calls.
 func (r *request) isUrgent() bool { return r.Run.Continues() || r.Run.Rank == 0 }
@@ -147,9 +150,12 @@
 	}
 }
 
-// skip leaves out the workspace of a request, whose turn it is, until resume is called.
+// skip leaves out the workspace of a request until resume is called.
 func (l *levelQueue) skip(r *request) { l.class(&r.Run).Skip(r.turn) }
 
+// skipOne leaves out a request, but not the others of its workspace, until resume is called.
+func (l *levelQueue) skipOne(r *request) { l.class(&r.Run).SkipEntry(r.turn) }
+
 func (l *levelQueue) resume(now time.Time) {
 	l.urgent.Resume(now)
 	l.others.Resume(now)
--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -1,12 +1,14 @@
 package coord
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 )
 
@@ -47,3 +49,44 @@
 	grant(10)
 	assert.Assert(t, l.owed >= 10_000, "%.0f", l.owed)
 }
+
+// TestBoundCalls guards against calls that are bound to a full failure domain and keep others from
+// the free capacity of another domain.
+func TestBoundCalls(t *testing.T) {
+	type call struct {
+		workspace ident.Workspace
+		bound     bool
+		target    time.Duration
+	}
+	var many []call
+	for i := range maxSkipped + 1 {
+		many = append(many, call{ident.Workspace(fmt.Sprint("w", i)), true, targetWait})
+	}
+	for name, tc := range map[string]struct {
+		bound []call
+		last  call
+	}{
+		"a late call":                  {[]call{{"a", true, targetWait}}, call{"b", false, 0}},
+		"a call of the workspace":      {[]call{{"a", true, targetWait}}, call{"a", false, 2 * targetWait}},
+		"a call after many workspaces": {many, call{"z", false, 2 * targetWait}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay(t)
+			for i := 0; i < replayEngines; i += 2 {
+				r.tracker.Reserve(ident.Server(fmt.Sprint("e", i)), alloc.Load{Calls: replaySlots, Tokens: 1 << 20})
+			}
+			var last Response
+			for i, c := range append(tc.bound, tc.last) {
+				run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: c.workspace, Weight: weightUnit, TargetWait: c.target, MaxWait: 2 * targetWait}
+				if c.bound {
+					run.Domains = []ident.FailureDomain{"a"}
+				}
+				r.coordinator.Submit(Request{VM: "vm", ID: uint64(i), Run: run}, func(resp Response) { last = resp }, r.now)
+				assert.Equal(t, last.State, Waiting)
+			}
+			r.coordinator.serve(r.now)
+			assert.Equal(t, last.State, Granted)
+			assert.Equal(t, r.coordinator.QueueLen(), len(tc.bound))
+		})
+	}
+}
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -18,6 +18,14 @@
 // capacity is free again. Each costs one choice of an engine.
 const maxSkipped = 8
 
+// Requests that are bound to failure domains don't count as skipped workspaces, since others may
+// fit elsewhere. At most maxBound of them are tried while the queue is served once, because each
+// costs one choice of an engine; after maxBoundOfOne of a workspace, all of it is passed over.
+const (
+	maxBound      = 32
+	maxBoundOfOne = 8
+)
+
 // Priority levels of queued requests, in the order in which they are served.
 const (
 	continueLevel = iota // streams that have begun
@@ -86,10 +94,10 @@
 }
 
 // serveLevel removes expired requests of a level and grants capacity to the
-// others. It reports whether more capacity may be free. A request for which there is none keeps
-// the others from being served only if it would do so without shares: requests that need much
-// would otherwise never get it. One that is bound to failure domains
-// does not.
+// others. It reports whether more capacity may be free, also if it is only in failure domains that
+// the requests that were tried are not bound to. A request for which there is none keeps the others
+// from being served only if it would do so without shares: requests that need much would otherwise
+// never get it. One that is bound to failure domains does not.
 func (c *Coordinator) serveLevel(sq *serviceQueue, level int, hasCapacity bool, now time.Time) bool {
 	l := sq.levels[level]
 	if l.isShared() {
@@ -99,14 +107,16 @@
 	}
 	defer l.resume(now)
 	var tried []*request
+	unbound, bound := 0, 0 // of those tried
+	boundOf := make(map[ident.Workspace]int)
 	for l.len() > 0 {
 		r, withoutShares := l.first(), l.ranked.Peek().Value
-		if r == nil || len(tried) >= maxSkipped {
+		if r == nil || unbound >= maxSkipped || bound >= maxBound {
 			r = withoutShares
 		}
 		switch {
 		case slices.Contains(tried, r):
-			return false
+			return unbound == 0
 		case r.isExpired(level, now):
 			c.expire(sq, r, now)
 			continue
@@ -117,11 +127,21 @@
 			sq.remove(r, true, now)
 			continue
 		}
-		if r == withoutShares && (!l.isShared() || len(r.Run.Domains) == 0) {
+		if r == withoutShares && (!l.isShared() || !r.isBound()) {
 			return false
 		}
-		l.skip(r)
 		tried = append(tried, r)
+		if !r.isBound() {
+			unbound++
+			l.skip(r)
+			continue
+		}
+		bound++
+		if boundOf[r.Run.Workspace]++; boundOf[r.Run.Workspace] < maxBoundOfOne {
+			l.skipOne(r)
+		} else {
+			l.skip(r)
+		}
 	}
 	return hasCapacity
 }
