Forget a queued request that is dropped for want of repetition

It stayed known but not queued, so a VM that repeated it later was told to wait until its deadline. Such a repetition now counts as a new request.

--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -90,3 +90,34 @@
 		})
 	}
 }
+
+// TestRepeatedAfterDrop guards against a request that is repeated after it was dropped and then
+// waits for ever, since it is known but not queued.
+func TestRepeatedAfterDrop(t *testing.T) {
+	for name, weight := range map[string]int{"by shares": weightUnit, "without shares": 0} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay(t)
+			var release []*alloc.Reservation
+			for i := range replayEngines {
+				release = append(release, r.tracker.Reserve(ident.Server(fmt.Sprint("e", i)), alloc.Load{Calls: replaySlots, Tokens: 1 << 20}))
+			}
+			var last Response
+			submit := func() {
+				run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: "w", Weight: weight, TargetWait: 2 * time.Second, MaxWait: 4 * time.Second}
+				r.coordinator.Submit(Request{VM: "vm", ID: 1, Run: run}, func(resp Response) { last = resp }, r.now)
+			}
+			submit()
+			r.now = r.now.Add(requestTTL + step)
+			r.coordinator.serve(r.now)
+			assert.Equal(t, r.coordinator.QueueLen(), 0)
+			submit()
+			assert.Equal(t, last.State, Waiting)
+			assert.Equal(t, r.coordinator.QueueLen(), 1)
+			for _, reservation := range release {
+				reservation.Release()
+			}
+			r.coordinator.serve(r.now)
+			assert.Equal(t, last.State, Granted)
+		})
+	}
+}
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -71,6 +71,7 @@
 		switch {
 		case now.Sub(r.lastSeen) > requestTTL:
 			sq.remove(r, false, now)
+			c.forget(r)
 		case now.After(r.deadline):
 			sq.remove(r, false, now)
 			c.refuse(sq, r, now)
@@ -158,6 +159,7 @@
 	sq.remove(r, false, now)
 	switch {
 	case now.Sub(r.lastSeen) > requestTTL:
+		c.forget(r)
 	case level == onTimeLevel && now.After(r.startBy):
 		if !c.enqueue(sq, r, now) {
 			c.refuse(sq, r, now)
@@ -167,6 +169,11 @@
 	}
 }
 
+// forget drops a request that was not repeated. If it is repeated nevertheless, it counts as new.
+func (c *Coordinator) forget(r *request) {
+	delete(c.requests, requestKey{vm: r.VM, id: r.ID})
+}
+
 // refuse responds to the request with NoCapacity.
 func (c *Coordinator) refuse(sq *serviceQueue, r *request, now time.Time) {
 	if r.Run.RetryKey != 0 {
