--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -121,3 +121,22 @@
 		})
 	}
 }
+
+// TestNoServerIsFree guards against requests that are charged to their workspaces although no
+// server accepts work.
+func TestNoServerIsFree(t *testing.T) {
+	r := newReplay(t)
+	for i := range replayEngines {
+		r.tracker.Reserve(ident.Server(fmt.Sprint("e", i)), alloc.Load{Calls: replaySlots, Tokens: 1 << 20})
+	}
+	var states [2]State
+	for i, run := range []pick.Request{{Rank: 0, Need: callTokens}, {Rank: 1, Need: 1}} {
+		run.Service, run.EngineMemory, run.Workspace, run.Weight, run.TargetWait, run.MaxWait = "s", 1<<20, "w", weightUnit, targetWait, targetWait
+		r.coordinator.Submit(Request{VM: "vm", ID: uint64(i), Run: run}, func(resp Response) { states[i] = resp.State }, r.now)
+	}
+	assert.Equal(t, r.coordinator.QueueLen(), 2)
+	r.table.Replace(nil, r.now, r.now)
+	r.coordinator.serve(r.now)
+	assert.DeepEqual(t, states, [2]State{NoServer, NoServer})
+	assert.Equal(t, r.coordinator.queues["s"].levels[onTimeLevel].owed, 0.0)
+}
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -76,9 +76,9 @@
 			sq.remove(r, false, now)
 			c.refuse(sq, r, now)
 		case !slices.Contains(blocked, r.Run.Version):
-			granted, noCapacity := c.tryPlace(sq, r, now)
-			if granted {
-				sq.remove(r, true, now)
+			done, noCapacity := c.tryPlace(sq, r, now)
+			if done {
+				sq.remove(r, r.response.State == Granted, now)
 			}
 			if noCapacity {
 				blocked = append(blocked, r.Run.Version)
@@ -124,8 +124,8 @@
 		case !hasCapacity:
 			return false
 		}
-		if granted, _ := c.tryPlace(sq, r, now); granted {
-			sq.remove(r, true, now)
+		if done, _ := c.tryPlace(sq, r, now); done {
+			sq.remove(r, r.response.State == Granted, now)
 			continue
 		}
 		if r == withoutShares && (!l.isShared() || !r.isBound()) {
--- a/internal/route/coord/share_test.go
+++ b/internal/route/coord/share_test.go
@@ -57,6 +57,7 @@
 type replay struct {
 	t             *testing.T
 	now           time.Time
+	table         *srvtab.Table
 	tracker       *alloc.Tracker
 	chooser       *pick.Chooser
 	coordinator   *Coordinator
@@ -101,13 +102,13 @@
 func newReplay(t *testing.T) *replay {
 	t.Helper()
 	r := &replay{t: t, now: epoch, tracker: alloc.New(), outcomes: make(map[ident.Workspace]*outcome), grantedByRank: make(map[int]int), rand: rand.New(rand.NewPCG(1, 2))}
-	table := srvtab.NewTable(func() {})
+	r.table = srvtab.NewTable(func() {})
 	var list []srvtab.Entry
 	for i := range replayEngines {
 		list = append(list, srvtab.Entry{ID: ident.Server(fmt.Sprint("e", i)), Service: "s", Domain: ident.FailureDomain(rune('a' + i%2)), Slots: replaySlots})
 	}
-	table.Replace(list, epoch, epoch)
-	r.chooser = pick.NewChooser(table, r.tracker, health.New(), rates.New(nil, nil))
+	r.table.Replace(list, epoch, epoch)
+	r.chooser = pick.NewChooser(r.table, r.tracker, health.New(), rates.New(nil, nil))
 	r.coordinator = New(r.chooser)
 	return r
 }
