--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -140,3 +140,38 @@
 	assert.DeepEqual(t, states, [2]State{NoServer, NoServer})
 	assert.Equal(t, r.coordinator.queues["s"].levels[onTimeLevel].owed, 0.0)
 }
+
+// TestLatePlacesOfRankZero guards against late calls of rank 0 that lose their places to calls of
+// other ranks, or before them.
+func TestLatePlacesOfRankZero(t *testing.T) {
+	r := newReplay(t)
+	for i := range replayEngines {
+		r.tracker.Reserve(ident.Server(fmt.Sprint("e", i)), alloc.Load{Calls: replaySlots, Tokens: 1 << 20})
+	}
+	refused := map[int]int{} // by rank
+	submit := func(w ident.Workspace, rank int) {
+		r.nextID++
+		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: w, Weight: weightUnit, MaxWait: time.Second}
+		r.coordinator.Submit(Request{VM: "vm", ID: r.nextID, Run: run}, func(resp Response) {
+			if resp.State == NoCapacity {
+				refused[rank]++
+			}
+		}, r.now)
+		r.now = r.now.Add(time.Millisecond)
+	}
+	submit("a", 5)
+	submit("a", 5)
+	for range maxLate - 2 {
+		submit("a", 0)
+	}
+	submit("b", 0)
+	assert.DeepEqual(t, refused, map[int]int{5: 1})
+	submit("b", 5)
+	assert.DeepEqual(t, refused, map[int]int{5: 2}) // the other one of workspace a
+	submit("b", 0)
+	assert.DeepEqual(t, refused, map[int]int{5: 2, 0: 1}) // only rank 0 of workspace a is eligible
+	submit("c", 5)
+	assert.DeepEqual(t, refused, map[int]int{5: 3, 0: 1}) // rank 5 of workspace b, though a has more places
+	submit("d", 5)
+	assert.DeepEqual(t, refused, map[int]int{5: 4, 0: 1}) // itself: only rank 0 is left of a and b
+}
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -238,7 +238,8 @@
 
 // makeLatePlace reports whether the late level has a place for the request. If it is full, a
 // request of the workspace that has most places for its weight is refused instead, unless the
-// request's own workspace would then have as many.
+// request's own workspace would then have as many. Requests of rank 0 are refused only for others
+// of rank 0, and if no request of another rank can be.
 func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, now time.Time) bool {
 	l := sq.levels[lateLevel]
 	if l.len() < maxLate {
@@ -254,11 +255,18 @@
 		places[e.Value.Run.Workspace] += 1 / float64(e.Value.Run.Weight)
 	}
 	for _, e := range queued { // of one workspace, the request with the latest deadline
-		if victim == nil || cmp.Compare(places[e.Value.Run.Workspace], places[victim.Run.Workspace]) >= 0 {
-			victim = e.Value
+		q := e.Value
+		if places[q.Run.Workspace] <= places[r.Run.Workspace] || q.Run.Rank == 0 && r.Run.Rank != 0 {
+			continue
+		}
+		if victim == nil || cmp.Or(
+			cmp.Compare(min(q.Run.Rank, 1), min(victim.Run.Rank, 1)),
+			cmp.Compare(places[q.Run.Workspace], places[victim.Run.Workspace]),
+		) >= 0 {
+			victim = q
 		}
 	}
-	if places[victim.Run.Workspace] <= places[r.Run.Workspace] {
+	if victim == nil {
 		return false
 	}
 	sq.remove(victim, false, now)
