Count what other ranks are granted in the predicted wait of rank 0

The wait was predicted as if rank 0 were granted everything, though calls of other ranks get a quarter while they wait. Calls of rank 0 were therefore queued as in time that could not be.

--- a/internal/route/coord/estimate.go
+++ b/internal/route/coord/estimate.go
@@ -41,10 +41,20 @@
 		queued += sq.queuedTokens[i]
 		rate += sq.grantRate[i]
 	}
-	if r.isUrgent() {
-		queued = r.Run.Need + sq.urgentTokens
-	}
 	tokens := float64(queued)
+	switch l := sq.levels[level]; {
+	case r.Run.Continues():
+		tokens = float64(r.Run.Need + sq.urgentTokens)
+	case r.isUrgent():
+		// Calls of other ranks are granted a part meanwhile, but no more than is queued.
+		share := 1.0
+		if r.hasShare() && l.unknown == 0 {
+			share = l.classShare(&r.Run)
+		}
+		continued := sq.queuedTokens[continueLevel]
+		urgent := float64(continued) + float64(r.Run.Need+sq.urgentTokens-continued)/share
+		tokens = min(urgent, max(tokens, float64(r.Run.Need+sq.urgentTokens)))
+	}
 	if level == onTimeLevel {
 		tokens = min(tokens, sq.tokensUntilTurn(r))
 	}
--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -175,3 +175,32 @@
 	submit("d", 5)
 	assert.DeepEqual(t, refused, map[int]int{5: 4, 0: 1}) // itself: only rank 0 is left of a and b
 }
+
+// TestEstimateOfRankZero guards against a predicted wait of a call of rank 0 that leaves out what
+// calls of other ranks are granted meanwhile.
+func TestEstimateOfRankZero(t *testing.T) {
+	for name, tc := range map[string]struct {
+		others int // tokens
+		want   time.Duration
+	}{
+		"alone":                         {0, 3 * time.Second},
+		"others get a quarter":          {100_000, 4 * time.Second},
+		"no more than what others need": {500, 3500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sq := newServiceQueue("s")
+			push := func(r *request) {
+				r.level = onTimeLevel
+				sq.push(r, time.Second, epoch)
+			}
+			push(queuedRun("a", 0, 2_000))
+			if tc.others > 0 {
+				push(queuedRun("b", 5, tc.others))
+			}
+			sq.grantRate[onTimeLevel] = 1_000
+			sq.busySince, sq.updatedAt = epoch, epoch.Add(time.Minute)
+			got := sq.estimateWait(queuedRun("a", 0, 1_000), onTimeLevel)
+			assert.Equal(t, got.Round(time.Millisecond), tc.want)
+		})
+	}
+}
