--- a/internal/policy/fair/queue_test.go
+++ b/internal/policy/fair/queue_test.go
@@ -349,3 +349,33 @@
 	assert.Equal(t, q.Len(), 0)
 	assert.Equal(t, q.flows.activeWeight, 0.0)
 }
+
+// TestGrantOutOfOrder guards against grants to one flow out of order that make new flows start far
+// behind those that wait.
+func TestGrantOutOfOrder(t *testing.T) {
+	for name, skip := range map[string]bool{"no flow is skipped": false, "while all flows are skipped": true} {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue[string, int, int]()
+			var ahead []*Entry[string, int, int]
+			for range 21 {
+				ahead = append(ahead, q.Push("a", 1, 0, 0, 1, epoch, epoch))
+				q.Push("b", 1, 0, 1, 1, epoch, epoch)
+			}
+			for skip && q.Peek() != nil {
+				q.Skip(q.Peek())
+			}
+			for _, e := range ahead[:20] {
+				q.Grant(e, epoch)
+			}
+			q.Resume(epoch)
+			for range 20 {
+				q.Push("c", 1, 0, 2, 1, epoch, epoch)
+			}
+			got := [3]int{}
+			for range 20 {
+				got[grantFirst(q, epoch)]++
+			}
+			assert.DeepEqual(t, got, [3]int{0, 10, 10})
+		})
+	}
+}
--- a/internal/policy/fair/set.go
+++ b/internal/policy/fair/set.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"hash/maphash"
+	"math"
 	"time"
 )
 
@@ -167,11 +168,13 @@
 	s.idle = append(s.idle, idleFlow[K, T]{flow: f, since: now})
 }
 
-// charge records that a request of an active flow was granted.
+// charge records that a request of an active flow was granted, which need not be the first. The
+// virtual time does not pass flows that have not been served: new ones would otherwise start
+// behind them.
 func (s *set[K, T]) charge(f *flow[K, T], cost float64) {
 	amount := cost / f.weight
 	start := max(f.start, s.virtual-maxLag*amount)
-	s.virtual = max(s.virtual, start)
+	s.virtual = max(s.virtual, min(start, s.lowestStart()))
 	f.start = start + amount
 	s.seq++
 	f.seq = s.seq // flows with equal tags take turns
@@ -180,6 +183,19 @@
 	}
 }
 
+// lowestStart returns the lowest start tag of the active flows. Hidden flows count only if all are
+// hidden: they cannot be served, and must not hold the virtual time of the others.
+func (s *set[K, T]) lowestStart() float64 {
+	if f := s.first(); f != nil {
+		return f.start
+	}
+	lowest := math.Inf(1)
+	for _, f := range s.hidden {
+		lowest = min(lowest, f.start)
+	}
+	return lowest
+}
+
 // first returns the active flow with the lowest start tag, or nil.
 func (s *set[K, T]) first() *flow[K, T] {
 	if len(s.active) == 0 {
