--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -25,6 +25,9 @@
 
 func (r *request) isQueued() bool { return r.entry != nil }
 
+// isBound reports whether the request is bound to failure domains.
+func (r *request) isBound() bool { return len(r.Run.Domains) > 0 }
+
 // isUrgent reports whether the request is for a stream that has begun or has rank 0, and so
 // precedes the other calls.
 func (r *request) isUrgent() bool { return r.Run.Continues() || r.Run.Rank == 0 }
@@ -45,8 +48,9 @@
 // the others are served at least a quarter as often as the mean.
 const urgentPart = 3
 
-// maxOwed bounds what the others are owed, in calls of rank 0: they may be unable to use what is
-// free for long, and would then get all capacity for as long afterwards.
+// maxOwed bounds what the others are owed, in calls of rank 0 or their own next call, whichever
+// costs more: they may be unable to use what is free for long, and would then get all capacity for
+// as long afterwards.
 const maxOwed = 16
 
 // levelQueue holds the queued requests of one priority level in two orders: one that takes no
@@ -117,7 +121,13 @@
 	case l.others.Len() == 0:
 		l.owed = 0
 	case r.Run.Rank == 0:
-		l.owed = min(l.owed+r.cost()/urgentPart, maxOwed*r.cost())
+		// The bound covers the next call of the others, which otherwise never becomes first if it
+		// costs much more than calls of rank 0.
+		largest := r.cost()
+		if other := l.others.Peek(); other != nil {
+			largest = max(largest, other.Cost)
+		}
+		l.owed = max(l.owed, min(l.owed+r.cost()/urgentPart, maxOwed*largest))
 	default:
 		l.owed = max(0, l.owed-r.cost())
 	}
@@ -140,9 +150,12 @@
 	}
 }
 
-// skip leaves out the workspace of a request, whose turn it is, until resume is called.
+// skip leaves out the workspace of a request until resume is called.
 func (l *levelQueue) skip(r *request) { l.class(&r.Run).Skip(r.turn) }
 
+// skipOne leaves out a request, but not the others of its workspace, until resume is called.
+func (l *levelQueue) skipOne(r *request) { l.class(&r.Run).SkipEntry(r.turn) }
+
 func (l *levelQueue) resume(now time.Time) {
 	l.urgent.Resume(now)
 	l.others.Resume(now)
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -18,6 +18,14 @@
 // capacity is free again. Each costs one choice of an engine.
 const maxSkipped = 8
 
+// Requests that are bound to failure domains don't count as skipped workspaces, since others may
+// fit elsewhere. At most maxBound of them are tried while the queue is served once, because each
+// costs one choice of an engine; after maxBoundOfOne of a workspace, all of it is passed over.
+const (
+	maxBound      = 32
+	maxBoundOfOne = 8
+)
+
 // Priority levels of queued requests, in the order in which they are served.
 const (
 	continueLevel = iota // streams that have begun
@@ -63,13 +71,14 @@
 		switch {
 		case now.Sub(r.lastSeen) > requestTTL:
 			sq.remove(r, false, now)
+			c.forget(r)
 		case now.After(r.deadline):
 			sq.remove(r, false, now)
 			c.refuse(sq, r, now)
 		case !slices.Contains(blocked, r.Run.Version):
-			granted, noCapacity := c.tryPlace(sq, r, now)
-			if granted {
-				sq.remove(r, true, now)
+			done, noCapacity := c.tryPlace(sq, r, now)
+			if done {
+				sq.remove(r, r.response.State == Granted, now)
 			}
 			if noCapacity {
 				blocked = append(blocked, r.Run.Version)
@@ -86,10 +95,10 @@
 }
 
 // serveLevel removes expired requests of a level and grants capacity to the
-// others. It reports whether more capacity may be free. A request for which there is none keeps
-// the others from being served only if it would do so without shares: requests that need much
-// would otherwise never get it. One that is bound to failure domains
-// does not.
+// others. It reports whether more capacity may be free, also if it is only in failure domains that
+// the requests that were tried are not bound to. A request for which there is none keeps the others
+// from being served only if it would do so without shares: requests that need much would otherwise
+// never get it. One that is bound to failure domains does not.
 func (c *Coordinator) serveLevel(sq *serviceQueue, level int, hasCapacity bool, now time.Time) bool {
 	l := sq.levels[level]
 	if l.isShared() {
@@ -99,29 +108,41 @@
 	}
 	defer l.resume(now)
 	var tried []*request
+	unbound, bound := 0, 0 // of those tried
+	boundOf := make(map[ident.Workspace]int)
 	for l.len() > 0 {
 		r, withoutShares := l.first(), l.ranked.Peek().Value
-		if r == nil || len(tried) >= maxSkipped {
+		if r == nil || unbound >= maxSkipped || bound >= maxBound {
 			r = withoutShares
 		}
 		switch {
 		case slices.Contains(tried, r):
-			return false
+			return unbound == 0
 		case r.isExpired(level, now):
 			c.expire(sq, r, now)
 			continue
 		case !hasCapacity:
 			return false
 		}
-		if granted, _ := c.tryPlace(sq, r, now); granted {
-			sq.remove(r, true, now)
+		if done, _ := c.tryPlace(sq, r, now); done {
+			sq.remove(r, r.response.State == Granted, now)
 			continue
 		}
-		if r == withoutShares && (!l.isShared() || len(r.Run.Domains) == 0) {
+		if r == withoutShares && (!l.isShared() || !r.isBound()) {
 			return false
 		}
-		l.skip(r)
 		tried = append(tried, r)
+		if !r.isBound() {
+			unbound++
+			l.skip(r)
+			continue
+		}
+		bound++
+		if boundOf[r.Run.Workspace]++; boundOf[r.Run.Workspace] < maxBoundOfOne {
+			l.skipOne(r)
+		} else {
+			l.skip(r)
+		}
 	}
 	return hasCapacity
 }
@@ -138,6 +159,7 @@
 	sq.remove(r, false, now)
 	switch {
 	case now.Sub(r.lastSeen) > requestTTL:
+		c.forget(r)
 	case level == onTimeLevel && now.After(r.startBy):
 		if !c.enqueue(sq, r, now) {
 			c.refuse(sq, r, now)
@@ -147,6 +169,11 @@
 	}
 }
 
+// forget drops a request that was not repeated. If it is repeated nevertheless, it counts as new.
+func (c *Coordinator) forget(r *request) {
+	delete(c.requests, requestKey{vm: r.VM, id: r.ID})
+}
+
 // refuse responds to the request with NoCapacity.
 func (c *Coordinator) refuse(sq *serviceQueue, r *request, now time.Time) {
 	if r.Run.RetryKey != 0 {
@@ -211,7 +238,8 @@
 
 // makeLatePlace reports whether the late level has a place for the request. If it is full, a
 // request of the workspace that has most places for its weight is refused instead, unless the
-// request's own workspace would then have as many.
+// request's own workspace would then have as many. Requests of rank 0 are refused only for others
+// of rank 0, and if no request of another rank can be.
 func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, now time.Time) bool {
 	l := sq.levels[lateLevel]
 	if l.len() < maxLate {
@@ -227,11 +255,18 @@
 		places[e.Value.Run.Workspace] += 1 / float64(e.Value.Run.Weight)
 	}
 	for _, e := range queued { // of one workspace, the request with the latest deadline
-		if victim == nil || cmp.Compare(places[e.Value.Run.Workspace], places[victim.Run.Workspace]) >= 0 {
-			victim = e.Value
+		q := e.Value
+		if places[q.Run.Workspace] <= places[r.Run.Workspace] || q.Run.Rank == 0 && r.Run.Rank != 0 {
+			continue
+		}
+		if victim == nil || cmp.Or(
+			cmp.Compare(min(q.Run.Rank, 1), min(victim.Run.Rank, 1)),
+			cmp.Compare(places[q.Run.Workspace], places[victim.Run.Workspace]),
+		) >= 0 {
+			victim = q
 		}
 	}
-	if places[victim.Run.Workspace] <= places[r.Run.Workspace] {
+	if victim == nil {
 		return false
 	}
 	sq.remove(victim, false, now)
