Clear the prefill backlog of a resumed stream at its first event

The load was resized only at the first event of the run, so that a stream resumed at another engine counted its prompt as backlog until it ended.

--- a/internal/route/relay/pace_test.go
+++ b/internal/route/relay/pace_test.go
@@ -41,3 +41,23 @@
 		}
 	})
 }
+
+// TestResumedBacklog guards against a resumed stream that counts as prefill backlog of its engine
+// until it ends, so that the engine refuses other prompts.
+func TestResumedBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 3)
+		var left ident.Server
+		after(time.Second, func() {
+			left = h.runningServer()
+			h.engines.crash(left)
+		})
+		after(1400*time.Millisecond, func() {
+			id := h.runningServer()
+			assert.Assert(t, id != "" && id != left)
+			assert.Equal(t, h.relay.Alloc.Load(id).Backlog, 0)
+		})
+		c, r := h.serve(t.Context(), "/short/x")
+		assertComplete(t, c, r, h.engines.events)
+	})
+}
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -113,7 +113,6 @@
 	now := time.Now()
 	if f.Result.Events == 0 {
 		f.Result.TimeToFirst = now.Sub(f.Call.Arrived)
-		f.reservation.Resize(f.load(false))
 	} else {
 		f.Result.MaxEventGap = max(f.Result.MaxEventGap, now.Sub(f.lastEventAt))
 	}
@@ -125,6 +124,9 @@
 	}
 	if !f.gotEvent {
 		f.gotEvent, f.firstEventAt = true, now
+		// The prompt has been prefilled, also if the stream was resumed. The load has no time per
+		// token, as the meter of the connection is new.
+		f.reservation.Resize(f.load(false))
 	}
 	if !f.wasEstablished && f.established() {
 		f.RecordPass(f.server)
