--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -70,6 +70,43 @@
 		}
 		assertPerToken(t, m, step)
 	})
+	// A usual gap of microseconds made every later event seem delayed by a stall.
+	t.Run("measures after an early stall and its burst", func(t *testing.T) {
+		for _, early := range []int{1, 2, 4, 5, 6} {
+			for _, spacing := range []time.Duration{2 * time.Microsecond, 600 * time.Microsecond} {
+				m := &Meter{}
+				at := feed(m, start, early, event)
+				at = feed(m, at, 1, 30*event)
+				at = feed(m, at, 29, spacing)
+				feed(m, at, 60, event)
+				assertPerToken(t, m, step)
+			}
+		}
+	})
+	t.Run("measures events that are read in pairs by separate calls", func(t *testing.T) {
+		for _, first := range []int{1, 2, 3, 4, 5} {
+			m := &Meter{}
+			at := feed(m, start, first, event)
+			for range 20 {
+				at = feed(m, at, 1, 2*event)
+				at = feed(m, at, 1, 2*time.Microsecond)
+			}
+			assertPerToken(t, m, step)
+		}
+	})
+	t.Run("follows an engine that becomes much slower", func(t *testing.T) {
+		m := &Meter{}
+		at := feed(m, start, 40, event)
+		feed(m, at, 80, 6*event)
+		assertPerToken(t, m, 6*step)
+	})
+	t.Run("ignores groups that are too fast to be true", func(t *testing.T) {
+		m := &Meter{}
+		at := feed(m, start, 24, event)
+		at = feed(m, at, 4, event/10)
+		feed(m, at, 8, event)
+		assertPerToken(t, m, step)
+	})
 	t.Run("without events", func(t *testing.T) {
 		m := &Meter{}
 		assert.Assert(t, !m.Observe(0, start))
