Ignore times per token that cannot be true

A mean outside 0.1 ms to 10 s and runs beyond the calls in flight are ignored, the costs of time and of missed gap targets use the bounded time per token, and the fields of a message are bounded so that sums over VMs do not overflow.

--- a/internal/peer/wire/pace.go
+++ b/internal/peer/wire/pace.go
@@ -21,6 +21,10 @@
 
 	loadPaceRuns   = 8
 	loadPaceMicros = 9
+
+	// maxPace bounds the runs and the sum of their times in a load, so that the sums over all
+	// VMs do not overflow. It is the sum of 100,000 runs of 10 s per token.
+	maxPace = 1 << 40
 )
 
 // appendExpectations appends what a run expects of its engine.
@@ -55,9 +59,9 @@
 func setPace(l *alloc.Load, n protowire.Number, v uint64) {
 	switch n {
 	case loadPaceRuns:
-		l.PaceRuns = int(min(v, math.MaxInt64))
+		l.PaceRuns = int(min(v, maxPace))
 	case loadPaceMicros:
-		l.PaceMicros = int(min(v, math.MaxInt64))
+		l.PaceMicros = int(min(v, maxPace))
 	}
 }
 
--- a/internal/policy/assign/pace.go
+++ b/internal/policy/assign/pace.go
@@ -50,29 +50,26 @@
 // known reports whether the speeds of the engines differ, so that they matter.
 func (p *Pace) known() bool { return p.Median > 0 }
 
-// perToken returns the time per token, which is the median for an engine of unknown speed.
-func (p *Pace) perToken() time.Duration {
-	if p.PerToken == 0 {
-		return p.Median
-	}
-	return p.PerToken
-}
-
 // slowdown returns the time per token relative to the median; 1 if the engines do not differ.
 func (p *Pace) slowdown() float64 {
-	if !p.known() {
+	if !p.known() || p.PerToken == 0 {
 		return 1
 	}
-	return min(max(float64(p.perToken())/float64(p.Median), minSlowdown), maxSlowdown)
+	return min(max(float64(p.PerToken)/float64(p.Median), minSlowdown), maxSlowdown)
 }
 
+// perToken returns the time per token in seconds, bounded relative to the median, so that a wrong
+// measurement of one engine does not outweigh all other costs. It is the median for an engine of
+// unknown speed.
+func (p *Pace) perToken() float64 { return p.slowdown() * p.Median.Seconds() }
+
 // gapExcess returns whether prefill would delay events past the run's gap target while the engine
 // is at its slowest, as a number from 0 to 1.
 func (p *Pace) gapExcess(r *Run) float64 {
 	if r.GapTarget <= 0 || !p.known() {
 		return 0
 	}
-	step := p.perToken().Seconds() + prefillStepTime.Seconds()*p.slowdown()
+	step := p.perToken() + prefillStepTime.Seconds()*p.slowdown()
 	excess := float64(r.EventTokens)*step*worstSlowdown/r.GapTarget.Seconds() - 1
 	return min(max(excess/gapRamp, 0), 1)
 }
@@ -109,7 +106,7 @@
 		return 0
 	}
 	first := float64(s.PrefillBacklog+r.Prefill) / prefillRate * s.Pace.slowdown()
-	c := timeWeight * (first + float64(r.Output)*s.Pace.perToken().Seconds())
+	c := timeWeight * (first + float64(r.Output)*s.Pace.perToken())
 	if r.LatencyTarget > 0 {
 		c += lateStartWeight * max(0, first-latencyShare*r.LatencyTarget.Seconds())
 	}
--- a/internal/policy/assign/pace_test.go
+++ b/internal/policy/assign/pace_test.go
@@ -55,6 +55,14 @@
 		}
 		assert.Assert(t, slices.Max(counts) <= 30, "chosen: %v", counts)
 	})
+	t.Run("a wrong measurement costs no more than the bound of the slowdown", func(t *testing.T) {
+		for _, run := range []Run{short, long} {
+			for _, pair := range [][2]float64{{maxSlowdown, 1000}, {minSlowdown, 0.001}} {
+				bound, wrong := paced(3, pair[0]), paced(3, pair[1])
+				assert.Equal(t, wrong.cost(&run, 0), bound.cost(&run, 0))
+			}
+		}
+	})
 	t.Run("speeds that do not differ change no cost", func(t *testing.T) {
 		for _, run := range []Run{short, long} {
 			s := paced(3, slow)
--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -204,6 +205,17 @@
 		r.report(retention+time.Second, 0, 0, 0)
 		assert.Equal(t, len(r.table.services), 0)
 	})
+	t.Run("ignores measurements that cannot be true", func(t *testing.T) {
+		r := newReporter()
+		r.report(time.Second, step, step, step)
+		v := r.view()
+		for _, bad := range [][2]int{{1, 1}, {1, 11_000_000}, {1, math.MaxInt}, {-1, -7000}, {math.MaxInt, 7000}} {
+			r.now = r.now.Add(time.Second)
+			v = r.view()
+			assert.Equal(t, v.Observe("0", bad[0], bad[1]), step)
+			assert.Equal(t, v.Observe("new", bad[0], bad[1]), time.Duration(0))
+		}
+	})
 	t.Run("remembers the gap target for runs that state none", func(t *testing.T) {
 		r := newReporter()
 		r.report(time.Second, step, step, step)
--- a/internal/policy/pace/table.go
+++ b/internal/policy/pace/table.go
@@ -35,6 +35,10 @@
 	// reported as slow or as recovered. The first streams of an engine may have measured it
 	// only while it also prefilled prompts.
 	confirmTime = 2 * time.Second
+	// minMeasured and maxMeasured bound the mean of the times per token that are recorded. Others
+	// are errors of a VM or of a message, and would distort the median.
+	minMeasured = 100 * time.Microsecond
+	maxMeasured = 10 * time.Second
 	// slowestShare is the fraction of engines that are not among the slowest tenth.
 	slowestShare = 0.9
 )
@@ -112,12 +116,14 @@
 }
 
 // Observe records the sum of the times per token that runs have measured at an engine, in
-// microseconds, and returns the engine's time per token; zero: unknown.
+// microseconds, and returns the engine's time per token; zero: unknown. It ignores a mean that
+// cannot be true.
 func (v *View) Observe(id ident.Server, runs, micros int) time.Duration {
 	v.table.mu.Lock()
 	defer v.table.mu.Unlock()
 	s := v.table.services[v.name]
-	if runs <= 0 || micros <= 0 {
+	measured, plausible := meanPerToken(runs, micros)
+	if !plausible {
 		if s == nil || s.engines[id] == nil {
 			return 0
 		}
@@ -127,7 +133,6 @@
 		s = &service{engines: make(map[ident.Server]*engine), gapTarget: v.GapTarget, eventTokens: v.EventTokens}
 		v.table.services[v.name] = s
 	}
-	measured := time.Duration(float64(micros) / float64(runs) * float64(time.Microsecond))
 	e := s.engines[id]
 	if e == nil {
 		e = &engine{perToken: measured, updatedAt: v.now}
@@ -138,6 +143,18 @@
 	return e.perToken
 }
 
+// meanPerToken returns the mean of the times per token of runs, and whether it can be true.
+func meanPerToken(runs, micros int) (time.Duration, bool) {
+	if runs <= 0 || micros <= 0 {
+		return 0, false
+	}
+	mean := float64(micros) / float64(runs) * float64(time.Microsecond)
+	if mean < float64(minMeasured) || mean > float64(maxMeasured) {
+		return 0, false
+	}
+	return time.Duration(mean), true
+}
+
 // moveToward moves the engine's time per token toward a value, by the time since its last update.
 func (e *engine) moveToward(value, timeConstant time.Duration, now time.Time) {
 	if elapsed := now.Sub(e.updatedAt); elapsed > 0 {
--- a/internal/route/pick/speed.go
+++ b/internal/route/pick/speed.go
@@ -33,6 +33,10 @@
 // paceOf records what the streams at an engine have measured, and returns the engine's speed for
 // the placement of a new run. It is the zero value if the engines do not differ.
 func paceOf(speeds *pace.View, purpose Purpose, id ident.Server, l alloc.Load) assign.Pace {
+	if l.PaceRuns < 0 || l.PaceRuns > l.Calls {
+		// No more runs can have measured than are in flight.
+		l.PaceRuns, l.PaceMicros = 0, 0
+	}
 	perToken := speeds.Observe(id, l.PaceRuns, l.PaceMicros)
 	if !speeds.Differ || purpose != NewRun {
 		return assign.Pace{}
