--- a/internal/policy/assign/pace.go
+++ b/internal/policy/assign/pace.go
@@ -34,6 +34,10 @@
 	// at the same moment with the same loads and speeds. It is as high as the difference between
 	// a slow and a fast engine, so that they do not all choose the fastest.
 	localJitterWeight = 0.3
+	// localJitterStreams is the random cost of a short run that a VM places by itself, in streams
+	// that its prompt delays. With less than one stream, all VMs with the same loads would choose
+	// the same engine; with two, an engine with one stream less is still preferred.
+	localJitterStreams = 2.0
 	// minSlowdown and maxSlowdown bound the measured time per token relative to the median.
 	minSlowdown = 0.25
 	maxSlowdown = 4.0
@@ -76,10 +80,14 @@
 
 // jitterWeight returns the weight of the random cost of the server for a run.
 func (s *Server) jitterWeight(r *Run) float64 {
+	w := jitterWeight
 	if r.Local && s.Pace.known() {
-		return localJitterWeight
+		w = localJitterWeight
 	}
-	return jitterWeight
+	if r.Local && r.isShort() {
+		w = max(w, localJitterStreams*delayWeight*float64(r.Prefill)/prefillRate)
+	}
+	return w
 }
 
 // gapCost returns the cost of the gap targets that the run's prompt, or later prompts, may make
--- a/internal/policy/assign/short_test.go
+++ b/internal/policy/assign/short_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,4 +43,15 @@
 			}
 		})
 	}
+	t.Run("VMs that decide by themselves do not all choose the same engine", func(t *testing.T) {
+		servers := []Server{streams(1), streams(0), streams(1), streams(1), streams(1)}
+		local, counts := short, make([]int, len(servers))
+		local.Local = true
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 60 {
+			counts[ChooseEngine(&local, MaxCallFill, CrossDomainCallCost, servers, rng)]++
+		}
+		assert.Assert(t, slices.Max(counts) <= 45, "chosen: %v", counts)
+		assert.Equal(t, slices.Max(counts), counts[1], "the engine without streams is preferred")
+	})
 }
