--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -224,4 +224,31 @@
 		assert.Equal(t, v.GapTarget, 180*time.Millisecond)
 		assert.Equal(t, v.EventTokens, eventTokens)
 	})
+	t.Run("keeps the smallest gap target of the retention period", func(t *testing.T) {
+		r := newReporter()
+		r.report(time.Second, step, step, step)
+		r.table.View(name, 180*time.Millisecond, eventTokens, r.now)
+		r.now = r.now.Add(retention / 2)
+		r.report(time.Second, step, step, step)
+		assert.Equal(t, r.table.View(name, time.Minute, 1, r.now).GapTarget, 180*time.Millisecond)
+		r.report(retention/2, step, step, step)
+		v := r.view()
+		assert.Equal(t, v.GapTarget, time.Minute)
+		assert.Equal(t, v.EventTokens, 1)
+		r.report(retention, step, step, step)
+		assert.Equal(t, r.view().GapTarget, time.Duration(0))
+	})
+	// A callback that used the table, or waited for a lock held around a call of it, did not return.
+	t.Run("reports changes without its lock", func(t *testing.T) {
+		r := newReporter()
+		slowCount := 0
+		r.table.onChange = func(Change) {
+			if assert.Check(t, r.table.mu.TryLock(), "the table is locked") {
+				r.table.mu.Unlock()
+				slowCount = r.table.SlowCount(r.now)
+			}
+		}
+		r.report(4*time.Second, step, step, step, slow)
+		assert.Equal(t, slowCount, 1)
+	})
 }
--- a/internal/policy/pace/table.go
+++ b/internal/policy/pace/table.go
@@ -22,6 +22,8 @@
 	// maxCompared bounds the engines from which the median is computed, which is as good for a
 	// larger service.
 	maxCompared = 512
+	// maxTargets bounds the gap targets that are kept of a service, whose routes have a few.
+	maxTargets = 16
 	// minKnown is the number of engines with a known time per token from which a service's
 	// engines may count as different.
 	minKnown = 3
@@ -61,12 +63,18 @@
 }
 
 type service struct {
-	engines     map[ident.Server]*engine
-	median      time.Duration // zero: not known
-	differ      bool
-	computedAt  time.Time
-	gapTarget   time.Duration // of the latest run that stated one
-	eventTokens int           // of the same run
+	engines    map[ident.Server]*engine
+	median     time.Duration // zero: not known
+	differ     bool
+	computedAt time.Time
+	targets    []target // stated within the retention period: ascending by gap and by time
+}
+
+// target is the gap target that a run of a service stated.
+type target struct {
+	gap         time.Duration
+	eventTokens int
+	statedAt    time.Time
 }
 
 type engine struct {
@@ -77,8 +85,8 @@
 	changingAt time.Time // since when the time per token contradicts slow; zero: it does not
 }
 
-// NewTable returns a Table without measurements. onChange is called, with the Table locked, when
-// an engine becomes slow and when it is no longer slow.
+// NewTable returns a Table without measurements. onChange is called when an
+// engine becomes slow and when it is no longer slow. It may use the Table.
 func NewTable(onChange func(Change)) *Table {
 	return &Table{onChange: onChange, services: make(map[ident.Service]*service)}
 }
@@ -96,23 +104,52 @@
 }
 
 // View returns what is known of a service's engines. gapTarget and eventTokens are those of the
-// run for which it is used; if the run states none, those of the latest run that did apply.
+// run for which it is used. The smallest target that a run of the service has stated recently
+// applies, as streams with that target may be under way.
 func (t *Table) View(name ident.Service, gapTarget time.Duration, eventTokens int, now time.Time) View {
+	v, changes := t.view(name, gapTarget, eventTokens, now)
+	for _, c := range changes {
+		t.onChange(c)
+	}
+	return v
+}
+
+// view returns the view of a service, and the changes that onChange has to be told.
+func (t *Table) view(name ident.Service, gapTarget time.Duration, eventTokens int, now time.Time) (View, []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := View{table: t, name: name, now: now, GapTarget: gapTarget, EventTokens: eventTokens}
 	s := t.services[name]
 	if s == nil {
-		return v
-	}
-	if gapTarget > 0 && eventTokens > 0 {
-		s.gapTarget, s.eventTokens = gapTarget, eventTokens
+		return v, nil
 	}
+	s.state(target{gap: gapTarget, eventTokens: eventTokens, statedAt: now})
+	var changes []Change
 	if now.Sub(s.computedAt) >= medianInterval {
-		t.refresh(name, s, now)
+		changes = t.refresh(name, s, now)
+	}
+	v.Differ, v.Median = s.differ, s.median
+	if len(s.targets) > 0 {
+		v.GapTarget, v.EventTokens = s.targets[0].gap, s.targets[0].eventTokens
+	}
+	return v, changes
+}
+
+// state records a gap target, and drops those that are outdated and those that are not smaller
+// than a later one.
+func (s *service) state(stated target) {
+	for len(s.targets) > 0 && stated.statedAt.Sub(s.targets[0].statedAt) > retention {
+		s.targets = s.targets[1:]
+	}
+	if stated.gap <= 0 || stated.eventTokens <= 0 {
+		return
+	}
+	for len(s.targets) > 0 && s.targets[len(s.targets)-1].gap >= stated.gap {
+		s.targets = s.targets[:len(s.targets)-1]
+	}
+	if len(s.targets) < maxTargets {
+		s.targets = append(s.targets, stated)
 	}
-	v.Differ, v.Median, v.GapTarget, v.EventTokens = s.differ, s.median, s.gapTarget, s.eventTokens
-	return v
 }
 
 // Observe records the sum of the times per token that runs have measured at an engine, in
@@ -130,7 +167,8 @@
 		return s.engines[id].drift(s.median, v.now)
 	}
 	if s == nil {
-		s = &service{engines: make(map[ident.Server]*engine), gapTarget: v.GapTarget, eventTokens: v.EventTokens}
+		s = &service{engines: make(map[ident.Server]*engine)}
+		s.state(target{gap: v.GapTarget, eventTokens: v.EventTokens, statedAt: v.now})
 		v.table.services[v.name] = s
 	}
 	e := s.engines[id]
@@ -176,8 +214,9 @@
 	return e.perToken
 }
 
-// refresh drops outdated engines, computes the median and classifies the engines.
-func (t *Table) refresh(name ident.Service, s *service, now time.Time) {
+// refresh drops outdated engines, computes the median and classifies the engines. It returns the
+// changes of their classification.
+func (t *Table) refresh(name ident.Service, s *service, now time.Time) []Change {
 	s.computedAt = now
 	var known []time.Duration
 	for id, e := range s.engines {
@@ -194,16 +233,18 @@
 	}
 	s.median, s.differ = 0, false
 	if len(known) < minKnown {
-		return
+		return nil
 	}
 	slices.Sort(known)
 	s.median = known[len(known)/2]
 	s.differ = exceeds(known[int(slowestShare*float64(len(known)))], s.median, slowFactor)
+	var changes []Change
 	for id, e := range s.engines {
 		if e.reclassify(s.median, now) {
-			t.onChange(Change{Service: name, Server: id, Slow: e.slow, PerToken: e.perToken, Median: s.median})
+			changes = append(changes, Change{Service: name, Server: id, Slow: e.slow, PerToken: e.perToken, Median: s.median})
 		}
 	}
+	return changes
 }
 
 // reclassify updates whether the engine is reported as slow, and reports whether that changed.
