--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -70,6 +71,43 @@
 		}
 		assertPerToken(t, m, step)
 	})
+	// A usual gap of microseconds made every later event seem delayed by a stall.
+	t.Run("measures after an early stall and its burst", func(t *testing.T) {
+		for _, early := range []int{1, 2, 4, 5, 6} {
+			for _, spacing := range []time.Duration{2 * time.Microsecond, 600 * time.Microsecond} {
+				m := &Meter{}
+				at := feed(m, start, early, event)
+				at = feed(m, at, 1, 30*event)
+				at = feed(m, at, 29, spacing)
+				feed(m, at, 60, event)
+				assertPerToken(t, m, step)
+			}
+		}
+	})
+	t.Run("measures events that are read in pairs by separate calls", func(t *testing.T) {
+		for _, first := range []int{1, 2, 3, 4, 5} {
+			m := &Meter{}
+			at := feed(m, start, first, event)
+			for range 20 {
+				at = feed(m, at, 1, 2*event)
+				at = feed(m, at, 1, 2*time.Microsecond)
+			}
+			assertPerToken(t, m, step)
+		}
+	})
+	t.Run("follows an engine that becomes much slower", func(t *testing.T) {
+		m := &Meter{}
+		at := feed(m, start, 40, event)
+		feed(m, at, 80, 6*event)
+		assertPerToken(t, m, 6*step)
+	})
+	t.Run("ignores groups that are too fast to be true", func(t *testing.T) {
+		m := &Meter{}
+		at := feed(m, start, 24, event)
+		at = feed(m, at, 4, event/10)
+		feed(m, at, 8, event)
+		assertPerToken(t, m, step)
+	})
 	t.Run("without events", func(t *testing.T) {
 		m := &Meter{}
 		assert.Assert(t, !m.Observe(0, start))
@@ -167,6 +205,17 @@
 		r.report(retention+time.Second, 0, 0, 0)
 		assert.Equal(t, len(r.table.services), 0)
 	})
+	t.Run("ignores measurements that cannot be true", func(t *testing.T) {
+		r := newReporter()
+		r.report(time.Second, step, step, step)
+		v := r.view()
+		for _, bad := range [][2]int{{1, 1}, {1, 11_000_000}, {1, math.MaxInt}, {-1, -7000}, {math.MaxInt, 7000}} {
+			r.now = r.now.Add(time.Second)
+			v = r.view()
+			assert.Equal(t, v.Observe("0", bad[0], bad[1]), step)
+			assert.Equal(t, v.Observe("new", bad[0], bad[1]), time.Duration(0))
+		}
+	})
 	t.Run("remembers the gap target for runs that state none", func(t *testing.T) {
 		r := newReporter()
 		r.report(time.Second, step, step, step)
@@ -175,4 +224,31 @@
 		assert.Equal(t, v.GapTarget, 180*time.Millisecond)
 		assert.Equal(t, v.EventTokens, eventTokens)
 	})
+	t.Run("keeps the smallest gap target of the retention period", func(t *testing.T) {
+		r := newReporter()
+		r.report(time.Second, step, step, step)
+		r.table.View(name, 180*time.Millisecond, eventTokens, r.now)
+		r.now = r.now.Add(retention / 2)
+		r.report(time.Second, step, step, step)
+		assert.Equal(t, r.table.View(name, time.Minute, 1, r.now).GapTarget, 180*time.Millisecond)
+		r.report(retention/2, step, step, step)
+		v := r.view()
+		assert.Equal(t, v.GapTarget, time.Minute)
+		assert.Equal(t, v.EventTokens, 1)
+		r.report(retention, step, step, step)
+		assert.Equal(t, r.view().GapTarget, time.Duration(0))
+	})
+	// A callback that used the table, or waited for a lock held around a call of it, did not return.
+	t.Run("reports changes without its lock", func(t *testing.T) {
+		r := newReporter()
+		slowCount := 0
+		r.table.onChange = func(Change) {
+			if assert.Check(t, r.table.mu.TryLock(), "the table is locked") {
+				r.table.mu.Unlock()
+				slowCount = r.table.SlowCount(r.now)
+			}
+		}
+		r.report(4*time.Second, step, step, step, slow)
+		assert.Equal(t, slowCount, 1)
+	})
 }
