Add uneven servers and uneven workspaces to the soak

In intervals of 5 s without an impaired VM, no other workspace may be served less than a quarter as often as all; kinds of service are compared separately, and a workspace counts if at least 12 of its calls would be served at an equal part. So that such intervals exist, VMs are impaired in the first quarter of the run only, and no key is revoked.

--- a/cmd/stress/soak.go
+++ b/cmd/stress/soak.go
@@ -51,6 +51,8 @@
 	f.BoolVar(&cfg.Crashes, "crashes", false, "also have requests crash servers, and servers announce drains and pauses in responses")
 	f.BoolVar(&cfg.Parts, "parts", false, "also have parts of prompts crash servers, beside sound requests with the same other parts")
 	f.BoolVar(&cfg.Floods, "floods", false, "also have a balancer hand most new connections to one VM")
+	f.BoolVar(&cfg.Uneven, "uneven", false, "also have servers differ in speed, and slow some down for a time")
+	f.BoolVar(&cfg.Shares, "shares", false, "also have one workspace send several times what the others send, and change priorities of workspaces")
 	f.StringVar(&cfg.Program, "program", "bin/umberladder", "path of the umberladder program")
 	f.StringVar(&cfg.Dir, "dir", "run/soak", "directory for settings and logs")
 	return c
--- a/internal/load/soak/client.go
+++ b/internal/load/soak/client.go
@@ -33,15 +33,15 @@
 	prompt         []string // parts of its prompt; nil: it has none
 	fatalPart      string   // the part that crashes servers; empty: none does
 	refusal        string   // body of a refusal
-	timedOut       bool     // the client left after its timeout
+	timedOut       bool     // the client left after its timeout, before the end of the soak
 }
 
 // clientTimeout is how long a client waits for a response.
 const clientTimeout = 4 * time.Second
 
 // send makes one call and reads the complete response.
-func (r *run) send(ctx context.Context, httpClient *http.Client, c *call, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, clientTimeout+time.Second)
+func (r *run) send(soakCtx context.Context, httpClient *http.Client, c *call, addr string) {
+	ctx, cancel := context.WithTimeout(soakCtx, clientTimeout+time.Second)
 	defer cancel()
 	req, err := fake.NewRequest(ctx, addr, c.path, c.id, c.key, clientTimeout)
 	if err != nil {
@@ -61,7 +61,7 @@
 	c.sentAt = time.Now()
 	resp, err := httpClient.Do(req)
 	if err != nil {
-		c.timedOut = errors.Is(err, context.DeadlineExceeded)
+		c.timedOut = errors.Is(err, context.DeadlineExceeded) && soakCtx.Err() == nil
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -135,7 +135,7 @@
 		c := &call{
 			id:   fmt.Sprintf("s%d-c%d-%d", r.cfg.Seed, n, i),
 			path: paths[rng.IntN(len(paths))] + "x",
-			key:  fmt.Sprintf("key-%d", rng.IntN(numKeys)),
+			key:  r.chooseKey(rng),
 			vm:   v.name,
 		}
 		if r.cfg.Parts {
--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -13,48 +13,51 @@
 type faultKind struct {
 	name   string
 	inject func(ctx context.Context)
+	onVMs  bool // it impairs VMs
 }
 
 // injectFaults injects random faults until ctx ends. Faults may overlap.
 func (r *run) injectFaults(ctx context.Context) {
 	kinds := []faultKind{
-		{"vm-stop", r.stopVM},
-		{"vm-kill", r.killVM},
-		{"vm-pause", r.pauseVM},
-		{"store-link", r.impairStoreLink},
-		{"store-away", r.impairAllStoreLinks},
-		{"server-link", r.impairServerLink},
-		{"server-leave", r.retireServer},
-		{"server-crash", r.crashServer},
-		{"server-shed", r.shedServer},
-		{"settings", func(context.Context) { r.mu.Lock(); defer r.mu.Unlock(); r.writeNextSettings() }},
-		{"revoke", r.revokeKey},
+		{"vm-stop", r.stopVM, true},
+		{"vm-kill", r.killVM, true},
+		{"vm-pause", r.pauseVM, true},
+		{"store-link", r.impairStoreLink, true},
+		{"store-away", r.impairAllStoreLinks, true},
+		{"server-link", r.impairServerLink, false},
+		{"server-leave", r.retireServer, false},
+		{"server-crash", r.crashServer, false},
+		{"server-shed", r.shedServer, false},
+		{"settings", func(context.Context) { r.mu.Lock(); defer r.mu.Unlock(); r.writeNextSettings() }, false},
+		{"revoke", r.revokeKey, false},
 	}
 	if r.cfg.StoreRestores {
-		kinds = append(kinds, faultKind{"store-back", r.restoreStore})
+		kinds = append(kinds, faultKind{"store-back", r.restoreStore, true})
 	}
 	if r.cfg.Crashes {
-		kinds = append(kinds, faultKind{"fatal-request", r.fatalRequest}, faultKind{"drain-announced", r.announceDrain}, faultKind{"server-busy", r.busyServer})
+		kinds = append(kinds, faultKind{"fatal-request", r.fatalRequest, false}, faultKind{"drain-announced", r.announceDrain, false}, faultKind{"server-busy", r.busyServer, false})
 	}
 	if r.cfg.Parts {
-		kinds = append(kinds, faultKind{"fatal-part", r.fatalPart})
+		kinds = append(kinds, faultKind{"fatal-part", r.fatalPart, false})
 	}
 	if r.cfg.Floods {
-		kinds = append(kinds, faultKind{"flood", r.startFlood})
+		kinds = append(kinds, faultKind{"flood", r.startFlood, true})
 	}
 	if r.cfg.Cuts {
-		kinds = append(kinds, faultKind{"vm-cut-off", r.cutVMs}, faultKind{"servers-brittle", r.makeBrittle})
+		kinds = append(kinds, faultKind{"vm-cut-off", r.cutVMs, true}, faultKind{"servers-brittle", r.makeBrittle, false})
 	}
 	if r.cfg.Ends {
-		kinds = append(kinds, faultKind{"close-delimited", r.useCloseDelimited}, faultKind{"stream-broken", r.breakStreams}, faultKind{"server-ended", r.endServer})
+		kinds = append(kinds, faultKind{"close-delimited", r.useCloseDelimited, false}, faultKind{"stream-broken", r.breakStreams, false}, faultKind{"server-ended", r.endServer, false})
 	}
 	if r.cfg.Versions {
-		kinds = append(kinds, faultKind{"roll", r.roll})
+		kinds = append(kinds, faultKind{"roll", r.roll, false})
 	}
 	if r.cfg.Evacuations {
-		kinds = append(kinds, faultKind{"evacuate", r.evacuate})
+		kinds = append(kinds, faultKind{"evacuate", r.evacuate, false})
 	}
+	kinds = append(kinds, r.unevenFaults()...)
 	for ctx.Err() == nil {
+		kinds = r.leaveVMsAlone(ctx, kinds)
 		k := kinds[r.rng.IntN(len(kinds))]
 		r.mu.Lock()
 		r.faults[k.name]++
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -54,6 +54,8 @@
 	Versions      bool // also roll engines to other versions of the software, and have clients take streams up
 	Parts         bool // also have parts of prompts crash servers
 	Floods        bool // also have a balancer hand most connections to one VM
+	Uneven        bool // also have servers differ in speed, and slow some down for a time
+	Shares        bool // also have one workspace send several times what the others send, and change priorities
 	Program       string
 	Dir           string
 }
@@ -79,6 +81,7 @@
 	ln        net.Listener
 	retiredAt time.Time // when its entry was set to draining, or removed
 	dead      bool      // it no longer writes its entry
+	speed     float64   // in relation to the usual one
 }
 
 type run struct {
@@ -106,15 +109,16 @@
 	impairments map[string][]span      // by VM: when it or its connection to the store was impaired
 	stops       map[string][]time.Time // by VM: when its process was stopped or paused
 	nextID      int
-	releases    int      // versions of the engines after the first
-	mixed       []string // streams that hold events of several versions
+	releases    int            // versions of the engines after the first
+	priorities  map[string]int // by key: priority of its workspace; nil: all keys belong to one workspace
+	mixed       []string       // streams that hold events of several versions
 }
 
 // Run runs one soak.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	r := &run{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), store: fake.NewStore(), runLog: fake.NewRunLog(),
-		faults: make(map[string]int), revoked: make(map[string]time.Time), impairments: make(map[string][]span), stops: make(map[string][]time.Time),
+		priorities: make(map[string]int), faults: make(map[string]int), revoked: make(map[string]time.Time), impairments: make(map[string][]span), stops: make(map[string][]time.Time),
 	}
 	ctx, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
@@ -200,6 +204,9 @@
 			valid = append(valid, k)
 		}
 	}
+	if r.cfg.Shares {
+		r.store.SetPriorities(r.priorities)
+	}
 	r.store.PutSettings(r.version, valid, min(r.version*routesStep, r.cfg.Routes))
 }
 
@@ -221,7 +228,8 @@
 	defer r.mu.Unlock()
 	r.nextID++
 	s := fake.NewServer(fmt.Sprintf("%s-%d", service, r.nextID), service, r.nextDomain(), p.Addr(), r.store, r.runLog)
-	b := &backend{server: s, proxy: p, ln: ln}
+	b := &backend{server: s, proxy: p, ln: ln, speed: 1}
+	r.configure(b)
 	s.OnFatal(func() { r.crashOnFatal(ctx, b) })
 	r.backends = append(r.backends, b)
 	r.applyCuts(b)
@@ -273,7 +281,7 @@
 			rep.Violations = append(rep.Violations, fmt.Sprintf("%s at %s, %s: %s", c.id, c.vm, c.path, violation))
 		}
 	}
-	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations(), r.versionViolations(rep), r.partViolations(), r.floodViolations())...)
+	rep.Violations = append(rep.Violations, slices.Concat(r.problems, r.fatalViolations(), r.cutViolations(), r.brittleViolations(), r.versionViolations(rep), r.partViolations(), r.floodViolations(), r.shareViolations())...)
 	slices.Sort(rep.Violations)
 	return rep
 }
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -259,3 +259,49 @@
 		assert.Equal(t, len(r.floodViolations()), 0)
 	})
 }
+
+// TestShareViolations guards against a soak that misses a small workspace that is hardly served, or
+// reports one whose calls say nothing.
+func TestShareViolations(t *testing.T) {
+	const size = 4 * minEqualPart
+	start := time.Now()
+	for name, tc := range map[string]struct {
+		small, greedy int           // calls of size that are served
+		read          int           // calls of the small workspace
+		revoked       bool          // the key of the small workspace
+		impaired      time.Duration // for how long a VM is impaired
+		want          int
+	}{
+		"served alike":           {small: size / 2, greedy: size / 2, read: size},
+		"better than the others": {small: size, greedy: size / 4, read: size},
+		"none served":            {small: 0, greedy: size, read: size, want: 1},
+		"a seventh":              {small: size / 7, greedy: size, read: size, want: 1},
+		"few calls":              {small: 0, greedy: size, read: minEqualPart - 1},
+		"few served":             {small: 0, greedy: minEqualPart / 2, read: size},
+		"nobody is served":       {small: 0, greedy: 0, read: size},
+		"a revoked key":          {small: 0, greedy: size, read: size, revoked: true},
+		"an impaired VM":         {small: 0, greedy: size, read: size, impaired: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &run{cfg: Config{Shares: true}, vms: []*vm{{name: "vm"}, {name: "other"}}, revoked: make(map[string]time.Time), impairments: make(map[string][]span)}
+			if tc.revoked {
+				r.revoked["key-0"] = start.Add(-time.Second)
+			}
+			if tc.impaired > 0 {
+				r.impairments["other"] = []span{{from: start.Add(-time.Second), to: start.Add(tc.impaired)}}
+			}
+			add := func(key string, n, served int) {
+				for i := range n {
+					c := &call{path: "/stream/x", key: key, vm: "vm", sentAt: start, status: 429}
+					if i < served {
+						c.status, c.complete = 200, true
+					}
+					r.calls = append(r.calls, c)
+				}
+			}
+			add("key-0", tc.read, tc.small)
+			add(greedyKey, size, tc.greedy)
+			assert.Equal(t, len(r.shareViolations()), tc.want, "%v", r.shareViolations())
+		})
+	}
+}
