--- a/internal/route/pick/speed_test.go
+++ b/internal/route/pick/speed_test.go
@@ -370,7 +370,7 @@
 func TestUnevenEngines(t *testing.T) {
 	for _, load := range []float64{0.6, 0.9} {
 		for _, churn := range []bool{false, true} {
-			suffix := fmt.Sprintf(" at %.0f%% of the capacity, churn %t", 100*load, churn)
+			suffix := fmt.Sprintf(" at %.1f of the capacity, churn %t", load, churn)
 			t.Run("uneven engines"+suffix, func(t *testing.T) {
 				t.Parallel()
 				out := compare(t, unevenSpeeds, load, churn, slices.Sorted(maps.Keys(policies))...)
