--- a/internal/policy/pace/meter.go
+++ b/internal/policy/pace/meter.go
@@ -29,7 +29,7 @@
 	// togetherGap is the time within which events count as read together. Engines that the
 	// meter has to tell apart take longer for an event.
 	togetherGap = 500 * time.Microsecond
-	// maxIgnored is how long events may be ignored without a break before the meter starts anew.
+	// maxIgnored is how long events may be ignored without a break before the meter restarts.
 	// The usual time between events is then wrong, or the engine has become much slower.
 	maxIgnored = time.Second
 	// implausibleFactor is the fraction of the median group below which a group is ignored. No
@@ -99,7 +99,7 @@
 	return true
 }
 
-// ignore starts another group after an event that was delayed. It starts the measurement anew if
+// ignore starts another group after an event that was delayed. It restarts the measurement if
 // events have been ignored for maxIgnored.
 func (m *Meter) ignore(now time.Time) {
 	m.groupStart, m.groupSize = now, 0
--- a/internal/policy/pace/table.go
+++ b/internal/policy/pace/table.go
@@ -114,7 +114,7 @@
 	return v
 }
 
-// view returns the view of a service, and the changes that onChange has to be told.
+// view returns the view of a service, and the changes to pass to onChange.
 func (t *Table) view(name ident.Service, gapTarget time.Duration, eventTokens int, now time.Time) (View, []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/proc/peers/timing_test.go
+++ b/internal/proc/peers/timing_test.go
@@ -53,7 +53,7 @@
 	now := time.Now()
 	exchange(t, a, hub, 1, now)
 	exchange(t, b, hub, 1, now)
-	now = now.Add(time.Minute) // the hub has joined the fleet and may be told to watch the store
+	now = now.Add(time.Minute) // the hub has joined the fleet and may watch the store
 	exchange(t, a, hub, 1, now)
 	for _, d := range []*delegate{hub, a, b} {
 		for range 5 {
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -14,13 +14,13 @@
 // refused at once.
 const maxLate = 16
 
-// maxSkipped is how many workspaces whose next calls no engine has room for are passed over until
+// maxSkipped is how many workspaces whose next calls no engine has room for are skipped until
 // capacity is free again. Each costs one choice of an engine.
 const maxSkipped = 8
 
 // Requests that are bound to failure domains don't count as skipped workspaces, since others may
 // fit elsewhere. At most maxBound of them are tried while the queue is served once, because each
-// costs one choice of an engine; after maxBoundOfOne of a workspace, all of it is passed over.
+// costs one choice of an engine; after maxBoundOfOne of a workspace, the whole workspace is skipped.
 const (
 	maxBound      = 32
 	maxBoundOfOne = 8
--- a/internal/route/coord/share.go
+++ b/internal/route/coord/share.go
@@ -9,7 +9,7 @@
 // weightUnit is the weight of a workspace for which the settings state none, in thousandths.
 const weightUnit = 1000
 
-// Observer is told what a Coordinator decides about the runs of workspaces. Its methods must
+// Observer receives what a Coordinator decides about the runs of workspaces. Its methods must
 // return at once and must not call the Coordinator.
 type Observer interface {
 	// RecordGrant records that a run was granted tokens of memory; for plain calls, slots.
--- a/internal/route/coord/share_test.go
+++ b/internal/route/coord/share_test.go
@@ -445,7 +445,7 @@
 	assert.Equal(t, r.coordinator.WaitingWorkspaces(), 3)
 }
 
-// limits is an Observer that keeps what it is told.
+// limits is an Observer that records changes of limits.
 type limits struct {
 	list               []Limit
 	granted, refused   int
--- a/internal/route/unary/fleet_test.go
+++ b/internal/route/unary/fleet_test.go
@@ -139,7 +139,7 @@
 	slots     int     // of the first server, which its entry does not state
 	slowness  float64 // of the first server
 	failEvery int     // of the first server
-	hubsLost  bool    // no VM hears a hub while the servers are changed
+	hubsLost  bool    // no VM receives responses of hubs while the servers are changed
 	oneDomain bool    // all VMs and servers are in one failure domain
 	// baseline makes VMs choose by their own calls and health weights only, as they do where
 	// servers are engines.
