Leave services with few calls per server out of the figures of plain servers

Servers with fewer than five calls per second on average cannot be compared, so hubs leave their services out.

--- a/internal/policy/timing/tracker.go
+++ b/internal/policy/timing/tracker.go
@@ -90,8 +90,9 @@
 }
 
 // Response returns this VM's response, as a hub, to a VM that reports to it: the sums of all
-// other VMs, this one included.
-func (t *Tracker) Response(vm ident.VM, inFlight func(ident.Server) int, now time.Time) map[ident.Server]Stats {
+// other VMs, this one included. It leaves out services whose servers have too few calls to be
+// compared, of which large fleets have many servers. serviceOf returns the service of a server.
+func (t *Tracker) Response(vm ident.VM, serviceOf func(ident.Server) ident.Service, inFlight func(ident.Server) int, now time.Time) map[ident.Server]Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fleet.purge(now)
@@ -102,9 +103,25 @@
 			out[id] = sum
 		}
 	}
+	keepComparable(out, serviceOf)
 	return busiest(out)
 }
 
+// keepComparable removes the servers of services with fewer than minResponses calls per server on
+// average.
+func keepComparable(stats map[ident.Server]Stats, serviceOf func(ident.Server) ident.Service) {
+	type load struct{ calls, servers int }
+	loads := make(map[ident.Service]load)
+	for id, s := range stats {
+		l := loads[serviceOf(id)]
+		loads[serviceOf(id)] = load{calls: l.calls + s.calls(), servers: l.servers + 1}
+	}
+	maps.DeleteFunc(stats, func(id ident.Server, _ Stats) bool {
+		l := loads[serviceOf(id)]
+		return l.calls < minResponses*l.servers
+	})
+}
+
 // HandleReport records the sums of another VM. It keeps the map and may change it.
 func (t *Tracker) HandleReport(vm ident.VM, stats map[ident.Server]Stats, now time.Time) {
 	t.mu.Lock()
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -120,7 +120,7 @@
 // Announcements to all VMs do without.
 func (d *delegate) fillTimings(m *wire.Message, to ident.VM, now time.Time) {
 	if d.node.Hubs.ShouldWatch(now) {
-		m.Hub.Timings = d.node.Timings.Response(to, d.node.ownCalls, now)
+		m.Hub.Timings = d.node.Timings.Response(to, d.node.serviceOf, d.node.ownCalls, now)
 	}
 }
 
--- a/internal/proc/peers/timing.go
+++ b/internal/proc/peers/timing.go
@@ -18,5 +18,13 @@
 		zap.Duration("mean-response-time", c.Mean), zap.Duration("median-of-servers", c.Median))
 }
 
+// serviceOf returns the service of a server; empty: the server is not known.
+func (n *Node) serviceOf(id ident.Server) ident.Service {
+	if s := n.Servers.View().Server(id); s != nil {
+		return s.Service
+	}
+	return ""
+}
+
 // ownCalls returns the number of this VM's calls in flight at a server.
 func (n *Node) ownCalls(id ident.Server) int { return n.Alloc.Own(id).Calls }
