--- a/internal/route/unary/fleet_test.go
+++ b/internal/route/unary/fleet_test.go
@@ -374,7 +374,7 @@
 	})
 }
 
-// TestHubsLost guards against VMs that go on by outdated figures of the others when they hear
+// TestHubsLost guards against VMs that go on using outdated figures of the others when they reach
 // no hub. They then choose by their own.
 func TestHubsLost(t *testing.T) {
 	inDomains(t, scenario{slots: slotCount, slowness: 4, hubsLost: true}, func(t *testing.T, sc scenario) {
