Tell engines the priorities of workspaces only where the settings ask for it

Engines preempt begun streams for more urgent calls and read their prompts again.

Change: the header is sent only with "engine-priorities": true in the settings of the VMs; the default is false.

--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -41,6 +41,8 @@
 	// WorkspaceWeights are the weights of workspaces where they compete for too little capacity;
 	// those of all others are DefaultWorkspaceWeight.
 	WorkspaceWeights map[ident.Workspace]float64
+	// EnginePriorities says whether engines are told the priorities of workspaces.
+	EnginePriorities bool
 	// ServerHeartbeat is the interval at which servers write their entries in the store.
 	ServerHeartbeat time.Duration
 }
@@ -94,7 +96,8 @@
 	ColdLimit  coldLimitWire     `json:"cold-limit,omitzero"`
 	Heartbeat  *string           `json:"server-heartbeat,omitzero"`
 	// Weights are the weights of workspaces by their names.
-	Weights map[string]float64 `json:"workspace-weights,omitzero"`
+	Weights          map[string]float64 `json:"workspace-weights,omitzero"`
+	EnginePriorities bool               `json:"engine-priorities,omitzero"`
 }
 
 type coldLimitWire struct {
@@ -199,6 +202,7 @@
 			Slack:  f.Float("/cold-limit/slack", w.ColdLimit.Slack, DefaultColdSlack, 0, 1e6),
 		},
 		WorkspaceWeights: parseWeights(f, w.Weights),
+		EnginePriorities: w.EnginePriorities,
 		ServerHeartbeat:  f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
 	}
 	return e, f.Err()
@@ -275,6 +279,7 @@
 		{"cold-limit/slack", formatFloat(DefaultColdSlack), "requests beyond these"},
 		{"server-heartbeat", DefaultServerHeartbeat.String(), "interval at which servers write their entries in the store; an entry lapses after three"},
 		{"workspace-weights", "{}", "weights of workspaces that compete for too little capacity, by name; those of all others are 1"},
+		{"engine-priorities", "false", "tell engines the priorities that workspaces state; engines then preempt streams for more urgent calls"},
 	}
 }
 
--- a/internal/proc/edge/reload.go
+++ b/internal/proc/edge/reload.go
@@ -67,7 +67,7 @@
 		old.Store != cfg.Store || old.Metrics != cfg.Metrics || old.Domain != cfg.Domain || !maps.Equal(old.Regions, cfg.Regions)
 	updated := *old
 	updated.RevokeBound, updated.StopGrace, updated.RetryBudget = cfg.RevokeBound, cfg.StopGrace, cfg.RetryBudget
-	updated.ColdLimit, updated.WorkspaceWeights = cfg.ColdLimit, cfg.WorkspaceWeights
+	updated.ColdLimit, updated.WorkspaceWeights, updated.EnginePriorities = cfg.ColdLimit, cfg.WorkspaceWeights, cfg.EnginePriorities
 	v.cfg.Store(&updated)
 	v.node.Budget.SetLimits(cfg.RetryBudget.Ratio, cfg.RetryBudget.Extra)
 	v.log.Info("settings reloaded", zap.String("why", why), zap.Bool("needs-restart", restart))
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -124,6 +124,7 @@
 			Regions:         cfg.Regions,
 			ColdLimit:       func(rate float64) float64 { return v.cfg.Load().ColdLimit.Of(rate) },
 			WorkspaceWeight: func(w ident.Workspace) float64 { return v.cfg.Load().WorkspaceWeight(w) },
+			Preemption:      func() bool { return v.cfg.Load().EnginePriorities },
 		},
 		Settings:  node.Settings,
 		Refresher: node,
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -290,6 +290,7 @@
 	group      *errgroup.Group
 	origins    *origin.Finder
 	records    []*task.Result
+	preemption bool // engines are told the priorities of workspaces
 	clock      func() uptime.Instant
 	refresh    func() error
 }
@@ -367,6 +368,7 @@
 			ApplyDelay:  func() time.Duration { return 3 * time.Second },
 			Regions:     map[ident.FailureDomain]ident.Region{"a": "north", "b": "north", "c": "south"},
 			ColdLimit:   func(rate float64) float64 { return rate },
+			Preemption:  func() bool { return h.preemption },
 		},
 		Settings: h.settings, Refresher: h, Servers: h.table,
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
--- a/internal/route/relay/priority_test.go
+++ b/internal/route/relay/priority_test.go
@@ -102,14 +102,17 @@
 }
 
 // TestUrgency guards against an urgency at engines that does not follow the priority of the
-// workspace, and against one that is stated where the workspace states no priority.
+// workspace, and against one that is stated where the workspace states no priority or the
+// settings do not ask for it.
 func TestUrgency(t *testing.T) {
+	preemption := true
 	urgencies := func(t *testing.T, path string, workspace *int, retire bool) []int {
 		t.Helper()
 		var out []int
 		withHarness(t, 2, func(t *testing.T, h *harness) {
 			s := withPriority(2, workspace)
 			s.Service("engines").Engine.CanMigrate = true
+			h.preemption = preemption
 			h.settings.Update(s, h.clock())
 			if retire {
 				time.AfterFunc(time.Second, h.retireRunningServer)
@@ -139,4 +142,8 @@
 	t.Run("absent", func(t *testing.T) {
 		assert.DeepEqual(t, urgencies(t, "/long/x", nil, true), []int{-1, -1})
 	})
+	t.Run("engines are not told", func(t *testing.T) {
+		preemption = false
+		assert.DeepEqual(t, urgencies(t, "/long/x", &zero, true), []int{-1, -1})
+	})
 }
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -231,12 +231,12 @@
 	return resp, nil
 }
 
-// urgency returns the urgency of the stream at its engine, or nil if the workspace states no
-// priority. Engines preempt the least urgent streams first; one that continues, whose loss costs
-// more, precedes others of its priority.
+// urgency returns the urgency of the stream at its engine, or nil if engines are not told or the
+// workspace states no priority. Engines preempt the least urgent streams first; one that continues,
+// whose loss costs more, precedes others of its priority.
 func (f *forwarder) urgency(from port.CacheRef) *int {
 	priority, stated := f.WorkspacePriority()
-	if !stated || f.Service.Engine == nil {
+	if !stated || f.Service.Engine == nil || f.Config.Preemption == nil || !f.Config.Preemption() {
 		return nil
 	}
 	u := min(2*min(priority, port.MaxUrgency)+1, port.MaxUrgency)
