Reserve only the failure domains that a waiting stream may use

A stream that had begun, was bound to failure domains and found no capacity in them made all new calls wait, also for engines of domains that it could not use, and all other streams of its version.

The coordinator now records the failure domains that such streams may run in, by version, and leaves out only their engines when it places new calls and later streams of the same version. A stream bound to no failure domain blocks all of its version's engines, as before.

--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -173,8 +173,8 @@
 	defer c.mu.Unlock()
 	for _, sq := range c.queues {
 		sq.decayRates(now)
-		sq.blocked = c.serveContinued(sq, now)
-		hasCapacity := !sq.isBlocked("")
+		c.serveContinued(sq, now)
+		hasCapacity := !sq.blocked.CoversAny(&pick.Request{})
 		for level := onTimeLevel; level < numLevels; level++ {
 			hasCapacity = c.serveLevel(sq, level, hasCapacity, now)
 		}
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -7,6 +7,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/fair"
+	"umberladder/internal/route/pick"
 )
 
 // maxLate is the maximum number of queued calls that cannot start in time. They
@@ -38,9 +39,9 @@
 type serviceQueue struct {
 	service ident.Service
 	levels  [numLevels]*levelQueue
-	// blocked are the versions of the software for whose engines a stream that has begun waits
-	// for capacity rather than for a link; the empty version stands for all.
-	blocked      []ident.Version
+	// blocked are the engines that streams that have begun may run at, and that they wait for
+	// rather than for a link.
+	blocked      pick.Reserved
 	urgentTokens int                // tokens of queued requests of streams that have begun, and of queued calls of rank 0
 	queuedTokens [numLevels]int     // tokens of queued requests
 	grantRate    [numLevels]float64 // recently granted tokens per second while the queues were non-empty
@@ -63,9 +64,10 @@
 
 // serveContinued grants capacity to streams that have begun, and that other calls must not
 // displace. Runs migrate one per source engine at a time: KV caches that share a link would all
-// arrive late. It returns the versions of which more capacity is needed.
-func (c *Coordinator) serveContinued(sq *serviceQueue, now time.Time) []ident.Version {
-	var blocked []ident.Version
+// arrive late. It records for which engines more capacity is needed. As these are left to the
+// streams that have been tried, a version costs at most one vain choice per failure domain.
+func (c *Coordinator) serveContinued(sq *serviceQueue, now time.Time) {
+	sq.blocked = nil
 	for _, e := range sq.levels[continueLevel].ranked.Sorted() {
 		r := e.Value
 		switch {
@@ -75,23 +77,16 @@
 		case now.After(r.deadline):
 			sq.remove(r, false, now)
 			c.refuse(sq, r, now)
-		case !slices.Contains(blocked, r.Run.Version):
+		case !sq.blocked.CoversOwn(&r.Run):
 			done, noCapacity := c.tryPlace(sq, r, now)
 			if done {
 				sq.remove(r, r.response.State == Granted, now)
 			}
 			if noCapacity {
-				blocked = append(blocked, r.Run.Version)
+				sq.blocked = sq.blocked.Add(&r.Run)
 			}
 		}
 	}
-	return blocked
-}
-
-// isBlocked reports whether streams that have begun precede a request for the engines of a
-// version, or of all versions if it is empty.
-func (sq *serviceQueue) isBlocked(v ident.Version) bool {
-	return slices.Contains(sq.blocked, "") || v != "" && slices.Contains(sq.blocked, v)
 }
 
 // serveLevel removes expired requests of a level and grants capacity to the
@@ -210,9 +205,9 @@
 // mustQueue reports whether other requests have to be served before a new one.
 func (sq *serviceQueue) mustQueue(r *request) bool {
 	if r.Run.Continues() {
-		return sq.isBlocked(r.Run.Version)
+		return sq.blocked.CoversAny(&r.Run) || sq.blocked.CoversOwn(&r.Run)
 	}
-	return sq.isBlocked("") || sq.levels[onTimeLevel].len() > 0
+	return sq.blocked.CoversAny(&r.Run) || sq.levels[onTimeLevel].len() > 0
 }
 
 // enqueue queues the request, or reports false if it would not be served in
--- a/internal/route/coord/share_test.go
+++ b/internal/route/coord/share_test.go
@@ -103,14 +103,19 @@
 	t.Helper()
 	r := &replay{t: t, now: epoch, tracker: alloc.New(), outcomes: make(map[ident.Workspace]*outcome), grantedByRank: make(map[int]int), rand: rand.New(rand.NewPCG(1, 2))}
 	r.table = srvtab.NewTable(func() {})
+	r.setVersion("")
+	r.chooser = pick.NewChooser(r.table, r.tracker, health.New(), rates.New(nil, nil))
+	r.coordinator = New(r.chooser)
+	return r
+}
+
+// setVersion gives all engines a version of the software.
+func (r *replay) setVersion(v ident.Version) {
 	var list []srvtab.Entry
 	for i := range replayEngines {
-		list = append(list, srvtab.Entry{ID: ident.Server(fmt.Sprint("e", i)), Service: "s", Domain: ident.FailureDomain(rune('a' + i%2)), Slots: replaySlots})
+		list = append(list, srvtab.Entry{ID: ident.Server(fmt.Sprint("e", i)), Service: "s", Domain: ident.FailureDomain(rune('a' + i%2)), Slots: replaySlots, Version: v})
 	}
 	r.table.Replace(list, epoch, epoch)
-	r.chooser = pick.NewChooser(r.table, r.tracker, health.New(), rates.New(nil, nil))
-	r.coordinator = New(r.chooser)
-	return r
 }
 
 // run replays the demands for d.
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -67,7 +67,7 @@
 	MaxWait      time.Duration         // longest wait for capacity
 	Domains      []ident.FailureDomain // failure domains that may be chosen; empty: all
 	Version      ident.Version         // version of the software that the engine must run, as the stream's events come from it; empty: any
-	Reserved     []ident.Version       // versions whose engines are left to streams that are bound to them
+	Reserved     Reserved              // engines that are left to streams that have begun
 	ColdLimit    int                   // runs within a second that a server tolerates while it is cold; zero: any number
 	ColdTime     time.Duration         // how long a server is cold after its start
 	Local        bool                  // decided by the VM that serves the run rather than by the coordinator
@@ -92,9 +92,13 @@
 	return (len(r.Domains) == 0 || slices.Contains(r.Domains, p.Domain)) && (version == "" || p.Version == version)
 }
 
-// isReserved reports whether the engines of a pool are left to other runs.
+// isReserved reports whether the engines of a pool are left to other runs. A stream that has begun
+// yields only to those of its own version.
 func (r *Request) isReserved(p *srvtab.Pool) bool {
-	return !r.Continues() && slices.Contains(r.Reserved, p.Version)
+	if r.Continues() {
+		return r.Reserved.hasPool(r.Version, p)
+	}
+	return r.Reserved.hasPool("", p) || r.Reserved.hasPool(p.Version, p)
 }
 
 // Load returns the load of the run at its engine.
--- a/internal/route/pick/version_test.go
+++ b/internal/route/pick/version_test.go
@@ -80,13 +80,13 @@
 	t.Run("reserved engines are left to streams that have begun", func(t *testing.T) {
 		c, _ := newChooser(t, rare)
 		r := request("")
-		r.Reserved = []ident.Version{"new"}
+		r.Reserved = Reserved{"new": nil}
 		for range 20 {
 			p, err := c.Choose(r, nil, time.Now())
 			assert.NilError(t, err)
 			assert.Equal(t, p.Server.Version, ident.Version("old"))
 		}
-		r.Reserved = []ident.Version{"new", "old"}
+		r.Reserved = Reserved{"new": nil, "old": nil}
 		_, err := c.Choose(r, nil, time.Now())
 		var full *NoCapacityError
 		assert.ErrorType(t, err, full)
