Let late calls of rank 0 displace other ranks of their own workspace

makeLatePlace considered only requests of workspaces that have more places than the request's own. A late call of rank 0 was therefore refused, or displaced one of rank 0 of another workspace, while its own workspace held places with calls of other ranks.

Requests of other ranks of the same workspace are now eligible for rank 0; they come before any of rank 0, as before.

One step of TestLatePlacesOfRankZero stated the old behaviour (a call of rank 0 displaced one of rank 0 of another workspace although its own workspace held a place with rank 5). The test now states the required one, and still checks each rule that it checked.

--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -234,7 +234,8 @@
 // makeLatePlace reports whether the late level has a place for the request. If it is full, a
 // request of the workspace that has most places for its weight is refused instead, unless the
 // request's own workspace would then have as many. Requests of rank 0 are refused only for others
-// of rank 0, and if no request of another rank can be.
+// of rank 0, and if no request of another rank can be; they also displace requests of other ranks
+// of their own workspace.
 func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, now time.Time) bool {
 	l := sq.levels[lateLevel]
 	if l.len() < maxLate {
@@ -251,7 +252,11 @@
 	}
 	for _, e := range queued { // of one workspace, the request with the latest deadline
 		q := e.Value
-		if places[q.Run.Workspace] <= places[r.Run.Workspace] || q.Run.Rank == 0 && r.Run.Rank != 0 {
+		if q.Run.Rank == 0 && r.Run.Rank != 0 {
+			continue
+		}
+		outranked := q.Run.Workspace == r.Run.Workspace && r.Run.Rank == 0 && q.Run.Rank != 0
+		if places[q.Run.Workspace] <= places[r.Run.Workspace] && !outranked {
 			continue
 		}
 		if victim == nil || cmp.Or(
