Define the unit of workspace weights once

It was defined in route/coord and in route/task, which must agree since a weight is sent from one to the other. It is now pick.WeightUnit, next to the placement request that states weights. No behaviour changes.

--- a/internal/route/coord/coord_bench_test.go
+++ b/internal/route/coord/coord_bench_test.go
@@ -68,7 +68,7 @@
 			submit := func(n int) {
 				run := pick.Request{Service: "s", Rank: 1, Need: 3300, EngineMemory: 30_000, From: "a", TargetWait: time.Hour, MaxWait: time.Hour}
 				if workspaces > 0 {
-					run.Workspace, run.Weight, run.Subject = ident.Workspace(fmt.Sprint("w", n%workspaces)), weightUnit, uint64(n%7)
+					run.Workspace, run.Weight, run.Subject = ident.Workspace(fmt.Sprint("w", n%workspaces)), pick.WeightUnit, uint64(n%7)
 				}
 				c.Submit(Request{VM: "vm", ID: uint64(n), Run: run}, func(resp Response) {
 					if resp.State == Granted {
--- a/internal/route/coord/estimate.go
+++ b/internal/route/coord/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"umberladder/internal/route/pick"
 )
 
 const (
@@ -81,6 +83,6 @@
 	}
 	class := l.class(&r.Run)
 	_, own := class.Queued(r.Run.Workspace)
-	share := class.Share(r.Run.Workspace, float64(r.Run.Weight)/weightUnit) * l.classShare(&r.Run)
+	share := class.Share(r.Run.Workspace, float64(r.Run.Weight)/pick.WeightUnit) * l.classShare(&r.Run)
 	return float64(sq.queuedTokens[continueLevel]) + (own+r.cost())/share
 }
--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -93,7 +93,7 @@
 		l.unknown++
 		return
 	}
-	weight := float64(r.Run.Weight) / weightUnit
+	weight := float64(r.Run.Weight) / pick.WeightUnit
 	r.turn = l.class(&r.Run).Push(r.Run.Workspace, weight, r.Run.Subject, r, r.cost(), now.Add(bound), now)
 }
 
--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -14,7 +14,7 @@
 
 // queuedRun returns a request of a workspace that states its share.
 func queuedRun(w ident.Workspace, rank, need int) *request {
-	return &request{Request: Request{Run: pick.Request{Service: "s", Workspace: w, Weight: weightUnit, Rank: rank, Need: need}}, lastSeen: epoch}
+	return &request{Request: Request{Run: pick.Request{Service: "s", Workspace: w, Weight: pick.WeightUnit, Rank: rank, Need: need}}, lastSeen: epoch}
 }
 
 // TestOwedToLargeCalls guards against calls that get nothing while rank 0 waits because each of
@@ -77,7 +77,7 @@
 			}
 			var last Response
 			for i, c := range append(tc.bound, tc.last) {
-				run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: c.workspace, Weight: weightUnit, TargetWait: c.target, MaxWait: 2 * targetWait}
+				run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: c.workspace, Weight: pick.WeightUnit, TargetWait: c.target, MaxWait: 2 * targetWait}
 				if c.bound {
 					run.Domains = []ident.FailureDomain{"a"}
 				}
@@ -94,7 +94,7 @@
 // TestRepeatedAfterDrop guards against a request that is repeated after it was dropped and then
 // waits for ever, since it is known but not queued.
 func TestRepeatedAfterDrop(t *testing.T) {
-	for name, weight := range map[string]int{"by shares": weightUnit, "without shares": 0} {
+	for name, weight := range map[string]int{"by shares": pick.WeightUnit, "without shares": 0} {
 		t.Run(name, func(t *testing.T) {
 			r := newReplay(t)
 			var release []*alloc.Reservation
@@ -131,7 +131,7 @@
 	}
 	var states [2]State
 	for i, run := range []pick.Request{{Rank: 0, Need: callTokens}, {Rank: 1, Need: 1}} {
-		run.Service, run.EngineMemory, run.Workspace, run.Weight, run.TargetWait, run.MaxWait = "s", 1<<20, "w", weightUnit, targetWait, targetWait
+		run.Service, run.EngineMemory, run.Workspace, run.Weight, run.TargetWait, run.MaxWait = "s", 1<<20, "w", pick.WeightUnit, targetWait, targetWait
 		r.coordinator.Submit(Request{VM: "vm", ID: uint64(i), Run: run}, func(resp Response) { states[i] = resp.State }, r.now)
 	}
 	assert.Equal(t, r.coordinator.QueueLen(), 2)
@@ -151,7 +151,7 @@
 	refused := map[int]int{} // by rank
 	submit := func(w ident.Workspace, rank int) {
 		r.nextID++
-		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: w, Weight: weightUnit, MaxWait: time.Second}
+		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: w, Weight: pick.WeightUnit, MaxWait: time.Second}
 		r.coordinator.Submit(Request{VM: "vm", ID: r.nextID, Run: run}, func(resp Response) {
 			if resp.State == NoCapacity {
 				refused[rank]++
@@ -192,7 +192,7 @@
 	}
 	var refused []uint64
 	submit := func(id uint64, rank int) {
-		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: "a", Weight: weightUnit, MaxWait: time.Second}
+		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: "a", Weight: pick.WeightUnit, MaxWait: time.Second}
 		r.coordinator.Submit(Request{VM: "vm", ID: id, Run: run}, func(resp Response) {
 			if resp.State == NoCapacity {
 				refused = append(refused, id)
--- a/internal/route/coord/share.go
+++ b/internal/route/coord/share.go
@@ -4,11 +4,9 @@
 	"time"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/route/pick"
 )
 
-// weightUnit is the weight of a workspace for which the settings state none, in thousandths.
-const weightUnit = 1000
-
 // Observer receives what a Coordinator decides about the runs of workspaces. Its methods must
 // return at once and must not call the Coordinator.
 type Observer interface {
@@ -128,7 +126,7 @@
 	if !r.hasShare() {
 		return 0
 	}
-	return int(weightUnit * sq.meter.Share(r.Run.Workspace, now))
+	return int(pick.WeightUnit * sq.meter.Share(r.Run.Workspace, now))
 }
 
 // ownQueued returns the number of queued requests of the workspace of a run.
--- a/internal/route/coord/share_test.go
+++ b/internal/route/coord/share_test.go
@@ -245,8 +245,8 @@
 		"5 and 0":          {demand{rank: 5}, demand{rank: 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tc.small.workspace, tc.small.perSecond, tc.small.weight = "small", 20, weightUnit
-			tc.large.workspace, tc.large.perSecond, tc.large.weight = "large", 180, weightUnit
+			tc.small.workspace, tc.small.perSecond, tc.small.weight = "small", 20, pick.WeightUnit
+			tc.large.workspace, tc.large.perSecond, tc.large.weight = "large", 180, pick.WeightUnit
 			out := newReplay(t).run(replayDuration, tc.small, tc.large)
 			t.Logf("small %+v, %.3f in time; large %.3f in time", *out["small"], out["small"].fraction(), out["large"].fraction())
 			assert.Assert(t, out["small"].fraction() >= 0.95)
@@ -259,7 +259,7 @@
 func fill(n int, perSecond float64) []demand {
 	out := make([]demand, n)
 	for i := range out {
-		out[i] = demand{workspace: ident.Workspace(fmt.Sprint("w", i)), perSecond: perSecond / float64(n), rank: 1, weight: weightUnit}
+		out[i] = demand{workspace: ident.Workspace(fmt.Sprint("w", i)), perSecond: perSecond / float64(n), rank: 1, weight: pick.WeightUnit}
 	}
 	return out
 }
@@ -311,7 +311,7 @@
 // TestHotSubject guards against one subject with a quarter of a workspace's calls that makes calls
 // of the other subjects late.
 func TestHotSubject(t *testing.T) {
-	d := demand{workspace: "a", perSecond: 120, rank: 1, weight: weightUnit}
+	d := demand{workspace: "a", perSecond: 120, rank: 1, weight: pick.WeightUnit}
 	d.subject = func(n int) uint64 {
 		if n%4 == 0 {
 			return 0
@@ -338,7 +338,7 @@
 	for _, other := range []ident.Workspace{"a", "b"} {
 		t.Run("other calls of workspace "+string(other), func(t *testing.T) {
 			out := newReplay(t)
-			out.run(replayDuration, demand{workspace: "a", perSecond: 200, rank: 0, weight: weightUnit}, demand{workspace: other, perSecond: 200, rank: 2, weight: weightUnit})
+			out.run(replayDuration, demand{workspace: "a", perSecond: 200, rank: 0, weight: pick.WeightUnit}, demand{workspace: other, perSecond: 200, rank: 2, weight: pick.WeightUnit})
 			granted := out.grantedByRank
 			part := float64(granted[2]) / float64(granted[0]+granted[2])
 			t.Logf("%d of rank 0 and %d of rank 2 granted", granted[0], granted[2])
@@ -351,8 +351,8 @@
 // over, or that loses queued calls.
 func TestReplacedCoordinator(t *testing.T) {
 	r := newReplay(t)
-	small := demand{workspace: "small", perSecond: 20, rank: 1, weight: weightUnit}
-	large := demand{workspace: "large", perSecond: 180, rank: 1, weight: weightUnit}
+	small := demand{workspace: "small", perSecond: 20, rank: 1, weight: pick.WeightUnit}
+	large := demand{workspace: "large", perSecond: 180, rank: 1, weight: pick.WeightUnit}
 	for range 10 {
 		r.run(2*time.Second, small, large)
 		r.replaceCoordinator()
@@ -387,7 +387,7 @@
 		return granted, out["small"].fraction()
 	}
 	withoutShares, _ := run(0)
-	granted, small := run(weightUnit)
+	granted, small := run(pick.WeightUnit)
 	t.Logf("%d granted, %d without shares", granted, withoutShares)
 	assert.Assert(t, small >= 0.9)
 	assert.Assert(t, granted >= withoutShares && float64(granted) >= 0.93*107*replayDuration.Seconds(), "capacity is wasted")
@@ -397,7 +397,7 @@
 // ones of other workspaces take what is free.
 func TestLargeCalls(t *testing.T) {
 	out := newReplay(t).run(replayDuration,
-		demand{workspace: "large-calls", perSecond: 5, rank: 1, weight: weightUnit, need: 4 * callTokens}, demand{workspace: "small-calls", perSecond: 200, rank: 1, weight: weightUnit})
+		demand{workspace: "large-calls", perSecond: 5, rank: 1, weight: pick.WeightUnit, need: 4 * callTokens}, demand{workspace: "small-calls", perSecond: 200, rank: 1, weight: pick.WeightUnit})
 	t.Logf("large calls %.3f in time, small ones %.3f", out["large-calls"].fraction(), out["small-calls"].fraction())
 	assert.Assert(t, out["large-calls"].fraction() >= 0.8)
 }
@@ -408,7 +408,7 @@
 		out := newReplay(t).run(replayDuration, demand{workspace: "small", perSecond: 20, rank: 1}, demand{workspace: "large", perSecond: 180, rank: 1, weight: weight})
 		return out["small"].fraction(), out["large"].fraction()
 	}
-	small, large := run(weightUnit)
+	small, large := run(pick.WeightUnit)
 	oldSmall, oldLarge := run(0)
 	t.Logf("small %.3f and large %.3f in time, %.3f and %.3f if no VM states a share", small, large, oldSmall, oldLarge)
 	const random = 0.03 // engines are chosen at random among equals
@@ -434,16 +434,16 @@
 	}
 	late := func(w ident.Workspace) int { return r.coordinator.queues["s"].queued[w] }
 	for range 2 * maxLate {
-		submit("a", weightUnit)
+		submit("a", pick.WeightUnit)
 	}
 	assert.Equal(t, late("a"), maxLate)
 	for range 2 * maxLate {
-		submit("b", weightUnit)
+		submit("b", pick.WeightUnit)
 	}
 	assert.DeepEqual(t, []int{late("a"), late("b")}, []int{maxLate / 2, maxLate / 2})
 	for range 2 * maxLate {
-		submit("c", 2*weightUnit)
-		submit("a", weightUnit)
+		submit("c", 2*pick.WeightUnit)
+		submit("a", pick.WeightUnit)
 	}
 	assert.DeepEqual(t, []int{late("a"), late("b"), late("c")}, []int{maxLate / 4, maxLate / 4, maxLate / 2})
 	assert.Equal(t, r.coordinator.QueueLen(), maxLate)
@@ -473,8 +473,8 @@
 func TestLimited(t *testing.T) {
 	r, seen := newReplay(t), &limits{}
 	r.coordinator.WithObserver(seen)
-	small := demand{workspace: "small", perSecond: 20, rank: 1, weight: weightUnit}
-	large := demand{workspace: "large", perSecond: 180, rank: 1, weight: weightUnit}
+	small := demand{workspace: "small", perSecond: 20, rank: 1, weight: pick.WeightUnit}
+	large := demand{workspace: "large", perSecond: 180, rank: 1, weight: pick.WeightUnit}
 	r.run(replayDuration, small, large)
 	assert.Equal(t, len(seen.list), 1)
 	assert.Assert(t, seen.list[0].Limited && seen.list[0].Workspace == "large" && seen.list[0].Service == "s")
@@ -489,10 +489,10 @@
 // TestRefusal guards against a refusal that does not say what the workspace got.
 func TestRefusal(t *testing.T) {
 	r := newReplay(t)
-	r.run(5*time.Second, demand{workspace: "small", perSecond: 20, rank: 1, weight: weightUnit}, demand{workspace: "large", perSecond: 180, rank: 1, weight: weightUnit})
+	r.run(5*time.Second, demand{workspace: "small", perSecond: 20, rank: 1, weight: pick.WeightUnit}, demand{workspace: "large", perSecond: 180, rank: 1, weight: pick.WeightUnit})
 	var got *Response
 	for id := uint64(1 << 40); got == nil; id++ {
-		run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: "large", Weight: weightUnit, TargetWait: targetWait, MaxWait: targetWait}
+		run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: "large", Weight: pick.WeightUnit, TargetWait: targetWait, MaxWait: targetWait}
 		r.coordinator.Submit(Request{VM: "vm", ID: id, Run: run}, func(resp Response) {
 			if resp.State == NoCapacity {
 				got = &resp
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -49,6 +49,10 @@
 	return l.CopiesIn
 }
 
+// WeightUnit is a weight of 1, in thousandths: that of a workspace for which the settings state
+// none.
+const WeightUnit = 1000
+
 // Request describes a run that needs capacity.
 type Request struct {
 	Service      ident.Service
--- a/internal/route/task/share.go
+++ b/internal/route/task/share.go
@@ -10,9 +10,6 @@
 	"umberladder/internal/route/pick"
 )
 
-// weightUnit is a weight of 1 in thousandths, as in placement requests.
-const weightUnit = 1000
-
 // SetShare states in a placement request whose share of the capacity the call uses. Without
 // workspaces in the settings it states nothing.
 func (t *Task) SetShare(r *pick.Request) {
@@ -25,9 +22,9 @@
 // weight returns the weight of the call's workspace in thousandths, at least 1.
 func (t *Task) weight() int {
 	if t.Config.WorkspaceWeight == nil {
-		return weightUnit
+		return pick.WeightUnit
 	}
-	return int(max(1, min(math.Round(weightUnit*t.Config.WorkspaceWeight(t.Workspace)), math.MaxInt32)))
+	return int(max(1, min(math.Round(pick.WeightUnit*t.Config.WorkspaceWeight(t.Workspace)), math.MaxInt32)))
 }
 
 // subject returns what identifies the call among those of its workspace: the first part of its
@@ -49,7 +46,7 @@
 	detail := fmt.Sprintf("; the call has priority %d", t.Priority())
 	if e.Share > 0 || e.OwnAhead > 0 {
 		detail += fmt.Sprintf(", workspace %s got %.1f%% of what was granted recently and has %d calls that wait",
-			t.Workspace, float64(e.Share)/(weightUnit/100), e.OwnAhead)
+			t.Workspace, float64(e.Share)/(pick.WeightUnit/100), e.OwnAhead)
 	}
 	return detail
 }
