--- a/internal/route/coord/level_test.go
+++ b/internal/route/coord/level_test.go
@@ -14,7 +14,7 @@
 
 // queuedRun returns a request of a workspace that states its share.
 func queuedRun(w ident.Workspace, rank, need int) *request {
-	return &request{Request: Request{Run: pick.Request{Service: "s", Workspace: w, Weight: weightUnit, Rank: rank, Need: need}}, lastSeen: epoch}
+	return &request{Request: Request{Run: pick.Request{Service: "s", Workspace: w, Weight: pick.WeightUnit, Rank: rank, Need: need}}, lastSeen: epoch}
 }
 
 // TestOwedToLargeCalls guards against calls that get nothing while rank 0 waits because each of
@@ -77,7 +77,7 @@
 			}
 			var last Response
 			for i, c := range append(tc.bound, tc.last) {
-				run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: c.workspace, Weight: weightUnit, TargetWait: c.target, MaxWait: 2 * targetWait}
+				run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: c.workspace, Weight: pick.WeightUnit, TargetWait: c.target, MaxWait: 2 * targetWait}
 				if c.bound {
 					run.Domains = []ident.FailureDomain{"a"}
 				}
@@ -94,7 +94,7 @@
 // TestRepeatedAfterDrop guards against a request that is repeated after it was dropped and then
 // waits for ever, since it is known but not queued.
 func TestRepeatedAfterDrop(t *testing.T) {
-	for name, weight := range map[string]int{"by shares": weightUnit, "without shares": 0} {
+	for name, weight := range map[string]int{"by shares": pick.WeightUnit, "without shares": 0} {
 		t.Run(name, func(t *testing.T) {
 			r := newReplay(t)
 			var release []*alloc.Reservation
@@ -131,7 +131,7 @@
 	}
 	var states [2]State
 	for i, run := range []pick.Request{{Rank: 0, Need: callTokens}, {Rank: 1, Need: 1}} {
-		run.Service, run.EngineMemory, run.Workspace, run.Weight, run.TargetWait, run.MaxWait = "s", 1<<20, "w", weightUnit, targetWait, targetWait
+		run.Service, run.EngineMemory, run.Workspace, run.Weight, run.TargetWait, run.MaxWait = "s", 1<<20, "w", pick.WeightUnit, targetWait, targetWait
 		r.coordinator.Submit(Request{VM: "vm", ID: uint64(i), Run: run}, func(resp Response) { states[i] = resp.State }, r.now)
 	}
 	assert.Equal(t, r.coordinator.QueueLen(), 2)
@@ -151,7 +151,7 @@
 	refused := map[int]int{} // by rank
 	submit := func(w ident.Workspace, rank int) {
 		r.nextID++
-		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: w, Weight: weightUnit, MaxWait: time.Second}
+		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: w, Weight: pick.WeightUnit, MaxWait: time.Second}
 		r.coordinator.Submit(Request{VM: "vm", ID: r.nextID, Run: run}, func(resp Response) {
 			if resp.State == NoCapacity {
 				refused[rank]++
@@ -159,21 +159,60 @@
 		}, r.now)
 		r.now = r.now.Add(time.Millisecond)
 	}
-	submit("a", 5)
-	submit("a", 5)
-	for range maxLate - 2 {
+	for range 3 {
+		submit("a", 5)
+	}
+	for range maxLate - 3 {
 		submit("a", 0)
 	}
 	submit("b", 0)
 	assert.DeepEqual(t, refused, map[int]int{5: 1})
 	submit("b", 5)
-	assert.DeepEqual(t, refused, map[int]int{5: 2}) // the other one of workspace a
-	submit("b", 0)
-	assert.DeepEqual(t, refused, map[int]int{5: 2, 0: 1}) // only rank 0 of workspace a is eligible
+	assert.DeepEqual(t, refused, map[int]int{5: 2}) // another one of workspace a
 	submit("c", 5)
-	assert.DeepEqual(t, refused, map[int]int{5: 3, 0: 1}) // rank 5 of workspace b, though a has more places
+	assert.DeepEqual(t, refused, map[int]int{5: 3}) // the last one of workspace a
 	submit("d", 5)
-	assert.DeepEqual(t, refused, map[int]int{5: 4, 0: 1}) // itself: only rank 0 is left of a and b
+	assert.DeepEqual(t, refused, map[int]int{5: 4}) // rank 5 of workspace b, though a has more places
+	submit("d", 0)
+	assert.DeepEqual(t, refused, map[int]int{5: 5}) // rank 5 of its own workspace, though a has more places
+	submit("d", 0)
+	assert.DeepEqual(t, refused, map[int]int{5: 5, 0: 1}) // only rank 0 of workspace a is eligible
+	submit("c", 5)
+	assert.DeepEqual(t, refused, map[int]int{5: 6, 0: 1}) // itself: only rank 0 is left of a, b and d
+	submit("e", 5)
+	assert.DeepEqual(t, refused, map[int]int{5: 7, 0: 1}) // itself: c has no more places than it
+}
+
+// TestLatePlacesOfOneWorkspace guards against a late call of rank 0 that is refused while late calls
+// of other ranks of its own workspace hold places.
+func TestLatePlacesOfOneWorkspace(t *testing.T) {
+	r := newReplay(t)
+	for i := range replayEngines {
+		r.tracker.Reserve(ident.Server(fmt.Sprint("e", i)), alloc.Load{Calls: replaySlots, Tokens: 1 << 20})
+	}
+	var refused []uint64
+	submit := func(id uint64, rank int) {
+		run := pick.Request{Service: "s", Rank: rank, Need: callTokens, EngineMemory: 1 << 20, From: "a", Workspace: "a", Weight: pick.WeightUnit, MaxWait: time.Second}
+		r.coordinator.Submit(Request{VM: "vm", ID: id, Run: run}, func(resp Response) {
+			if resp.State == NoCapacity {
+				refused = append(refused, id)
+			}
+		}, r.now)
+		r.now = r.now.Add(time.Millisecond)
+	}
+	for id := range uint64(maxLate) {
+		submit(id, min(int(id), 3)) // the first call has rank 0
+	}
+	submit(100, 0)
+	assert.DeepEqual(t, refused, []uint64{maxLate - 1}) // the one with the latest deadline
+	submit(101, 1)
+	assert.DeepEqual(t, refused, []uint64{maxLate - 1, 101}) // rank 1 displaces no call of its workspace
+	for id := range uint64(maxLate - 2) {
+		submit(200+id, 0)
+	}
+	assert.Equal(t, len(refused), maxLate)
+	submit(300, 0)
+	assert.Equal(t, refused[maxLate], uint64(300)) // only rank 0 is left
 }
 
 // TestEstimateOfRankZero guards against a predicted wait of a call of rank 0 that leaves out what
