--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -41,7 +41,7 @@
 	// WorkspaceWeights are the weights of workspaces where they compete for too little capacity;
 	// those of all others are DefaultWorkspaceWeight.
 	WorkspaceWeights map[ident.Workspace]float64
-	// EnginePriorities says whether engines are told the priorities of workspaces.
+	// EnginePriorities says whether streams state the priorities of their workspaces to engines.
 	EnginePriorities bool
 	// ServerHeartbeat is the interval at which servers write their entries in the store.
 	ServerHeartbeat time.Duration
@@ -279,7 +279,7 @@
 		{"cold-limit/slack", formatFloat(DefaultColdSlack), "requests beyond these"},
 		{"server-heartbeat", DefaultServerHeartbeat.String(), "interval at which servers write their entries in the store; an entry lapses after three"},
 		{"workspace-weights", "{}", "weights of workspaces that compete for too little capacity, by name; those of all others are 1"},
-		{"engine-priorities", "false", "tell engines the priorities that workspaces state; engines then preempt streams for more urgent calls"},
+		{"engine-priorities", "false", "state the priorities of workspaces to engines, which then preempt streams for more urgent calls"},
 	}
 }
 
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -290,7 +290,7 @@
 	group      *errgroup.Group
 	origins    *origin.Finder
 	records    []*task.Result
-	preemption bool // engines are told the priorities of workspaces
+	preemption bool // calls state the priorities of their workspaces to engines
 	clock      func() uptime.Instant
 	refresh    func() error
 }
--- a/internal/route/relay/priority_test.go
+++ b/internal/route/relay/priority_test.go
@@ -142,7 +142,7 @@
 	t.Run("absent", func(t *testing.T) {
 		assert.DeepEqual(t, urgencies(t, "/long/x", nil, true), []int{-1, -1})
 	})
-	t.Run("engines are not told", func(t *testing.T) {
+	t.Run("not asked for", func(t *testing.T) {
 		preemption = false
 		assert.DeepEqual(t, urgencies(t, "/long/x", &zero, true), []int{-1, -1})
 	})
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -231,8 +231,8 @@
 	return resp, nil
 }
 
-// urgency returns the urgency of the stream at its engine, or nil if engines are not told or the
-// workspace states no priority. Engines preempt the least urgent streams first; one that continues,
+// urgency returns the urgency of the stream at its engine, or nil if the settings do not ask for it
+// or the workspace states no priority. Engines preempt the least urgent streams first; one that continues,
 // whose loss costs more, precedes others of its priority.
 func (f *forwarder) urgency(from port.CacheRef) *int {
 	priority, stated := f.WorkspacePriority()
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -39,8 +39,8 @@
 	// WorkspaceWeight returns the weight of a workspace where workspaces compete for too little
 	// capacity; nil: all weights are 1.
 	WorkspaceWeight func(w ident.Workspace) float64
-	// Preemption returns whether engines are told the priorities that workspaces state, so that
-	// they preempt less urgent streams; nil: they are not.
+	// Preemption returns whether streams state the priorities of their workspaces to engines, which
+	// then preempt less urgent ones; nil: they do not.
 	Preemption func() bool
 }
 
