Let short runs use memory reserved for the next tokens of streams

Cause: an engine reserves 250 tokens ahead for each stream.

Change: if no engine has room for a short run, it may use 100 tokens of what is reserved for each stream under way. Only the coordinator lends.

--- a/internal/policy/assign/short.go
+++ b/internal/policy/assign/short.go
@@ -31,6 +31,10 @@
 	// exceeds latencyShare of its target. A tenth of a second costs more than the delay of
 	// one more stream, so that short runs do not gather on an engine beyond their target.
 	overdueWeight = 4.0
+	// lentTokens is the memory, of what is reserved for the next tokens of a stream under way, that
+	// short runs may use if no engine has room for them otherwise. A stream has 250 tokens reserved
+	// ahead and generates up to 150 of them in the second within which a short run ends.
+	lentTokens = 100
 )
 
 // Run describes a run that is placed.
@@ -47,6 +51,17 @@
 // isShort reports whether the run's prompt takes more of an engine's time than its output.
 func (r *Run) isShort() bool { return r.Output > 0 && r.Output < shortOutput && r.Prefill > 0 }
 
+// Borrows reports whether the run may use memory that is reserved for the next tokens of the
+// streams under way: it ends before they need it. VMs that decide by themselves could all use the
+// same memory.
+func (r *Run) Borrows() bool { return r.isShort() && !r.Local }
+
+// Lend returns the state of the server for a run that borrows, with streams under way there.
+func (s Server) Lend(streams int) Server {
+	s.ReservedTokens -= lentTokens * streams
+	return s
+}
+
 // shortCost returns the cost of the server for a short run, without that of another failure
 // domain: mostly the delay of the streams of its batch.
 func (s *Server) shortCost(r *Run) float64 {
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -154,8 +154,8 @@
 	withdrawn := withdrawnFor(r, purpose, version, view, now)
 	engines := newSample(view.PoolsOf(r.Service), func(p *srvtab.Pool) bool { return r.mayUse(p, version) }, r.isReserved, exclude)
 	speeds := c.paces.View(r.Service, r.GapTarget, r.EventTokens, now)
-	var list []*srvtab.Server
-	var servers []assign.Server
+	run := r.assignment(purpose, &speeds)
+	var free, lending candidates
 	engines.collect(from, func(s *srvtab.Server) bool {
 		l := load(s.ID)
 		state := assign.Server{
@@ -173,19 +173,40 @@
 		if slices.Contains(withdrawn, s.Version) {
 			state.Weight *= withdrawnWeight
 		}
+		hasCapacity := state.HasCapacity(r.Need, purpose.maxFill())
+		if !hasCapacity && run.Borrows() {
+			state = state.Lend(min(max(l.PaceRuns, 0), l.Calls))
+		}
 		if !state.HasCapacity(r.Need, purpose.maxFill()) || c.isAvoided(s.ID, now) ||
 			purpose != Backup && !c.rates.CanGrant(s.ID, now) || c.isPaced(r, purpose, view, s, now) {
 			return false
 		}
-		list, servers = append(list, s), append(servers, state)
-		return true
+		if hasCapacity {
+			free.add(s, state)
+		} else {
+			lending.add(s, state)
+		}
+		return hasCapacity
 	})
-	if i := assign.ChooseEngine(r.assignment(purpose, &speeds), purpose.maxFill(), purpose.crossDomainCost(), servers, assign.NewRand()); i >= 0 {
-		return list[i], true
+	if len(free.list) == 0 {
+		free = lending
+	}
+	if i := assign.ChooseEngine(run, purpose.maxFill(), purpose.crossDomainCost(), free.states, assign.NewRand()); i >= 0 {
+		return free.list[i], true
 	}
 	return nil, !engines.exhausted()
 }
 
+// candidates are servers that a run may be placed at, and their states.
+type candidates struct {
+	list   []*srvtab.Server
+	states []assign.Server
+}
+
+func (c *candidates) add(s *srvtab.Server, state assign.Server) {
+	c.list, c.states = append(c.list, s), append(c.states, state)
+}
+
 // withdrawnWeight is the weight of engines of a version that is being withdrawn, where the
 // choice is free. A stream that begins there has to migrate, perhaps several times, and is lost
 // with the version's last engine.
