Add tickets for refused calls

Calls that are refused for lack of capacity are all told to return after the same time, and return together. policy/ticket decides when each may return: one after the other, at the rate of the capacity that is set aside for them, within bounds of time and number.

--- /dev/null
+++ b/internal/policy/ticket/book_test.go
@@ -0,0 +1,87 @@
+package ticket
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	epoch = time.Unix(1000, 0)
+	terms = Terms{Earliest: 4 * time.Second, Latest: 12 * time.Second, Rate: 10}
+)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func Example() {
+	b, now := New(), time.Unix(0, 0)
+	first := b.Issue(1, 5, terms, now)
+	second := b.Issue(2, 5, terms, now)
+	fmt.Println(first, second)
+	fmt.Println(b.Present(2, now.Add(first)), b.Present(2, now.Add(second)))
+	// Output:
+	// 4s 4.5s
+	// false true
+}
+
+// TestSpread guards against refused calls that are told to return all at once, and against
+// tickets beyond the latest time.
+func TestSpread(t *testing.T) {
+	b := New()
+	for i := range 9 {
+		assert.Equal(t, b.Issue(uint64(i+1), 10, terms, epoch), terms.Earliest+time.Duration(i)*time.Second)
+	}
+	assert.Equal(t, b.Issue(100, 10, terms, epoch), terms.Latest)
+	assert.Equal(t, b.Len(), 9)
+	assert.Equal(t, b.Issue(101, 10, terms, at(time.Minute)), terms.Earliest) // the times that have passed are free
+}
+
+// TestEarly guards against a call that gets a better place by returning early or often.
+func TestEarly(t *testing.T) {
+	b := New()
+	b.Issue(1, 10, terms, epoch)
+	want := at(b.Issue(2, 10, terms, epoch))
+	for now := epoch; now.Before(want); now = now.Add(time.Second / 2) {
+		assert.Assert(t, !b.Present(2, now))
+		assert.Equal(t, now.Add(b.Issue(2, 10, terms, now)), want)
+	}
+	assert.Equal(t, b.Issue(3, 10, terms, epoch), 6*time.Second) // and it doesn't delay others
+	assert.Assert(t, b.Present(2, want))
+}
+
+// TestRefusedAgain guards against a call that returned when it was told to, was refused again and
+// has to queue up behind all others.
+func TestRefusedAgain(t *testing.T) {
+	b := New()
+	due := at(b.Issue(1, 10, terms, epoch))
+	for i := range 5 {
+		b.Issue(uint64(2+i), 10, terms, due)
+	}
+	assert.Assert(t, b.Present(1, due))
+	b.Renew(1, terms.Earliest, due)
+	assert.Assert(t, !b.Present(1, due.Add(terms.Earliest-1)))
+	assert.Assert(t, b.Present(1, due.Add(terms.Earliest)))
+	b.Renew(1, terms.Earliest, due)
+	b.Renew(99, terms.Earliest, due) // dropped meanwhile
+	assert.Equal(t, b.Len(), 6)
+}
+
+// TestBounds guards against tickets that are kept for ever or without a bound, and against one for
+// calls that can't be identified.
+func TestBounds(t *testing.T) {
+	b := New()
+	assert.Equal(t, b.Issue(0, 10, terms, epoch), terms.Earliest)
+	assert.Equal(t, b.Issue(1, 10, Terms{Earliest: time.Second}, epoch), time.Second)
+	assert.Equal(t, b.Len(), 0)
+	for i := range uint64(2 * MaxTickets) {
+		b.Issue(i+1, 0.01, terms, epoch)
+	}
+	assert.Equal(t, b.Len(), MaxTickets)
+	assert.Assert(t, !b.Present(MaxTickets, at(8*time.Second)), "the oldest must be dropped")
+	assert.Assert(t, b.Present(MaxTickets+1, at(8*time.Second)))
+	b.Issue(1, 10, terms, at(time.Minute))
+	assert.Equal(t, b.Len(), 1)
+	assert.Assert(t, !b.Present(MaxTickets+2, at(time.Minute)))
+}
