Give refused calls a time and a place to return

A refused call was told to return after the predicted wait of calls that can start in time, which is at most their target: all were told 4 s. They returned together, found the 16 late places taken and were refused again.

The coordinator now gives each a ticket. The tickets become due one after the other, at 15% of the recent grant rate and up to 12 s ahead; calls beyond that are told 12 s and have none. A call that returns when its ticket is due precedes other late calls and has places of its own. One that returns early keeps its ticket and gains nothing. Calls that can start in time and streams that have begun precede them as before. umberladder_runs_retried_total counts what became of the calls that returned when due.

--- a/internal/proc/edge/shares.go
+++ b/internal/proc/edge/shares.go
@@ -36,6 +36,14 @@
 	o.metricSet.GetOrCreateCounter(metricRefusedRuns + shareLabels(rank, overShare)).Inc()
 }
 
+func (o shareObserver) RecordRetry(served bool) {
+	outcome := "refused"
+	if served {
+		outcome = "served"
+	}
+	o.metricSet.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricRetriedRuns, outcome)).Inc()
+}
+
 func (o shareObserver) LimitChanged(l coord.Limit) {
 	msg := "workspace no longer limited to its share"
 	if l.Limited {
--- a/internal/proc/edge/shares_test.go
+++ b/internal/proc/edge/shares_test.go
@@ -21,6 +21,7 @@
 	for rank := -1; rank < 1000; rank++ {
 		o.RecordGrant(rank, rank%2 == 0, 10)
 		o.RecordRefusal(rank, true)
+		o.RecordRetry(rank%3 == 0)
 	}
 	var b bytes.Buffer
 	set.WritePrometheus(&b)
@@ -32,6 +33,8 @@
 umberladder_runs_refused_total{rank="0",over_share="true"} 2
 umberladder_runs_refused_total{rank="1",over_share="true"} 1
 umberladder_runs_refused_total{rank="2+",over_share="true"} 998
+umberladder_runs_retried_total{outcome="refused"} 667
+umberladder_runs_retried_total{outcome="served"} 334
 `)
 	o.LimitChanged(coord.Limit{Service: "s", Workspace: "w", Limited: true, Share: 0.8, Entitled: 0.5, Waiting: 7})
 	o.LimitChanged(coord.Limit{Service: "s", Workspace: "w"})
--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -29,7 +29,7 @@
 	refusedTTL = 15 * time.Second
 	// MinRetryAfter and maxRetryAfter bound the retry delay given to a refused
 	// run. A run is refused only if all priority levels are full, which does not
-	// change quickly.
+	// change quickly. One that returns early is given the rest of its delay.
 	MinRetryAfter = 4 * time.Second
 	maxRetryAfter = 12 * time.Second
 )
@@ -126,15 +126,15 @@
 		Request: r, respond: reply, lastSeen: now, startBy: now.Add(r.Run.TargetWait), deadline: now.Add(r.Run.MaxWait),
 		response: Response{ID: r.ID},
 	}
+	sq := c.queueFor(r.Run.Service)
 	if at, ok := c.refused[r.Run.RetryKey]; ok && now.Sub(at) < refusedTTL {
-		req.startBy = now
+		req.startBy, req.due = now, sq.isDue(req, now)
 	}
 	c.requests[key] = req
 	c.chooser.MarkUnreachable(r.Run.Unreachable, now)
-	sq := c.queueFor(r.Run.Service)
 	sq.decayRates(now)
 	sq.recordDemand(req, now)
-	if !sq.mustQueue(req) {
+	if !sq.mustQueue(req, now) {
 		if done, _ := c.tryPlace(sq, req, now); done {
 			return
 		}
--- a/internal/route/coord/doc.go
+++ b/internal/route/coord/doc.go
@@ -15,6 +15,9 @@
 // states none, as those of older VMs or of settings without workspaces. Shares
 // apply to queued runs only: as long as no run waits, each gets what it asks for.
 //
+// A refused call gets a ticket (policy/ticket) if it can be told when there may be capacity for it.
+// If it returns then, it precedes other calls that cannot start in time.
+//
 // The coordinator holds no state that must survive it. The next VM in the order
 // receives the same load reports and takes over as soon as the first does not
 // respond to requests; a VM that gets no response from either places its runs
--- a/internal/route/coord/estimate.go
+++ b/internal/route/coord/estimate.go
@@ -64,10 +64,7 @@
 	if busy < minBusyTime {
 		return 0
 	}
-	// The grant rates are moving averages that start at zero, so after this time
-	// they are too low by the factor warmup.
-	warmup := 1 - math.Exp(-busy.Seconds()/rateWindow.Seconds())
-	seconds := tokens * warmup / rate
+	seconds := tokens * warmup(busy) / rate
 	if seconds > maxEstimate.Seconds() {
 		return maxEstimate
 	}
--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -17,6 +17,7 @@
 	startBy  time.Time // latest start that is in time
 	deadline time.Time // end of the wait
 	response Response
+	due      bool // it was refused before and came back when it was told to
 	level    int
 	entry    *queue.Entry[*request] // nil: not queued
 	expiry   *queue.Entry[*request]
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -7,12 +7,13 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/fair"
+	"umberladder/internal/policy/ticket"
 	"umberladder/internal/route/pick"
 )
 
-// maxLate is the maximum number of queued calls that cannot start in time. They
-// get the capacity that other calls do not use; calls beyond this number are
-// refused at once.
+// maxLate is the maximum number of queued calls that cannot start in time, at
+// each of the two levels for them. They get the capacity that other calls do not
+// use; calls beyond this number are refused at once.
 const maxLate = 16
 
 // maxSkipped is how many workspaces whose next calls no engine has room for are skipped until
@@ -31,6 +32,7 @@
 const (
 	continueLevel = iota // streams that have begun
 	onTimeLevel          // calls that can still start in time
+	dueLevel             // calls that were refused and came back when they were told to
 	lateLevel            // calls that cannot start in time
 	numLevels
 )
@@ -48,6 +50,7 @@
 	busySince    time.Time          // since when the queues have been non-empty
 	updatedAt    time.Time          // when the rates were last updated
 
+	tickets   *ticket.Book // of refused calls
 	meter     *fair.Meter[ident.Workspace]
 	queued    map[ident.Workspace]int       // queued requests of each workspace whose share is known
 	limited   map[ident.Workspace]time.Time // workspaces held to their share, and when it last took effect
@@ -55,7 +58,7 @@
 }
 
 func newServiceQueue(s ident.Service) *serviceQueue {
-	sq := &serviceQueue{service: s, meter: fair.NewMeter[ident.Workspace](), queued: make(map[ident.Workspace]int), limited: make(map[ident.Workspace]time.Time)}
+	sq := &serviceQueue{service: s, tickets: ticket.New(), meter: fair.NewMeter[ident.Workspace](), queued: make(map[ident.Workspace]int), limited: make(map[ident.Workspace]time.Time)}
 	for i := range sq.levels {
 		sq.levels[i] = newLevelQueue()
 	}
@@ -178,7 +181,7 @@
 	r.response.State = NoCapacity
 	r.response.Share = sq.share(r, now)
 	r.response.OwnAhead = sq.ownQueued(r)
-	r.response.RetryAfter = min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), maxRetryAfter)
+	r.response.RetryAfter = sq.retryAfter(r, now)
 	r.respond(r.response)
 }
 
@@ -195,6 +198,8 @@
 	switch {
 	case r.Run.Continues():
 		return continueLevel
+	case r.due:
+		return dueLevel
 	case !now.Before(r.startBy):
 		return lateLevel
 	default:
@@ -203,11 +208,12 @@
 }
 
 // mustQueue reports whether other requests have to be served before a new one.
-func (sq *serviceQueue) mustQueue(r *request) bool {
+func (sq *serviceQueue) mustQueue(r *request, now time.Time) bool {
 	if r.Run.Continues() {
 		return sq.blocked.CoversAny(&r.Run) || sq.blocked.CoversOwn(&r.Run)
 	}
-	return sq.blocked.CoversAny(&r.Run) || sq.levels[onTimeLevel].len() > 0
+	return sq.blocked.CoversAny(&r.Run) || sq.levels[onTimeLevel].len() > 0 ||
+		r.levelAt(now) == lateLevel && sq.levels[dueLevel].len() > 0
 }
 
 // enqueue queues the request, or reports false if it would not be served in
@@ -219,7 +225,13 @@
 		c.checkLimited(sq, r, now)
 	}
 	remaining := r.deadline.Sub(now)
-	if remaining <= 0 || level == lateLevel && !c.makeLatePlace(sq, r, now) {
+	if remaining <= 0 {
+		return false
+	}
+	if level == dueLevel && !c.makeLatePlace(sq, r, level, now) {
+		level = lateLevel
+	}
+	if level == lateLevel && !c.makeLatePlace(sq, r, level, now) {
 		return false
 	}
 	bound := remaining
@@ -231,13 +243,13 @@
 	return true
 }
 
-// makeLatePlace reports whether the late level has a place for the request. If it is full, a
-// request of the workspace that has most places for its weight is refused instead, unless the
-// request's own workspace would then have as many. Requests of rank 0 are refused only for others
-// of rank 0, and if no request of another rank can be; they also displace requests of other ranks
-// of their own workspace.
-func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, now time.Time) bool {
-	l := sq.levels[lateLevel]
+// makeLatePlace reports whether a level of calls that cannot start in time has a place for the
+// request. If it is full, a request of the workspace that has most places for its weight is refused
+// instead, unless the request's own workspace would then have as many. Requests of rank 0 are
+// refused only for others of rank 0, and if no request of another rank can be; they also displace
+// requests of other ranks of their own workspace.
+func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, level int, now time.Time) bool {
+	l := sq.levels[level]
 	if l.len() < maxLate {
 		return true
 	}
--- /dev/null
+++ b/internal/route/coord/retry.go
@@ -0,0 +1,62 @@
+package coord
+
+import (
+	"math"
+	"time"
+
+	"umberladder/internal/policy/ticket"
+)
+
+// retryShare is the part of the capacity that refused calls are told to return for. In replays of a
+// peak of 2 s (TestRetries), 94% of the calls that return as told are served at 0.1 and all at 0.15
+// where 70% of the capacity is used otherwise; where 90% is, 24% at 0.15 and 22% at 0.25.
+const retryShare = 0.15
+
+// isDue reports whether a new request is a call that was refused, and that returns when it was told
+// to.
+func (sq *serviceQueue) isDue(r *request, now time.Time) bool {
+	return !r.Run.Continues() && sq.tickets.Present(r.Run.RetryKey, now)
+}
+
+// retryAfter returns after how long a request that is refused should return. Calls that were
+// refused before precede it, and it precedes those that are refused later. A request that was due
+// returns as soon as capacity may have changed.
+func (sq *serviceQueue) retryAfter(r *request, now time.Time) time.Duration {
+	wait := min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), maxRetryAfter)
+	switch {
+	case r.Run.Continues():
+		return wait
+	case r.due:
+		sq.tickets.Renew(r.Run.RetryKey, wait, now)
+		return wait
+	default:
+		terms := ticket.Terms{Earliest: wait, Latest: maxRetryAfter, Rate: retryShare * sq.capacityRate()}
+		return sq.tickets.Issue(r.Run.RetryKey, r.cost(), terms, now)
+	}
+}
+
+// capacityRate returns the tokens that have recently been granted per second while the queues were
+// non-empty, or zero if that is not known.
+func (sq *serviceQueue) capacityRate() float64 {
+	busy := sq.updatedAt.Sub(sq.busySince)
+	if busy < minBusyTime {
+		return 0
+	}
+	rate := 0.0
+	for _, tokens := range sq.grantRate {
+		rate += tokens
+	}
+	return rate / warmup(busy)
+}
+
+// warmup returns the factor by which the grant rates are too low after the queues have been
+// non-empty for a time: they are moving averages that start at zero.
+func warmup(busy time.Duration) float64 { return 1 - math.Exp(-busy.Seconds()/rateWindow.Seconds()) }
+
+// useTicket records that a request is granted.
+func (c *Coordinator) useTicket(sq *serviceQueue, r *request) {
+	sq.tickets.Use(r.Run.RetryKey)
+	if r.due {
+		c.observer.RecordRetry(true)
+	}
+}
--- a/internal/route/coord/share.go
+++ b/internal/route/coord/share.go
@@ -14,6 +14,9 @@
 	RecordGrant(rank int, overShare bool, tokens int)
 	// RecordRefusal records that a run was refused for lack of capacity.
 	RecordRefusal(rank int, overShare bool)
+	// RecordRetry records what became of a run that was refused for lack of capacity and came back
+	// when it was told to.
+	RecordRetry(served bool)
 	// LimitChanged records that a workspace starts or stops being limited to its share.
 	LimitChanged(l Limit)
 }
@@ -39,6 +42,8 @@
 
 func (noObserver) RecordRefusal(int, bool) {}
 
+func (noObserver) RecordRetry(bool) {}
+
 func (noObserver) LimitChanged(Limit) {}
 
 // WithObserver makes the Coordinator report to o. It must be called before the Coordinator is
@@ -69,6 +74,7 @@
 
 // recordGrant records what the workspace of a run was granted.
 func (c *Coordinator) recordGrant(sq *serviceQueue, r *request, now time.Time) {
+	c.useTicket(sq, r)
 	if !r.hasShare() {
 		return
 	}
@@ -80,6 +86,9 @@
 
 // recordRefusal records that a run was refused.
 func (c *Coordinator) recordRefusal(sq *serviceQueue, r *request, now time.Time) {
+	if r.due {
+		c.observer.RecordRetry(false)
+	}
 	if !r.hasShare() {
 		return
 	}
--- a/internal/route/coord/share_test.go
+++ b/internal/route/coord/share_test.go
@@ -64,6 +64,8 @@
 	ends          ends
 	pending       []*replayCall
 	outcomes      map[ident.Workspace]*outcome
+	refused       func(c *replayCall, retryAfter time.Duration) // called for each refusal; nil: none
+	eachStep      func()                                        // nil: none
 	grantedByRank map[int]int
 	nextID        uint64
 	rand          *rand.Rand
@@ -128,6 +130,9 @@
 	start := r.now
 	for ; r.now.Sub(start) < d; r.now = r.now.Add(step) {
 		r.release()
+		if r.eachStep != nil {
+			r.eachStep()
+		}
 		for i := range demands {
 			for due[i] <= r.now.Sub(start) {
 				r.call(&demands[i], count[i])
@@ -195,6 +200,9 @@
 	switch {
 	case !c.granted:
 		o.refused++
+		if r.refused != nil {
+			r.refused(c, resp.RetryAfter)
+		}
 	case r.now.Sub(c.arrived) > targetWait:
 		o.late++
 	default:
@@ -455,6 +463,15 @@
 	list               []Limit
 	granted, refused   int
 	refusedWithinShare int
+	retries            [2]int // refused, served
+}
+
+func (l *limits) RecordRetry(served bool) {
+	if served {
+		l.retries[1]++
+	} else {
+		l.retries[0]++
+	}
 }
 
 func (l *limits) RecordGrant(_ int, _ bool, tokens int) { l.granted += tokens }
