Take shares of grants at one time, also if times are out of order

Callers read the clock before they wait for the coordinator's lock, so grants are recorded, and shares read, out of order. fair.Meter then let the total decay further than its parts, and shares came out too high. Grants of an earlier time are now added as what has remained of them, and shares are taken no earlier than the latest grant.

--- a/internal/policy/fair/meter.go
+++ b/internal/policy/fair/meter.go
@@ -37,7 +37,16 @@
 	at    time.Time
 }
 
-func (a *average) add(v float64, now time.Time) { a.value, a.at = a.valueAt(now)+v, now }
+// add adds an amount at a time. Times may be out of order, since callers read the clock before they
+// wait for a lock.
+func (a *average) add(v float64, now time.Time) {
+	if now.Before(a.at) {
+		earlier := average{value: v, at: now}
+		a.value += earlier.valueAt(a.at)
+		return
+	}
+	a.value, a.at = a.valueAt(now)+v, now
+}
 
 func (a *average) valueAt(now time.Time) float64 {
 	if a.value == 0 {
@@ -75,13 +84,23 @@
 
 // Share returns the share of what was granted to all that a caller got.
 func (m *Meter[K]) Share(key K, now time.Time) float64 {
-	c, total := m.callers[key], m.total.valueAt(now)
+	c, now := m.callers[key], m.notBeforeGrants(now)
+	total := m.total.valueAt(now)
 	if c == nil || total <= 0 {
 		return 0
 	}
 	return min(c.granted.valueAt(now)/total, 1)
 }
 
+// notBeforeGrants returns a time, or that of the latest grant if it is later. All averages have to
+// be taken at the same time: at an earlier one, those that are as of a later time have not decayed.
+func (m *Meter[K]) notBeforeGrants(now time.Time) time.Time {
+	if now.Before(m.total.at) {
+		return m.total.at
+	}
+	return now
+}
+
 // Entitled returns the share that a caller is due by the weights of those that have made
 // requests recently.
 func (m *Meter[K]) Entitled(key K) float64 {
