--- a/internal/proc/cmds/node.go
+++ b/internal/proc/cmds/node.go
@@ -10,33 +10,43 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
-	"umberladder/internal/core/refuse"
-	"umberladder/internal/core/seal"
 	"umberladder/internal/proc/burn"
-	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/opapi"
 )
 
 func newStatus() *cobra.Command {
 	var client opapi.Client
 	var o outputFormat
-	var workspace string
+	var workspace, edge string
 	c := &cobra.Command{
 		Use:   "status",
 		Short: "Print the state of a VM and the VMs it knows, or what a workspace uses on all of them",
+		Long: "Print the state of a VM and the VMs it knows, or what a workspace uses on all of them.\n" +
+			"With --edge, print what a platform's VM knows of its services: coordinators, waiting\n" +
+			"workspaces and their shares, and the speed of servers.",
 		Example: "  umberladder status --server 127.0.0.1:8081\n" +
-			"  umberladder status --server 127.0.0.1:8081 --workspace installers",
+			"  umberladder status --server 127.0.0.1:8081 --workspace installers\n" +
+			"  umberladder status --edge 10.0.0.1:82 --format json",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if workspace != "" {
+			switch {
+			case c.Flags().Changed("edge"):
+				return printEdgeStatus(c, &o, edge)
+			case workspace != "":
 				return o.print(c, &client, "/v1/status/workspaces/"+url.PathEscape(workspace), printUsage)
 			}
 			return o.print(c, &client, "/v1/status", printStatus)
 		},
 	}
 	c.Flags().StringVar(&workspace, "workspace", "", "print what this workspace uses of its limits")
+	c.Flags().StringVar(&edge, "edge", "", "metrics-address of a platform's VM, in place of --server")
 	addRemoteFlags(c, &client)
+	c.MarkFlagsMutuallyExclusive("edge", "server")
+	c.MarkFlagsMutuallyExclusive("edge", "workspace")
+	c.MarkFlagsMutuallyExclusive("edge", "key")
 	o.addFlag(c, "table or json")
+	c.Flags().StringVar(&o.format, "format", formatTable, "the same as --output")
+	c.MarkFlagsMutuallyExclusive("output", "format")
 	return c
 }
 
@@ -145,36 +155,3 @@
 	}
 	return withExitCode(ExitFailure, rep.WriteTable(w))
 }
-
-func newExplain() *cobra.Command {
-	var file string
-	c := &cobra.Command{
-		Use:   "explain CODE --config FILE",
-		Short: "Explain a refusal from its code, with nothing else stored",
-		Long: "Explain a refusal from its code, with nothing else stored. The key ring of any\n" +
-			"node's settings opens it; so does GET /v1/refusals/CODE on any VM.\n" +
-			"Exit code 6: the code was not made by this system, or was altered.",
-		Example: "  umberladder explain AQc3… --config vm-1.json",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			cfg, err := conf.Read(file)
-			if err != nil {
-				return withExitCode(ExitInvalid, err)
-			}
-			ring, err := seal.New(cfg.Secrets)
-			if err != nil {
-				return withExitCode(ExitInvalid, err)
-			}
-			r, err := refuse.Decode(ring, args[0])
-			if err != nil {
-				return withExitCode(ExitForged, err)
-			}
-			fmt.Fprintf(c.OutOrStdout(), "Request %s of workspace %s was refused by VM %s at %s (%s).\n%s\n",
-				r.Request, r.Workspace, r.VM, r.At.UTC().Format("2006-01-02 15:04:05.000 UTC"), r.Reason, r.Explain())
-			return nil
-		},
-	}
-	c.Flags().StringVar(&file, "config", "", "node settings whose key ring opens the code")
-	_ = c.MarkFlagRequired("config")
-	return c
-}
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -254,7 +254,7 @@
 		{"failure-domain", "", "failure domain of this VM"},
 		{"callers-address", "", "HTTP for clients"},
 		{"ready-address", "", "HTTP for the balancer's readiness checks"},
-		{"metrics-address", "", "HTTP for metrics"},
+		{"metrics-address", "", "HTTP for metrics and the status"},
 		{"peers-address", "", "UDP and HTTP for other VMs"},
 		{"store-address", "", "the platform's store"},
 		{"seeds", "[]", "peers-addresses of some VMs, for one that knows nobody; they may be out of date"},
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -279,7 +279,7 @@
 		handler fasthttp.RequestHandler
 	}{
 		{"/ready-address", v.cfg.Load().Ready.String(), v.handleReady},
-		{"/metrics-address", v.cfg.Load().Metrics.String(), v.writeMetrics},
+		{"/metrics-address", v.cfg.Load().Metrics.String(), v.handleMetrics},
 	} {
 		ln, err := net.Listen("tcp", s.addr)
 		if err != nil {
@@ -306,6 +306,15 @@
 	ctx.SetBodyString("not ready\n")
 }
 
+// handleMetrics serves the status of this VM at statusPath, and the metrics at all other paths.
+func (v *VM) handleMetrics(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == statusPath {
+		v.writeStatus(ctx)
+		return
+	}
+	v.writeMetrics(ctx)
+}
+
 func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
 	v.registerSlowGauges()
 	v.metricSet.WritePrometheus(ctx)
