Issue tickets that are due while the client still waits

Cause: a client with less than 36 s left is told a third of that, but its ticket was due after 4 s or more, so its call always returned early.

Change: placement requests state the time until the client gives up, and a ticket is due within a third of it. VMs that do not state it are served as before.

Result: coord.TestRetryWithinTimeout; before, the call was told 4 s.

--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -81,7 +81,7 @@
 		m.PlacementRequest = &coord.Request{VM: m.VM, ID: 8, Run: pick.Request{
 			Service: "s", Purpose: pick.Migration, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Prefill: n.Draw(t, "prefill"), EngineMemory: n.Draw(t, "memory"),
 			From: "a", Source: "s", Exclude: []ident.Server{"x", "y"}, Unreachable: []ident.Server{"z"}, Version: ident.Version(name.Draw(t, "run-version")), Backup: rapid.Bool().Draw(t, "backup"), MaxWait: time.Duration(n.Draw(t, "wait")), TargetWait: time.Second, RetryKey: rapid.Uint64().Draw(t, "retry-key"),
-			Output: n.Draw(t, "output"), GapTarget: time.Duration(n.Draw(t, "gap-target")), EventTokens: n.Draw(t, "event-tokens"), LatencyTarget: time.Duration(n.Draw(t, "latency-target")),
+			Output: n.Draw(t, "output"), GapTarget: time.Duration(n.Draw(t, "gap-target")), EventTokens: n.Draw(t, "event-tokens"), LatencyTarget: time.Duration(n.Draw(t, "latency-target")), Remaining: time.Duration(n.Draw(t, "remaining")),
 		}}
 		if run := &m.PlacementRequest.Run; rapid.Bool().Draw(t, "share") {
 			run.Workspace, run.Subject, run.Weight = "w", rapid.Uint64().Draw(t, "subject"), rapid.IntRange(1, math.MaxInt32).Draw(t, "weight")
--- a/internal/peer/wire/pace.go
+++ b/internal/peer/wire/pace.go
@@ -18,6 +18,7 @@
 	requestGapTarget     = 25
 	requestEventTokens   = 26
 	requestLatencyTarget = 27
+	requestRemaining     = 29
 
 	loadPaceRuns   = 8
 	loadPaceMicros = 9
@@ -32,7 +33,8 @@
 	b = appendKnown(b, requestOutput, run.Output)
 	b = appendKnown(b, requestGapTarget, int(run.GapTarget))
 	b = appendKnown(b, requestEventTokens, run.EventTokens)
-	return appendKnown(b, requestLatencyTarget, int(run.LatencyTarget))
+	b = appendKnown(b, requestLatencyTarget, int(run.LatencyTarget))
+	return appendKnown(b, requestRemaining, int(run.Remaining))
 }
 
 // setExpectation sets one field of what a run expects of its engine.
@@ -46,6 +48,8 @@
 		run.EventTokens = int(min(v, math.MaxInt64))
 	case requestLatencyTarget:
 		run.LatencyTarget = time.Duration(min(v, math.MaxInt64))
+	case requestRemaining:
+		run.Remaining = time.Duration(min(v, math.MaxInt64))
 	}
 }
 
--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -126,6 +126,9 @@
 		Request: r, respond: reply, lastSeen: now, startBy: now.Add(r.Run.TargetWait), deadline: now.Add(r.Run.MaxWait),
 		response: Response{ID: r.ID},
 	}
+	if r.Run.Remaining > 0 {
+		req.leaves = now.Add(r.Run.Remaining)
+	}
 	sq := c.queueFor(r.Run.Service)
 	if at, ok := c.refused[r.Run.RetryKey]; ok && now.Sub(at) < refusedTTL {
 		req.startBy, req.due = now, sq.isDue(req, now)
--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -16,6 +16,7 @@
 	lastSeen time.Time // when the VM last sent the request
 	startBy  time.Time // latest start that is in time
 	deadline time.Time // end of the wait
+	leaves   time.Time // when the client gives up; zero: not known
 	response Response
 	due      bool // it was refused before and came back when it was told to
 	level    int
--- a/internal/route/coord/retry.go
+++ b/internal/route/coord/retry.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"umberladder/internal/policy/admit"
 	"umberladder/internal/policy/ticket"
 )
 
@@ -22,7 +23,11 @@
 // refused before precede it, and it precedes those that are refused later. A request that was due
 // returns as soon as capacity may have changed.
 func (sq *serviceQueue) retryAfter(r *request, now time.Time) time.Duration {
-	wait := min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), maxRetryAfter)
+	latest := maxRetryAfter
+	if !r.leaves.IsZero() { // its VM tells the client no more than this
+		latest = admit.RetryAfter(latest, r.leaves.Sub(now))
+	}
+	wait := min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), latest)
 	switch {
 	case r.Run.Continues():
 		return wait
@@ -30,7 +35,7 @@
 		sq.tickets.Renew(r.Run.RetryKey, wait, now)
 		return wait
 	default:
-		terms := ticket.Terms{Earliest: wait, Latest: maxRetryAfter, Rate: retryShare * sq.capacityRate()}
+		terms := ticket.Terms{Earliest: wait, Latest: latest, Rate: retryShare * sq.capacityRate()}
 		return sq.tickets.Issue(r.Run.RetryKey, r.cost(), terms, now)
 	}
 }
--- a/internal/route/coord/retry_test.go
+++ b/internal/route/coord/retry_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/admit"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 )
@@ -188,3 +189,26 @@
 		})
 	}
 }
+
+// TestRetryWithinTimeout guards against a ticket that is due later than the client may be told to
+// return, since it gives up soon, so that the call always returns early.
+func TestRetryWithinTimeout(t *testing.T) {
+	r := newReplay(t)
+	r.run(2*time.Second, demand{workspace: "w", perSecond: 300, rank: 1})
+	var last Response
+	submit := func(remaining time.Duration) {
+		r.nextID++
+		run := pick.Request{Service: "s", Rank: 1, Need: callTokens, EngineMemory: replaySlots * callTokens, From: "a", RetryKey: 1, Remaining: remaining, MaxWait: remaining / 8}
+		r.coordinator.Submit(Request{VM: "vm", ID: r.nextID, Run: run}, func(resp Response) { last = resp }, r.now)
+	}
+	remaining := 6 * time.Second
+	submit(remaining)
+	assert.Equal(t, last.State, NoCapacity)
+	assert.Equal(t, last.RetryAfter, admit.RetryAfter(maxRetryAfter, remaining))
+	assert.Assert(t, last.RetryAfter < MinRetryAfter)
+	r.now = r.now.Add(last.RetryAfter)
+	r.release()
+	submit(remaining - last.RetryAfter)
+	assert.Equal(t, last.State, Waiting)
+	assert.Equal(t, r.coordinator.queues["s"].levels[dueLevel].len(), 1)
+}
--- a/internal/route/coord/status_test.go
+++ b/internal/route/coord/status_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/route/pick"
 	"umberladder/internal/route/alloc"
 )
 
@@ -21,9 +22,9 @@
 // changes what is decided, or that shows workspaces of a service in which none waits.
 func TestStatus(t *testing.T) {
 	demands := []demand{
-		{workspace: "small", perSecond: 5, rank: 1, weight: weightUnit},
-		{workspace: "middle", perSecond: 20, rank: 1, weight: weightUnit},
-		{workspace: "large", perSecond: 180, rank: 1, weight: weightUnit},
+		{workspace: "small", perSecond: 5, rank: 1, weight: pick.WeightUnit},
+		{workspace: "middle", perSecond: 20, rank: 1, weight: pick.WeightUnit},
+		{workspace: "large", perSecond: 180, rank: 1, weight: pick.WeightUnit},
 	}
 	t.Run("shares", func(t *testing.T) {
 		r := newReplay(t)
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -80,6 +80,7 @@
 	Subject      uint64                // identifies what the workspace's capacity is divided among: a prompt's first part, or an API key
 	Weight       int                   // of the workspace, in thousandths; zero: not known, and no share is applied
 	RetryKey     uint64                // equal for a call and its repetitions by the client; zero: none
+	Remaining    time.Duration         // until the client gives up, retries included; zero: not known
 
 	Output        int           // tokens that the run is expected to generate; zero: unknown
 	GapTarget     time.Duration // target for the time between two events; zero: none
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -269,6 +269,7 @@
 	req.Unreachable, f.unreachable = f.unreachable, nil
 	req.TargetWait = admit.OnTimeWait(f.Route.LatencyTarget, elapsed, req.Prefill)
 	req.MaxWait = admit.MaxWait(req.TargetWait, f.Deadline.Sub(f.Call.Arrived), elapsed)
+	req.Remaining = f.Remaining()
 	placement, err := f.Placer.Place(ctx, req)
 	f.Result.QueueTime += time.Since(start)
 	if q := f.QuarantineRefusal(); q != nil {
