Book tickets by slots of time, so that calls that must return soon get some

Cause: tickets were due one after the other, so that after the first refusals none was due within the 2 s that a client with a timeout of 6 s may be told.

--- a/internal/policy/ticket/book.go
+++ b/internal/policy/ticket/book.go
@@ -11,6 +11,10 @@
 	// grace is how long a ticket is valid once it is due. A delay in the Retry-After header is
 	// rounded up to whole seconds, and clients may add jitter.
 	grace = 5 * time.Second
+	// slotTime is the unit of time in which capacity is booked.
+	slotTime = 250 * time.Millisecond
+	// maxSlots bounds the slots that one ticket books.
+	maxSlots = 64
 )
 
 // Terms are the terms on which tickets are issued.
@@ -23,7 +27,7 @@
 type Book struct {
 	tickets map[uint64]*list.Element // by the key of the call
 	order   *list.List               // of *ticket; the one that was issued or renewed first is in front
-	next    time.Time                // earliest time at which another ticket may be due
+	booked  map[int64]float64        // cost of the tickets by the slot of time since the Unix epoch
 }
 
 type ticket struct {
@@ -35,7 +39,9 @@
 func (t *ticket) isExpired(now time.Time) bool { return now.Sub(t.due) > grace }
 
 // New returns an empty Book.
-func New() *Book { return &Book{tickets: make(map[uint64]*list.Element), order: list.New()} }
+func New() *Book {
+	return &Book{tickets: make(map[uint64]*list.Element), order: list.New(), booked: make(map[int64]float64)}
+}
 
 // Len returns the number of tickets.
 func (b *Book) Len() int { return b.order.Len() }
@@ -55,14 +61,10 @@
 		}
 		return t.Earliest
 	}
-	due := now.Add(t.Earliest)
-	if b.next.After(due) {
-		due = b.next
-	}
-	if due.Sub(now) > t.Latest {
+	due, ok := b.book(cost, t, now)
+	if !ok {
 		return t.Latest
 	}
-	b.next = due.Add(time.Duration(cost / t.Rate * float64(time.Second)))
 	if b.Len() >= MaxTickets {
 		b.drop(b.order.Front())
 	}
@@ -71,6 +73,31 @@
 	return due.Sub(now)
 }
 
+// book books capacity from the first slot within the terms that is not fully booked, and returns the
+// time at which the ticket is due. Calls that may wait for long leave earlier slots to others.
+func (b *Book) book(cost float64, t Terms, now time.Time) (due time.Time, ok bool) {
+	first, last := slotOf(now.Add(t.Earliest)), slotOf(now.Add(t.Latest))
+	available := t.Rate * slotTime.Seconds()
+	for first <= last && b.booked[first] >= available {
+		first++
+	}
+	if first > last {
+		return time.Time{}, false
+	}
+	for slot := first; slot < first+maxSlots && cost > 0; slot++ {
+		part := min(cost, max(available-b.booked[slot], 0))
+		b.booked[slot] += part
+		cost -= part
+	}
+	due = time.Unix(0, first*int64(slotTime))
+	if earliest := now.Add(t.Earliest); due.Before(earliest) {
+		due = earliest
+	}
+	return due, true
+}
+
+func slotOf(at time.Time) int64 { return at.UnixNano() / int64(slotTime) }
+
 // Present reports whether a call that arrives has a ticket that is due. The call has it until Use or
 // Renew is called or the ticket expires: identical calls that arrive meanwhile have none.
 func (b *Book) Present(key uint64, now time.Time) bool {
@@ -114,6 +141,11 @@
 	for e := b.order.Front(); e != nil && e.Value.(*ticket).isExpired(now); e = b.order.Front() {
 		b.drop(e)
 	}
+	for slot := range b.booked {
+		if slot < slotOf(now) {
+			delete(b.booked, slot)
+		}
+	}
 }
 
 func (b *Book) drop(e *list.Element) {
--- a/internal/route/coord/retry.go
+++ b/internal/route/coord/retry.go
@@ -28,6 +28,9 @@
 		latest = admit.RetryAfter(latest, r.leaves.Sub(now))
 	}
 	wait := min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), latest)
+	if latest < MinRetryAfter {
+		wait = latest / 2
+	}
 	switch {
 	case r.Run.Continues():
 		return wait
