Compare the other VMs' calls in flight with the slots of a plain server

A server counted as overloaded if the other VMs' calls in flight were twice those at the median server, whatever its slots: one with 20 slots and 10 calls next to servers with 2 slots and 1 call each did, one with 2 slots and as many calls as servers with 6 did not. The calls are now compared with those that its slots would have at the median of the calls per slot. With equal slots the result is the same.

TestSlots fails before in the two cases above. internal/policy/timing, internal/route/unary and internal/proc/peers pass with -race.

--- a/internal/policy/timing/assess.go
+++ b/internal/policy/timing/assess.go
@@ -47,7 +47,7 @@
 	Weight     float64       // fraction of its normal load that the server should get, minWeight to maxWeight
 	PeerLoad   float64       // mean number of calls of the other VMs in flight
 	Probe      float64       // probability with which a call is sent to the server in spite of its weight
-	Overloaded bool          // the other VMs' calls in flight are far more than at the median server
+	Overloaded bool          // the other VMs' calls in flight are, for its slots, far more than at the median server
 	Slow       bool          // its response times are over minRatio times the median
 	Mean       time.Duration // of the response times; zero: not known
 	Median     time.Duration // of the means of the service's servers; zero: not known
@@ -67,7 +67,7 @@
 func (s Stats) load() float64 { return max(float64(s.Time)/float64(Window), float64(s.InFlight)/2) }
 
 // assess sets the assessments of the servers, given the sums of all VMs.
-func (s *service) assess(list []ident.Server, all []Stats, out []Assessment, now time.Time) {
+func (s *service) assess(list []ident.Server, slots []int, all []Stats, out []Assessment, now time.Time) {
 	estimates := make([]estimate, len(list))
 	for i, id := range list {
 		estimates[i] = s.estimate(id, all[i], now)
@@ -85,22 +85,32 @@
 		}
 		a.Weight = min(max(a.Weight*acceptedWeight(all[i], best), minWeight), maxWeight)
 	}
-	markOverloaded(out)
+	markOverloaded(out, slots)
 	setProbes(out, all, total)
 }
 
-// markOverloaded sets which servers have far more calls of other VMs in flight than the median.
-func markOverloaded(out []Assessment) {
-	loads := make([]float64, len(out))
+// markOverloaded sets which servers have far more calls of other VMs in flight than their slots
+// would have at the median of the calls per slot.
+func markOverloaded(out []Assessment, slots []int) {
+	perSlot := make([]float64, len(out))
 	for i := range out {
-		loads[i] = out[i].PeerLoad
+		perSlot[i] = out[i].PeerLoad / slotsOf(slots, i)
 	}
-	slices.Sort(loads)
+	slices.Sort(perSlot)
 	for i := range out {
-		out[i].Overloaded = out[i].PeerLoad+1 > overloadRatio*(loads[(len(loads)-1)/2]+1)
+		usual := perSlot[(len(perSlot)-1)/2] * slotsOf(slots, i)
+		out[i].Overloaded = out[i].PeerLoad+1 > overloadRatio*(usual+1)
 	}
 }
 
+// slotsOf returns the number of slots of a server, at least one. Without slots, all have the same.
+func slotsOf(slots []int, i int) float64 {
+	if slots == nil {
+		return 1
+	}
+	return float64(max(slots[i], 1))
+}
+
 // setProbes sets the probabilities of probes, given the calls in the window. Servers with a low
 // weight or a high load get as many as they lack of probeCount.
 func setProbes(out []Assessment, all []Stats, total int) {
--- a/internal/policy/timing/assess_test.go
+++ b/internal/policy/timing/assess_test.go
@@ -45,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := newTracker()
 			tracker.HandleResponse("hub", 60, map[ident.Server]Stats{"a": tc.of, "b": usual, "c": usual}, start)
-			got := tracker.Assess("s", servers, start)
+			got := tracker.Assess("s", servers, nil, start)
 			assert.Assert(t, got[0].Weight > tc.want-0.01 && got[0].Weight < tc.want+0.01, "%+v", got[0])
 			assert.Equal(t, got[0].Slow, tc.slow)
 			assert.Equal(t, got[0].Probe > 0, tc.want < 1, "probes")
@@ -71,7 +71,7 @@
 			}
 			tracker.HandleReport("vm", stats, now)
 			probes := 0.0
-			for _, a := range tracker.Assess("s", servers, now) {
+			for _, a := range tracker.Assess("s", servers, nil, now) {
 				assert.Assert(t, a.Weight >= minWeight && a.Weight <= maxWeight, "%+v", a)
 				assert.Assert(t, a.Probe >= 0 && a.PeerLoad >= 0, "%+v", a)
 				probes += a.Probe
@@ -92,7 +92,7 @@
 			observe(tracker, id, 40, 30*ms, start)
 		}
 		observe(tracker, "a", 40, 120*ms, start)
-		tracker.Assess("s", servers, start)
+		tracker.Assess("s", servers, nil, start)
 		return tracker
 	}
 	others := func(tracker *Tracker, now time.Time) {
@@ -105,7 +105,7 @@
 		for at := 100 * ms; at <= 4*time.Second; at += 100 * ms {
 			now := start.Add(at)
 			others(tracker, now)
-			weight := tracker.Assess("s", servers, now)[0].Weight
+			weight := tracker.Assess("s", servers, nil, now)[0].Weight
 			assert.Assert(t, weight >= last, "%g after %g", weight, last)
 			assert.Assert(t, weight-last < 0.3, "from %g to %g in 0.1 s", last, weight)
 			last = weight
@@ -117,7 +117,7 @@
 			tracker, now := slow(), start.Add(time.Second)
 			others(tracker, now)
 			observe(tracker, "a", n, took, now)
-			weight := tracker.Assess("s", servers, now)[0].Weight
+			weight := tracker.Assess("s", servers, nil, now)[0].Weight
 			switch {
 			case took > 30*ms:
 				assert.Assert(t, weight < 0.3, "%g", weight)
@@ -141,8 +141,8 @@
 			observe(tracker, id, 400, 30*ms, now)
 		}
 		observe(tracker, "a", 400, mean, now)
-		tracker.Assess("s", servers, now)
-		tracker.Assess("s", servers, now)
+		tracker.Assess("s", servers, nil, now)
+		tracker.Assess("s", servers, nil, now)
 	}
 	for _, mean := range []time.Duration{30 * ms, 60 * ms, 37 * ms, 40 * ms, 37 * ms, 31 * ms, 37 * ms, 30 * ms} {
 		second(mean)
@@ -153,7 +153,7 @@
 	second(60 * ms)
 	assert.DeepEqual(t, tracker.SlowCounts(now), []SlowCount{{Service: "s", Servers: 1}})
 	assert.DeepEqual(t, tracker.SlowCounts(now.Add(2*retention)), []SlowCount{{Service: "s"}})
-	tracker.Assess("s", servers[1:], now)
+	tracker.Assess("s", servers[1:], nil, now)
 	assert.DeepEqual(t, tracker.SlowCounts(now), []SlowCount{{Service: "s"}})
 }
 
@@ -171,7 +171,7 @@
 				tracker.HandleReport(ident.VM(fmt.Sprint(n)), map[ident.Server]Stats{"a": {Responses: 1, Time: 30 * ms}, "b": {Responses: 1, Time: 30 * ms}, "c": {Responses: 1, Time: 30 * ms}}, start)
 			}
 			tracker.HandleReport("wrong", map[ident.Server]Stats{"a": wrong}, start)
-			got := tracker.Assess("s", servers, start)[0]
+			got := tracker.Assess("s", servers, nil, start)[0]
 			assert.Assert(t, got.Weight >= minWeight, "%+v", got)
 			assert.Assert(t, got.Probe > 0, "%+v", got)
 		})
@@ -203,3 +203,36 @@
 		assert.Assert(t, got > 0.95*mean-0.02 && got < 1.05*mean+0.02, "%g, mean %g", got, mean)
 	}
 }
+
+// TestSlots guards against servers whose calls in flight are compared without regard to their
+// slots, and against servers with few slots that count as busy without any call.
+func TestSlots(t *testing.T) {
+	for name, tc := range map[string]struct {
+		slots []int
+		load  [3]float64
+		want  [3]bool // which servers have far more calls than their slots would have at the median
+	}{
+		"alike":                                 {slots: []int{6, 6, 6}, load: [3]float64{2, 2, 2}},
+		"alike, one busy":                       {slots: []int{6, 6, 6}, load: [3]float64{6, 2, 2}, want: [3]bool{true, false, false}},
+		"no slots known, one busy":              {load: [3]float64{6, 2, 2}, want: [3]bool{true, false, false}},
+		"few slots, no calls":                   {slots: []int{2, 6, 6}},
+		"few slots, as many calls":              {slots: []int{2, 6, 6}, load: [3]float64{4, 4, 4}, want: [3]bool{true, false, false}},
+		"few slots, their part of the calls":    {slots: []int{2, 6, 6}, load: [3]float64{4. / 3, 4, 4}},
+		"many slots, their part of the calls":   {slots: []int{20, 2, 2}, load: [3]float64{10, 1, 1}},
+		"many slots, more than their part":      {slots: []int{20, 2, 2}, load: [3]float64{40, 1, 1}, want: [3]bool{true, false, false}},
+		"servers that state no slots, alike":    {slots: []int{0, 0, 0}, load: [3]float64{2, 2, 2}},
+		"servers that state no slots, one busy": {slots: []int{0, 0, 0}, load: [3]float64{2, 2, 6}, want: [3]bool{false, false, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker, stats := newTracker(), make(map[ident.Server]Stats)
+			for i, id := range servers {
+				// Half of the calls in flight count, more than the mean of such short calls.
+				stats[id] = Stats{Responses: 40, Time: 40 * ms, InFlight: int(2 * tc.load[i])}
+			}
+			tracker.HandleResponse("hub", 60, stats, start)
+			for i, a := range tracker.Assess("s", servers, tc.slots, start) {
+				assert.Equal(t, a.Overloaded, tc.want[i], "%s: %+v", servers[i], a)
+			}
+		})
+	}
+}
--- a/internal/policy/timing/bench_test.go
+++ b/internal/policy/timing/bench_test.go
@@ -31,7 +31,7 @@
 			tracker, list := filled(60, count)
 			b.ReportAllocs()
 			for b.Loop() {
-				tracker.Assess("s", list, start)
+				tracker.Assess("s", list, nil, start)
 			}
 		})
 	}
--- a/internal/policy/timing/tracker.go
+++ b/internal/policy/timing/tracker.go
@@ -137,8 +137,9 @@
 	t.fleet.addResponse(hub, reporting, stats, now)
 }
 
-// Assess returns the assessments of a service's servers, in the order of the list.
-func (t *Tracker) Assess(name ident.Service, list []ident.Server, now time.Time) []Assessment {
+// Assess returns the assessments of a service's servers, in the order of the list. slots holds
+// their numbers of slots in the same order; nil: all have the same.
+func (t *Tracker) Assess(name ident.Service, list []ident.Server, slots []int, now time.Time) []Assessment {
 	t.mu.Lock()
 	s := t.service(name, now)
 	all, others := make([]Stats, len(list)), t.fleet.others(now)
@@ -150,7 +151,7 @@
 			all[i] = all[i].add(w.sum(now))
 		}
 	}
-	s.assess(list, all, out, now)
+	s.assess(list, slots, all, out, now)
 	changes := s.update(name, list, out)
 	t.mu.Unlock()
 	for _, c := range changes {
--- a/internal/proc/peers/timing_test.go
+++ b/internal/proc/peers/timing_test.go
@@ -63,12 +63,12 @@
 	}
 	defer a.node.Alloc.Reserve("s1", alloc.Load{Calls: 4}).Release()
 	list := []ident.Server{"s1", "s2"}
-	load := func(d *delegate) float64 { return d.node.Timings.Assess("s", list, now)[1].PeerLoad }
+	load := func(d *delegate) float64 { return d.node.Timings.Assess("s", list, nil, now)[1].PeerLoad }
 	assert.Equal(t, load(b), 0.0)
 	exchange(t, a, hub, 1, now)
 	assert.Equal(t, exchange(t, b, hub, 1, now), 2)
 	assert.Equal(t, load(b), 3.0, "the calls of the hub and of the other VM, not its own")
-	assert.Equal(t, b.node.Timings.Assess("s", list, now)[0].PeerLoad, 2.0, "half of the calls in flight at the other VM")
+	assert.Equal(t, b.node.Timings.Assess("s", list, nil, now)[0].PeerLoad, 2.0, "half of the calls in flight at the other VM")
 	exchange(t, a, hub, 1, now)
 	assert.Equal(t, load(a), 3.0)
 	assert.Equal(t, load(hub), 3.0)
--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -36,7 +36,7 @@
 		}
 		return chosen(list, assign.ChoosePlain(servers, rng))
 	}
-	assessments := r.Timings.Assess(r.Service.Name, serverIDs(list), now)
+	assessments := r.Timings.Assess(r.Service.Name, serverIDs(list), slotsOf(list), now)
 	differ := timing.Differ(assessments)
 	for i, s := range list {
 		servers[i].InFlight = r.Alloc.Own(s.ID).Calls
@@ -67,6 +67,14 @@
 	return ids
 }
 
+func slotsOf(list []*srvtab.Server) []int {
+	slots := make([]int, len(list))
+	for i, s := range list {
+		slots[i] = s.Slots
+	}
+	return slots
+}
+
 // observeTiming records how long a plain server took for a call, or that it did not run the
 // call. A failure says nothing about the time that calls take, and the way through another VM
 // takes time that is not the server's.
