Probe plain servers less often at which this VM's calls fail

timing.Probe chose a slow or overloaded server for a probe whatever this VM knew about its failures, so a server at which this VM's calls fail was probed as often as others. The probability is now multiplied by this VM's health weight; zero stands for a server that must not be chosen. Servers without failures are probed as before.

TestProbe covers it: with the weight ignored, a server of weight 0.25 gets the probes of one of weight 1.

--- a/internal/policy/timing/assess.go
+++ b/internal/policy/timing/assess.go
@@ -215,14 +215,16 @@
 	return best
 }
 
-// Probe returns the index of a server that gets a call in spite of its weight, or -1.
-func Probe(list []Assessment, skip func(i int) bool, rng *rand.Rand) int {
+// Probe returns the index of a server that gets a call in spite of its weight, or -1. health
+// returns the weight of a server by this VM's own calls, from 0 to 1, with which the probability of
+// a probe is multiplied; 0: the server must not be chosen.
+func Probe(list []Assessment, health func(i int) float64, rng *rand.Rand) int {
 	at := rng.Float64()
 	for i := range list {
-		if at -= list[i].Probe; at < 0 {
-			if skip(i) {
-				return -1
-			}
+		if list[i].Probe == 0 {
+			continue
+		}
+		if at -= list[i].Probe * health(i); at < 0 {
 			return i
 		}
 	}
--- a/internal/policy/timing/assess_test.go
+++ b/internal/policy/timing/assess_test.go
@@ -178,17 +178,19 @@
 	}
 }
 
-// TestProbe guards against probes more or less often than their probability, and of servers
-// that must not be chosen.
+// TestProbe guards against probes more or less often than their probability, of servers that must
+// not be chosen, and as often of a server at which this VM's calls fail as of others.
 func TestProbe(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	list := []Assessment{{Probe: 0.1}, {}, {Probe: 0.2}}
+	list := []Assessment{{Probe: 0.1}, {}, {Probe: 0.2}, {Probe: 0.1}}
+	health := []float64{1, 1, 0, 0.25}
 	counts := make(map[int]int)
 	for range 10_000 {
-		counts[Probe(list, func(i int) bool { return i == 2 }, rng)]++
+		counts[Probe(list, func(i int) float64 { return health[i] }, rng)]++
 	}
 	assert.Assert(t, counts[0] > 900 && counts[0] < 1100, "%v", counts)
-	assert.Equal(t, counts[0]+counts[-1], 10_000)
+	assert.Assert(t, counts[3] > 200 && counts[3] < 300, "%v", counts)
+	assert.Equal(t, counts[0]+counts[3]+counts[-1], 10_000)
 }
 
 // TestSampleLoad guards against samples whose mean is not the given one.
--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -38,14 +38,18 @@
 	}
 	assessments := r.Timings.Assess(r.Service.Name, serverIDs(list), slotsOf(list), now)
 	differ := timing.Differ(assessments)
+	health := make([]float64, len(list))
 	for i, s := range list {
+		if !servers[i].Skip {
+			health[i] = servers[i].Weight
+		}
 		servers[i].InFlight = r.Alloc.Own(s.ID).Calls
 		if differ {
 			servers[i].InFlight += timing.SampleLoad(assessments[i].PeerLoad, rng)
 			servers[i].Weight *= servers[i].Weight * assessments[i].Weight
 		}
 	}
-	if i := timing.Probe(assessments, func(i int) bool { return servers[i].Skip }, rng); i >= 0 {
+	if i := timing.Probe(assessments, func(i int) float64 { return health[i] }, rng); i >= 0 {
 		return list[i]
 	}
 	return chosen(list, assign.ChoosePlain(servers, rng))
