Assume the usual load of plain servers that a full message leaves out

A hub's response holds 64 servers at most. The others had no calls in flight for the choice, so with more than 64 servers that differ they got most calls. If a hub's response is full, a server without figures now counts with the median load per slot of those of its service that are in the response. Responses with room for further servers are used as before.

TestServersLeftOut: 100 servers, one of them 4 times slower, 5,000 calls per second, responses every 0.5 s.

--- a/internal/policy/timing/assess.go
+++ b/internal/policy/timing/assess.go
@@ -89,6 +89,26 @@
 	setProbes(out, all, total)
 }
 
+// assumeLoads sets the loads of servers that a full message leaves out to the median per slot of
+// those in it. Otherwise they would look idle.
+func assumeLoads(list []ident.Server, slots []int, known map[ident.Server]Stats, out []Assessment) {
+	var perSlot []float64
+	for i, id := range list {
+		if _, ok := known[id]; ok {
+			perSlot = append(perSlot, out[i].PeerLoad/slotsOf(slots, i))
+		}
+	}
+	if len(perSlot) == 0 {
+		return
+	}
+	slices.Sort(perSlot)
+	for i, id := range list {
+		if _, ok := known[id]; !ok {
+			out[i].PeerLoad = perSlot[(len(perSlot)-1)/2] * slotsOf(slots, i)
+		}
+	}
+}
+
 // markOverloaded sets which servers have far more calls of other VMs in flight than their slots
 // would have at the median of the calls per slot.
 func markOverloaded(out []Assessment, slots []int) {
--- a/internal/policy/timing/assess_test.go
+++ b/internal/policy/timing/assess_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/assign"
 )
 
 var servers = []ident.Server{"a", "b", "c"}
@@ -238,3 +240,56 @@
 		})
 	}
 }
+
+// TestServersLeftOut guards against servers that look idle because a full message of a hub leaves
+// them out, so that they get too many calls.
+func TestServersLeftOut(t *testing.T) {
+	const (
+		count     = 100
+		callRate  = 5000 // a second
+		rounds    = 40   // between messages
+		perRound  = callRate / 2
+		slotCount = 6
+	)
+	rng, tracker, now := rand.New(rand.NewPCG(1, 2)), newTracker(), start
+	list, slots := make([]ident.Server, count), make([]int, count)
+	for i := range list {
+		list[i], slots[i] = ident.Server(fmt.Sprint("s", i)), slotCount
+	}
+	last, current := make([]int, count), make([]int, count)
+	leftOut, all, most := 0, 0, 0
+	for round := range rounds {
+		stats := make(map[ident.Server]Stats)
+		for i, id := range list {
+			if n := last[i] + current[i]; n > 0 {
+				stats[id] = Stats{Responses: n, Time: time.Duration(n) * 30 * ms}
+			}
+		}
+		if s := stats["s0"]; s.Responses > 0 {
+			stats["s0"] = Stats{Responses: s.Responses, Time: 4 * s.Time} // the servers differ
+		}
+		stats = busiest(stats)
+		tracker.HandleResponse("hub", 60, stats, now)
+		assessments := tracker.Assess("s", list, slots, now)
+		last, current = current, make([]int, count)
+		for range perRound {
+			choices := make([]assign.Server, count)
+			for i, a := range assessments {
+				choices[i] = assign.Server{Slots: slotCount, Weight: a.Weight, InFlight: SampleLoad(a.PeerLoad, rng)}
+			}
+			i := assign.ChoosePlain(choices, rng)
+			current[i]++
+			if _, ok := stats[list[i]]; !ok && round >= 4 {
+				leftOut++
+			}
+		}
+		if round >= 4 {
+			all += perRound
+			most = max(most, slices.Max(current))
+		}
+		now = now.Add(500 * ms)
+	}
+	share := float64(leftOut) / float64(all)
+	t.Logf("servers left out: %.2f of the calls; most calls of a server in a round: %d, mean %d", share, most, perRound/count)
+	assert.Assert(t, share < 1.2*(count-MaxServers)/count, "%.2f of the calls", share)
+}
--- a/internal/policy/timing/fleet.go
+++ b/internal/policy/timing/fleet.go
@@ -28,6 +28,7 @@
 	at        time.Time
 	reporting int // in a hub's response, the number of VMs that report to the hub
 	stats     map[ident.Server]Stats
+	full      bool // the message had no room for further servers
 }
 
 // fleet holds the sums of other VMs: those reported to this VM, and those returned by hubs.
@@ -66,7 +67,8 @@
 // addResponse replaces the response of a hub. The caller's VM has few hubs at a time, and
 // responses of former hubs expire.
 func (f *fleet) addResponse(hub ident.VM, reporting int, stats map[ident.Server]Stats, now time.Time) {
-	f.responses[hub] = report{at: now, reporting: reporting, stats: validEntries(stats)}
+	stats = validEntries(stats)
+	f.responses[hub] = report{at: now, reporting: reporting, stats: stats, full: len(stats) >= MaxServers}
 	for other, r := range f.responses {
 		if now.Sub(r.at) > responseTTL {
 			delete(f.responses, other)
@@ -90,7 +92,7 @@
 
 // others returns the sums of the other VMs: the latest response among the hubs that most VMs
 // report to, or the reports to this VM, if they cover as many VMs.
-func (f *fleet) others(now time.Time) map[ident.Server]Stats {
+func (f *fleet) others(now time.Time) report {
 	f.purge(now)
 	best := report{reporting: len(f.reports), stats: f.total, at: now}
 	most := best.reporting
@@ -107,7 +109,7 @@
 			}
 		}
 	}
-	return best.stats
+	return best
 }
 
 // validEntries returns the valid entries of another VM's message, at most MaxServers.
--- a/internal/policy/timing/tracker.go
+++ b/internal/policy/timing/tracker.go
@@ -145,12 +145,15 @@
 	all, others := make([]Stats, len(list)), t.fleet.others(now)
 	out := make([]Assessment, len(list))
 	for i, id := range list {
-		all[i] = others[id]
+		all[i] = others.stats[id]
 		out[i].PeerLoad = all[i].load()
 		if w := t.own[id]; w != nil {
 			all[i] = all[i].add(w.sum(now))
 		}
 	}
+	if others.full {
+		assumeLoads(list, slots, others.stats, out)
+	}
 	s.assess(list, slots, all, out, now)
 	changes := s.update(name, list, out)
 	t.mu.Unlock()
--- a/internal/policy/timing/tracker_test.go
+++ b/internal/policy/timing/tracker_test.go
@@ -161,7 +161,7 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := newTracker()
 			tc.apply(tracker)
-			assert.Equal(t, tracker.fleet.others(start.Add(tc.after))["s"].Responses, tc.want)
+			assert.Equal(t, tracker.fleet.others(start.Add(tc.after)).stats["s"].Responses, tc.want)
 		})
 	}
 }
