Give each plain service a fair part of the places in a message

A report and a hub's response hold 64 servers, those with the most calls. A service with 64 busy servers left none for a small service, whose VMs then chose by their own figures only. The places now go to the services in turn, to the servers of each by their calls. With one service, and with up to 64 servers, messages are as before. The format is unchanged.

TestFairParts: with 200 servers of one service and 3 of another, the small one had no place before and has 3 after; it fails in 3 of its 5 cases if the services are not told apart.

--- a/internal/policy/timing/assess_test.go
+++ b/internal/policy/timing/assess_test.go
@@ -268,7 +268,7 @@
 		if s := stats["s0"]; s.Responses > 0 {
 			stats["s0"] = Stats{Responses: s.Responses, Time: 4 * s.Time} // the servers differ
 		}
-		stats = busiest(stats)
+		stats = busiest(stats, oneService)
 		tracker.HandleResponse("hub", 60, stats, now)
 		assessments := tracker.Assess("s", list, slots, now)
 		last, current = current, make([]int, count)
--- a/internal/policy/timing/fleet.go
+++ b/internal/policy/timing/fleet.go
@@ -11,7 +11,7 @@
 
 const (
 	// MaxServers is the maximum number of servers in a report or in a hub's response: those
-	// with the most calls.
+	// with the most calls of each service.
 	MaxServers = 64
 	// reportTTL is how long a VM's report is part of the sums. It tolerates the loss of two
 	// reports.
@@ -115,17 +115,26 @@
 // validEntries returns the valid entries of another VM's message, at most MaxServers.
 func validEntries(stats map[ident.Server]Stats) map[ident.Server]Stats {
 	maps.DeleteFunc(stats, func(id ident.Server, s Stats) bool { return id == "" || !s.valid() })
-	return busiest(stats)
+	return busiest(stats, func(ident.Server) ident.Service { return "" }) // the sender has left out others
 }
 
-// busiest removes all but the MaxServers servers with the most calls.
-func busiest(stats map[ident.Server]Stats) map[ident.Server]Stats {
+// busiest removes all but MaxServers servers: of each service those with the most calls, and of all
+// services as many, unless some have fewer. serviceOf returns the service of a server.
+func busiest(stats map[ident.Server]Stats, serviceOf func(ident.Server) ident.Service) map[ident.Server]Stats {
 	if len(stats) <= MaxServers {
 		return stats
 	}
-	ids := slices.SortedFunc(maps.Keys(stats), func(a, b ident.Server) int {
+	byCalls := func(a, b ident.Server) int {
 		return cmp.Or(cmp.Compare(stats[b].calls(), stats[a].calls()), cmp.Compare(a, b))
-	})
+	}
+	ids := slices.SortedFunc(maps.Keys(stats), byCalls)
+	ranks, counts := make(map[ident.Server]int, len(ids)), make(map[ident.Service]int)
+	for _, id := range ids {
+		s := serviceOf(id)
+		ranks[id] = counts[s] // among the servers of its service
+		counts[s]++
+	}
+	slices.SortFunc(ids, func(a, b ident.Server) int { return cmp.Or(cmp.Compare(ranks[a], ranks[b]), byCalls(a, b)) })
 	for _, id := range ids[MaxServers:] {
 		delete(stats, id)
 	}
--- a/internal/policy/timing/tracker.go
+++ b/internal/policy/timing/tracker.go
@@ -67,11 +67,11 @@
 }
 
 // Report returns this VM's sums of the servers that answered calls in the last Window.
-// inFlight returns the number of this VM's calls in flight at a server.
-func (t *Tracker) Report(inFlight func(ident.Server) int, now time.Time) map[ident.Server]Stats {
+// serviceOf returns the service of a server, inFlight the number of this VM's calls in flight at it.
+func (t *Tracker) Report(serviceOf func(ident.Server) ident.Service, inFlight func(ident.Server) int, now time.Time) map[ident.Server]Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return busiest(t.ownSums(inFlight, now))
+	return busiest(t.ownSums(inFlight, now), serviceOf)
 }
 
 // ownSums returns this VM's sums, and drops the windows of servers without any.
@@ -104,7 +104,7 @@
 		}
 	}
 	keepComparable(out, serviceOf)
-	return busiest(out)
+	return busiest(out, serviceOf)
 }
 
 // keepComparable removes the servers of services with fewer than minResponses calls per server on
--- a/internal/policy/timing/tracker_test.go
+++ b/internal/policy/timing/tracker_test.go
@@ -97,7 +97,7 @@
 		{2 * Window, Stats{}},
 	} {
 		t.Run(tc.after.String(), func(t *testing.T) {
-			assert.Equal(t, tracker.Report(inFlight, start.Add(tc.after))["s"], tc.want)
+			assert.Equal(t, tracker.Report(oneService, inFlight, start.Add(tc.after))["s"], tc.want)
 		})
 	}
 	assert.Equal(t, len(tracker.own), 0, "windows that are kept without calls")
@@ -126,7 +126,7 @@
 		observe(tracker, id, 1+n, time.Millisecond, start)
 		large[id] = Stats{Responses: 1 + n}
 	}
-	own := tracker.Report(noCalls, start)
+	own := tracker.Report(oneService, noCalls, start)
 	assert.Equal(t, len(own), MaxServers)
 	assert.Assert(t, own["s191"].Responses > 0, "the server with the most calls is left out")
 	tracker.HandleReport("vm", large, start)
@@ -136,6 +136,46 @@
 	assert.Equal(t, len(tracker.fleet.total), 0)
 }
 
+// TestFairParts guards against a large service whose servers leave no place in a message for those of
+// a small one.
+func TestFairParts(t *testing.T) {
+	serviceOf := func(id ident.Server) ident.Service { return ident.Service(id[:1]) }
+	for name, tc := range map[string]struct {
+		servers, want map[string]int // by service, in the order of their calls: "a" has the most
+	}{
+		"a small service":         {servers: map[string]int{"a": 200, "b": 3}, want: map[string]int{"a": 61, "b": 3}},
+		"two large, one small":    {servers: map[string]int{"a": 200, "b": 90, "c": 4}, want: map[string]int{"a": 30, "b": 30, "c": 4}},
+		"room for all":            {servers: map[string]int{"a": 60, "b": 4}, want: map[string]int{"a": 60, "b": 4}},
+		"one service":             {servers: map[string]int{"a": 65}, want: map[string]int{"a": 64}},
+		"a service just too many": {servers: map[string]int{"a": 60, "b": 5}, want: map[string]int{"a": 59, "b": 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker, sums := newTracker(), make(map[ident.Server]Stats)
+			for s, count := range tc.servers {
+				for n := range count {
+					id, calls := ident.Server(fmt.Sprint(s, n)), 100*('d'-int(s[0]))+n
+					observe(tracker, id, calls, time.Millisecond, start)
+					sums[id] = Stats{Responses: calls, Time: time.Duration(calls) * time.Millisecond}
+				}
+			}
+			report := tracker.Report(serviceOf, noCalls, start)
+			for message, stats := range map[string]map[ident.Server]Stats{"report": report, "response": tracker.Response("other", serviceOf, noCalls, start)} {
+				got := make(map[string]int)
+				for id := range stats {
+					got[string(serviceOf(id))]++
+				}
+				assert.DeepEqual(t, got, tc.want)
+				for s, count := range tc.servers {
+					for n := count - tc.want[s]; n < count; n++ {
+						id := ident.Server(fmt.Sprint(s, n))
+						assert.Equal(t, stats[id], sums[id], "%s: a server with more calls than others of its service is left out: %s", message, id)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestHubs checks which of the known figures of the other VMs count.
 func TestHubs(t *testing.T) {
 	figures := func(n int) map[ident.Server]Stats { return map[ident.Server]Stats{"s": {Responses: n}} }
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -88,7 +88,7 @@
 	n.confirmCrashes(now)
 	m.Findings = n.Poison.Report(now)
 	m.Limits = n.Rates.Report(now)
-	m.Timings = n.Timings.Report(n.ownCalls, now)
+	m.Timings = n.Timings.Report(n.serviceOf, n.ownCalls, now)
 	d.fillCommon(m, now)
 }
 
--- a/internal/route/unary/fleet_test.go
+++ b/internal/route/unary/fleet_test.go
@@ -215,6 +215,7 @@
 	calls := func(n int) func(ident.Server) int {
 		return func(id ident.Server) int { return vms[n].Alloc.Own(id).Calls }
 	}
+	serviceOf := func(ident.Server) ident.Service { return "s" }
 	time.Sleep(time.Duration(n) * hubs.ReportInterval / vmCount)
 	for ; time.Since(f.start) < endAt; time.Sleep(hubs.ReportInterval) {
 		if since := time.Since(f.start); sc.hubsLost && since > changeAt && since < restoreAt {
@@ -224,8 +225,8 @@
 			if hub == n {
 				continue
 			}
-			vms[hub].Timings.HandleReport(name(n), vms[n].Timings.Report(calls(n), time.Now()), time.Now())
-			vms[n].Timings.HandleResponse(name(hub), vmCount-1, vms[hub].Timings.Response(name(n), func(ident.Server) ident.Service { return "s" }, calls(hub), time.Now()), time.Now())
+			vms[hub].Timings.HandleReport(name(n), vms[n].Timings.Report(serviceOf, calls(n), time.Now()), time.Now())
+			vms[n].Timings.HandleResponse(name(hub), vmCount-1, vms[hub].Timings.Response(name(n), serviceOf, calls(hub), time.Now()), time.Now())
 		}
 	}
 }
