Use one type for the choice among hubs' responses

policy/timing and policy/retry each had their own copy of the choice between the responses of hubs and the reports to this VM. policy/source has it once; the two differ in how long a response counts and in the fraction of the VMs that a source must include. The choice of each is as before, except that the retry budget takes the latest of several responses that include the same, largest number of VMs, where it took any of them.

--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/source"
 )
 
 const (
@@ -185,26 +186,21 @@
 // a hub's response or the reports to this VM.
 func (b *FleetBudget) others(now time.Time) FleetTotal {
 	known, reporting := b.peers.ReporterCounts(now)
-	known = max(known, b.maxKnown)
-	best := FleetTotal{Reporting: reporting}
-	ownReports := true
-	for hub, t := range b.responses {
-		if now.Sub(t.At) > responseTTL {
-			delete(b.responses, hub)
-			continue
-		}
-		if t.Reporting > best.Reporting {
-			best, ownReports = t, false
-		}
-	}
-	best.Known = known
-	if ownReports {
+	best, ok := choice.Best(b.responses, reporting, now)
+	if !ok {
 		b.purge(now)
-		best.Attempts = b.reportSum
+		best = FleetTotal{Reporting: reporting, Attempts: b.reportSum}
 	}
+	best.Known = max(known, b.maxKnown)
 	return best
 }
 
+// choice is how the source of the other VMs' attempts is chosen.
+var choice = source.Choice[FleetTotal]{
+	TTL: responseTTL, MinCoverage: 1,
+	Of: func(t FleetTotal) (time.Time, int) { return t.At, t.Reporting },
+}
+
 func (a Attempts) sub(o Attempts) Attempts {
 	return Attempts{First: a.First - o.First, Retries: a.Retries - o.Retries}
 }
--- a/internal/policy/timing/fleet.go
+++ b/internal/policy/timing/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/source"
 )
 
 const (
@@ -90,26 +91,20 @@
 	}
 }
 
+// choice is how the source of the other VMs' sums is chosen.
+var choice = source.Choice[report]{
+	TTL: responseTTL, MinCoverage: minCoverage,
+	Of: func(r report) (time.Time, int) { return r.at, r.reporting },
+}
+
 // others returns the sums of the other VMs: the latest response among the hubs that most VMs
 // report to, or the reports to this VM, if they cover as many VMs.
 func (f *fleet) others(now time.Time) report {
 	f.purge(now)
-	best := report{reporting: len(f.reports), stats: f.total, at: now}
-	most := best.reporting
-	for _, r := range f.responses {
-		if now.Sub(r.at) <= responseTTL {
-			most = max(most, r.reporting)
-		}
-	}
-	if enough := minCoverage * float64(most); float64(best.reporting) < enough {
-		best.at = time.Time{}
-		for _, r := range f.responses {
-			if now.Sub(r.at) <= responseTTL && float64(r.reporting) >= enough && r.at.After(best.at) {
-				best = r
-			}
-		}
+	if best, ok := choice.Best(f.responses, len(f.reports), now); ok {
+		return best
 	}
-	return best
+	return report{at: now, stats: f.total}
 }
 
 // validEntries returns the valid entries of another VM's message, at most MaxServers.
