Define the prefill rate of engines once

prefillRate was defined in policy/admit and policy/assign with the same value. policy/assign now uses that of policy/admit. No change in behaviour; both packages pass with -race.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -2,14 +2,15 @@
 
 import "time"
 
+// PrefillRate is the number of prompt tokens per second that an engine processes while it also
+// decodes the streams of a batch.
+const PrefillRate = 7000.0
+
 const (
 	// maxTokensAhead is how many more tokens a stream is expected to generate before
 	// another stream of its engine ends and frees memory. Reserving the whole expected
 	// length would make engines count as full long before they are.
 	maxTokensAhead = 250
-	// prefillRate is the number of prompt tokens per second that an engine processes
-	// while it also decodes the streams of a batch.
-	prefillRate = 7000.0
 	// startAllowance is the part of the latency target that is reserved for the network
 	// latency to the engine, its first decode step and the prefill of one earlier prompt.
 	startAllowance = 700 * time.Millisecond
@@ -38,7 +39,7 @@
 // prompt tokens that need prefill. The result is at least minWaitShare of the target, less
 // the elapsed time, and not negative.
 func OnTimeWait(target, elapsed time.Duration, promptTokens int) time.Duration {
-	prefill := time.Duration(float64(promptTokens) / prefillRate * float64(time.Second))
+	prefill := time.Duration(float64(promptTokens) / PrefillRate * float64(time.Second))
 	minWait := time.Duration(minWaitShare * float64(target))
 	return max(0, max(target-prefill-startAllowance, minWait)-elapsed)
 }
--- a/internal/policy/assign/pace.go
+++ b/internal/policy/assign/pace.go
@@ -1,6 +1,10 @@
 package assign
 
-import "time"
+import (
+	"time"
+
+	"umberladder/internal/policy/admit"
+)
 
 const (
 	// timeWeight is the cost of each second that a run takes from its placement to its end, by
@@ -85,7 +89,7 @@
 		w = localJitterWeight
 	}
 	if r.Local && r.isShort() {
-		w = max(w, localJitterStreams*delayWeight*float64(r.Prefill)/prefillRate)
+		w = max(w, localJitterStreams*delayWeight*float64(r.Prefill)/admit.PrefillRate)
 	}
 	return w
 }
@@ -113,7 +117,7 @@
 	if !s.Pace.known() || r.Output == 0 {
 		return 0
 	}
-	first := float64(s.PrefillBacklog+r.Prefill) / prefillRate * s.Pace.slowdown()
+	first := float64(s.PrefillBacklog+r.Prefill) / admit.PrefillRate * s.Pace.slowdown()
 	c := timeWeight * (first + float64(r.Output)*s.Pace.perToken())
 	if r.LatencyTarget > 0 {
 		c += lateStartWeight * max(0, first-latencyShare*r.LatencyTarget.Seconds())
--- a/internal/policy/assign/short.go
+++ b/internal/policy/assign/short.go
@@ -1,14 +1,15 @@
 package assign
 
-import "time"
+import (
+	"time"
+
+	"umberladder/internal/policy/admit"
+)
 
 const (
 	// shortOutput is the number of expected output tokens below which a run is short: it is in
 	// the batch for tens of decode steps, and its prompt takes longer than its output.
 	shortOutput = 100
-	// prefillRate is the number of prompt tokens per second that an engine processes while it
-	// also decodes the streams of a batch.
-	prefillRate = 7000.0
 	// delayWeight is the cost of each second by which the prefill of a short run's prompt
 	// delays a stream of the batch, in cost per second and stream. A prompt of 2,500 tokens
 	// costs 0.25 for each stream under way.
@@ -50,8 +51,8 @@
 // shortCost returns the cost of the server for a short run, without that of another failure
 // domain: mostly the delay of the streams of its batch.
 func (s *Server) shortCost(r *Run) float64 {
-	prefill := float64(r.Prefill) / prefillRate * s.Pace.slowdown()
-	backlog := float64(s.PrefillBacklog) / prefillRate * s.Pace.slowdown()
+	prefill := float64(r.Prefill) / admit.PrefillRate * s.Pace.slowdown()
+	backlog := float64(s.PrefillBacklog) / admit.PrefillRate * s.Pace.slowdown()
 	c := shortBaseCost +
 		delayWeight*prefill*float64(s.InFlight) +
 		shortBacklogWeight*backlog +
