--- a/internal/policy/timing/fleet.go
+++ b/internal/policy/timing/fleet.go
@@ -7,11 +7,12 @@
 	"time"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/source"
 )
 
 const (
 	// MaxServers is the maximum number of servers in a report or in a hub's response: those
-	// with the most calls.
+	// with the most calls of each service.
 	MaxServers = 64
 	// reportTTL is how long a VM's report is part of the sums. It tolerates the loss of two
 	// reports.
@@ -28,6 +29,7 @@
 	at        time.Time
 	reporting int // in a hub's response, the number of VMs that report to the hub
 	stats     map[ident.Server]Stats
+	full      bool // the message had no room for further servers
 }
 
 // fleet holds the sums of other VMs: those reported to this VM, and those returned by hubs.
@@ -66,7 +68,8 @@
 // addResponse replaces the response of a hub. The caller's VM has few hubs at a time, and
 // responses of former hubs expire.
 func (f *fleet) addResponse(hub ident.VM, reporting int, stats map[ident.Server]Stats, now time.Time) {
-	f.responses[hub] = report{at: now, reporting: reporting, stats: validEntries(stats)}
+	stats = validEntries(stats)
+	f.responses[hub] = report{at: now, reporting: reporting, stats: stats, full: len(stats) >= MaxServers}
 	for other, r := range f.responses {
 		if now.Sub(r.at) > responseTTL {
 			delete(f.responses, other)
@@ -88,42 +91,45 @@
 	}
 }
 
+// choice is how the source of the other VMs' sums is chosen.
+var choice = source.Choice[report]{
+	TTL: responseTTL, MinCoverage: minCoverage,
+	Of: func(r report) (time.Time, int) { return r.at, r.reporting },
+}
+
 // others returns the sums of the other VMs: the latest response among the hubs that most VMs
 // report to, or the reports to this VM, if they cover as many VMs.
-func (f *fleet) others(now time.Time) map[ident.Server]Stats {
+func (f *fleet) others(now time.Time) report {
 	f.purge(now)
-	best := report{reporting: len(f.reports), stats: f.total, at: now}
-	most := best.reporting
-	for _, r := range f.responses {
-		if now.Sub(r.at) <= responseTTL {
-			most = max(most, r.reporting)
-		}
+	if best, ok := choice.Best(f.responses, len(f.reports), now); ok {
+		return best
 	}
-	if enough := minCoverage * float64(most); float64(best.reporting) < enough {
-		best.at = time.Time{}
-		for _, r := range f.responses {
-			if now.Sub(r.at) <= responseTTL && float64(r.reporting) >= enough && r.at.After(best.at) {
-				best = r
-			}
-		}
-	}
-	return best.stats
+	return report{at: now, stats: f.total}
 }
 
 // validEntries returns the valid entries of another VM's message, at most MaxServers.
 func validEntries(stats map[ident.Server]Stats) map[ident.Server]Stats {
 	maps.DeleteFunc(stats, func(id ident.Server, s Stats) bool { return id == "" || !s.valid() })
-	return busiest(stats)
+	return busiest(stats, func(ident.Server) ident.Service { return "" }) // the sender has left out others
 }
 
-// busiest removes all but the MaxServers servers with the most calls.
-func busiest(stats map[ident.Server]Stats) map[ident.Server]Stats {
+// busiest removes all but MaxServers servers: of each service those with the most calls, and of all
+// services as many, unless some have fewer. serviceOf returns the service of a server.
+func busiest(stats map[ident.Server]Stats, serviceOf func(ident.Server) ident.Service) map[ident.Server]Stats {
 	if len(stats) <= MaxServers {
 		return stats
 	}
-	ids := slices.SortedFunc(maps.Keys(stats), func(a, b ident.Server) int {
+	byCalls := func(a, b ident.Server) int {
 		return cmp.Or(cmp.Compare(stats[b].calls(), stats[a].calls()), cmp.Compare(a, b))
-	})
+	}
+	ids := slices.SortedFunc(maps.Keys(stats), byCalls)
+	ranks, counts := make(map[ident.Server]int, len(ids)), make(map[ident.Service]int)
+	for _, id := range ids {
+		s := serviceOf(id)
+		ranks[id] = counts[s] // among the servers of its service
+		counts[s]++
+	}
+	slices.SortFunc(ids, func(a, b ident.Server) int { return cmp.Or(cmp.Compare(ranks[a], ranks[b]), byCalls(a, b)) })
 	for _, id := range ids[MaxServers:] {
 		delete(stats, id)
 	}
--- a/internal/policy/timing/status.go
+++ b/internal/policy/timing/status.go
@@ -23,7 +23,7 @@
 func (t *Tracker) Status(name ident.Service, list []ident.Server, inFlight func(ident.Server) int, now time.Time) ([]ServerStatus, time.Duration) {
 	s, all, peers := t.copyService(name, list, now)
 	assessments := make([]Assessment, len(list))
-	s.assess(list, all, assessments, now)
+	s.assess(list, nil, all, assessments, now) // slots matter only for loads and probes
 	out, median := make([]ServerStatus, len(list)), time.Duration(0)
 	for i, id := range list {
 		a := assessments[i]
@@ -45,7 +45,7 @@
 	all, peers = make([]Stats, len(list)), make([]Stats, len(list))
 	others := t.fleet.others(now)
 	for i, id := range list {
-		peers[i] = others[id]
+		peers[i] = others.stats[id]
 		all[i] = peers[i]
 		if w := t.own[id]; w != nil {
 			own := *w // sum advances the window
--- a/internal/policy/timing/tracker.go
+++ b/internal/policy/timing/tracker.go
@@ -67,11 +67,11 @@
 }
 
 // Report returns this VM's sums of the servers that answered calls in the last Window.
-// inFlight returns the number of this VM's calls in flight at a server.
-func (t *Tracker) Report(inFlight func(ident.Server) int, now time.Time) map[ident.Server]Stats {
+// serviceOf returns the service of a server, inFlight the number of this VM's calls in flight at it.
+func (t *Tracker) Report(serviceOf func(ident.Server) ident.Service, inFlight func(ident.Server) int, now time.Time) map[ident.Server]Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return busiest(t.ownSums(inFlight, now))
+	return busiest(t.ownSums(inFlight, now), serviceOf)
 }
 
 // ownSums returns this VM's sums, and drops the windows of servers without any.
@@ -104,7 +104,7 @@
 		}
 	}
 	keepComparable(out, serviceOf)
-	return busiest(out)
+	return busiest(out, serviceOf)
 }
 
 // keepComparable removes the servers of services with fewer than minResponses calls per server on
@@ -137,20 +137,24 @@
 	t.fleet.addResponse(hub, reporting, stats, now)
 }
 
-// Assess returns the assessments of a service's servers, in the order of the list.
-func (t *Tracker) Assess(name ident.Service, list []ident.Server, now time.Time) []Assessment {
+// Assess returns the assessments of a service's servers, in the order of the list. slots holds
+// their numbers of slots in the same order; nil: all have the same.
+func (t *Tracker) Assess(name ident.Service, list []ident.Server, slots []int, now time.Time) []Assessment {
 	t.mu.Lock()
 	s := t.service(name, now)
 	all, others := make([]Stats, len(list)), t.fleet.others(now)
 	out := make([]Assessment, len(list))
 	for i, id := range list {
-		all[i] = others[id]
+		all[i] = others.stats[id]
 		out[i].PeerLoad = all[i].load()
 		if w := t.own[id]; w != nil {
 			all[i] = all[i].add(w.sum(now))
 		}
 	}
-	s.assess(list, all, out, now)
+	if others.full {
+		assumeLoads(list, slots, others.stats, out)
+	}
+	s.assess(list, slots, all, out, now)
 	changes := s.update(name, list, out)
 	t.mu.Unlock()
 	for _, c := range changes {
--- a/internal/route/unary/pick.go
+++ b/internal/route/unary/pick.go
@@ -36,16 +36,20 @@
 		}
 		return chosen(list, assign.ChoosePlain(servers, rng))
 	}
-	assessments := r.Timings.Assess(r.Service.Name, serverIDs(list), now)
+	assessments := r.Timings.Assess(r.Service.Name, serverIDs(list), slotsOf(list), now)
 	differ := timing.Differ(assessments)
+	health := make([]float64, len(list))
 	for i, s := range list {
+		if !servers[i].Skip {
+			health[i] = servers[i].Weight
+		}
 		servers[i].InFlight = r.Alloc.Own(s.ID).Calls
 		if differ {
 			servers[i].InFlight += timing.SampleLoad(assessments[i].PeerLoad, rng)
 			servers[i].Weight *= servers[i].Weight * assessments[i].Weight
 		}
 	}
-	if i := timing.Probe(assessments, func(i int) bool { return servers[i].Skip }, rng); i >= 0 {
+	if i := timing.Probe(assessments, func(i int) float64 { return health[i] }, rng); i >= 0 {
 		return list[i]
 	}
 	return chosen(list, assign.ChoosePlain(servers, rng))
@@ -67,6 +71,14 @@
 	return ids
 }
 
+func slotsOf(list []*srvtab.Server) []int {
+	slots := make([]int, len(list))
+	for i, s := range list {
+		slots[i] = s.Slots
+	}
+	return slots
+}
+
 // observeTiming records how long a plain server took for a call, or that it did not run the
 // call. A failure says nothing about the time that calls take, and the way through another VM
 // takes time that is not the server's.
