--- a/internal/policy/timing/status_test.go
+++ b/internal/policy/timing/status_test.go
@@ -26,11 +26,11 @@
 	assert.DeepEqual(t, got[0], ServerStatus{Server: "x", Mean: 10 * time.Millisecond, Weight: 1, InFlight: 1})
 	assert.Equal(t, got[2].InFlight, 4)
 	tracker.changed = func(Change) {}
-	for i, a := range tracker.Assess("s", list, start) {
+	for i, a := range tracker.Assess("s", list, nil, start) {
 		assert.DeepEqual(t, ServerStatus{Server: list[i], Mean: a.Mean, Weight: a.Weight, Slow: a.Slow, InFlight: got[i].InFlight}, got[i])
 	}
 	assert.Assert(t, got[2].Slow)
 	later := start.Add(2 * time.Second) // the window has no calls, and the means fade
 	got, _ = tracker.Status("s", list, own, later)
-	assert.Equal(t, got[2].Weight, tracker.Assess("s", list, later)[2].Weight)
+	assert.Equal(t, got[2].Weight, tracker.Assess("s", list, nil, later)[2].Weight)
 }
