End grants of brief calls with the report that includes them

A grant for a plain call to a brittle server counted for 25 ms in addition to the reported loads. A VM that gets no processor time receives or reports the grant later than that, and the place was granted twice.

VMs now state in their reports the IDs of the placement requests for which they have received a grant in the last 200 ms, together with the loads that include these calls. The grant ends with the first such report, or after 200 ms. The IDs are those that requests already have; the field takes one or two bytes for each grant and is left out if there are none. A brief request states that its VM does so. Grants to older VMs count for 25 ms as before, and grants of streams are unchanged.

--- a/internal/peer/wire/message.go
+++ b/internal/peer/wire/message.go
@@ -28,6 +28,9 @@
 	Seq      uint64 // number of the message within its instance
 	Part     int    // number of the part of the loads; parts with the same Instance and Seq belong together
 	Loads    map[ident.Server]alloc.Load
+	// Grants are the IDs, in ascending order, of the VM's placement requests whose grants for
+	// brief calls it has received recently. Loads include these calls if they have not ended.
+	Grants   []uint64
 	Attempts map[ident.Service]retry.Attempts // in the window of the retry budget
 	Retired  []ident.Server                   // servers that were found to be retired recently
 	// Draining are the servers that have announced that they drain. Their entries in the
@@ -111,6 +114,7 @@
 	fieldOriginQuery       = 29
 	fieldOriginAnswer      = 30
 	fieldTiming            = 31
+	fieldGrants            = 32
 
 	loadServer    = 1
 	loadCalls     = 2
@@ -143,6 +147,7 @@
 	for id, l := range m.Loads {
 		b = appendBytes(b, fieldLoad, encodeLoad(id, l))
 	}
+	b = appendGrants(b, fieldGrants, m.Grants)
 	for name, attempts := range m.Attempts {
 		b = appendBytes(b, fieldAttempts, encodeAttempts(name, attempts))
 	}
@@ -302,7 +307,7 @@
 		m.Reply, err = decodeReply(data)
 	case fieldHub:
 		m.Hub, err = decodeHub(data)
-	case fieldPlacementRequest, fieldPlacementResponse:
+	case fieldPlacementRequest, fieldPlacementResponse, fieldGrants:
 		err = m.setPlacement(n, data)
 	case fieldOrigin, fieldOriginQuery, fieldOriginAnswer:
 		err = m.setOrigin(n, data)
@@ -315,9 +320,12 @@
 // setPlacement decodes a field about the placement of a run.
 func (m *Message) setPlacement(n protowire.Number, data []byte) error {
 	var err error
-	if n == fieldPlacementRequest {
+	switch n {
+	case fieldGrants:
+		m.Grants, err = decodeGrants(data)
+	case fieldPlacementRequest:
 		m.PlacementRequest, err = decodePlacementRequest(m.VM, data)
-	} else {
+	default:
 		m.PlacementResponse, err = decodePlacementResponse(data)
 	}
 	return err
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -72,13 +72,17 @@
 			m.Hub.Timings = m.Timings
 		}
 	}
+	for id := uint64(0); len(m.Grants) < 3 && rapid.Bool().Draw(t, "grant"); {
+		id += rapid.Uint64Range(0, 1<<62).Draw(t, "after")
+		m.Grants = append(m.Grants, id)
+	}
 	m.Isolated = rapid.Bool().Draw(t, "isolated")
 	if rapid.Bool().Draw(t, "reply") {
 		m.RequestTime = uint64(n.Draw(t, "request-time"))
 		m.Reply = &VersionReply{RequestTime: m.RequestTime, Version: 7, Age: time.Second}
 	}
 	if rapid.Bool().Draw(t, "placement") {
-		m.PlacementRequest = &coord.Request{VM: m.VM, ID: 8, Run: pick.Request{
+		m.PlacementRequest = &coord.Request{VM: m.VM, ID: 8, ReportsGrants: rapid.Bool().Draw(t, "reports-grants"), Run: pick.Request{
 			Service: "s", Purpose: pick.Migration, Rank: n.Draw(t, "rank"), Need: n.Draw(t, "need"), Prefill: n.Draw(t, "prefill"), EngineMemory: n.Draw(t, "memory"),
 			From: "a", Source: "s", Exclude: []ident.Server{"x", "y"}, Unreachable: []ident.Server{"z"}, Version: ident.Version(name.Draw(t, "run-version")), Backup: rapid.Bool().Draw(t, "backup"), MaxWait: time.Duration(n.Draw(t, "wait")), TargetWait: time.Second, RetryKey: rapid.Uint64().Draw(t, "retry-key"),
 			Output: n.Draw(t, "output"), GapTarget: time.Duration(n.Draw(t, "gap-target")), EventTokens: n.Draw(t, "event-tokens"), LatencyTarget: time.Duration(n.Draw(t, "latency-target")),
--- a/internal/peer/wire/parts.go
+++ b/internal/peer/wire/parts.go
@@ -19,7 +19,7 @@
 	var out [][]byte
 	if m.ServerUpdate != nil {
 		update := *m
-		update.Loads, update.Part, update.RequestTime = nil, updatePart, 0 // only the parts with loads request a reply
+		update.Loads, update.Grants, update.Part, update.RequestTime = nil, nil, updatePart, 0 // only the parts with loads request a reply
 		if b := update.Encode(); len(b) <= limit {
 			out = append(out, b)
 		}
@@ -27,6 +27,9 @@
 	for n, loads := range splitLoads(m.Loads) {
 		part := *m
 		part.ServerUpdate, part.PackedUpdate, part.Loads, part.Part = nil, nil, loads, n
+		if n > 0 {
+			part.Grants = nil
+		}
 		out = append(out, part.Encode())
 	}
 	return out
--- a/internal/peer/wire/placement.go
+++ b/internal/peer/wire/placement.go
@@ -82,6 +82,9 @@
 	if run.Brief {
 		b = appendNumber(b, requestBrief, 1)
 	}
+	if req.ReportsGrants {
+		b = appendNumber(b, requestReportsGrants, 1)
+	}
 	b = appendExpectations(b, run)
 	if run.Weight > 0 {
 		b = appendString(b, requestWorkspace, string(run.Workspace))
@@ -114,6 +117,8 @@
 			run.Workspace = ident.Workspace(data)
 		case requestVersion:
 			run.Version = ident.Version(data)
+		case requestReportsGrants:
+			req.ReportsGrants = v != 0
 		case requestSource:
 			run.Source = ident.Server(data)
 		default:
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -83,7 +83,7 @@
 // FillReport implements gossip.Delegate.
 func (d *delegate) FillReport(m *wire.Message, now time.Time) {
 	n := d.node
-	m.Loads = n.Alloc.Local()
+	m.Loads, m.Grants = n.Alloc.Report(now)
 	m.Attempts = n.Budget.Report(now)
 	n.confirmCrashes(now)
 	m.Findings = n.Poison.Report(now)
@@ -171,7 +171,7 @@
 		n.Timings.HandleReport(m.VM, m.Timings, now)
 	}
 	if m.HasLoads() {
-		n.Alloc.UpdatePeer(m.VM, m.Instance, m.Seq, m.Part, m.Loads, now)
+		n.Alloc.HandleReport(m.VM, m.Instance, m.Seq, m.Part, m.Loads, m.Grants, now)
 	}
 	d.applyCommon(m, from, true, now)
 }
--- a/internal/route/alloc/tracker.go
+++ b/internal/route/alloc/tracker.go
@@ -69,6 +69,7 @@
 	expiredAt time.Time             // when the peers' loads were last checked for their age
 	changed   chan struct{}         // closed at the next change that may free capacity
 	dirty     chan struct{}         // has an element once local loads changed
+	grants    []receivedGrant       // of the last GrantTTL
 }
 
 type peer struct {
@@ -77,6 +78,7 @@
 	seq        uint64
 	parts      []int // parts received of the report with the number seq
 	load       map[ident.Server]Load
+	grants     []uint64 // received grants that the report states, in ascending order
 }
 
 // New returns an empty Tracker.
@@ -102,6 +104,10 @@
 func (t *Tracker) Reserve(server ident.Server, l Load) *Reservation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.reserve(server, l)
+}
+
+func (t *Tracker) reserve(server ident.Server, l Load) *Reservation {
 	t.local[server] = t.local[server].Plus(l)
 	t.markDirty(l)
 	return &Reservation{tracker: t, server: server, load: l}
@@ -191,9 +197,11 @@
 func (t *Tracker) Local() map[ident.Server]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.local)
+	return t.localCopy()
 }
 
+func (t *Tracker) localCopy() map[ident.Server]Load { return maps.Clone(t.local) }
+
 // Own returns this VM's load of a server.
 func (t *Tracker) Own(server ident.Server) Load {
 	t.mu.Lock()
@@ -206,6 +214,12 @@
 // report may arrive in several parts with the same sequence number, in any order: the
 // loads of each part received after another one are added, once.
 func (t *Tracker) UpdatePeer(vm ident.VM, instance, seq uint64, part int, load map[ident.Server]Load, now time.Time) {
+	t.HandleReport(vm, instance, seq, part, load, nil, now)
+}
+
+// HandleReport is UpdatePeer for a report that also states which grants the VM has received, in
+// ascending order. VMs of older versions state none.
+func (t *Tracker) HandleReport(vm ident.VM, instance, seq uint64, part int, load map[ident.Server]Load, grants []uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[vm]
@@ -220,10 +234,13 @@
 	if continued {
 		parts = append(parts, p.parts...)
 		load = sum(load, p.load)
+		if len(grants) == 0 {
+			grants = p.grants // one part states them all
+		}
 	} else {
 		t.subtract(p)
 	}
-	t.peers[vm] = peer{receivedAt: now, instance: instance, seq: seq, parts: parts, load: load}
+	t.peers[vm] = peer{receivedAt: now, instance: instance, seq: seq, parts: parts, load: load, grants: grants}
 	t.signalChanged()
 }
 
--- a/internal/route/coord/coord.go
+++ b/internal/route/coord/coord.go
@@ -39,6 +39,9 @@
 	VM  ident.VM
 	ID  uint64 // unique among the VM's requests
 	Run pick.Request
+	// ReportsGrants is whether the VM's reports state the grant of the run, which is brief, once
+	// the VM has received it. Those of older VMs don't.
+	ReportsGrants bool
 }
 
 // State is the state of a request.
--- a/internal/route/coord/doc.go
+++ b/internal/route/coord/doc.go
@@ -15,6 +15,10 @@
 // states none, as those of older VMs or of settings without workspaces. Shares
 // apply to queued runs only: as long as no run waits, each gets what it asks for.
 //
+// A grant counts in addition to the reported loads until the VM that got it has probably reported
+// the run. That of a brief run, such as a plain call to a brittle server, counts until a report
+// states that the VM has received it, or alloc.GrantTTL if none does.
+//
 // The coordinator holds no state that must survive it. The next VM in the order
 // receives the same load reports and takes over as soon as the first does not
 // respond to requests; a VM that gets no response from either places its runs
--- a/internal/route/coord/grants.go
+++ b/internal/route/coord/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"umberladder/internal/core/ident"
@@ -15,7 +16,7 @@
 	// was lost.
 	grantTTL = 60 * time.Millisecond
 	// briefGrantTTL is the same for a brief run, which usually ends before a lost message
-	// would be repeated.
+	// would be repeated, of a VM whose reports don't state the grants that it has received.
 	briefGrantTTL = 25 * time.Millisecond
 )
 
@@ -24,6 +25,10 @@
 	server ident.Server
 	load   alloc.Load
 	until  time.Time
+	// vm and id identify the request if the grant also ends once the VM's reports include
+	// the run. id is zero otherwise.
+	vm ident.VM
+	id uint64
 }
 
 // tryPlace grants the request capacity, or responds with NoServer. It reports
@@ -40,7 +45,7 @@
 		return false, !errors.As(err, &full) || !full.LinkBusy
 	default:
 		r.response.State, r.response.Server = Granted, placement.Server.ID
-		c.grants = append(c.grants, grant{server: placement.Server.ID, load: r.Run.Load(), until: now.Add(r.grantTTL())})
+		c.grants = append(c.grants, r.newGrant(placement.Server.ID, now))
 		if r.Run.Source != "" {
 			c.grants = append(c.grants, grant{server: r.Run.Source, load: alloc.Load{CopiesOut: 1}, until: now.Add(grantTTL)})
 		}
@@ -55,25 +60,27 @@
 	return true, false
 }
 
-func (r *request) grantTTL() time.Duration {
-	if r.Run.Brief {
-		return briefGrantTTL
+// newGrant returns the grant of a server for the run. A VM that gets no processor time receives
+// and reports the grant of a brief run later than briefGrantTTL. Its place would be granted twice
+// if the grant ended by time alone.
+func (r *request) newGrant(server ident.Server, now time.Time) grant {
+	g := grant{server: server, load: r.Run.Load(), until: now.Add(grantTTL)}
+	switch {
+	case r.Run.Brief && r.ReportsGrants:
+		g.vm, g.id, g.until = r.VM, r.ID, now.Add(alloc.GrantTTL)
+	case r.Run.Brief:
+		g.until = now.Add(briefGrantTTL)
 	}
-	return grantTTL
+	return g
 }
 
 // pendingGrants returns the granted loads that VMs may not have reported yet.
 func (c *Coordinator) pendingGrants(now time.Time) map[ident.Server]alloc.Load {
-	n := 0
-	for n < len(c.grants) && now.After(c.grants[n].until) {
-		n++
-	}
-	c.grants = c.grants[n:]
+	c.grants = slices.DeleteFunc(c.grants, func(g grant) bool {
+		return now.After(g.until) || g.id != 0 && c.chooser.HasReceived(g.vm, g.id)
+	})
 	out := make(map[ident.Server]alloc.Load, len(c.grants))
 	for _, g := range c.grants {
-		if now.After(g.until) {
-			continue // brief grants end before longer ones that were made earlier
-		}
 		out[g.server] = out[g.server].Plus(g.load)
 	}
 	return out
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -43,6 +43,10 @@
 // Changed returns a channel that is closed once capacity may have become free.
 func (c *Chooser) Changed() <-chan struct{} { return c.tracker.Changed() }
 
+// HasReceived reports whether the loads of a VM include a granted call, or were reported after it
+// had ended. id is that of the VM's placement request.
+func (c *Chooser) HasReceived(vm ident.VM, id uint64) bool { return c.tracker.HasReceived(vm, id) }
+
 // Unhealthy returns the service's servers that recently failed calls of this VM.
 func (c *Chooser) Unhealthy(service ident.Service, now time.Time) []ident.Server {
 	return c.ofService(service, c.health.Below(unhealthyWeight, now))
--- a/internal/route/pick/request.go
+++ b/internal/route/pick/request.go
@@ -127,6 +127,7 @@
 type Placement struct {
 	Server *srvtab.Server
 	Backup *srvtab.Server // keeps a copy of the KV cache; nil: none
+	Grant  uint64         // ID of the request that a coordinator granted; zero: decided by the VM that serves the run
 }
 
 // ErrNoServer reports that no server of the service accepts work.
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -126,7 +126,7 @@
 			backup = nil
 		}
 		if view.Accepts(resp.Server) && (r.Version == "" || server.Version == r.Version) && !p.chooser.IsPaused(server.ID, time.Now()) {
-			return pick.Placement{Server: server, Backup: backup}, outcomeCoordinator, nil
+			return pick.Placement{Server: server, Backup: backup, Grant: resp.ID}, outcomeCoordinator, nil
 		}
 		req.Exclude = append(req.Exclude, resp.Server)
 	}
@@ -252,7 +252,7 @@
 		if r.CurrentRank != nil {
 			r.Rank = r.CurrentRank()
 		}
-		p.send(cand, coord.Request{VM: p.vm, ID: id, Run: r})
+		p.send(cand, coord.Request{VM: p.vm, ID: id, Run: r, ReportsGrants: r.Brief})
 		timer := time.NewTimer(interval)
 		select {
 		case resp := <-ch:
--- a/internal/route/unary/place.go
+++ b/internal/route/unary/place.go
@@ -10,6 +10,7 @@
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/policy/admit"
 	"umberladder/internal/policy/rates"
+	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/pick"
 	"umberladder/internal/state/srvtab"
 )
@@ -30,7 +31,7 @@
 	var noCapacity *pick.NoCapacityError
 	switch {
 	case err == nil:
-		r.reservation = r.Alloc.Reserve(placement.Server.ID, req.Load())
+		r.reservation = r.reserve(placement, req.Load())
 		return placement.Server, nil
 	case errors.Is(err, pick.ErrNoServer):
 		return nil, nil
@@ -58,6 +59,13 @@
 	return req
 }
 
+func (r *requester) reserve(p pick.Placement, l alloc.Load) *alloc.Reservation {
+	if p.Grant == 0 {
+		return r.Alloc.Reserve(p.Server.ID, l)
+	}
+	return r.Alloc.ReserveGranted(p.Server.ID, l, p.Grant, time.Now())
+}
+
 // release frees the room for an attempt that has ended.
 func (r *requester) release() {
 	r.reservation.Release()
