--- a/internal/route/coord/doc.go
+++ b/internal/route/coord/doc.go
@@ -18,6 +18,10 @@
 // A refused call gets a ticket (policy/ticket) if it can be told when there may be capacity for it.
 // If it returns then, it precedes other calls that cannot start in time.
 //
+// A grant counts in addition to the reported loads until the VM that got it has probably reported
+// the run. That of a brief run, such as a plain call to a brittle server, counts until a report
+// states that the VM has received it, or alloc.GrantTTL if none does.
+//
 // The coordinator holds no state that must survive it. The next VM in the order
 // receives the same load reports and takes over as soon as the first does not
 // respond to requests; a VM that gets no response from either places its runs
