--- a/internal/policy/ticket/book.go
+++ b/internal/policy/ticket/book.go
@@ -49,7 +49,7 @@
 // Issue issues a ticket to a call that is refused, and returns after how long the call may retry.
 // Key identifies the call and its retries; zero: it is not known, and the call gets no ticket. If it
 // has one that is not due yet, it keeps it. A call whose ticket would be due after the latest
-// time gets none and is told that time.
+// time gets none, and that time is returned.
 func (b *Book) Issue(key uint64, cost float64, t Terms, now time.Time) time.Duration {
 	b.expire(now)
 	if key == 0 || t.Rate <= 0 {
--- a/internal/policy/ticket/book_test.go
+++ b/internal/policy/ticket/book_test.go
@@ -26,7 +26,7 @@
 	// false true
 }
 
-// TestSpread guards against refused calls that are told to return all at once, and against
+// TestSpread guards against refused calls whose delays make them return all at once, and against
 // tickets beyond the latest time.
 func TestSpread(t *testing.T) {
 	b := New()
@@ -67,7 +67,7 @@
 	assert.Equal(t, b.Len(), n, "it has no ticket")
 }
 
-// TestRefusedAgain guards against a call that returned when it was told to, was refused again and
+// TestRefusedAgain guards against a call that returned when its ticket was due, was refused again and
 // has to queue up behind all others.
 func TestRefusedAgain(t *testing.T) {
 	b := New()
--- a/internal/proc/cmds/edge_test.go
+++ b/internal/proc/cmds/edge_test.go
@@ -53,7 +53,7 @@
 	const refused = `{"msg":"call ended","request":"r","status":503,"reason":"unreachable","ran":"no","retry-after":"200ms"}` + "\n"
 	out, others, err := explain(refused + "other\n" + refused)
 	assert.NilError(t, err)
-	const want = "Call r was refused with status 503.\nThis VM can't reach the backend servers (reason unreachable).\nThe call did not run: it was sent to no server.\nThe client was told to retry after 200ms.\n"
+	const want = "Call r was refused with status 503.\nThis VM can't reach the backend servers (reason unreachable).\nThe call did not run: it was sent to no server.\nIts Retry-After was 200ms.\n"
 	assert.Equal(t, out, want+"\n"+want)
 	assert.Equal(t, others, "1 lines are not of refused calls\n")
 	_, _, err = explain("other\n")
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -95,7 +95,7 @@
 		{metricQueued, "gauge", "runs of all VMs that wait for room here, as this VM is the home of their service"},
 		{metricGrantedTokens, "counter", "tokens of memory (for plain calls, slots) granted here to runs of all VMs while there are workspaces, by rank (0, 1, 2+) and whether the workspace had got more than its share"},
 		{metricRefusedRuns, "counter", "runs of all VMs refused here for lack of room while there are workspaces, by the same"},
-		{metricRetriedRuns, "counter", "runs of all VMs that were refused here for lack of room and came back when they were told to, by outcome: served, refused"},
+		{metricRetriedRuns, "counter", "runs of all VMs that were refused here for lack of room and came back when their tickets were due, by outcome: served, refused"},
 		{metricWaitingShares, "gauge", "workspaces that have runs waiting for room here"},
 		{metricServersLimited, "gauge", "backend servers whose limit on the requests of all VMs is in force"},
 		{metricEvacuated, "gauge", "failure domains that operators have evacuated, as far as this VM knows"},
--- a/internal/proc/reqlog/explain.go
+++ b/internal/proc/reqlog/explain.go
@@ -48,7 +48,7 @@
 	}
 	lines = append(lines, r.execution())
 	if r.RetryAfter > 0 {
-		lines = append(lines, fmt.Sprintf("The client was told to retry after %s.", r.RetryAfter.Round(time.Millisecond)))
+		lines = append(lines, fmt.Sprintf("Its Retry-After was %s.", r.RetryAfter.Round(time.Millisecond)))
 	} else {
 		lines = append(lines, "The client was given no time to retry after.")
 	}
--- a/internal/proc/reqlog/refusal_test.go
+++ b/internal/proc/reqlog/refusal_test.go
@@ -23,7 +23,7 @@
 	// Priority: 0, which precedes the others but leaves them at least a quarter of the capacity.
 	// Share: workspace team-key-3 got 28.8% of what was granted in the last second or so, and had 5 calls waiting when this one was refused.
 	// The call did not run: it was sent to no server.
-	// The client was told to retry after 1.323s.
+	// Its Retry-After was 1.323s.
 }
 
 // TestReadRefusals guards against lines that are explained wrongly or not at all: extracts, lines
--- a/internal/route/coord/doc.go
+++ b/internal/route/coord/doc.go
@@ -15,8 +15,8 @@
 // states none, as those of older VMs or of settings without workspaces. Shares
 // apply to queued runs only: as long as no run waits, each gets what it asks for.
 //
-// A refused call gets a ticket (policy/ticket) if it can be told when there may be capacity for it.
-// If it returns then, it precedes other calls that cannot start in time.
+// A refused call gets a ticket (policy/ticket) if it is known when there may be capacity for it. If it
+// returns then, it precedes other calls that cannot start in time.
 //
 // A grant counts in addition to the reported loads until the VM that got it has probably reported
 // the run. That of a brief run, such as a plain call to a brittle server, counts until a report
--- a/internal/route/coord/level.go
+++ b/internal/route/coord/level.go
@@ -18,7 +18,7 @@
 	deadline time.Time // end of the wait
 	leaves   time.Time // when the client gives up; zero: not known
 	response Response
-	due      bool // it was refused before and came back when it was told to
+	due      bool // it was refused before and came back when its ticket was due
 	level    int
 	entry    *queue.Entry[*request] // nil: not queued
 	expiry   *queue.Entry[*request]
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -32,7 +32,7 @@
 const (
 	continueLevel = iota // streams that have begun
 	onTimeLevel          // calls that can still start in time
-	dueLevel             // calls that were refused and came back when they were told to
+	dueLevel             // calls that were refused and came back when their tickets were due
 	lateLevel            // calls that cannot start in time
 	numLevels
 )
--- a/internal/route/coord/retry.go
+++ b/internal/route/coord/retry.go
@@ -8,13 +8,13 @@
 	"umberladder/internal/policy/ticket"
 )
 
-// retryShare is the part of the capacity that refused calls are told to return for. In replays of a
-// peak of 2 s (TestRetries), 94% of the calls that return as told are served at 0.1 and all at 0.15
+// retryShare is the part of the capacity that is reserved for refused calls that return. In replays of a
+// peak of 2 s (TestRetries), 94% of the calls that return when due are served at 0.1 and all at 0.15
 // where 70% of the capacity is used otherwise; where 90% is, 24% at 0.15 and 22% at 0.25.
 const retryShare = 0.15
 
-// isDue reports whether a new request is a call that was refused, and that returns when it was told
-// to.
+// isDue reports whether a new request is a call that was refused, and that returns when its
+// ticket is due.
 func (sq *serviceQueue) isDue(r *request, now time.Time) bool {
 	return !r.Run.Continues() && sq.tickets.Present(r.Run.RetryKey, now)
 }
--- a/internal/route/coord/retry_test.go
+++ b/internal/route/coord/retry_test.go
@@ -17,7 +17,7 @@
 // Workspaces of a replay, named after when the clients of refused calls retry, which they do once.
 const (
 	noRetries ident.Workspace = "none"
-	asTold    ident.Workspace = "as told"
+	asStated  ident.Workspace = "as stated"
 	early     ident.Workspace = "early"
 	atOnce    ident.Workspace = "at once"
 )
@@ -32,9 +32,9 @@
 	r := newReplay(t)
 	r.rand = rand.New(rand.NewPCG(seed, 2))
 	again, waiting := map[ident.Workspace]*outcome{}, map[time.Time][]*replayCall{}
-	r.refused = func(c *replayCall, told time.Duration) {
+	r.refused = func(c *replayCall, delay time.Duration) {
 		w := c.demand.workspace
-		delay, ok := map[ident.Workspace]time.Duration{asTold: told + step, early: told / 3, atOnce: step}[w]
+		wait, ok := map[ident.Workspace]time.Duration{asStated: delay + step, early: delay / 3, atOnce: step}[w]
 		if !ok {
 			return // it has retried already, or does not
 		}
@@ -44,7 +44,7 @@
 			again[w] = &outcome{bySubject: make(map[uint64][2]int)}
 			r.outcomes[d.workspace] = again[w]
 		}
-		at := r.now.Add(delay.Round(step))
+		at := r.now.Add(wait.Round(step))
 		waiting[at] = append(waiting[at], &replayCall{demand: &d, request: c.request})
 	}
 	r.eachStep = func() {
@@ -75,7 +75,7 @@
 	return outcome{calls: a.calls + b.calls, inTime: a.inTime + b.inTime, late: a.late + b.late, refused: a.refused + b.refused}
 }
 
-// TestRetries guards against refused calls that are refused again when they return as told although
+// TestRetries guards against refused calls that are refused again when they return after the stated delay although
 // capacity is free soon, against a better place for those that return early, and against calls
 // that start late or are refused because others retry. Engines have capacity for 107 calls per second.
 func TestRetries(t *testing.T) {
@@ -83,7 +83,7 @@
 		weight int
 		base   float64 // calls per second
 		length time.Duration
-		served float64 // least part of the calls that return as told
+		served float64 // least part of the calls that return after the stated delay
 	}{
 		"70%, 2 s":                {pick.WeightUnit, 75, 2 * time.Second, 0.95},
 		"70%, 2 s, no workspaces": {0, 75, 2 * time.Second, 0.95},
@@ -92,7 +92,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var without outcome
-			for _, workspaces := range [][]ident.Workspace{{noRetries}, {asTold}, {asTold, early, atOnce}} {
+			for _, workspaces := range [][]ident.Workspace{{noRetries}, {asStated}, {asStated, early, atOnce}} {
 				var first outcome
 				retries := map[ident.Workspace]outcome{}
 				for seed := range uint64(3) {
@@ -109,30 +109,30 @@
 				assert.Assert(t, first.fraction() >= without.fraction()-0.01)
 				for _, w := range workspaces {
 					t.Logf("%s: %.3f of %d retries served", w, retries[w].served(), retries[w].calls)
-					assert.Assert(t, w != asTold || retries[w].served() >= tc.served)
-					assert.Assert(t, len(workspaces) == 1 || retries[w].served() <= retries[asTold].served(), "early retries get a better place")
+					assert.Assert(t, w != asStated || retries[w].served() >= tc.served)
+					assert.Assert(t, len(workspaces) == 1 || retries[w].served() <= retries[asStated].served(), "early retries get a better place")
 				}
 			}
 		})
 	}
 }
 
-// TestDueCalls guards against calls that return as told and find their places taken by other calls
+// TestDueCalls guards against calls that return after the stated delay and find their places taken by other calls
 // that cannot start in time, that lose their tickets if they are refused again, and against tickets
 // that are valid early, for ever or for several calls.
 func TestDueCalls(t *testing.T) {
 	for name, tc := range map[string]struct {
-		delay    time.Duration // relative to the time that was told
-		again    bool          // it is refused again at first, when it returns as told
+		delay    time.Duration // relative to the stated delay
+		again    bool          // it is refused again at first, when it returns after the stated delay
 		replaced bool          // the coordinator
 		want     State
 	}{
-		"as told":                         {0, false, false, Waiting},
-		"as told, twice":                  {0, true, false, Waiting},
-		"early":                           {-time.Second, false, false, NoCapacity},
-		"early the second time":           {-time.Second, true, false, NoCapacity},
-		"much later":                      {10 * time.Second, false, false, NoCapacity},
-		"as told, to another coordinator": {0, false, true, NoCapacity},
+		"as stated":                         {0, false, false, Waiting},
+		"as stated, twice":                  {0, true, false, Waiting},
+		"early":                             {-time.Second, false, false, NoCapacity},
+		"early the second time":             {-time.Second, true, false, NoCapacity},
+		"much later":                        {10 * time.Second, false, false, NoCapacity},
+		"as stated, to another coordinator": {0, false, true, NoCapacity},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, seen := newReplay(t), &limits{}
@@ -190,8 +190,8 @@
 	}
 }
 
-// TestRetryWithinTimeout guards against a ticket that is due later than the client may be told to
-// return, since it gives up soon, so that the call always returns early.
+// TestRetryWithinTimeout guards against a ticket that is due later than any delay that is stated to the
+// client, since it gives up soon, so that the call always returns early.
 func TestRetryWithinTimeout(t *testing.T) {
 	r := newReplay(t)
 	r.run(2*time.Second, demand{workspace: "w", perSecond: 300, rank: 1})
--- a/internal/route/coord/share.go
+++ b/internal/route/coord/share.go
@@ -15,7 +15,7 @@
 	// RecordRefusal records that a run was refused for lack of capacity.
 	RecordRefusal(rank int, overShare bool)
 	// RecordRetry records what became of a run that was refused for lack of capacity and came back
-	// when it was told to.
+	// when its ticket was due.
 	RecordRetry(served bool)
 	// LimitChanged records that a workspace starts or stops being limited to its share.
 	LimitChanged(l Limit)
--- a/internal/route/coord/status_test.go
+++ b/internal/route/coord/status_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/ident"
-	"umberladder/internal/route/pick"
 	"umberladder/internal/route/alloc"
+	"umberladder/internal/route/pick"
 )
 
 func names(list []Limit) (out []ident.Workspace) {
