Ask the coordinator again for brief runs if all servers have failed calls

Cause: a VM excludes servers that fail its calls from its placement requests. If all have failed some, the coordinator responds that there is no server, and the VM placed the run by itself, beside what the coordinator granted to others. Brittle servers then get more than they have room for, and fail further.

Change: the VM repeats the request without that exclusion. Only brief runs do.

Result: placer.TestUnhealthyServers.

--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -121,6 +121,12 @@
 		case coord.NoCapacity:
 			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead, OwnAhead: resp.OwnAhead, Share: resp.Share}
 		case coord.NoServer:
+			if r.Brief && len(req.Exclude) > len(r.Exclude) {
+				// All servers have failed calls of this VM. It must not use more of them than
+				// the coordinator grants, which would make further ones fail.
+				req.Exclude = slices.Clone(r.Exclude)
+				continue
+			}
 			// The coordinator may know fewer servers than this VM.
 			placement, err := p.placeLocally(ctx, r, start)
 			return placement, outcomeLocal, err
--- a/internal/route/placer/placer_test.go
+++ b/internal/route/placer/placer_test.go
@@ -39,6 +39,7 @@
 	servers      *srvtab.Table
 	coordinator  *coord.Coordinator
 	placer       *Placer
+	health       *health.Tracker
 	unresponsive atomic.Bool
 	late         time.Duration // how long it takes to receive a request
 	mu           sync.Mutex    // serialises reports, so that they arrive in order of seq
@@ -98,12 +99,12 @@
 		v := &vm{
 			name:    ident.VM(fmt.Sprintf("vm-%d", i)),
 			addr:    netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+i)),
-			tracker: alloc.New(), servers: srvtab.NewTable(func() {}),
+			tracker: alloc.New(), servers: srvtab.NewTable(func() {}), health: health.New(),
 		}
 		for e := range engines {
 			v.servers.Put(srvtab.Entry{ID: engine(e), Service: service, Domain: "a", Slots: 24, Version: "v1"})
 		}
-		c := pick.NewChooser(v.servers, v.tracker, health.New(), rates.New(nil, nil))
+		c := pick.NewChooser(v.servers, v.tracker, v.health, rates.New(nil, nil))
 		v.coordinator = coord.New(c)
 		v.placer = New(v.name, 0, c, v.coordinator, order(v), transport{f, v}, func(string) {}, zap.NewNop())
 		f.vms = append(f.vms, v)
@@ -456,6 +457,27 @@
 	})
 }
 
+// TestUnhealthyServers guards against a VM that places brief runs by itself, beside those that the
+// coordinator grants, because all servers have failed some of its calls: brittle servers then get
+// more than they have room for, and fail more.
+func TestUnhealthyServers(t *testing.T) {
+	testFleet(t, 4, 2, func(t *testing.T, f *fleet) {
+		v := f.vms[3]
+		for e := range 2 {
+			for range 3 {
+				v.health.Failure(engine(e), time.Now())
+			}
+		}
+		for _, brief := range []bool{true, false} {
+			r := newCall()
+			r.Brief = brief
+			placement, err := f.placeAndHold(v, r, -1)
+			assert.NilError(t, err)
+			assert.Equal(t, placement.Grant != 0, brief)
+		}
+	})
+}
+
 func TestCoordinatorLost(t *testing.T) {
 	t.Run("the next VM decides, and is asked first the next time", func(t *testing.T) {
 		testFleet(t, 4, 1, func(t *testing.T, f *fleet) {
