--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -121,10 +121,7 @@
 		case coord.NoCapacity:
 			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead, OwnAhead: resp.OwnAhead, Share: resp.Share}
 		case coord.NoServer:
-			if r.Brief && len(req.Exclude) > len(r.Exclude) {
-				// All servers have failed calls of this VM. It must not use more of them than
-				// the coordinator grants, which would make further ones fail.
-				req.Exclude = slices.Clone(r.Exclude)
+			if includeUnhealthy(&req, &r) {
 				continue
 			}
 			// The coordinator may know fewer servers than this VM.
@@ -148,6 +145,17 @@
 	return placement, outcomeLocal, err
 }
 
+// includeUnhealthy no longer excludes, from a request for a brief run, servers other than those
+// that the run itself excludes, and reports whether it did. All servers have failed calls of this VM
+// then. It must not use more of them than the coordinator grants, which would make more of them fail.
+func includeUnhealthy(req, run *pick.Request) bool {
+	if !run.Brief || len(req.Exclude) == len(run.Exclude) {
+		return false
+	}
+	req.Exclude = slices.Clone(run.Exclude)
+	return true
+}
+
 // placeLocally places the run from what this VM knows. Runs that wait here are
 // not ordered by priority, so a run waits only while it can still start in time.
 func (p *Placer) placeLocally(ctx context.Context, r pick.Request, start time.Time) (pick.Placement, error) {
