--- a/internal/proc/cmds/edge_test.go
+++ b/internal/proc/cmds/edge_test.go
@@ -30,7 +30,9 @@
 	for _, flag := range []string{"--format", "--output"} {
 		runCommand(t, ExitOK, status, "status", "--edge", address, flag, "json")
 	}
-	runCommand(t, ExitFailure, "older version", "status", "--edge", serve("umberladder_ready 1\n"))
+	for _, format := range []string{"table", "json"} {
+		runCommand(t, ExitFailure, "older version", "status", "--edge", serve("umberladder_ready 1\n"), "--format", format)
+	}
 	runCommand(t, ExitUsage, "--edge: want an IP address", "status", "--edge", "vm-2")
 	runCommand(t, ExitUsage, "none of the others can be", "status", "--edge", address, "--workspace", "w")
 	runCommand(t, ExitUsage, "none of the others can be", "status", "--edge", address, "--server", address)
--- a/internal/proc/cmds/edgestatus.go
+++ b/internal/proc/cmds/edgestatus.go
@@ -17,14 +17,18 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return withExitCode(ExitUsage, trace.BadParameter("--edge: want an IP address with a port, got %q", address))
 	}
-	return o.print(c, &opapi.Client{Address: address}, "/status", writeEdgeTable)
+	return o.printChecked(c, &opapi.Client{Address: address}, "/status", checkEdgeStatus, writeEdgeTable)
 }
 
-func writeEdgeTable(w io.Writer, resp *opapi.Response) error {
-	status := resp.JSON()
-	if !status.Exists("vm") {
-		// The listener of a VM without this path responds with its metrics.
+// checkEdgeStatus returns an error if the response is no status: the listener of a VM without this
+// path responds with its metrics.
+func checkEdgeStatus(resp *opapi.Response) error {
+	if !resp.JSON().Exists("vm") {
 		return withExitCode(ExitFailure, trace.BadParameter("the response is no status; the VM may run an older version"))
 	}
-	return withExitCode(ExitFailure, report.WriteTable(w, status))
+	return nil
+}
+
+func writeEdgeTable(w io.Writer, resp *opapi.Response) error {
+	return withExitCode(ExitFailure, report.WriteTable(w, resp.JSON()))
 }
--- a/internal/proc/cmds/flags.go
+++ b/internal/proc/cmds/flags.go
@@ -57,6 +57,11 @@
 // print fetches a path from the VM and prints the response as received or as a
 // table.
 func (o *outputFormat) print(c *cobra.Command, client *opapi.Client, path string, table func(io.Writer, *opapi.Response) error) error {
+	return o.printChecked(c, client, path, func(*opapi.Response) error { return nil }, table)
+}
+
+// printChecked is print for a response that is checked first, in either format.
+func (o *outputFormat) printChecked(c *cobra.Command, client *opapi.Client, path string, check func(*opapi.Response) error, table func(io.Writer, *opapi.Response) error) error {
 	if err := o.validate(formatTable, formatJSON); err != nil {
 		return err
 	}
@@ -64,6 +69,9 @@
 	if err != nil {
 		return withCallExitCode(err)
 	}
+	if err := check(resp); err != nil {
+		return err
+	}
 	if o.format == formatJSON {
 		fmt.Fprintf(c.OutOrStdout(), "%s\n", resp.Body)
 		return nil
--- a/internal/proc/reqlog/refusal.go
+++ b/internal/proc/reqlog/refusal.go
@@ -58,7 +58,8 @@
 const maxPrefixBraces = 16
 
 // parseRefusal returns what a line says of a refused call, or nil if it is another line. Extracts
-// of a line may lack the message, if they have the reason of the refusal.
+// of a line may lack the message, if they have the reason of the refusal and whether the call ran.
+// Lines of other events have a reason too.
 func parseRefusal(line []byte) *Refusal {
 	for range maxPrefixBraces {
 		start := bytes.IndexByte(line, '{')
@@ -76,7 +77,8 @@
 
 func refusalOf(v *fastjson.Value) *Refusal {
 	text := func(name string) string { return string(v.GetStringBytes(name)) }
-	if msg := text("msg"); msg != "" && msg != msgEnded || text("reason") == "" {
+	switch msg := text("msg"); {
+	case text("reason") == "", msg != "" && msg != msgEnded, msg == "" && text("ran") == "":
 		return nil
 	}
 	duration := func(name string) time.Duration {
--- a/internal/proc/reqlog/refusal_test.go
+++ b/internal/proc/reqlog/refusal_test.go
@@ -36,8 +36,10 @@
 		`{"msg":"call ended","reason":"of-a-later-version","ran":"no","sent":2}`:                                                               "does not know.\nThe call did not run: none of the servers that it was sent to (2)",
 		`{"msg":"call ended","status":200,"reason":"server-died","ran":"partial","detail":"server e broke off"}`:                               "Call failed with status 200.\nThe backend server was lost (reason server-died).\nThe VM says: server e broke off.\nThe call ran in part",
 		`{"msg":"call ended","status":504,"reason":"timed-out","ran":"maybe","detail":"no answer within the 3s allowed","retry-after":"soon"}`: "The limit is the timeout of the client or of the route, whichever is shorter.\nThe call may have run.\nThe client was given no time to retry after.",
-		`{"msg":"call ended","status":200}`:           "",
-		`{"msg":"attempt failed","reason":"no-room"}`: "",
+		`{"msg":"call ended","status":200}`:                                         "",
+		`{"msg":"attempt failed","reason":"no-room"}`:                               "",
+		`* vm-1 no retry {"reason":"the same failure at two servers","status":503}`: "",
+		`* vm-1 server gone {"server":"s","reason":"probe"}`:                        "",
 		`not JSON {`: "",
 		`{"msg":"call ended","reason":"caller-left","ran":"maybe","status":499`: "",
 	} {
