--- a/internal/peer/wire/parts.go
+++ b/internal/peer/wire/parts.go
@@ -24,11 +24,12 @@
 			out = append(out, b)
 		}
 	}
-	for n, loads := range splitLoads(m.Loads) {
+	parts := splitLoads(m.Loads)
+	for n, loads := range parts {
 		part := *m
 		part.ServerUpdate, part.PackedUpdate, part.Loads, part.Part = nil, nil, loads, n
-		if n > 0 {
-			part.Grants = nil
+		if n < len(parts)-1 {
+			part.Grants = nil // they follow the loads that include their calls
 		}
 		out = append(out, part.Encode())
 	}
--- a/internal/policy/assign/short.go
+++ b/internal/policy/assign/short.go
@@ -33,8 +33,8 @@
 	// one more stream, so that short runs do not gather on an engine beyond their target.
 	overdueWeight = 4.0
 	// lentTokens is the memory, of what is reserved for the next tokens of a stream under way, that
-	// short runs may use if no engine has room for them otherwise. A stream has 250 tokens reserved
-	// ahead and generates up to 150 of them in the second within which a short run ends.
+	// short runs may use if no engine has room for them otherwise. A stream has 122 to 250 tokens
+	// reserved ahead and generates some 70 of them in the half second that a short run takes.
 	lentTokens = 100
 )
 
--- a/internal/policy/retry/rate.go
+++ b/internal/policy/retry/rate.go
@@ -20,7 +20,10 @@
 	own = float64(sent.First+sent.Retries) / seconds
 	all = own + float64(others.First+others.Retries)/seconds
 	all *= float64(b.vmCount(t)) / float64(t.Reporting+1)
-	return own, max(all, b.rises.rate(s, now))
+	if risen := b.rises.rate(s, now); risen > all && all > 0 {
+		return own * risen / all, risen // the VM's part of the requests stays the same
+	}
+	return own, all
 }
 
 // sampleRates adds a sample of the attempts of all VMs, if one is due. There is none without
@@ -42,7 +45,7 @@
 		own := b.advance(s, now).sum()
 		attempts[s] += scale * float64(own.First+own.Retries)
 	}
-	b.rises.add(attempts, b.span, now)
+	b.rises.add(attempts, t.Reporting, b.span, now)
 }
 
 // VMs returns the number of VMs, this one included.
--- a/internal/policy/retry/rise.go
+++ b/internal/policy/retry/rise.go
@@ -22,8 +22,9 @@
 // follows a rise only after the whole window, so that servers with limits would get several
 // times their part meanwhile.
 type riseMeter struct {
-	samples []sample // by time, the latest last
-	rises   map[ident.Service]rise
+	samples   []sample // by time, the latest last
+	reporting int      // VMs whose attempts the samples include
+	rises     map[ident.Service]rise
 }
 
 // sample holds the attempts of all VMs in the window before a time.
@@ -44,8 +45,13 @@
 	return n == 0 || now.Sub(m.samples[n-1].at) >= sampleInterval
 }
 
-// add adds a sample of the attempts in the window of length span before now.
-func (m *riseMeter) add(attempts map[ident.Service]float64, span time.Duration, now time.Time) {
+// add adds a sample of the attempts in the window of length span before now, estimated from those of
+// the given number of other VMs. Samples from other numbers of VMs are not compared: a hub that has
+// restarted has the reports of few VMs at first.
+func (m *riseMeter) add(attempts map[ident.Service]float64, reporting int, span time.Duration, now time.Time) {
+	if reporting != m.reporting {
+		m.samples, m.reporting = nil, reporting
+	}
 	old := 0
 	for old < len(m.samples) && now.Sub(m.samples[old].at) > riseSpan {
 		old++
--- a/internal/policy/ticket/book.go
+++ b/internal/policy/ticket/book.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// MaxTickets is the maximum number of tickets of a Book. The oldest are dropped first.
+	// MaxTickets is the maximum number of tickets of a Book. If there are as many, further calls
+	// get none: to drop the oldest would be to drop those that are due next.
 	MaxTickets = 1024
 	// grace is how long a ticket is valid once it is due. A delay in the Retry-After header is
 	// rounded up to whole seconds, and clients may add jitter.
@@ -15,6 +16,9 @@
 	slotTime = 250 * time.Millisecond
 	// maxSlots bounds the slots that one ticket books.
 	maxSlots = 64
+	// servedGrace is how long the ticket of a call that was granted capacity is still valid: the
+	// call's VM may be unable to use what was granted, and ask again.
+	servedGrace = time.Second
 )
 
 // Terms are the terms on which tickets are issued.
@@ -61,14 +65,16 @@
 		}
 		return t.Earliest
 	}
+	if b.Len() >= MaxTickets {
+		return t.Latest
+	}
 	due, ok := b.book(cost, t, now)
 	if !ok {
 		return t.Latest
 	}
-	if b.Len() >= MaxTickets {
-		b.drop(b.order.Front())
+	if e := b.tickets[key]; e != nil { // it has expired
+		b.drop(e)
 	}
-	b.Use(key) // an expired one
 	b.tickets[key] = b.order.PushBack(&ticket{key: key, due: due})
 	return due.Sub(now)
 }
@@ -78,7 +84,9 @@
 func (b *Book) book(cost float64, t Terms, now time.Time) (due time.Time, ok bool) {
 	first, last := slotOf(now.Add(t.Earliest)), slotOf(now.Add(t.Latest))
 	available := t.Rate * slotTime.Seconds()
-	for first <= last && b.booked[first] >= available {
+	// The rate changes with each call, so full slots may have a small remainder.
+	wanted := min(cost, available) / 2
+	for first <= last && available-b.booked[first] < wanted {
 		first++
 	}
 	if first > last {
@@ -119,10 +127,18 @@
 	}
 }
 
-// Use removes the ticket of a call that is served.
-func (b *Book) Use(key uint64) {
+// Return makes the ticket valid again that a call has presented, if nothing was decided about it.
+func (b *Book) Return(key uint64) {
 	if e := b.tickets[key]; e != nil {
-		b.drop(e)
+		e.Value.(*ticket).presented = false
+	}
+}
+
+// Use marks the ticket of a call that is granted capacity as used. It is valid for servedGrace.
+func (b *Book) Use(key uint64, now time.Time) {
+	if e := b.tickets[key]; e != nil {
+		t := e.Value.(*ticket)
+		t.due, t.presented = now.Add(servedGrace-grace), false
 	}
 }
 
@@ -135,11 +151,19 @@
 	return e.Value.(*ticket)
 }
 
-// expire removes expired tickets up to the first one that has not expired. The order is nearly that
-// in which they expire, and the others are dropped when the Book is full.
+// expire removes expired tickets up to the first one that has not expired, and all if the Book is
+// full: calls that must return soon have tickets that expire before older ones.
 func (b *Book) expire(now time.Time) {
-	for e := b.order.Front(); e != nil && e.Value.(*ticket).isExpired(now); e = b.order.Front() {
-		b.drop(e)
+	full := b.Len() >= MaxTickets
+	for e := b.order.Front(); e != nil; {
+		next, expired := e.Next(), e.Value.(*ticket).isExpired(now)
+		if !expired && !full {
+			break
+		}
+		if expired {
+			b.drop(e)
+		}
+		e = next
 	}
 	for slot := range b.booked {
 		if slot < slotOf(now) {
--- a/internal/policy/ticket/book_test.go
+++ b/internal/policy/ticket/book_test.go
@@ -95,9 +95,50 @@
 		b.Issue(i+1, 0.01, terms, epoch)
 	}
 	assert.Equal(t, b.Len(), MaxTickets)
-	assert.Assert(t, !b.Present(MaxTickets, at(8*time.Second)), "the oldest must be dropped")
-	assert.Assert(t, b.Present(MaxTickets+1, at(8*time.Second)))
+	assert.Assert(t, b.Present(1, at(8*time.Second)), "the first that is due must be kept")
+	assert.Assert(t, !b.Present(MaxTickets+1, at(8*time.Second)))
 	b.Issue(1, 10, terms, at(time.Minute))
 	assert.Equal(t, b.Len(), 1)
-	assert.Assert(t, !b.Present(MaxTickets+2, at(time.Minute)))
+	assert.Assert(t, !b.Present(2, at(time.Minute)))
+}
+
+// TestMixedTimes guards against a full Book that keeps expired tickets behind one that is valid for
+// longer.
+func TestMixedTimes(t *testing.T) {
+	b := New()
+	b.Issue(1, 0.01, Terms{Earliest: 12 * time.Second, Latest: 12 * time.Second, Rate: 1000}, epoch)
+	soon := Terms{Earliest: time.Second, Latest: 2 * time.Second, Rate: 1000}
+	for i := range uint64(MaxTickets - 1) {
+		b.Issue(i+2, 0.01, soon, epoch)
+	}
+	assert.Equal(t, b.Len(), MaxTickets)
+	b.Issue(5000, 0.01, terms, at(10*time.Second))
+	assert.Equal(t, b.Len(), 2)
+}
+
+// TestRisingRate guards against calls that are all due at once, because each rise of the rate leaves
+// a small remainder in slots that were full.
+func TestRisingRate(t *testing.T) {
+	b, rate, dueFirst := New(), 100.0, 0
+	for i := range uint64(200) {
+		if b.Issue(i+1, 10, Terms{Earliest: terms.Earliest, Latest: terms.Latest, Rate: rate}, epoch) < terms.Earliest+slotTime {
+			dueFirst++
+		}
+		rate *= 1.005
+	}
+	assert.Assert(t, dueFirst <= 2*int(rate*slotTime.Seconds()/10), "%d calls are due in the first slot", dueFirst)
+}
+
+// TestReturned guards against a ticket that is lost although its call was not decided, or could not
+// use what it was granted, and against one that is valid for long after that.
+func TestReturned(t *testing.T) {
+	b := New()
+	due := at(b.Issue(1, 10, terms, epoch))
+	assert.Assert(t, b.Present(1, due) && !b.Present(1, due))
+	b.Return(1)
+	assert.Assert(t, b.Present(1, due))
+	b.Use(1, due)
+	assert.Assert(t, b.Present(1, due.Add(servedGrace)))
+	b.Return(1)
+	assert.Assert(t, !b.Present(1, due.Add(servedGrace+1)))
 }
--- a/internal/route/coord/grants.go
+++ b/internal/route/coord/grants.go
@@ -40,6 +40,7 @@
 	switch {
 	case errors.Is(err, pick.ErrNoServer):
 		r.response.State = NoServer
+		c.returnTicket(r)
 	case err != nil:
 		var full *pick.NoCapacityError
 		return false, !errors.As(err, &full) || !full.LinkBusy
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -170,6 +170,7 @@
 // forget drops a request that was not repeated. If it is repeated nevertheless, it counts as new.
 func (c *Coordinator) forget(r *request) {
 	delete(c.requests, requestKey{vm: r.VM, id: r.ID})
+	c.returnTicket(r)
 }
 
 // refuse responds to the request with NoCapacity.
@@ -213,7 +214,7 @@
 		return sq.blocked.CoversAny(&r.Run) || sq.blocked.CoversOwn(&r.Run)
 	}
 	return sq.blocked.CoversAny(&r.Run) || sq.levels[onTimeLevel].len() > 0 ||
-		r.levelAt(now) == lateLevel && sq.levels[dueLevel].len() > 0
+		r.levelAt(now) >= dueLevel && sq.levels[dueLevel].len() > 0
 }
 
 // enqueue queues the request, or reports false if it would not be served in
@@ -245,7 +246,7 @@
 
 // makeLatePlace reports whether a level of calls that cannot start in time has a place for the
 // request. If it is full, a request of the workspace that has most places for its weight is refused
-// instead, unless the request's own workspace would then have as many. Requests of rank 0 are
+// instead, or moved from dueLevel to lateLevel if there is a place, unless the request's own workspace would then have as many. Requests of rank 0 are
 // refused only for others of rank 0, and if no request of another rank can be; they also displace
 // requests of other ranks of their own workspace.
 func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, level int, now time.Time) bool {
@@ -281,11 +282,22 @@
 	if victim == nil {
 		return false
 	}
-	sq.remove(victim, false, now)
-	c.refuse(sq, victim, now)
+	c.displace(sq, victim, now)
 	return true
 }
 
+// displace moves a request from dueLevel to lateLevel, if there is a place, or refuses it.
+func (c *Coordinator) displace(sq *serviceQueue, r *request, now time.Time) {
+	level := r.level
+	sq.remove(r, false, now)
+	if level == dueLevel && sq.levels[lateLevel].len() < maxLate {
+		r.level = lateLevel
+		sq.push(r, r.deadline.Sub(now), now)
+		return
+	}
+	c.refuse(sq, r, now)
+}
+
 // setRank changes the rank of a queued request. It keeps its level, and its deadline within it.
 func (sq *serviceQueue) setRank(r *request, rank int, now time.Time) {
 	bound := r.expiry.Deadline.Sub(now)
--- a/internal/route/coord/retry.go
+++ b/internal/route/coord/retry.go
@@ -61,9 +61,16 @@
 // non-empty for a time: they are moving averages that start at zero.
 func warmup(busy time.Duration) float64 { return 1 - math.Exp(-busy.Seconds()/rateWindow.Seconds()) }
 
+// returnTicket makes the ticket of a request valid again that ended without a decision on capacity.
+func (c *Coordinator) returnTicket(r *request) {
+	if sq := c.queues[r.Run.Service]; r.due && sq != nil {
+		sq.tickets.Return(r.Run.RetryKey)
+	}
+}
+
 // useTicket records that a request is granted.
-func (c *Coordinator) useTicket(sq *serviceQueue, r *request) {
-	sq.tickets.Use(r.Run.RetryKey)
+func (c *Coordinator) useTicket(sq *serviceQueue, r *request, now time.Time) {
+	sq.tickets.Use(r.Run.RetryKey, now)
 	if r.due {
 		c.observer.RecordRetry(true)
 	}
--- a/internal/route/coord/retry_test.go
+++ b/internal/route/coord/retry_test.go
@@ -211,3 +211,28 @@
 	assert.Equal(t, last.State, Waiting)
 	assert.Equal(t, r.coordinator.queues["s"].levels[dueLevel].len(), 1)
 }
+
+// TestDuePlaces guards against a due call that is refused for another one although there are places
+// for late calls, and against due calls that precede others that wait.
+func TestDuePlaces(t *testing.T) {
+	c := newReplay(t).coordinator
+	sq, refused := c.queueFor("s"), 0
+	enqueue := func(w ident.Workspace) {
+		r := queuedRun(w, 1, callTokens)
+		r.due, r.deadline, r.respond = true, epoch.Add(time.Second), func(Response) { refused++ }
+		assert.Equal(t, sq.mustQueue(r, epoch), sq.levels[dueLevel].len() > 0)
+		assert.Assert(t, c.enqueue(sq, r, epoch))
+	}
+	for range maxLate {
+		enqueue("a")
+	}
+	enqueue("b")
+	assert.Equal(t, sq.levels[dueLevel].len(), maxLate)
+	assert.Equal(t, sq.levels[lateLevel].len(), 1)
+	assert.Equal(t, refused, 0)
+	for range maxLate - 1 {
+		enqueue("a")
+	}
+	enqueue("b")
+	assert.Equal(t, refused, 1)
+}
--- a/internal/route/coord/share.go
+++ b/internal/route/coord/share.go
@@ -74,7 +74,7 @@
 
 // recordGrant records what the workspace of a run was granted.
 func (c *Coordinator) recordGrant(sq *serviceQueue, r *request, now time.Time) {
-	c.useTicket(sq, r)
+	c.useTicket(sq, r, now)
 	if !r.hasShare() {
 		return
 	}
--- a/internal/route/pick/lend_test.go
+++ b/internal/route/pick/lend_test.go
@@ -18,6 +18,7 @@
 	lendMemory = 26_830 // of each engine, in tokens
 	lendOutput = 748    // tokens that each stream generates
 	lendAhead  = 250    // reserved for the next tokens of a stream
+	lendStep   = 128    // tokens after which a stream's reservation is updated
 	lendShort  = 2558   // memory of a short run
 	lendTime   = 500 * time.Millisecond
 	perToken   = 7 * time.Millisecond
@@ -67,7 +68,7 @@
 			}
 			reserved, used := 0, 0
 			for _, s := range list {
-				reserved += s.prompt + min(generated(s)+lendAhead, lendOutput)
+				reserved += s.prompt + min(generated(s)/lendStep*lendStep+lendAhead, lendOutput)
 				used += s.prompt + generated(s)
 			}
 			for {
@@ -75,7 +76,7 @@
 				if at == 0 { // they have different ages
 					s.started = now.Add(-time.Duration(rng.IntN(lendOutput)) * perToken)
 				}
-				need := s.prompt + min(generated(s)+lendAhead, lendOutput)
+				need := s.prompt + min(generated(s)/lendStep*lendStep+lendAhead, lendOutput)
 				if reserved+tracker.Load(id).Tokens+need > lendMemory {
 					break
 				}
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -112,6 +112,7 @@
 	r.Exclude = append(slices.Clone(r.Exclude), p.chooser.Paused(r.Service, start)...)
 	req := r
 	req.Exclude = append(slices.Clone(r.Exclude), p.chooser.Unhealthy(r.Service, start)...)
+	var declined []ident.Server
 	for range maxUnusable {
 		resp, err := p.requestPlacement(ctx, req)
 		if err != nil {
@@ -121,7 +122,7 @@
 		case coord.NoCapacity:
 			return pick.Placement{}, outcomeCoordinator, &pick.NoCapacityError{RetryAfter: resp.RetryAfter, Ahead: resp.Ahead, OwnAhead: resp.OwnAhead, Share: resp.Share}
 		case coord.NoServer:
-			if includeUnhealthy(&req, &r) {
+			if includeUnhealthy(&req, &r, declined) {
 				continue
 			}
 			// The coordinator may know fewer servers than this VM.
@@ -136,6 +137,7 @@
 		if view.Accepts(resp.Server) && (r.Version == "" || server.Version == r.Version) && !p.chooser.IsPaused(server.ID, time.Now()) {
 			return pick.Placement{Server: server, Backup: backup, Grant: resp.ID}, outcomeCoordinator, nil
 		}
+		declined = append(declined, resp.Server)
 		req.Exclude = append(req.Exclude, resp.Server)
 	}
 	if err := ctx.Err(); err != nil {
@@ -146,13 +148,14 @@
 }
 
 // includeUnhealthy no longer excludes, from a request for a brief run, servers other than those
-// that the run itself excludes, and reports whether it did. All servers have failed calls of this VM
-// then. It must not use more of them than the coordinator grants, which would make more of them fail.
-func includeUnhealthy(req, run *pick.Request) bool {
-	if !run.Brief || len(req.Exclude) == len(run.Exclude) {
+// that the run itself excludes and those that this VM declined, and reports whether it did. All
+// servers have failed calls of this VM then. It must not use more of them than the coordinator
+// grants, which would make more of them fail.
+func includeUnhealthy(req, run *pick.Request, declined []ident.Server) bool {
+	if !run.Brief || len(req.Exclude) == len(run.Exclude)+len(declined) {
 		return false
 	}
-	req.Exclude = slices.Clone(run.Exclude)
+	req.Exclude = slices.Concat(run.Exclude, declined)
 	return true
 }
 
