--- a/internal/policy/pace/status.go
+++ b/internal/policy/pace/status.go
@@ -14,7 +14,7 @@
 }
 
 // Speeds returns the engines of a service whose time per token is known, in no order, and the
-// median; zero: fewer than 3 are known. It changes nothing in the Table.
+// median as of the last placement; zero: fewer than 3 were known then. It changes nothing in the Table.
 func (t *Table) Speeds(name ident.Service, now time.Time) ([]Speed, time.Duration) {
 	ids, engines, median := t.copyEngines(name, now)
 	out := make([]Speed, len(engines))
--- a/internal/policy/source/source.go
+++ b/internal/policy/source/source.go
@@ -11,15 +11,15 @@
 type Choice[T any] struct {
 	// TTL is how long a response is used.
 	TTL time.Duration
-	// MinCoverage is the fraction of the largest number of VMs that a source includes which another
-	// must include to be used. With 1, only the sources that include the most VMs are.
+	// MinCoverage is the fraction of the VMs of the most complete source that a source has to include
+	// to be used. With 1, only the most complete ones are.
 	MinCoverage float64
 	// Of returns when a response arrived, and the number of VMs that it includes.
 	Of func(T) (at time.Time, reporting int)
 }
 
 // Best returns the latest of the hubs' responses that include enough VMs. It returns false if the
-// reports to this VM, of the given number of VMs, include enough. Responses that are too old are
+// reports to this VM, which come from reporting VMs, include enough and are to be used instead. Responses that are too old are
 // removed from the map.
 func (c Choice[T]) Best(responses map[ident.VM]T, reporting int, now time.Time) (best T, ok bool) {
 	most := reporting
--- a/internal/policy/timing/assess.go
+++ b/internal/policy/timing/assess.go
@@ -47,7 +47,7 @@
 	Weight     float64       // fraction of its normal load that the server should get, minWeight to maxWeight
 	PeerLoad   float64       // mean number of calls of the other VMs in flight
 	Probe      float64       // probability with which a call is sent to the server in spite of its weight
-	Overloaded bool          // the other VMs' calls in flight are, for its slots, far more than at the median server
+	Overloaded bool          // relative to its slots, the other VMs have far more calls in flight here than at the median server
 	Slow       bool          // its response times are over minRatio times the median
 	Mean       time.Duration // of the response times; zero: not known
 	Median     time.Duration // of the means of the service's servers; zero: not known
@@ -90,7 +90,7 @@
 }
 
 // assumeLoads sets the loads of servers that a full message leaves out to the median per slot of
-// those in it. Otherwise they would look idle.
+// the servers that it contains. With no load assumed, they would attract too many calls.
 func assumeLoads(list []ident.Server, slots []int, known map[ident.Server]Stats, out []Assessment) {
 	var perSlot []float64
 	for i, id := range list {
--- a/internal/policy/timing/fleet.go
+++ b/internal/policy/timing/fleet.go
@@ -110,11 +110,12 @@
 // validEntries returns the valid entries of another VM's message, at most MaxServers.
 func validEntries(stats map[ident.Server]Stats) map[ident.Server]Stats {
 	maps.DeleteFunc(stats, func(id ident.Server, s Stats) bool { return id == "" || !s.valid() })
-	return busiest(stats, func(ident.Server) ident.Service { return "" }) // the sender has left out others
+	return busiest(stats, func(ident.Server) ident.Service { return "" }) // the sender has divided the places among services
 }
 
-// busiest removes all but MaxServers servers: of each service those with the most calls, and of all
-// services as many, unless some have fewer. serviceOf returns the service of a server.
+// busiest removes all but MaxServers servers. It divides the places evenly among the services, and
+// gives those that a service does not need to the others. Within a service, the servers with the
+// most calls stay. serviceOf returns the service of a server.
 func busiest(stats map[ident.Server]Stats, serviceOf func(ident.Server) ident.Service) map[ident.Server]Stats {
 	if len(stats) <= MaxServers {
 		return stats
