--- a/internal/route/coord/retry.go
+++ b/internal/route/coord/retry.go
@@ -8,9 +8,9 @@
 	"umberladder/internal/policy/ticket"
 )
 
-// retryShare is the part of the capacity that is reserved for refused calls that return. In replays of a
-// peak of 2 s (TestRetries), 94% of the calls that return when due are served at 0.1 and all at 0.15
-// where 70% of the capacity is used otherwise; where 90% is, 24% at 0.15 and 22% at 0.25.
+// retryShare is the part of the capacity that is reserved for refused calls that return. In replays
+// of a peak of 2 s (TestRetries), 94% of the calls that return when due are served at 0.1 and all at
+// 0.15 where 70% of the capacity is used otherwise; where 90% is, 24% at 0.15 and 22% at 0.25.
 const retryShare = 0.15
 
 // isDue reports whether a new request is a call that was refused, and that returns when its
@@ -24,7 +24,7 @@
 // returns as soon as capacity may have changed.
 func (sq *serviceQueue) retryAfter(r *request, now time.Time) time.Duration {
 	latest := maxRetryAfter
-	if !r.leaves.IsZero() { // its VM tells the client no more than this
+	if !r.leaves.IsZero() { // the Retry-After of its VM is bounded by this
 		latest = admit.RetryAfter(latest, r.leaves.Sub(now))
 	}
 	wait := min(max(sq.estimateWait(r, onTimeLevel), MinRetryAfter), latest)
--- a/internal/route/coord/retry_test.go
+++ b/internal/route/coord/retry_test.go
@@ -190,8 +190,8 @@
 	}
 }
 
-// TestRetryWithinTimeout guards against a ticket that is due later than any delay that is stated to the
-// client, since it gives up soon, so that the call always returns early.
+// TestRetryWithinTimeout guards against a ticket that is due later than any delay that is stated to a
+// client with little time left, whose call then always returns early.
 func TestRetryWithinTimeout(t *testing.T) {
 	r := newReplay(t)
 	r.run(2*time.Second, demand{workspace: "w", perSecond: 300, rank: 1})
