--- a/internal/policy/fair/meter.go
+++ b/internal/policy/fair/meter.go
@@ -92,8 +92,8 @@
 	return min(c.granted.valueAt(now)/total, 1)
 }
 
-// notBeforeGrants returns a time, or that of the latest grant if it is later. All averages have to
-// be taken at the same time: averages are not decayed backwards, and those of different times must not be mixed.
+// notBeforeGrants returns a time, or that of the latest grant if it is later. Averages are not
+// decayed backwards, and those of different times must not be mixed.
 func (m *Meter[K]) notBeforeGrants(now time.Time) time.Time {
 	if now.Before(m.total.at) {
 		return m.total.at
--- a/internal/policy/rates/limiter.go
+++ b/internal/policy/rates/limiter.go
@@ -25,10 +25,9 @@
 	expiry = 30 * time.Second
 	// fadeAfter is how long a limit applies as stated without being confirmed. Then its rate
 	// doubles every fadeDoubling, so that a request confirms it before it expires at all VMs at
-	// once. A server whose calls mostly go to others gets a third of its limit, and at 0.5 a second
-	// 30 s without a request occurred in 1 of 60 runs of 40 s. maxFade bounds the increase, in
-	// requests a second: after a pause, the rate applies to all demand until a request confirms the
-	// limit.
+	// once: a server whose calls mostly go to others may get no request for as long as expiry.
+	// maxFade bounds the increase, in requests a second: after a pause, the rate applies to all
+	// demand until a request confirms the limit.
 	fadeAfter    = 10 * time.Second
 	fadeDoubling = 1500 * time.Millisecond
 	maxFade      = 4
--- a/internal/policy/source/source.go
+++ b/internal/policy/source/source.go
@@ -19,8 +19,8 @@
 }
 
 // Best returns the latest of the hubs' responses that include enough VMs. It returns false if the
-// reports to this VM, which come from reporting VMs, include enough and are to be used instead. Responses that are too old are
-// removed from the map.
+// reports to this VM, which come from reporting VMs, include enough and are to be used instead.
+// Responses that are too old are removed from the map.
 func (c Choice[T]) Best(responses map[ident.VM]T, reporting int, now time.Time) (best T, ok bool) {
 	most := reporting
 	maps.DeleteFunc(responses, func(_ ident.VM, r T) bool {
--- a/internal/route/alloc/grants.go
+++ b/internal/route/alloc/grants.go
@@ -9,8 +9,8 @@
 
 const (
 	// GrantTTL is how long a coordinator's grant for a brief call counts if no report shows
-	// that the VM has received it. With a load of 24 to 34 on 7 processors, 99 of 100 grants
-	// were reported within 42 to 178 ms. Reports state a received grant for as long.
+	// that the VM has received it. VMs that share few processors report grants up to 180 ms
+	// late. Reports state a received grant for as long.
 	GrantTTL = 200 * time.Millisecond
 	// maxGrants is how many received grants a report states. Further ones count until
 	// GrantTTL. They are those of 1,280 calls per second at one VM.
--- a/internal/route/coord/queue.go
+++ b/internal/route/coord/queue.go
@@ -246,9 +246,10 @@
 
 // makeLatePlace reports whether a level of calls that cannot start in time has a place for the
 // request. If it is full, a request of the workspace that has most places for its weight is refused
-// instead, or moved from dueLevel to lateLevel if there is a place, unless the request's own workspace would then have as many. Requests of rank 0 are
-// refused only for others of rank 0, and if no request of another rank can be; they also displace
-// requests of other ranks of their own workspace.
+// instead, or moved from dueLevel to lateLevel if there is a place, unless the request's own
+// workspace would then have as many. Requests of rank 0 are refused only for others of rank 0, and
+// if no request of another rank can be; they also displace requests of other ranks of their own
+// workspace.
 func (c *Coordinator) makeLatePlace(sq *serviceQueue, r *request, level int, now time.Time) bool {
 	l := sq.levels[level]
 	if l.len() < maxLate {
--- a/internal/route/coord/retry.go
+++ b/internal/route/coord/retry.go
@@ -8,9 +8,8 @@
 	"umberladder/internal/policy/ticket"
 )
 
-// retryShare is the part of the capacity that is reserved for refused calls that return. In replays
-// of a peak of 2 s (TestRetries), 94% of the calls that return when due are served at 0.1 and all at
-// 0.15 where 70% of the capacity is used otherwise; where 90% is, 24% at 0.15 and 22% at 0.25.
+// retryShare is the part of the capacity that is booked for refused calls that return. With less,
+// calls return later than they could be served; with more, they return before there is room.
 const retryShare = 0.15
 
 // isDue reports whether a new request is a call that was refused, and that returns when its
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -26,9 +26,8 @@
 	firstTimeout = 60 * time.Millisecond
 	maxTries     = 3
 	// briefTimeout is the same for a brief run. Two coordinators grant the same places, and the
-	// servers of brief runs may fail if they are overrun. With a load of 24 to 34 on 7
-	// processors, 2 to 39 requests in 13 s got no response within firstTimeout. The request is
-	// also sent maxTries times, each time after twice the pause.
+	// servers of brief runs may fail if they are overrun, so that a coordinator that is only late
+	// is waited for. The request is also sent maxTries times, each time after twice the pause.
 	briefTimeout = (1 + 2 + 4) * firstTimeout / maxTries
 	// renewInterval is how often a queued request is repeated.
 	renewInterval = 150 * time.Millisecond
