--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -31,6 +31,7 @@
 
 var trials = map[string]trial{
 	"garble": {vms: 3, run: runGarble},
+	"stop":   {vms: 3, run: runStop},
 }
 
 func main() { os.Exit(run()) }
