--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -32,6 +32,7 @@
 var trials = map[string]trial{
 	"garble": {vms: 3, run: runGarble},
 	"stop":   {vms: 3, run: runStop},
+	"resume": {vms: 3, run: runResume},
 }
 
 func main() { os.Exit(run()) }
