review: show that a VM ends when its descriptors are used up

Case 2: the platform hands the new channels to one VM for 13 s. Its process exits at the limit of 4,100 descriptors. The stopping VM is case 3 now; the resumed stream and the replaced engines stay as trials.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-trial.sh" resume "$(dirname "$0")"
+exec "$(dirname "$0")/../run-trial.sh" stop "$(dirname "$0")"
--- a/review/trial/fleet.go
+++ b/review/trial/fleet.go
@@ -24,6 +24,7 @@
 	name  string
 	front string
 	ready string
+	log   string // path of its output
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -127,6 +128,7 @@
 		return err
 	}
 	defer func() { _ = logFile.Close() }()
+	v.log = logPath
 	v.cmd = exec.Command(program, "edge") //nolint:gosec // the program under test
 	v.cmd.Env = append(os.Environ(), "UMBERLADDER_CONFIG="+settings)
 	v.cmd.Stdout, v.cmd.Stderr = logFile, logFile
@@ -174,6 +176,26 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// isEnded reports whether the VM's process has ended.
+func (v *vm) isEnded() bool {
+	select {
+	case <-v.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// lastLine returns the last line of the VM's output.
+func (v *vm) lastLine() string {
+	data, err := os.ReadFile(v.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 func (f *fleet) signal(v *vm, s syscall.Signal) {
 	f.rec.add("vm %s gets %s", v.name, s)
 	_ = v.cmd.Process.Signal(s)
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -30,9 +30,11 @@
 }
 
 var trials = map[string]trial{
-	"garble": {vms: 3, run: runGarble},
-	"stop":   {vms: 3, run: runStop},
-	"resume": {vms: 3, run: runResume},
+	"garble":  {vms: 3, run: runGarble},
+	"stop":    {vms: 3, run: runStop},
+	"flood":   {vms: 3, run: runFlood},
+	"rollout": {vms: 3, run: runRollout},
+	"resume":  {vms: 3, run: runResume},
 }
 
 func main() { os.Exit(run()) }
