--- a/review/trial/flood.go
+++ b/review/trial/flood.go
@@ -26,7 +26,7 @@
 	keptAtFirst  = 20
 	newPerSecond = 345
 	// floodFor is how long the platform hands the new channels to one VM.
-	floodFor   = 13 * time.Second
+	floodFor   = 14 * time.Second
 	floodAfter = 2 * time.Second // how long the requests go on afterwards
 	// maxLost is how many requests the rule lets a machine lose.
 	maxLost = 3
@@ -46,6 +46,7 @@
 	end   time.Time // of the flood
 	stop  time.Time // of the traffic
 	n     atomic.Int64
+	out   atomic.Bool // the first VM has not been ready twice in a row
 
 	mu    sync.Mutex
 	lost  map[*vm][]string // attempts on kept channels that ended without an answer
@@ -104,6 +105,7 @@
 		wg.Add(1)
 		r.fleet.group.Go(func() error { defer wg.Done(); r.keep(ctx, v); return nil })
 	}
+	r.fleet.group.Go(func() error { r.watchReadiness(ctx, r.fleet.vms[0]); return nil })
 	opened := make(map[*vm]int)
 	t := time.NewTicker(time.Second / newPerSecond)
 	defer t.Stop()
@@ -113,8 +115,10 @@
 		if trouble && time.Now().Before(r.end) {
 			v = r.fleet.vms[0]
 		}
-		if v.isEnded() { // the platform hands over no channels to a VM that is out
-			r.countEnd(v, opened[v])
+		if v.isEnded() || v == r.fleet.vms[0] && r.out.Load() { // the platform hands it no channels
+			if v.isEnded() {
+				r.countEnd(v, opened[v])
+			}
 			v = r.fleet.vms[1+n%2]
 		}
 		opened[v]++
@@ -130,6 +134,20 @@
 	}
 }
 
+// watchReadiness asks a VM once a second whether it is ready, as the platform does. Two misses take
+// it out until it is ready again.
+func (r *floodRun) watchReadiness(ctx context.Context, v *vm) {
+	misses := 0
+	for time.Now().Before(r.stop) && ctx.Err() == nil {
+		if misses++; v.isReady(ctx) {
+			misses = 0
+		}
+		r.out.Store(misses > 1)
+		r.fleet.rec.add("%s ready: %t", v.name, misses == 0)
+		time.Sleep(time.Second)
+	}
+}
+
 func (r *floodRun) countEnd(v *vm, opened int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
