--- a/review/trial/flood.go
+++ b/review/trial/flood.go
@@ -73,6 +73,7 @@
 	for _, id := range []string{"i-yard-1", "i-yard-2", "i-yard-3", "i-yard-4"} {
 		if err := f.startServer(ctx, id, "yard-app", 6, func(s *server) handler {
 			return func(w net.Conn, q *http.Request) bool {
+				f.rec.add("server %s runs %s", s.id, q.Header.Get(headerAttempt))
 				time.Sleep(15 * time.Millisecond)
 				return s.answer(w, q.Header.Get(headerAttempt), http.StatusOK, []byte("booked"))
 			}
@@ -162,11 +163,9 @@
 	if err != nil {
 		return
 	}
-	n := r.n.Add(1)
-	resp := c.do(request{id: fmt.Sprintf("9c41d07d%08x", n), method: http.MethodPost, path: "/ping/2f", timeout: 600 * time.Millisecond, body: "crew"})
-	if n%100 == 0 || resp.err != nil {
-		r.fleet.rec.add("booking %d on a new channel to %s got %d, error %v", n, v.name, resp.status, resp.err)
-	}
+	id := fmt.Sprintf("9c41d07d%08x", r.n.Add(1))
+	resp := c.do(request{id: id, method: http.MethodPost, path: "/ping/2f", timeout: 600 * time.Millisecond, body: "crew"})
+	r.fleet.rec.add("client %s on a new channel to %s got %d, error %v", id, v.name, resp.status, resp.err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held = append(r.held, c)
@@ -182,11 +181,11 @@
 	for first := true; time.Now().Before(r.stop) && ctx.Err() == nil; first = false {
 		id := fmt.Sprintf("9c41d07e%08x", r.n.Add(1))
 		resp := c.do(generation(id, 12))
+		server := r.log.server(id)
+		r.fleet.rec.add("client %s on a kept channel to %s got %d with %d bytes, run by %q, error %v", id, v.name, resp.status, len(resp.body), server, resp.err)
 		if resp.err == nil {
 			continue
 		}
-		server := r.log.server(id)
-		r.fleet.rec.add("generation %s on a kept channel to %s got %d with %d bytes, run by %q, error %v", id, v.name, resp.status, len(resp.body), server, resp.err)
 		if !first && server != "" && resp.status == 0 {
 			r.mu.Lock()
 			r.lost[v] = append(r.lost[v], id)
