Deliver only what is the called server's answer to the call

Cause: what parses counted as said by the server. The codec takes the first word and number of any line for a status line, and nothing asked whether a response is the answer to the attempt: the signature was decoded and never read, the identifier compared only if present, and 421 meant "not run" by itself.

Change: httpc.ReadHeader, the one reader of response headers (calls, orders, reports, the store, other VMs, tunnels), accepts only status lines of HTTP/1.x. route/verify decides for each attempt, streams and continuations included: the response bears the call's identifier, a success is signed, and a status that means "not run" comes with the server's statement, or with the name of another server for 421. Otherwise there is no response: the call may have run, the client gets 502, and no header field counts. Reports of engines, statuses of orders without a body and tunnels have a check of their own kind.

Why it works: a sound server sends all of this.

TestReadHeader, TestNoTunnel, TestDecodeReport and TestCutOffControlResponse cover the related paths. TestDecodeResponse checked that another call's identifier is an error; the field is checked there now, and the error in verify.TestSend.

--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	err = resp.ReadLimitBody(c.r, o.MaxBody)
+	err = c.readResponse(resp, o.MaxBody)
 	if err == nil && c.atEnd {
 		err = d.confirmEnd(ctx, addr)
 	}
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	resp.StreamBody = true
-	if err := resp.ReadLimitBody(c.r, o.MaxBody); err != nil {
+	if err := c.readResponse(resp, o.MaxBody); err != nil {
 		stop()
 		_ = c.Close()
 		return nil, &Error{Stage: Read, Written: c.written, Err: cause(ctx, err)}
@@ -117,6 +117,25 @@
 	return c, stop, nil
 }
 
+// readResponse reads a response with its body or, if it has a body stream, up to the start of
+// that.
+func (c *conn) readResponse(resp *fasthttp.Response, maxBody int) error {
+	if err := ReadHeader(c.r, &resp.Header); err != nil {
+		return err
+	}
+	if hasNoBody(resp.StatusCode()) {
+		return nil
+	}
+	isChunked := resp.Header.ContentLength() == chunkedLength
+	if err := resp.ReadBody(c.r, maxBody); err != nil || !isChunked || resp.StreamBody {
+		return err
+	}
+	if err := resp.Header.ReadTrailer(c.r); !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
 func (d *Dialer) get(ctx context.Context, addr netip.AddrPort, o Options) (*conn, error) {
 	idleTimeout := o.IdleTimeout
 	if idleTimeout <= 0 {
--- a/internal/peer/httpc/raw.go
+++ b/internal/peer/httpc/raw.go
@@ -67,35 +67,22 @@
 		return nil, &Error{Stage: Write, Written: c.written, Err: err}
 	}
 	resp := &Response{}
-	if err := c.readHeader(&resp.Header); err != nil {
+	resp.Header.DisableNormalizing()
+	if err := ReadHeader(c.r, &resp.Header); err != nil {
 		return nil, &Error{Stage: Read, Written: c.written, Err: err}
 	}
 	resp.Body = io.NopCloser(c.body(&resp.Header, header.IsHead()))
 	return resp, nil
 }
 
-// readHeader reads the header of the final response. It skips informational
-// responses.
-func (c *conn) readHeader(h *fasthttp.ResponseHeader) error {
-	h.DisableNormalizing()
-	for {
-		if err := h.Read(c.r); err != nil {
-			return err
-		}
-		if s := h.StatusCode(); s < 100 || s >= 200 {
-			return nil
-		}
-	}
-}
-
 // body returns a reader of the response's body, which returns an error other
 // than io.EOF if the body is truncated.
 func (c *conn) body(h *fasthttp.ResponseHeader, noBody bool) io.Reader {
 	n := h.ContentLength()
-	switch s := h.StatusCode(); {
-	case noBody || s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified || n == 0:
+	switch {
+	case noBody || hasNoBody(h.StatusCode()) || n == 0:
 		return emptyBody{}
-	case n == -1:
+	case n == chunkedLength:
 		return httputil.NewChunkedReader(c.r)
 	case n > 0:
 		return &limitedBody{r: c.r, remaining: n}
@@ -104,6 +91,14 @@
 	}
 }
 
+// chunkedLength is fasthttp's content length of a body in chunks.
+const chunkedLength = -1
+
+// hasNoBody reports whether a final response with the given status never has a body.
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
 type emptyBody struct{}
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
--- a/internal/peer/tunnel/client.go
+++ b/internal/peer/tunnel/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/httpc"
 )
 
 // Path is the path of requests for tunnels.
@@ -23,6 +24,9 @@
 	headerReason  = "Umberladder-Reason"
 )
 
+// chunkedLength is fasthttp's content length of a body in chunks, which a tunnel is.
+const chunkedLength = -1
+
 // Dialer opens connections to other VMs.
 type Dialer interface {
 	Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
@@ -71,10 +75,10 @@
 	}
 	r := bufio.NewReaderSize(nc, bufferSize)
 	var resp fasthttp.ResponseHeader
-	if err := resp.Read(r); err != nil {
+	if err := httpc.ReadHeader(r, &resp); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if resp.StatusCode() == fasthttp.StatusOK {
+	if resp.StatusCode() == fasthttp.StatusOK && resp.ContentLength() == chunkedLength {
 		return &conn{Conn: nc, r: httputil.NewChunkedReader(r)}, nil
 	}
 	if reason, ok := reasons[string(resp.Peek(headerReason))]; ok {
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -192,3 +192,28 @@
 		})
 	}
 }
+
+// TestNoTunnel guards against bytes that are no tunnel and are taken for one: what arrives over it
+// would be taken for the bytes of a server.
+func TestNoTunnel(t *testing.T) {
+	for name, text := range map[string]string{
+		"a word and a number": "job 200 done\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no chunks":           "HTTP/1.1 200 OK\r\n\r\n",
+		"a length":            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			via := serve(t, func(ln net.Listener) {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := tunnel.NewClient(dialer{}).Connect(ctx, via, serverID, true)
+			assert.Assert(t, err != nil && !tunnel.BlamesServer(err), "%v", err)
+		})
+	}
+}
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -32,6 +32,7 @@
 	"umberladder/internal/route/probe"
 	"umberladder/internal/route/relay"
 	"umberladder/internal/route/task"
+	"umberladder/internal/route/verify"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubreg"
 )
@@ -138,7 +139,7 @@
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
-		Backend:   backend,
+		Backend:   verify.New(backend),
 		Clock:     uptime.Now,
 		Log:       log.Named(logger.CallsLogger),
 		Group:     group,
--- a/internal/route/port/port.go
+++ b/internal/route/port/port.go
@@ -38,6 +38,8 @@
 	Via         ident.VM // VM that carries the connection; empty: it is direct
 	Status      int
 	Fields      []call.HeaderField // as sent by the server, without those of the connection
+	CallID      ident.Request      // of the call that the response says it answers; empty: it does not say
+	Responder   string             // name of the server that says it responded; empty: it does not say
 	Signed      bool               // carries a signature of the server
 	NotExecuted bool               // the server says that it did not run the call
 	Replaced    bool               // another server responded at the address: the called one has terminated
