Refuse what a stopping VM cannot complete, by bounds instead of typical figures

Plain calls of 5 s on a route with a target of 100 ms were cut as well.

Cause: the only check, on arrival, took 10 ms for each token, the pace of an engine without load, and for plain calls the latency target alone. Neither the pause that the route allows nor any measurement counted, nor the time for which a call waits for capacity.

Change: task.StopRefusal holds the estimate. A generation takes the target and, for each token, the longest of the route's pause between events, the measured pace of nine in ten engines, and 10 ms. Other calls take the longest of their route in the last minute (policy/expect) and a quarter more; from 3 s after the signal, when only kept connections are left, their deadline decides. It is asked before each attempt, and waits for capacity end at the latest start of a call, also if the signal comes while it waits.

Why it works: what is accepted is bounded by what the route allows or by what was measured; short calls and streams are still accepted (tests).

Tests: relay.TestShutdownBySize, TestShutdownPlain, TestShutdownWhileWaiting.

--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -18,6 +18,7 @@
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/share"
 	"umberladder/internal/peer/tunnel"
+	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
 	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/shed"
@@ -44,6 +45,9 @@
 	acceptTime = 3500 * time.Millisecond
 	// exitReserve is the part of the grace time reserved for the process to exit.
 	exitReserve = 400 * time.Millisecond
+	// durationWindow is how long the longest call of a route bounds those to come: long enough
+	// to see rare calls, and longer than a client waits for most.
+	durationWindow = time.Minute
 	// drainPollInterval is how often open connections are checked while stopping.
 	drainPollInterval = 50 * time.Millisecond
 	// readyMargin is the time from the moment a VM stops being ready to the moment
@@ -136,6 +140,9 @@
 		Rates:     node.Rates,
 		Reject:    node.Reject,
 		Timings:   node.Timings,
+		Durations: expect.New[string](durationWindow),
+		Speeds:    chooser.Speeds,
+		Stop:      &task.Stop{},
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,7 +21,9 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/core/uptime"
+	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
@@ -291,6 +294,7 @@
 	origins    *origin.Finder
 	records    []*task.Result
 	preemption bool // calls state the priorities of their workspaces to engines
+	speeds     []pace.Speed
 	clock      func() uptime.Instant
 	refresh    func() error
 }
@@ -337,6 +341,10 @@
 	return h.refresh()
 }
 
+func (h *harness) enginePace(ident.Service, time.Time) ([]pace.Speed, time.Duration) {
+	return slices.Clone(h.speeds), 0
+}
+
 func newHarness(t *testing.T, servers int) *harness {
 	h := &harness{t: t, group: &errgroup.Group{}, budget: &fakeBudget{remaining: 100}}
 	start := time.Now()
@@ -374,7 +382,7 @@
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
 		Reject:  reject.New(func(reject.Limit) {}),
-		Timings: timing.New(func(timing.Change) {}),
+		Timings: timing.New(func(timing.Change) {}), Durations: expect.New[string](time.Minute), Speeds: h.enginePace, Stop: &task.Stop{},
 		Origins: h.origins,
 		Placer:  h.placer,
 	})
--- a/internal/route/relay/plain_test.go
+++ b/internal/route/relay/plain_test.go
@@ -202,3 +202,51 @@
 		})
 	}
 }
+
+// TestShutdownPlain guards against plain calls that a VM accepts while it shuts down and then
+// interrupts, because they take much longer than the target of their route, and against short
+// ones that it refuses.
+func TestShutdownPlain(t *testing.T) {
+	const ms = time.Millisecond
+	for name, tc := range map[string]struct {
+		recent  []time.Duration // durations of calls before the stop signal
+		sent    time.Duration   // after the stop signal
+		timeout time.Duration
+		served  bool
+	}{
+		"short calls, just after the signal":          {recent: []time.Duration{50 * ms}, sent: 500 * ms, timeout: 7 * time.Second, served: true},
+		"short calls, before clients have moved":      {recent: []time.Duration{50 * ms}, sent: 2500 * ms, timeout: 7 * time.Second, served: true},
+		"no recent call, before clients have moved":   {sent: 2500 * ms, timeout: 7 * time.Second, served: true},
+		"long calls, before clients have moved":       {recent: []time.Duration{5 * time.Second}, sent: 2500 * ms, timeout: 7 * time.Second},
+		"long calls, just after the signal":           {recent: []time.Duration{5 * time.Second}, sent: 500 * ms, timeout: 7 * time.Second, served: true},
+		"a long call among short ones":                {recent: []time.Duration{5 * time.Second, 50 * ms}, sent: 2500 * ms, timeout: 7 * time.Second},
+		"long calls, after it":                        {recent: []time.Duration{5 * time.Second}, sent: 3100 * ms, timeout: 7 * time.Second},
+		"long calls after short ones, after it":       {recent: []time.Duration{50 * ms}, sent: 3100 * ms, timeout: 7 * time.Second},
+		"the time limit ends before the VM, after it": {recent: []time.Duration{50 * ms}, sent: 3400 * ms, timeout: 4 * time.Second, served: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 2)
+				h.engines.respond["s0"], h.engines.respond["s1"] = respondOK, respondOK
+				c := h.call("/once/x")
+				route := h.settings.Load().Find(c.Host, c.Path)
+				route.LatencyTarget, route.Timeout = 100*ms, tc.timeout
+				for _, d := range tc.recent {
+					h.relay.Durations.Observe(route.Name, d, time.Now())
+				}
+				h.relay.Drain(time.Now().Add(7600 * ms))
+				time.Sleep(tc.sent)
+				c = h.call("/once/x")
+				c.Prompt = nil
+				w := &client{}
+				r := h.relay.Serve(t.Context(), c, w)
+				if tc.served {
+					assert.Assert(t, r == nil, "%v", r)
+					assert.Equal(t, w.status, 200)
+					return
+				}
+				check.Refusal(t, r, refuse.VMStopping, refuse.RanNo)
+			})
+		})
+	}
+}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,9 +35,6 @@
 	// settingsRetryAfter is the retry delay of calls refused for missing or stale
 	// settings: another VM is likely to have current ones.
 	settingsRetryAfter = 200 * time.Millisecond
-	// shutdownRetryAfter is the retry delay of calls refused by a VM that is
-	// shutting down.
-	shutdownRetryAfter = 20 * time.Millisecond
 	// startupTime is how long after its start a VM may lack settings and servers because
 	// all VMs have started at once. A single VM that starts gets no calls before it has both.
 	startupTime = 2 * time.Second
@@ -46,16 +42,12 @@
 	// often they are looked for. Clients of a fleet that was lost have few retries left.
 	startupWait         = 500 * time.Millisecond
 	startupPollInterval = 10 * time.Millisecond
-	// maxTokenTime is the longest time per generated token at an engine that is not
-	// overloaded.
-	maxTokenTime = 10 * time.Millisecond
 )
 
 // Relay serves the calls of clients. It is safe for concurrent use.
 type Relay struct {
 	task.Deps
-	startedAt  time.Time
-	shutdownAt atomic.Int64 // when the VM shuts down, in Unix nanoseconds; zero: not shutting down
+	startedAt time.Time
 }
 
 // New returns a Relay with the given dependencies.
@@ -74,26 +66,8 @@
 }
 
 // Drain makes the relay refuse calls that are not expected to complete by end,
-// the time at which the VM shuts down.
-func (r *Relay) Drain(end time.Time) { r.shutdownAt.Store(end.UnixNano()) }
-
-// checkShutdown refuses a call that the shutdown of this VM would interrupt. The
-// call has not run, so another VM can serve it.
-func (a *admission) checkShutdown() *refuse.Refusal {
-	ns := a.relay.shutdownAt.Load()
-	if ns == 0 {
-		return nil
-	}
-	remaining := time.Until(time.Unix(0, ns))
-	needed := a.Route.LatencyTarget
-	if p := a.Call.Prompt; p != nil {
-		needed += time.Duration(p.MaxTokens) * maxTokenTime
-	}
-	if needed < remaining {
-		return nil
-	}
-	return refuse.New(refuse.VMStopping, "this VM ends in %s, and the call may take %s", remaining.Round(time.Millisecond), needed).WithRetryAfter(shutdownRetryAfter)
-}
+// the time at which the VM shuts down, also those that wait for capacity.
+func (r *Relay) Drain(end time.Time) { r.Stop.Begin(end) }
 
 // admission resolves and serves one call.
 type admission struct {
@@ -138,6 +112,9 @@
 	}
 	a.Result.Route = a.Route
 	a.Result.Total = time.Since(a.Call.Arrived)
+	if a.Result.Attempts > 0 {
+		a.Durations.Observe(a.Route.Name, a.Result.Total-a.Result.QueueTime, time.Now())
+	}
 	if r != nil {
 		a.FlushDeferred()
 	}
@@ -207,17 +184,14 @@
 	if refusal := a.RegionRefusal(); refusal != nil {
 		return refusal
 	}
-	if refusal := a.checkShutdown(); refusal != nil {
-		return refusal
-	}
-	if refusal := a.QuarantineRefusal(); refusal != nil {
-		return refusal
-	}
 	a.Deadline = a.Call.Arrived.Add(route.Timeout)
 	if p := a.Call.ClientTimeout; p > 0 && p < route.Timeout {
 		a.Deadline = a.Call.Arrived.Add(p)
 	}
-	return nil
+	if refusal := a.StopRefusal(); refusal != nil {
+		return refusal
+	}
+	return a.QuarantineRefusal()
 }
 
 // checkSuperseded refuses calls once a newer version of the settings has been
--- a/internal/route/relay/stream_test.go
+++ b/internal/route/relay/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,8 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
+	"umberladder/internal/policy/pace"
+	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/port"
 	"umberladder/internal/test/check"
 )
@@ -332,3 +335,92 @@
 		assert.Assert(t, c.aborted && !c.ended, "an interrupted response must not look complete")
 	})
 }
+
+// TestShutdownBySize guards against generations that a VM accepts while it shuts down and then
+// interrupts, because their engines take longer per token than it assumes, and against short calls
+// that it refuses.
+func TestShutdownBySize(t *testing.T) {
+	const ms = time.Millisecond
+	for name, tc := range map[string]struct {
+		tokens    int
+		gap       time.Duration   // target of the route for the pause between two events, of 4 tokens each
+		speeds    []time.Duration // measured times per token of the engines
+		own       time.Duration   // time per token of a stream of this VM
+		remaining time.Duration
+		served    bool
+	}{
+		"as slow as the route allows":                {tokens: 240, gap: 180 * ms, remaining: 4500 * ms},
+		"as slow as the route allows, not as long":   {tokens: 104, gap: 180 * ms, remaining: 4500 * ms},
+		"measured engines are slow":                  {tokens: 180, speeds: []time.Duration{30 * ms}, remaining: 4500 * ms},
+		"some measured engines are slow":             {tokens: 180, speeds: []time.Duration{10 * ms, 30 * ms}, remaining: 4500 * ms},
+		"its own streams are slow":                   {tokens: 180, own: 30 * ms, remaining: 4500 * ms},
+		"measured engines are slower than allowed":   {tokens: 60, gap: 40 * ms, speeds: []time.Duration{50 * ms}, remaining: 4500 * ms},
+		"short, just after the signal":               {tokens: 40, gap: 180 * ms, remaining: 7100 * ms, served: true},
+		"short, when clients have gone elsewhere":    {tokens: 40, gap: 180 * ms, remaining: 4500 * ms, served: true},
+		"short, on measured engines":                 {tokens: 40, speeds: []time.Duration{30 * ms}, remaining: 4500 * ms, served: true},
+		"one of many engines is slow":                {tokens: 180, speeds: append(slices.Repeat([]time.Duration{10 * ms}, 30), time.Second), remaining: 4500 * ms, served: true},
+		"its client does not wait longer than it is": {tokens: 900, gap: 180 * ms, remaining: 40 * time.Second, served: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 3)
+				h.engines.events = tc.tokens / 4
+				for _, d := range tc.speeds {
+					h.speeds = append(h.speeds, pace.Speed{PerToken: d})
+				}
+				if tc.own > 0 {
+					h.relay.Alloc.Reserve("s1", alloc.Load{Calls: 1, PaceRuns: 1, PaceMicros: int(tc.own.Microseconds())})
+				}
+				c := h.call("/long/x")
+				h.settings.Load().Find(c.Host, c.Path).GapTarget = tc.gap
+				c.Prompt.MaxTokens = tc.tokens
+				h.relay.Drain(time.Now().Add(tc.remaining))
+				w := &client{}
+				r := h.relay.Serve(t.Context(), c, w)
+				_ = h.group.Wait()
+				if tc.served {
+					assertComplete(t, w, r, h.engines.events)
+					return
+				}
+				check.Refusal(t, r, refuse.VMStopping, refuse.RanNo)
+				assert.Equal(t, len(h.engines.started), 0)
+			})
+		})
+	}
+}
+
+// TestShutdownWhileWaiting guards against generations that wait for capacity when a VM begins to
+// shut down, and get it only when too little time is left.
+func TestShutdownWhileWaiting(t *testing.T) {
+	for name, tc := range map[string]struct {
+		free    time.Duration // when capacity becomes available
+		served  bool
+		refused time.Duration // latest time of the refusal
+	}{
+		"capacity becomes available in time": {free: 300 * time.Millisecond, served: true},
+		"it does not":                        {free: 600 * time.Millisecond, refused: 450 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 1)
+				h.engines.events = 10
+				reservation := h.relay.Alloc.Reserve("s0", h.fullLoad())
+				after(tc.free, reservation.Release)
+				// The call takes 2.2 s by its size: at the route's target, and 10 ms for each token.
+				c := h.call("/long/x")
+				c.Prompt.MaxTokens = 40
+				h.settings.Load().Find(c.Host, c.Path).LatencyTarget = 1800 * time.Millisecond
+				after(100*time.Millisecond, func() { h.relay.Drain(time.Now().Add(2500 * time.Millisecond)) })
+				start, w := time.Now(), &client{}
+				r := h.relay.Serve(t.Context(), c, w)
+				_ = h.group.Wait()
+				if tc.served {
+					assertComplete(t, w, r, h.engines.events)
+					return
+				}
+				check.Refusal(t, r, refuse.VMStopping, refuse.RanNo)
+				assert.Assert(t, time.Since(start) <= tc.refused, "refused after %s", time.Since(start))
+			})
+		})
+	}
+}
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -270,9 +270,9 @@
 	req.TargetWait = admit.OnTimeWait(f.Route.LatencyTarget, elapsed, req.Prefill)
 	req.MaxWait = admit.MaxWait(req.TargetWait, f.Deadline.Sub(f.Call.Arrived), elapsed)
 	req.Remaining = f.Remaining()
-	placement, err := f.Placer.Place(ctx, req)
+	placement, err := f.awaitCapacity(ctx, req)
 	f.Result.QueueTime += time.Since(start)
-	if q := f.QuarantineRefusal(); q != nil {
+	if q := cmp.Or(f.QuarantineRefusal(), f.stopRefusal()); q != nil {
 		return nil, q
 	}
 	var noCapacity *pick.NoCapacityError
@@ -297,6 +297,26 @@
 	}
 }
 
+// awaitCapacity requests capacity and waits for it. A stream that has begun goes on while this VM
+// shuts down; one that has not begun waits only as long as it could still complete.
+func (f *forwarder) awaitCapacity(ctx context.Context, req pick.Request) (pick.Placement, error) {
+	if !f.headerSent {
+		var release func()
+		ctx, release = f.StartContext(ctx)
+		defer release()
+	}
+	return f.Placer.Place(ctx, req)
+}
+
+// stopRefusal returns the refusal of a stream that has not begun and that the shutdown of this VM
+// would interrupt, or nil.
+func (f *forwarder) stopRefusal() *refuse.Refusal {
+	if f.headerSent {
+		return nil
+	}
+	return f.StopRefusal()
+}
+
 // versionGoneRefusal returns the refusal of a stream for whose version no server accepts work. No
 // server returns to it, so that there is no time after which the client should retry.
 func (f *forwarder) versionGoneRefusal() *refuse.Refusal {
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -11,7 +11,9 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/core/uptime"
+	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
@@ -56,6 +58,9 @@
 	Rates     *rates.Limiter
 	Reject    *reject.Tracker
 	Timings   *timing.Tracker
+	Durations *expect.Longest[string] // of calls that were sent to a server, by the name of the route
+	Speeds    Speeds
+	Stop      *Stop
 	Poison    *poison.Detector
 	Placer    Placer
 	Origins   Origins
@@ -74,6 +79,9 @@
 	ReturnRetry(service ident.Service, allowedAt time.Time)
 }
 
+// Speeds returns the engines of a service whose time per token is known, and the median.
+type Speeds func(service ident.Service, now time.Time) ([]pace.Speed, time.Duration)
+
 // Placer decides where runs go. Its error is pick.ErrNoServer, a
 // *pick.NoCapacityError or the context's error.
 type Placer interface {
--- /dev/null
+++ b/internal/route/task/stop.go
@@ -0,0 +1,178 @@
+package task
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"umberladder/internal/core/refuse"
+)
+
+const (
+	// stopRetryAfter is the retry delay of calls refused by a VM that is shutting down.
+	stopRetryAfter = 20 * time.Millisecond
+	// settleTime is how long after the stop signal the balancer may still send new clients: it
+	// checks readiness once a second and needs two failed checks. Until then a VM refuses what
+	// it cannot complete by its estimates. Later ones come only from clients that kept a
+	// connection and can go elsewhere, so that calls of unknown length are refused as well.
+	settleTime = 3 * time.Second
+	// maxTokenTime is the longest time per generated token at an engine that is not
+	// overloaded.
+	maxTokenTime = 10 * time.Millisecond
+	// slowPaceShare is the share of engines that are not slower than the pace on which the
+	// estimates rely. Runs are rarely placed on the few slowest ones.
+	slowPaceShare = 0.9
+	// durationMargin is the multiple of the longest recent duration of a route's calls that a
+	// call is expected to take at most.
+	durationMargin = 1.25
+)
+
+// errStopping is the cause that cancels a wait for capacity after which the shutdown of this VM
+// would interrupt the call.
+var errStopping = errors.New("task: this VM is shutting down")
+
+// Stop is the shutdown of this VM. It is safe for concurrent use. The zero value is a VM that is
+// not shutting down.
+type Stop struct {
+	times atomic.Pointer[stopTimes]
+
+	mu      sync.Mutex
+	waiting map[*stopWait]struct{}
+}
+
+type stopTimes struct {
+	signal time.Time // when the shutdown began
+	end    time.Time // when the VM ends
+}
+
+// stopWait is a call that waits for capacity.
+type stopWait struct {
+	latestStart func(end time.Time) time.Time
+	cancel      context.CancelCauseFunc
+	timer       *time.Timer // nil: the VM is not shutting down
+}
+
+// Begin begins the shutdown. The VM ends at the given time.
+func (s *Stop) Begin(end time.Time) {
+	s.times.Store(&stopTimes{signal: time.Now(), end: end})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.waiting {
+		w.expire(end)
+	}
+}
+
+// expire cancels the wait at the latest start of the call, if the VM ends at the given time.
+func (w *stopWait) expire(end time.Time) {
+	if w.timer == nil {
+		w.timer = time.AfterFunc(time.Until(w.latestStart(end)), func() { w.cancel(errStopping) })
+	}
+}
+
+// withStart returns a context for a wait for capacity. It ends at the latest start of the call,
+// given the time at which the VM ends, also if the shutdown begins during the wait. The returned
+// function releases it.
+func (s *Stop) withStart(ctx context.Context, latestStart func(end time.Time) time.Time) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &stopWait{latestStart: latestStart, cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting == nil {
+		s.waiting = make(map[*stopWait]struct{})
+	}
+	s.waiting[w] = struct{}{}
+	if st := s.times.Load(); st != nil {
+		w.expire(st.end)
+	}
+	return ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.waiting, w)
+		if w.timer != nil {
+			w.timer.Stop()
+		}
+		cancel(nil)
+	}
+}
+
+// StartContext returns a context for a wait for capacity, which ends when the call, if it started
+// later, would not complete before this VM ends. The returned function releases it.
+func (t *Task) StartContext(ctx context.Context) (context.Context, func()) {
+	return t.Stop.withStart(ctx, t.latestStart)
+}
+
+// latestStart returns the latest time at which the call may be sent to a server if this VM ends
+// at the given time.
+func (t *Task) latestStart(end time.Time) time.Time {
+	if !t.Deadline.After(end) {
+		return t.Deadline
+	}
+	return end.Add(-t.expectedTime(time.Now()))
+}
+
+// StopRefusal returns the refusal of a call that the shutdown of this VM would interrupt if it
+// were sent to a server now, or nil. It has not been sent, so that another VM can serve it.
+func (t *Task) StopRefusal() *refuse.Refusal {
+	st, now := t.Stop.times.Load(), time.Now()
+	if st == nil || now.Before(t.latestStart(st.end)) || !t.Deadline.After(st.end) {
+		return nil
+	}
+	return refuse.New(refuse.VMStopping, "this VM ends in %s, and the call may take %s", st.end.Sub(now).Round(time.Millisecond),
+		min(t.expectedTime(now), t.Deadline.Sub(now)).Round(time.Millisecond)).WithRetryAfter(stopRetryAfter)
+}
+
+// unbounded is the expected time of a call of which nothing is known.
+const unbounded = time.Duration(math.MaxInt64)
+
+// expectedTime returns how long the call is expected to take at most: a generation by its size, and
+// others by the recent ones of their route.
+func (t *Task) expectedTime(now time.Time) time.Duration {
+	target := t.Route.LatencyTarget
+	if p := t.Call.Prompt; p != nil {
+		return target + time.Duration(p.MaxTokens)*t.tokenTime(now)
+	}
+	if st := t.Stop.times.Load(); st != nil && now.Sub(st.signal) >= settleTime {
+		return unbounded
+	}
+	longest, _ := t.Durations.Of(t.Route.Name, now)
+	return max(target, time.Duration(durationMargin*float64(longest)))
+}
+
+// tokenTime returns the longest time per generated token that is expected: the pause between
+// events with which the route's streams are still on time, or the measured time if that is longer.
+func (t *Task) tokenTime(now time.Time) time.Duration {
+	perToken := maxTokenTime
+	if e := t.Service.Engine; e != nil && e.TokensPerEvent > 0 {
+		perToken = max(perToken, t.Route.GapTarget/time.Duration(e.TokensPerEvent))
+	}
+	paces := t.enginePaces(now)
+	if len(paces) == 0 {
+		return perToken
+	}
+	slices.Sort(paces)
+	return max(perToken, paces[int(slowPaceShare*float64(len(paces)))])
+}
+
+// enginePaces returns the measured times per token of the service's engines: those that this VM
+// knows of all engines or, if it places no runs of the service, those of the engines that run its
+// own streams.
+func (t *Task) enginePaces(now time.Time) []time.Duration {
+	var out []time.Duration
+	speeds, _ := t.Speeds(t.Service.Name, now)
+	for _, s := range speeds {
+		out = append(out, s.PerToken)
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, s := range t.Servers.View().ServersOf(t.Service.Name) {
+		if l := t.Alloc.Load(s.ID); l.PaceRuns > 0 {
+			out = append(out, time.Duration(l.PaceMicros/l.PaceRuns)*time.Microsecond)
+		}
+	}
+	return out
+}
--- a/internal/route/unary/fleet_test.go
+++ b/internal/route/unary/fleet_test.go
@@ -165,7 +165,7 @@
 			defer f.mu.Unlock()
 			f.changes++
 		}),
-		Poison: poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {}), Backend: f, Log: zap.NewNop(),
+		Poison: poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {}), Backend: f, Log: zap.NewNop(), Stop: &task.Stop{},
 	}
 }
 
--- a/internal/route/unary/place.go
+++ b/internal/route/unary/place.go
@@ -27,8 +27,13 @@
 	}
 	req := r.placementRequest(time.Since(r.Call.Arrived))
 	r.unreachable = nil
-	placement, err := r.Placer.Place(ctx, req)
+	startCtx, release := r.StartContext(ctx)
+	placement, err := r.Placer.Place(startCtx, req)
+	release()
 	var noCapacity *pick.NoCapacityError
+	if q := r.StopRefusal(); q != nil {
+		return nil, q.WithRan(r.ran())
+	}
 	switch {
 	case err == nil:
 		r.reservation = r.reserve(placement, req.Load())
--- a/internal/route/unary/unary.go
+++ b/internal/route/unary/unary.go
@@ -1,6 +1,7 @@
 package unary
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -110,7 +111,7 @@
 	if r.Result.Attempts >= r.Route.MaxAttempts || !r.RetryUnsent(r.connectFailures) {
 		return false
 	}
-	if q := r.QuarantineRefusal(); q != nil {
+	if q := cmp.Or(r.QuarantineRefusal(), r.StopRefusal()); q != nil {
 		r.refusal = q.WithRan(r.ran())
 		return false
 	}
