Bound answers of servers that have no end

Cause: limits on each read, and none on the whole. Bodies were bounded for each call, at 16 MiB, and not over the calls of a VM.

Change: at most 16 interim responses; events of at most 1 MiB, of which each byte is examined once; a pool of 16 MiB that all large responses and events of a VM share, without the first 64 KiB of each, so that ordinary ones are never refused for large ones.

--- a/internal/peer/httpc/header.go
+++ b/internal/peer/httpc/header.go
@@ -12,6 +12,10 @@
 // digit.
 const statusLineForm = "HTTP/1.0 000"
 
+// maxInterim is the maximum number of interim responses before a final one. Servers send one or
+// two; a faulty one may send them without end.
+const maxInterim = 16
+
 // maxQuotedBytes is how much of what is no response an error quotes, in bytes.
 const maxQuotedBytes = 40
 
@@ -19,7 +23,7 @@
 // returns an error if the bytes are no HTTP response, which the codec alone does not detect: it
 // takes any word and number for a status line.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	for {
+	for range maxInterim + 1 {
 		if err := awaitStatusLine(r); err != nil {
 			return err
 		}
@@ -30,6 +34,7 @@
 			return nil
 		}
 	}
+	return trace.LimitExceeded("no final response after %d interim ones", maxInterim)
 }
 
 func isInterim(status int) bool { return status < fasthttp.StatusOK }
--- a/internal/peer/httpc/header_test.go
+++ b/internal/peer/httpc/header_test.go
@@ -27,6 +27,8 @@
 		"no space after the status":    {text: "HTTP/1.1 404\r\n\r\n", status: 404},
 		"an older version":             {text: "HTTP/1.0 200 OK\r\n\r\n", status: 200},
 		"an interim response first":    {text: "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + final, status: 200},
+		"many interim responses":       {text: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterim) + final, status: 200},
+		"too many interim responses":   {text: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterim+1) + final},
 		"a word and a number":          {text: "job 221 aborted\r\n\r\n"},
 		"a number and a word":          {text: "200 OK\r\n\r\n"},
 		"another protocol":             {text: "ICY 200 OK\r\n\r\n"},
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -50,6 +50,7 @@
 	metricConnections     = "umberladder_server_connections_total"
 	metricServersCutOff   = "umberladder_servers_cut_off"
 	metricTunnels         = "umberladder_tunnels"
+	metricLargeResponses  = "umberladder_large_response_bytes"
 	metricConnsShed       = "umberladder_client_connections_shed_total"
 	metricEnginesSlow     = "umberladder_engines_slow"
 )
@@ -104,6 +105,7 @@
 		{metricPlainSlow, "gauge", "plain servers that are slow: their mean response time is well over 1.3 times the median of their service; by service"},
 		{metricConnections, "counter", "attempts to connect to servers, by path (direct, or through a peer VM) and outcome"},
 		{metricServersCutOff, "gauge", "servers that this VM reaches only through other VMs"},
+		{metricLargeResponses, "gauge", "bytes that responses and events of servers hold beyond the first 64 KiB of each, of at most 16 MiB in all"},
 		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
 		{metricQuarantined, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
@@ -142,6 +144,7 @@
 		metricBrittle:        func() float64 { return float64(len(v.node.Reject.Services(time.Now()))) },
 		metricServersCutOff:  func() float64 { return float64(v.node.Reach.CutOffCount(time.Now())) },
 		metricTunnels:        func() float64 { return float64(v.tunnels.Open()) },
+		metricLargeResponses: func() float64 { return float64(v.responses.Held()) },
 		metricOrigins:        func() float64 { return float64(v.node.Origins.Len()) },
 		metricEnginesSlow:    func() float64 { return float64(v.chooser.SlowEngines(time.Now())) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -20,6 +20,7 @@
 	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
+	"umberladder/internal/policy/memory"
 	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/shed"
 	"umberladder/internal/proc/conf"
@@ -48,6 +49,9 @@
 	// durationWindow is how long the longest call of a route bounds those to come: long enough
 	// to see rare calls, and longer than a client waits for most.
 	durationWindow = time.Minute
+	// largeResponseBytes is the memory that large responses of servers share. The smallest VMs
+	// have 134 MB, of which the garbage collector may use twice what is held.
+	largeResponseBytes = 16 << 20
 	// drainPollInterval is how often open connections are checked while stopping.
 	drainPollInterval = 50 * time.Millisecond
 	// readyMargin is the time from the moment a VM stops being ready to the moment
@@ -102,6 +106,7 @@
 	tunnels     *tunnel.Server
 	relay       *relay.Relay
 	gate        *shed.Gate
+	responses   *memory.Pool // that are large
 	front       *front.Server
 	stopping    atomic.Bool
 }
@@ -111,6 +116,7 @@
 	node := peers.New(cfg, peers.Deps{Settings: deps.Settings, Servers: deps.Servers, Registry: deps.Registry, Share: deps.Share}, group, log)
 	v := &VM{log: log, metricSet: metrics.NewSet(), logSink: deps.LogSink, node: node}
 	v.cfg.Store(cfg)
+	v.responses = memory.NewPool(largeResponseBytes)
 	v.gate = shed.New(node.Budget.Excess, v.sheddingChanged)
 	conns := v.newConnector(deps.Dialer, group)
 	backend := deps.NewBackend(conns)
@@ -143,6 +149,7 @@
 		Durations: expect.New[string](durationWindow),
 		Speeds:    chooser.Speeds,
 		Stop:      &task.Stop{},
+		Memory:    v.responses,
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
--- a/internal/route/events/conn.go
+++ b/internal/route/events/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"golang.org/x/sync/errgroup"
+
+	"umberladder/internal/policy/memory"
 )
 
 const (
@@ -15,27 +17,34 @@
 	bufferedReads = 16
 	// readSize is the size of one read of a stream, in bytes.
 	readSize = 4 << 10
+	// maxEvent is the maximum size of an event, in bytes. An event holds a few tokens; a faulty
+	// engine may send one that never ends.
+	maxEvent = 1 << 20
 )
 
 // ErrIncompleteEvent reports a body that ended regularly inside an event. The engine broke
 // off; a complete stream ends with the empty line of its last event.
 var ErrIncompleteEvent = errors.New("events: the body ended inside an event")
 
+// ErrEventTooLong reports an event that is larger than any that an engine should send.
+var ErrEventTooLong = errors.New("events: an event is longer than 1 MiB")
+
 // Conn reads the part of a stream that arrives over one connection to an engine.
 type Conn struct {
 	body      io.ReadCloser
-	delimited bool        // the end of the body is marked, so that a truncated body is detected
-	events    chan []byte // complete events, one or more in each slice
-	err       error       // set before events is closed; io.EOF: the body ended regularly, after a complete event
-	rest      int         // length of the incomplete event at the end of the body
+	account   *memory.Account // for the incomplete event
+	delimited bool            // the end of the body is marked, so that a truncated body is detected
+	events    chan []byte     // complete events, one or more in each slice
+	err       error           // set before events is closed; io.EOF: the body ended regularly, after a complete event
+	rest      int             // length of the incomplete event at the end of the body
 	quit      chan struct{}
 	done      chan struct{} // closed once the connection has ended
 	once      sync.Once
 }
 
-// New starts to read events from body in a goroutine of g.
-func New(g *errgroup.Group, body io.ReadCloser, delimited bool) *Conn {
-	c := &Conn{body: body, delimited: delimited, events: make(chan []byte, bufferedReads), quit: make(chan struct{}), done: make(chan struct{})}
+// New starts to read events from body in a goroutine of g. Large events draw on the pool.
+func New(g *errgroup.Group, body io.ReadCloser, delimited bool, pool *memory.Pool) *Conn {
+	c := &Conn{body: body, account: pool.Account(), delimited: delimited, events: make(chan []byte, bufferedReads), quit: make(chan struct{}), done: make(chan struct{})}
 	g.Go(func() error {
 		c.read()
 		return nil
@@ -59,24 +68,34 @@
 		close(c.done)
 		close(c.events)
 	}()
-	var rest []byte
+	defer c.account.Release()
+	var s scanner
 	buf := make([]byte, readSize)
 	for {
 		n, err := c.body.Read(buf)
-		rest = append(rest, buf[:n]...)
-		if at := completeLen(rest); at > 0 {
-			if !c.send(bytes.Clone(rest[:at])) {
-				return
-			}
-			rest = append(rest[:0], rest[at:]...)
+		s.add(buf[:n])
+		if p := s.takeEvents(); len(p) > 0 && !c.send(p) {
+			return
+		}
+		if limitErr := c.checkSize(&s); limitErr != nil {
+			c.end(s.rest(), limitErr)
+			return
 		}
 		if err != nil {
-			c.end(rest, err)
+			c.end(s.rest(), err)
 			return
 		}
 	}
 }
 
+// checkSize returns an error if an incomplete event is too large to wait for its end.
+func (c *Conn) checkSize(s *scanner) error {
+	if len(s.rest()) > maxEvent {
+		return ErrEventTooLong
+	}
+	return c.account.Hold(s.size())
+}
+
 // end sets the error with which the connection ended. An incomplete event is dropped.
 func (c *Conn) end(rest []byte, err error) {
 	c.rest = len(rest)
@@ -97,22 +116,6 @@
 	}
 }
 
-// completeLen returns the length of the complete events at the start of p. An event
-// ends with an empty line.
-func completeLen(p []byte) int {
-	complete := 0
-	for at := 0; ; {
-		line, n := nextLine(p[at:])
-		if n == 0 {
-			return complete
-		}
-		at += n
-		if len(line) == 0 {
-			complete = at
-		}
-	}
-}
-
 // nextLine returns the first line of p without its end, and its length with the end, which
 // is zero if p has no complete line. A line ends with LF, CR or CRLF. The LF of a CRLF that
 // is not in p yet counts as an empty line of its own, which changes no event.
--- a/internal/route/events/conn_test.go
+++ b/internal/route/events/conn_test.go
@@ -6,16 +6,19 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+
+	"umberladder/internal/policy/memory"
 )
 
 // readAll returns the events of a body and the error with which it ended.
 func readAll(t *testing.T, body io.Reader) (string, error) {
 	t.Helper()
 	var g errgroup.Group
-	c := New(&g, io.NopCloser(body), true)
+	c := New(&g, io.NopCloser(body), true, memory.NewPool(2*maxEvent))
 	got := ""
 	for p := range c.Events() {
 		got += string(p)
@@ -79,3 +82,67 @@
 		})
 	}
 }
+
+// endless repeats a text without an end.
+type endless struct {
+	text string
+	read int // bytes
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], e.text[(e.read+n)%len(e.text):])
+	}
+	e.read += n
+	return n, nil
+}
+
+// TestEndlessEvent guards against an event without an end, which was kept whole, and searched from
+// its start at each read, until the client gave up.
+func TestEndlessEvent(t *testing.T) {
+	for name, text := range map[string]string{
+		"one line": "x", "many lines": "data: x\n", "many lines after CRLF": "data: x\r\n", "a comment": ": x\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := &endless{text: text}
+			got, err := readAll(t, io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.HalfReader(body)))
+			assert.ErrorIs(t, err, ErrEventTooLong)
+			assert.Equal(t, got, "id: 1\n\n")
+			assert.Assert(t, body.read <= maxEvent+2*readSize, "%d bytes were read", body.read)
+		})
+	}
+}
+
+// TestLargeEvent checks that a large event is delivered, also if it arrives byte by byte. Searched
+// from its start at each read, it takes about a minute.
+func TestLargeEvent(t *testing.T) {
+	event := "id: 1\ndata: " + strings.Repeat("x", maxEvent-20) + "\n\n"
+	for name, r := range map[string]io.Reader{"at once": strings.NewReader(event), "byte by byte": iotest.OneByteReader(strings.NewReader(event))} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			got, err := readAll(t, r)
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Assert(t, got == event)
+			assert.Assert(t, time.Since(start) < 5*time.Second, "it took %s", time.Since(start))
+		})
+	}
+}
+
+// TestSharedMemory guards against streams that together hold more memory than the VM has, while
+// each holds little enough.
+func TestSharedMemory(t *testing.T) {
+	const streams = 50
+	pool := memory.NewPool(4 << 20)
+	var g errgroup.Group
+	var conns []*Conn
+	for range streams {
+		conns = append(conns, New(&g, io.NopCloser(&endless{text: "x"}), true, pool))
+	}
+	for _, c := range conns {
+		<-c.Done()
+		assert.Assert(t, errors.Is(c.Err(), ErrEventTooLong) || errors.Is(c.Err(), memory.ErrExhausted), "%v", c.Err())
+	}
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, pool.Held(), 0)
+}
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -285,5 +285,5 @@
 	}
 	f.endUncertain, f.gotEvent = false, false
 	f.meter = pace.Meter{}
-	f.conn = events.New(f.Group, resp.Body, resp.Delimited)
+	f.conn = events.New(f.Group, resp.Body, resp.Delimited, f.Memory)
 }
--- a/internal/route/task/response.go
+++ b/internal/route/task/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -11,8 +12,12 @@
 	"umberladder/internal/state/srvtab"
 )
 
-// maxBody is the maximum size of a response that is read as a whole, in bytes.
-const maxBody = 16 << 20
+const (
+	// maxBody is the maximum size of a response that is read as a whole, in bytes.
+	maxBody = 16 << 20
+	// initialBody is the size of the buffer for a response that is read as a whole, in bytes.
+	initialBody = 1 << 10
+)
 
 // errEndNotConfirmed reports a response whose body may be truncated.
 var errEndNotConfirmed = errors.New("task: the server marked the end of its response only by closing the connection, and accepts no others")
@@ -20,12 +25,10 @@
 // ReadBody reads the complete body of a response, and closes it.
 func (t *Task) ReadBody(ctx context.Context, s *srvtab.Server, resp *port.Response) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err := t.readAll(resp.Body)
 	switch {
 	case err != nil:
 		return nil, err
-	case len(body) > maxBody:
-		return nil, trace.LimitExceeded("the response is larger than %d bytes", maxBody)
 	case resp.Delimited || resp.NotExecuted:
 		return body, nil
 	default:
@@ -33,6 +36,39 @@
 	}
 }
 
+// readAll reads a body, of which the call then holds the memory until ReleaseMemory.
+func (t *Task) readAll(body port.Body) ([]byte, error) {
+	t.ReleaseMemory()
+	t.memory = t.Memory.Account()
+	buf := make([]byte, 0, initialBody)
+	for {
+		n, err := body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buf, nil
+		case err != nil:
+			return nil, err
+		case len(buf) > maxBody:
+			return nil, trace.LimitExceeded("the response is larger than %d bytes", maxBody)
+		case len(buf) < cap(buf):
+			continue
+		}
+		more := min(len(buf), maxBody+1-len(buf))
+		if err := t.memory.Hold(len(buf) + more); err != nil {
+			return nil, err
+		}
+		buf = slices.Grow(buf, more)
+	}
+}
+
+// ReleaseMemory states that the call no longer holds the body of a response.
+func (t *Task) ReleaseMemory() {
+	if t.memory != nil {
+		t.memory.Release()
+	}
+}
+
 // ConfirmEnd returns an error unless a response that ended regularly, but whose end was marked
 // only by that of its connection, is complete. The connections of a process that ends also end
 // regularly, so that the server must still accept connections.
--- /dev/null
+++ b/internal/route/task/response_test.go
@@ -0,0 +1,67 @@
+package task
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+
+	"umberladder/internal/policy/memory"
+)
+
+// zeros is a body without an end.
+type zeros struct{ read int }
+
+func (z *zeros) Read(p []byte) (int, error) {
+	z.read += len(p)
+	return len(p), nil
+}
+
+// nopCloser is a body that has nothing to close.
+type nopCloser struct{ io.Reader }
+
+func (nopCloser) Close() error { return nil }
+
+func taskWithMemory(size int) *Task { return &Task{Deps: Deps{Memory: memory.NewPool(size)}} }
+
+// TestEndlessBody guards against bodies without an end that take a VM's memory, each by itself or
+// several together.
+func TestEndlessBody(t *testing.T) {
+	t.Run("alone", func(t *testing.T) {
+		body := &zeros{}
+		_, err := taskWithMemory(2 * maxBody).readAll(nopCloser{body})
+		assert.ErrorContains(t, err, "larger than")
+		assert.Assert(t, body.read <= 2*maxBody, "%d bytes were read", body.read)
+	})
+	t.Run("beside others", func(t *testing.T) {
+		first, body := taskWithMemory(1<<20), &zeros{}
+		assert.NilError(t, first.Memory.Account().Hold(1<<19))
+		_, err := first.readAll(nopCloser{body})
+		assert.Assert(t, errors.Is(err, memory.ErrExhausted), "%v", err)
+		assert.Assert(t, body.read < 1<<20, "%d bytes were read", body.read)
+		first.ReleaseMemory()
+		assert.Equal(t, first.Memory.Held(), 1<<19-memory.Free)
+	})
+}
+
+// TestLargeBody checks that a body of the maximum size is read, and small ones while large ones
+// hold all memory.
+func TestLargeBody(t *testing.T) {
+	for name, tc := range map[string]struct{ pool, size int }{
+		"the largest":               {pool: maxBody, size: maxBody},
+		"empty":                     {},
+		"small, and no memory left": {size: memory.Free / 2},
+		"a power of two":            {size: initialBody},
+		"just over it":              {size: initialBody + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			want := strings.Repeat("x", tc.size)
+			got, err := taskWithMemory(tc.pool).readAll(nopCloser{iotest.DataErrReader(strings.NewReader(want))})
+			assert.NilError(t, err)
+			assert.Assert(t, string(got) == want)
+		})
+	}
+}
