Have soaks spoil responses of servers, and check every 2xx that clients receive

The check of refusals covers 408 and 421 as well, and a success other than 200 is a violation, as no server sends one.

--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -49,6 +49,9 @@
 	if r.cfg.Ends {
 		kinds = append(kinds, faultKind{"close-delimited", r.useCloseDelimited, false}, faultKind{"stream-broken", r.breakStreams, false}, faultKind{"server-ended", r.endServer, false})
 	}
+	if r.cfg.Spoils {
+		kinds = append(kinds, faultKind{"responses-spoilt", r.spoilResponses, false})
+	}
 	if r.cfg.Versions {
 		kinds = append(kinds, faultKind{"roll", r.roll, false})
 	}
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -51,6 +51,7 @@
 	Evacuations   bool // also have operators evacuate a failure domain
 	Cuts          bool // also cut VMs off from all servers, and make servers brittle
 	Ends          bool // also have servers mark the ends of responses in other ways, or break off
+	Spoils        bool // also have servers send bytes that are no response, or have no end
 	Versions      bool // also roll engines to other versions of the software, and have clients take streams up
 	Parts         bool // also have parts of prompts crash servers
 	Floods        bool // also have a balancer hand most connections to one VM
@@ -349,7 +350,9 @@
 	}
 	revoked := r.revoked[c.key]
 	switch {
-	case (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests) && len(runs) > 0:
+	case c.status > http.StatusOK && c.status < http.StatusMultipleChoices:
+		return fmt.Sprintf("received %d, which no server sent as its response", c.status)
+	case meansNotRun(c.status) && len(runs) > 0:
 		return "was refused as not run, but ran"
 	case newRuns > 1 && !strings.HasPrefix(c.path, "/get/") && !strings.HasPrefix(c.path, "/resume/"):
 		return fmt.Sprintf("ran %d times", newRuns)
@@ -361,6 +364,11 @@
 	return ""
 }
 
+// meansNotRun reports whether a status promises that the call has not run.
+func meansNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
+}
+
 func (r *run) findBackend(id string) *backend {
 	for _, b := range r.backends {
 		if b.server.ID == id {
