Refuse a generation of any stated size that a stopping VM cannot complete

Callers saw nothing of this yet: a maximum of tokens so large that its time overflows counted as no time at all, so that a stopping VM accepted the stream. A call that is answered in one piece and states a size was judged by that alone.

Cause: the number is the client's, and was multiplied as an integer.

Change: the time of a generation is bounded before the conversion, and calls that are not streams take their route's recent durations into account as well.

Tests: TestShutdownBySize 'of an absurd size' and TestShutdownPlain 'long generations in one piece' failed on the parent commit.

--- a/internal/route/relay/plain_test.go
+++ b/internal/route/relay/plain_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"umberladder/internal/core/call"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/route/alloc"
 	"umberladder/internal/route/port"
@@ -212,8 +213,10 @@
 		recent  []time.Duration // durations of calls before the stop signal
 		sent    time.Duration   // after the stop signal
 		timeout time.Duration
+		prompt  *call.Prompt
 		served  bool
 	}{
+		"long generations in one piece":               {recent: []time.Duration{5 * time.Second}, prompt: &call.Prompt{MaxTokens: 4}, sent: 2500 * ms, timeout: 7 * time.Second},
 		"short calls, just after the signal":          {recent: []time.Duration{50 * ms}, sent: 500 * ms, timeout: 7 * time.Second, served: true},
 		"short calls, before clients have moved":      {recent: []time.Duration{50 * ms}, sent: 2500 * ms, timeout: 7 * time.Second, served: true},
 		"no recent call, before clients have moved":   {sent: 2500 * ms, timeout: 7 * time.Second, served: true},
@@ -237,7 +240,7 @@
 				h.relay.Drain(time.Now().Add(7600 * ms))
 				time.Sleep(tc.sent)
 				c = h.call("/once/x")
-				c.Prompt = nil
+				c.Prompt = tc.prompt
 				w := &client{}
 				r := h.relay.Serve(t.Context(), c, w)
 				if tc.served {
--- a/internal/route/relay/stream_test.go
+++ b/internal/route/relay/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -353,6 +354,7 @@
 		"as slow as the route allows, not as long": {tokens: 104, gap: 180 * ms, remaining: 4500 * ms},
 		"measured engines are slow":                {tokens: 180, speeds: []time.Duration{30 * ms}, remaining: 4500 * ms},
 		"some measured engines are slow":           {tokens: 180, speeds: []time.Duration{10 * ms, 30 * ms}, remaining: 4500 * ms},
+		"of an absurd size":                        {tokens: math.MaxInt, gap: 180 * ms, remaining: 4500 * ms},
 		"its own streams are slow":                 {tokens: 180, own: 30 * ms, remaining: 4500 * ms},
 		"measured engines are slower than allowed": {tokens: 60, gap: 40 * ms, speeds: []time.Duration{50 * ms}, remaining: 4500 * ms},
 		"short, just after the signal":             {tokens: 40, gap: 180 * ms, remaining: 7100 * ms, served: true},
--- a/internal/route/task/stop.go
+++ b/internal/route/task/stop.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"umberladder/internal/core/call"
 	"umberladder/internal/core/refuse"
 )
 
@@ -57,18 +58,32 @@
 // unbounded is the expected time of a call of which nothing is known.
 const unbounded = time.Duration(math.MaxInt64)
 
-// expectedTime returns how long the call is expected to take at most: a generation by its size, and
-// others by the recent ones of their route.
+// expectedTime returns how long the call is expected to take at most: a stream by the size of its
+// generation, and others by the recent ones of their route as well.
 func (t *Task) expectedTime(now time.Time) time.Duration {
-	target := t.Route.LatencyTarget
-	if p := t.Call.Prompt; p != nil {
-		return target + time.Duration(p.MaxTokens)*t.tokenTime(now)
+	bySize := t.generationTime(now)
+	if t.Call.Prompt != nil && t.Route.Kind == call.Stream {
+		return bySize
 	}
 	if st := t.Stop.Times(); st != nil && now.Sub(st.Signal) >= settleTime {
 		return unbounded
 	}
 	longest, _ := t.Durations.Of(t.Route.Name, now)
-	return max(target, time.Duration(durationMargin*float64(longest)))
+	return max(bySize, time.Duration(durationMargin*float64(longest)))
+}
+
+// generationTime returns the latency target and the time that the call's tokens take, if it states
+// a maximum. The number is the client's and may be of any size.
+func (t *Task) generationTime(now time.Time) time.Duration {
+	p := t.Call.Prompt
+	if p == nil {
+		return t.Route.LatencyTarget
+	}
+	d := float64(t.Route.LatencyTarget) + float64(p.MaxTokens)*float64(t.tokenTime(now))
+	if d >= float64(unbounded) {
+		return unbounded
+	}
+	return time.Duration(d)
 }
 
 // tokenTime returns the longest time per generated token that is expected: the pause between
