--- a/internal/policy/stop/doc.go
+++ b/internal/policy/stop/doc.go
@@ -1,2 +1,3 @@
-// Package stop tells calls when this VM shuts down, also those that wait for capacity.
+// Package stop holds the times of this VM's shutdown, and ends waits after which it would
+// interrupt a call.
 package stop
