--- a/review/5/engine.go
+++ b/review/rig2/engine.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"bufio"
@@ -13,88 +13,97 @@
 	"sync/atomic"
 	"time"
 
-	"umberladder/review/rig2"
+	"umberladder/platform/fake"
 )
 
-const (
-	events        = 100
-	eventInterval = 25 * time.Millisecond // a few tokens
-	prefillTime   = 200 * time.Millisecond
-	// An engine that loses answers does so at one run in lossEvery, after event lossAfter: 0.05 of
-	// the requests, as in the sheet's troubles.
-	lossEvery = 20
-	lossAfter = 30
-)
+// prefillTime is how long an engine reads a prompt before its first event.
+const prefillTime = 200 * time.Millisecond
+
+// Engine describes a stand-in for a model server.
+type Engine struct {
+	ID       string
+	Events   int           // of a complete stream
+	Interval time.Duration // between two events
+	Drops    bool          // it drops a run when its channel closes, as most servers do
+	// If LossEvery is not zero, the answer of one run in LossEvery is lost after event LossAfter:
+	// its channel is reset.
+	LossEvery int
+	LossAfter int
+}
 
-// engineRun is one run of a request at an engine.
-type engineRun struct {
-	engine  string
-	after   int // the event after which it began
-	arrived time.Time
-	first   time.Time // its first event
-	last    time.Time // the last time at which the engine worked on it
-	made    int
-	ended   string
+// EngineRun is one run of a request at an engine.
+type EngineRun struct {
+	Engine  string
+	After   int // the event after which it began
+	Arrived time.Time
+	First   time.Time // its first event
+	Last    time.Time // the last time at which the engine worked on it
+	Made    int       // events
+	Ended   string    // how it ended; empty: it has not
 	stop    chan struct{}
 	once    sync.Once
 }
 
-// work records the runs of all engines.
-type work struct {
-	rec  *rig2.Record
+// Work records the runs of all engines.
+type Work struct {
+	rec  *Record
 	mu   sync.Mutex
-	runs map[string][]*engineRun
+	runs map[string][]*EngineRun
 }
 
-func (w *work) begin(id string, r *engineRun) {
+// NewWork returns a Work without runs.
+func NewWork(rec *Record) *Work { return &Work{rec: rec, runs: make(map[string][]*EngineRun)} }
+
+// Runs returns copies of the runs of each request.
+func (w *Work) Runs() map[string][]*EngineRun {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.runs[id] = append(w.runs[id], r)
+	out := make(map[string][]*EngineRun, len(w.runs))
+	for id, runs := range w.runs {
+		for _, r := range runs {
+			out[id] = append(out[id], &EngineRun{Engine: r.Engine, After: r.After, Arrived: r.Arrived, First: r.First, Last: r.Last, Made: r.Made, Ended: r.Ended})
+		}
+	}
+	return out
 }
 
-func (w *work) change(f func()) {
+func (w *Work) begin(id string, r *EngineRun) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	f()
+	w.runs[id] = append(w.runs[id], r)
 }
 
-// report writes the requests that ran more than once, and reports whether one went on at an
-// engine while another one still worked on it overlapBound later.
-func (w *work) report() bool {
+func (w *Work) change(f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	broken, again := 0, 0
-	for id, runs := range w.runs {
-		for n, r := range runs {
-			if len(runs) > 1 {
-				w.rec.PrintAt(r.arrived, "%s arrives at %s, goes on after event %d; first event %.3f s later; works until %.3f s later; %d events; %s",
-					id, r.engine, r.after, r.first.Sub(r.arrived).Seconds(), r.last.Sub(r.arrived).Seconds(), r.made, r.ended)
-			}
-			if n == 0 {
-				continue
-			}
-			again++
-			// The later run counts from its first event, the latest time at which it can be
-			// said to go on there.
-			if before := runs[n-1]; !r.first.IsZero() && before.last.Sub(r.first) > overlapBound {
-				broken++
-				w.rec.Printf("%s: %s worked on it for %.3f s after it went on at %s", id, before.engine, before.last.Sub(r.first).Seconds(), r.engine)
-			}
-		}
-	}
-	w.rec.Printf("%d requests went on at another engine; at %d of them the one before still worked on it over %s later", again, broken, overlapBound)
-	return broken > 0
+	f()
 }
 
-// engine is a stand-in for a model server. It goes on with a run whose channel closes, as some
-// servers do, until it is ordered to stop it.
+// engine is a running Engine. It stops a run at once when it is ordered to move it.
 type engine struct {
-	id    string
-	work  *work
-	loses bool
+	Engine
+	work  *Work
 	count atomic.Int64 // runs
 }
 
+// StartEngine starts an engine and writes its entry in the store.
+func StartEngine(s *fake.Store, w *Work, cfg Engine) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e := &engine{Engine: cfg, work: w}
+	go e.serve(ln)
+	go func() {
+		for n := 1; ; n++ {
+			s.Put("servers/"+cfg.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":"ready","coldRemainingMs":0,"sequence":%d}`,
+				fake.EngineService, ln.Addr(), n))
+			time.Sleep(Heartbeat)
+		}
+	}()
+	return nil
+}
+
 func (e *engine) serve(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
@@ -122,8 +131,8 @@
 		respond(c, http.StatusOK, "", []byte(`{"stage":"both","models":[],"busy":false,"sequence":1,"queued":0,"running":1,"kvUsed":0,"kvTotal":30000,"handles":0}`))
 	case req.Method == http.MethodDelete:
 		respond(c, http.StatusOK, "", nil)
-	case req.Header.Get("X-Umberladder-Expect-Instance") != e.id:
-		respond(c, http.StatusMisdirectedRequest, "X-Umberladder-Not-Executed: 1\r\nX-Umberladder-Instance-Id: "+e.id+"\r\n", nil)
+	case req.Header.Get("X-Umberladder-Expect-Instance") != e.ID:
+		respond(c, http.StatusMisdirectedRequest, "X-Umberladder-Not-Executed: 1\r\nX-Umberladder-Instance-Id: "+e.ID+"\r\n", nil)
 	default:
 		e.run(c, req)
 	}
@@ -143,10 +152,10 @@
 		respond(c, http.StatusBadRequest, "", nil)
 		return
 	}
-	var run *engineRun
+	var run *EngineRun
 	e.work.change(func() {
 		for _, r := range e.work.runs[order.ID] {
-			if r.engine == e.id && r.ended == "" {
+			if r.Engine == e.ID && r.Ended == "" {
 				run = r
 			}
 		}
@@ -155,49 +164,53 @@
 		respond(c, http.StatusNotFound, "", nil)
 		return
 	}
-	e.work.rec.Printf("%s is ordered to move %s, last %t", e.id, order.ID, order.Last)
+	e.work.rec.Printf("%s is ordered to move %s, last %t", e.ID, order.ID, order.Last)
 	if order.Last {
 		run.once.Do(func() { close(run.stop) })
 	}
-	respond(c, http.StatusOK, "", fmt.Appendf(nil, `{"handle":%q,"created":%d}`, order.ID, run.made))
+	respond(c, http.StatusOK, "", fmt.Appendf(nil, `{"handle":%q,"created":%d}`, order.ID, run.Made))
 }
 
 // run works on a request and sends its events.
 func (e *engine) run(c net.Conn, req *http.Request) {
 	id := req.Header.Get("X-Umberladder-Attempt-Id")
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	r := &engineRun{engine: e.id, after: after, arrived: time.Now(), stop: make(chan struct{})}
+	r := &EngineRun{Engine: e.ID, After: after, Arrived: time.Now(), stop: make(chan struct{})}
 	e.work.begin(id, r)
-	lost := e.loses && e.count.Add(1)%lossEvery == lossEvery/2
+	lost := e.LossEvery > 0 && e.count.Add(1)%int64(e.LossEvery) == int64(e.LossEvery/2)
 	time.Sleep(prefillTime)
 	w := &channel{conn: c}
 	w.print("HTTP/1.1 200 OK\r\nX-Umberladder-Attempt-Id: %s\r\nX-Umberladder-Response-Signature: of-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
-	for n := after + 1; n <= events; n++ {
+	for n := after + 1; n <= e.Events; n++ {
 		select {
 		case <-r.stop:
 			e.end(r, "stopped by order")
 			return
-		case <-time.After(eventInterval):
+		case <-time.After(e.Interval):
 		}
 		e.work.change(func() {
-			r.last = time.Now()
-			r.made++
-			if r.first.IsZero() {
-				r.first = r.last
+			r.Last = time.Now()
+			r.Made++
+			if r.First.IsZero() {
+				r.First = r.Last
 			}
 		})
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
 		w.print("%x\r\n%s\r\n", len(event), event)
-		if lost && n-after == lossAfter {
-			e.work.rec.Printf("%s loses the answer to %s: its channel is reset", e.id, id)
+		if lost && n-after == e.LossAfter {
+			e.work.rec.Printf("%s loses the answer to %s: its channel is reset", e.ID, id)
 			w.reset()
 		}
+		if w.ended && e.Drops {
+			e.end(r, "dropped")
+			return
+		}
 	}
 	w.print("0\r\n\r\n")
 	e.end(r, "complete")
 }
 
-func (e *engine) end(r *engineRun, how string) { e.work.change(func() { r.ended = how }) }
+func (e *engine) end(r *EngineRun, how string) { e.work.change(func() { r.Ended = how }) }
 
 // channel is the connection on which a run's answer is sent. What is written after its end is
 // dropped.
