--- a/review/6/main.go
+++ b/review/6/main.go
@@ -48,7 +48,7 @@
 			if rig2.Trouble() && n < 2 {
 				e.LossEvery, e.LossAfter = lossEvery, lossAfter
 			}
-			if err := rig2.StartEngine(s, w, e); err != nil {
+			if _, err := rig2.StartEngine(s, w, e); err != nil {
 				rec.Printf("engine %d does not start: %v", n, err)
 			}
 		}
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -24,6 +24,7 @@
 	ID       string
 	Events   int           // of a complete stream
 	Interval time.Duration // between two events
+	Version  string        // of its software; empty: v1
 	Drops    bool          // it drops a run when its channel closes, as most servers do
 	// If LossEvery is not zero, the answer of one run in LossEvery is lost after event LossAfter:
 	// its channel is reset.
@@ -79,32 +80,78 @@
 	f()
 }
 
-// engine is a running Engine. It stops a run at once when it is ordered to move it.
-type engine struct {
+// RunningEngine is an Engine that runs. It stops a run at once when it is ordered to move it.
+type RunningEngine struct {
 	Engine
 	work  *Work
+	store *fake.Store
+	ln    net.Listener
 	count atomic.Int64 // runs
+
+	mu        sync.Mutex
+	withdrawn bool
+	conns     map[net.Conn]struct{}
 }
 
-// StartEngine starts an engine and writes its entry in the store.
-func StartEngine(s *fake.Store, w *Work, cfg Engine) error {
+// StartEngine starts an engine, which writes its entry in the store.
+func StartEngine(s *fake.Store, w *Work, cfg Engine) (*RunningEngine, error) {
+	if cfg.Version == "" {
+		cfg.Version = fake.DefaultVersion
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	e := &engine{Engine: cfg, work: w}
+	e := &RunningEngine{Engine: cfg, work: w, store: s, ln: ln, conns: make(map[net.Conn]struct{})}
 	go e.serve(ln)
 	go func() {
-		for n := 1; ; n++ {
-			s.Put("servers/"+cfg.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":"ready","coldRemainingMs":0,"sequence":%d}`,
-				fake.EngineService, ln.Addr(), n))
+		for n := 1; e.register(n); n++ {
 			time.Sleep(Heartbeat)
 		}
 	}()
-	return nil
+	return e, nil
+}
+
+// register writes the engine's entry, and reports false once it is withdrawn.
+func (e *RunningEngine) register(n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.withdrawn {
+		e.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":%q,"slots":24,"state":"ready","coldRemainingMs":0,"sequence":%d}`,
+			fake.EngineService, e.ln.Addr(), e.Version, n))
+	}
+	return !e.withdrawn
+}
+
+// Withdraw removes the engine's entry. It goes on serving.
+func (e *RunningEngine) Withdraw() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.withdrawn = true
+	e.store.RemoveServer(e.ID)
+}
+
+// Exit ends the engine: it closes its listener and resets its connections.
+func (e *RunningEngine) Exit() {
+	_ = e.ln.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		(&channel{conn: c}).reset()
+	}
+}
+
+func (e *RunningEngine) track(c net.Conn, open bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if open {
+		e.conns[c] = struct{}{}
+	} else {
+		delete(e.conns, c)
+	}
 }
 
-func (e *engine) serve(ln net.Listener) {
+func (e *RunningEngine) serve(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -114,7 +161,9 @@
 	}
 }
 
-func (e *engine) handle(c net.Conn) {
+func (e *RunningEngine) handle(c net.Conn) {
+	e.track(c, true)
+	defer e.track(c, false)
 	defer func() { _ = c.Close() }()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -143,7 +192,7 @@
 }
 
 // move stops a run if its KV cache is to be copied for the last time.
-func (e *engine) move(c io.Writer, body []byte) {
+func (e *RunningEngine) move(c io.Writer, body []byte) {
 	var order struct {
 		ID   string `json:"id"`
 		Last bool   `json:"last"`
@@ -172,7 +221,7 @@
 }
 
 // run works on a request and sends its events.
-func (e *engine) run(c net.Conn, req *http.Request) {
+func (e *RunningEngine) run(c net.Conn, req *http.Request) {
 	id := req.Header.Get("X-Umberladder-Attempt-Id")
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	r := &EngineRun{Engine: e.ID, After: after, Arrived: time.Now(), stop: make(chan struct{})}
@@ -210,7 +259,7 @@
 	e.end(r, "complete")
 }
 
-func (e *engine) end(r *EngineRun, how string) { e.work.change(func() { r.Ended = how }) }
+func (e *RunningEngine) end(r *EngineRun, how string) { e.work.change(func() { r.Ended = how }) }
 
 // channel is the connection on which a run's answer is sent. What is written after its end is
 // dropped.
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -84,6 +84,7 @@
 	Store   *fake.Store
 	Runs    *fake.RunLog
 	VMs     []*VM
+	Gate    *Gate // of the last VM; nil: it has none
 	Servers []*fake.Server
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -99,6 +100,7 @@
 	Late    int // number of VMs that start only once the others are ready
 	Engines int
 	Plain   int
+	Gated   bool // the last VM is behind a Gate
 	Program string
 }
 
@@ -147,7 +149,14 @@
 	for n, v := range f.VMs {
 		p := ports[4*n : 4*n+4]
 		v.Clients, v.Ready = p[0], p[1]
-		if err := v.writeSettings(p, ports[3]); err != nil {
+		seed, store := ports[3], v.StoreLink.Addr()
+		if cfg.Gated && n == total-1 {
+			if f.Gate, err = newGate(f.ctx, p[3], peersOf(ports[:4*n]), store); err != nil {
+				return err
+			}
+			seed, store = f.Gate.inside[0], f.Gate.store
+		}
+		if err := v.writeSettings(p, seed, store); err != nil {
 			return err
 		}
 		if n == cfg.VMs {
@@ -163,6 +172,15 @@
 	return f.awaitReady(f.VMs)
 }
 
+// peersOf returns the addresses for other VMs among the VMs' addresses, four of each.
+func peersOf(addrs []string) []string {
+	var out []string
+	for n := 3; n < len(addrs); n += 4 {
+		out = append(out, addrs[n])
+	}
+	return out
+}
+
 func (f *Fleet) serve(ln net.Listener, serve func(net.Listener) error) {
 	context.AfterFunc(f.ctx, func() { _ = ln.Close() })
 	go func() { _ = serve(ln) }()
@@ -251,11 +269,11 @@
 
 // writeSettings writes the VM's settings file with the members of deploy/settings.json and the
 // bounds of a small deployment.
-func (v *VM) writeSettings(addrs []string, seed string) error {
+func (v *VM) writeSettings(addrs []string, seed, store string) error {
 	data, err := json.Marshal(map[string]any{
 		"name": v.Name, "failure-domain": "a", "regions": map[string]string{"a": "r"},
 		"callers-address": addrs[0], "ready-address": addrs[1], "metrics-address": addrs[2], "peers-address": addrs[3],
-		"seeds": []string{seed}, "store-address": v.StoreLink.Addr(), "processor-cores": 0.4, "link-mbit-per-second": 1000.0,
+		"seeds": []string{seed}, "store-address": store, "processor-cores": 0.4, "link-mbit-per-second": 1000.0,
 		"server-heartbeat": Heartbeat.String(), "revoke-bound": "5000ms", "apply-bound": "2000ms", "stop-grace": "8s",
 		"retry-budget": map[string]any{"ratio": 0.2, "extra": 54, "window": "10s"},
 	})
