--- a/review/6/main.go
+++ b/review/6/main.go
@@ -107,14 +107,14 @@
 // play plays the trial, in which the cut starts at the given time.
 func (t *trial) play(w *rig2.Work, start time.Time) error {
 	t.group.Add(1)
-	go func() {
+	rig2.Go(func() {
 		defer t.group.Done()
 		for n := 0; time.Now().Before(start.Add(canaryRemoved)); n++ {
 			t.group.Add(1)
-			go t.consume(n)
+			rig2.Go(func() { t.consume(n) })
 			time.Sleep(streamPause)
 		}
-	}()
+	})
 	time.Sleep(time.Until(start))
 	if rig2.Trouble() {
 		t.f.Gate.Cut(true)
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -103,12 +103,12 @@
 		return nil, err
 	}
 	e := &RunningEngine{Engine: cfg, work: w, store: s, ln: ln, conns: make(map[net.Conn]struct{})}
-	go e.serve(ln)
-	go func() {
+	Go(func() { e.serve(ln) })
+	Go(func() {
 		for n := 1; e.register(n); n++ {
 			time.Sleep(Heartbeat)
 		}
-	}()
+	})
 	return e, nil
 }
 
@@ -157,7 +157,7 @@
 		if err != nil {
 			return
 		}
-		go e.handle(c)
+		Go(func() { e.handle(c) })
 	}
 }
 
--- a/review/rig2/gate.go
+++ b/review/rig2/gate.go
@@ -67,7 +67,7 @@
 	}
 	g.buildReplacers()
 	for n := range g.sockets {
-		go g.forwardUDP(n)
+		Go(func() { g.forwardUDP(n) })
 	}
 	context.AfterFunc(ctx, func() {
 		for _, u := range g.sockets {
@@ -132,15 +132,15 @@
 
 func (g *Gate) serveTCP(ctx context.Context, ln net.Listener, to string) {
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
-	go func() {
+	Go(func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			go g.carry(c, to)
+			Go(func() { g.carry(c, to) })
 		}
-	}()
+	})
 }
 
 // carry forwards the bytes of one connection.
@@ -164,8 +164,8 @@
 			}
 		}
 	}
-	go forward(server, c)
-	go forward(c, server)
+	Go(func() { forward(server, c) })
+	Go(func() { forward(c, server) })
 	<-ended
 }
 
@@ -203,6 +203,6 @@
 	})
 	srv := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	go func() { _ = srv.Serve(ln) }()
+	Go(func() { _ = srv.Serve(ln) })
 	return nil
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -35,6 +35,12 @@
 // settleTime is how long the fleet runs before a case begins.
 const settleTime = 4 * time.Second
 
+// goroutines are all goroutines of a case. They end with its process.
+var goroutines sync.WaitGroup
+
+// Go starts a goroutine.
+func Go(f func()) { goroutines.Go(f) }
+
 // Record is the record of a case, of which each line states the time since the start.
 type Record struct {
 	mu    sync.Mutex
@@ -128,7 +134,7 @@
 			return f, err
 		}
 	}
-	go f.writeHeartbeats()
+	Go(func() { f.writeHeartbeats() })
 	return f, f.startVMs(cfg)
 }
 
@@ -183,7 +189,7 @@
 
 func (f *Fleet) serve(ln net.Listener, serve func(net.Listener) error) {
 	context.AfterFunc(f.ctx, func() { _ = ln.Close() })
-	go func() { _ = serve(ln) }()
+	Go(func() { _ = serve(ln) })
 }
 
 // AddServer starts a server and writes its entry.
@@ -301,10 +307,10 @@
 		return err
 	}
 	ended := make(chan struct{})
-	go func() {
+	Go(func() {
 		_ = cmd.Wait()
 		close(ended)
-	}()
+	})
 	v.cmd, v.ended, v.terminated = cmd, ended, false
 	return nil
 }
