Take versions for all only while no server can have come and gone unseen

Cause: Table.completeSince was set by the first list of servers and never again. A list shows which servers are there, not which came and went before it, so a VM that copied or read the list after it had missed changes took the only version that it knew for the only one that there had been. All uses of VersionsSince were misled, the answers to other VMs' queries too.

Change: - A table has periods in which all versions were known (coverage). A list that does not follow from the changes before it ends the period. - A gap is closed by what others know: a complete list brings the sender's history, and a VM that reads the list in the store again also reads the changes since the last one that it knows. Only if the store has dropped them, or has a new era, a gap remains. - Updates name the revision of a list that was read over a gap, so that VMs which follow the reader don't take the difference of two lists for all changes. - Versions that a table has forgotten after five minutes end the period, too. - Missing changes that another VM knows make data outdated at once for origins. - A VM that finds a gap sends the records of its streams, and does not accept an answer that names another version than one that it has seen itself.

--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -49,6 +49,12 @@
 				Slots: n.Draw(t, "slots"), Version: ident.Version(name.Draw(t, "version")), Draining: rapid.Bool().Draw(t, "entry-draining"),
 			}},
 		}}
+		if rapid.Bool().Draw(t, "unseen") {
+			m.ServerUpdate.Unseen = 9
+			m.ServerUpdate.History = srvtab.History{Complete: time.Duration(n.Draw(t, "complete")), Gone: []srvtab.GoneVersion{
+				{Service: "s", Version: ident.Version(name.Draw(t, "gone-version")), Ago: time.Duration(n.Draw(t, "gone-ago"))},
+			}}
+		}
 	}
 	if rapid.Bool().Draw(t, "hub") {
 		m.Capacity, m.CandidateDigest = hubs.Capacity(rapid.Uint8().Draw(t, "capacity")), rapid.Uint64().Draw(t, "digest")
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -21,6 +21,14 @@
 	updateAge    = 4
 	updateMore   = 5
 	updatePacked = 6 // updateChange fields, compressed
+	updateUnseen = 7
+
+	updateHistory = 8 // for how long all versions have been known
+	updateGone    = 9
+
+	goneService = 1
+	goneVersion = 2
+	goneAgo     = 3
 
 	changeRev      = 1
 	changeServer   = 2
@@ -47,6 +55,21 @@
 	if update.More {
 		b = appendNumber(b, updateMore, 1)
 	}
+	if update.Unseen != 0 {
+		b = appendNumber(b, updateUnseen, uint64(update.Unseen))
+	}
+	return appendHistory(b, update.History)
+}
+
+func appendHistory(b []byte, h srvtab.History) []byte {
+	if h.Complete > 0 {
+		b = appendNumber(b, updateHistory, uint64(h.Complete))
+	}
+	for _, g := range h.Gone {
+		p := appendString(nil, goneService, string(g.Service))
+		p = appendString(p, goneVersion, string(g.Version))
+		b = appendBytes(b, updateGone, appendNumber(p, goneAgo, uint64(g.Ago)))
+	}
 	return b
 }
 
@@ -98,6 +121,16 @@
 			update.Age = time.Duration(v)
 		case updateMore:
 			update.More = v != 0
+		case updateUnseen:
+			update.Unseen = follow.Revision(v)
+		case updateHistory:
+			update.History.Complete = time.Duration(min(v, math.MaxInt64))
+		case updateGone:
+			g, err := decodeGone(data)
+			if err != nil {
+				return err
+			}
+			update.History.Gone = append(update.History.Gone, g)
 		case updateChange:
 			c, err := decodeChange(data)
 			if err != nil {
@@ -115,6 +148,22 @@
 	})
 }
 
+func decodeGone(b []byte) (srvtab.GoneVersion, error) {
+	var g srvtab.GoneVersion
+	err := forEachField(b, func(num protowire.Number, data []byte, v uint64) error {
+		switch num {
+		case goneService:
+			g.Service = ident.Service(data)
+		case goneVersion:
+			g.Version = ident.Version(data)
+		case goneAgo:
+			g.Ago = time.Duration(min(v, math.MaxInt64))
+		}
+		return nil
+	})
+	return g, err
+}
+
 func decodeChange(b []byte) (follow.Change, error) {
 	var c follow.Change
 	e := srvtab.Entry{}
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -96,6 +96,9 @@
 	})
 }
 
+// dropHistory drops the history of changes.
+func (s *store) dropHistory() { s.change(func() { s.oldest, s.changes = s.rev, nil }) }
+
 func (s *store) setDown(down bool) { s.change(func() { s.down = down }) }
 
 func (s *store) state() (Revision, uint64, error) {
@@ -558,7 +561,7 @@
 			v.servers.ApplyUpdate(Update{Base: base, Rev: base + 2, Changes: []Change{removed, written}}, time.Now())
 			v.servers.applyChanges([]Change{removed}, base+1, v.clock())
 			v.assertUsable(t, 1, "an older change is ignored")
-			v.servers.applyList(nil, base+1, v.clock())
+			v.servers.applyList(nil, base+1, v.clock(), missed{})
 			v.assertUsable(t, 1, "an older list is ignored")
 			assert.Equal(t, v.servers.Revision(), base+2)
 		})
--- a/internal/state/follow/order_test.go
+++ b/internal/state/follow/order_test.go
@@ -40,7 +40,7 @@
 		f.vms = append(f.vms, NewServerFollower(newStore(), srvtab.NewTable(func() {}), testHeartbeat, uptime.Now, never, never, never, func() {}, fetch, zap.NewNop()))
 	}
 	for _, v := range f.vms {
-		v.applyList(nil, f.rev, uptime.Now())
+		v.applyList(nil, f.rev, uptime.Now(), missed{})
 	}
 	return f
 }
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -1,8 +1,10 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,8 @@
 )
 
 const (
+	// missedWait is how long the store holds a request for changes that this VM has missed.
+	missedWait = time.Millisecond
 	// serversWait is how long the store holds a request for server changes. It must stay
 	// below 0.9 s, after which other VMs replace a VM that gets no response from the store.
 	serversWait = 700 * time.Millisecond
@@ -64,11 +68,15 @@
 	storeDown  bool
 	graceEnd   time.Time     // entries that go missing before then may have expired in an outage
 	rev        Revision      // all changes up to this revision are known; zero: none
+	lastRev    Revision      // the revision of the table's data while rev is zero
 	base       Revision      // recent is complete after this revision
 	recent     []timedChange // changes that are still sent to other VMs, in the order of their revisions
 	lastUpdate time.Time     // when another VM last sent a recent update
 	gapSince   time.Time     // when another VM first sent changes only from a later revision
 	gapEnd     Revision      // that revision; at most rev: there is no gap
+	// unseen is the revision up to which servers may have come and gone without a change that
+	// this VM knows and could send. Zero: there was no such time.
+	unseen Revision
 	// shared holds updates by their Base, since many VMs lack the same changes. It is valid
 	// for sharedRev until sharedTime after sharedAt.
 	shared    map[Revision]Update
@@ -198,6 +206,25 @@
 	return s.graceEnd
 }
 
+// tableRevision returns the revision of the data in the table, which may lack later changes that
+// another VM knows.
+func (s *ServerFollower) tableRevision() Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cmp.Or(s.rev, s.lastRev)
+}
+
+// VersionsAge returns the time since the versions of the servers' software were last known to be
+// current. It is Age, or unlimited while changes are missing that another VM knows.
+func (s *ServerFollower) VersionsAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rev < s.gapEnd {
+		return math.MaxInt64
+	}
+	return s.age()
+}
+
 func (s *ServerFollower) read(ctx context.Context) (Revision, error) {
 	requested := s.clock()
 	s.updateGrace(time.Now())
@@ -205,17 +232,51 @@
 	if err != nil {
 		return 0, err
 	}
-	if s.applyList(list, rev, requested) {
+	if s.applyList(list, rev, requested, s.readMissed(ctx, rev)) {
 		s.onChange()
 	}
 	s.log.Info("servers read", zap.Int("servers", len(list)), zap.Uint64("revision", uint64(rev)))
 	return rev, nil
 }
 
+// missed is what the store's changes since the last known one show of versions of the servers'
+// software. A list of servers does not show servers that came and went before it.
+type missed struct {
+	complete bool // no change is missing
+	versions []srvtab.GoneVersion
+}
+
+// readMissed reads the changes between the revision of the table's data and rev, at which the list
+// of servers was read. The store may not have all of them any more.
+func (s *ServerFollower) readMissed(ctx context.Context, rev Revision) missed {
+	known := s.tableRevision()
+	if known == 0 || known >= rev {
+		return missed{}
+	}
+	changes, _, err := s.src.AwaitServers(ctx, known, missedWait)
+	if err != nil {
+		s.log.Info("servers may have come and gone unseen", zap.Uint64("since", uint64(known)), zap.Error(err))
+		return missed{}
+	}
+	m := missed{complete: true}
+	for _, c := range changes {
+		if !c.Gone {
+			m.add(c.Entry)
+		}
+	}
+	return m
+}
+
+func (m *missed) add(e srvtab.Entry) {
+	if v := (srvtab.GoneVersion{Service: e.Service, Version: e.Version}); !slices.Contains(m.versions, v) {
+		m.versions = append(m.versions, v)
+	}
+}
+
 // applyList replaces the table with the store's list at rev, which was requested at the
-// given time. It ignores the list if a later revision is known, and reports whether there
-// are changes to send to other VMs.
-func (s *ServerFollower) applyList(list []srvtab.Entry, rev Revision, requested uptime.Instant) bool {
+// given time. m is what came before it. applyList ignores the list if a later revision is known, and
+// reports whether there are changes to send to other VMs.
+func (s *ServerFollower) applyList(list []srvtab.Entry, rev Revision, requested uptime.Instant, m missed) bool {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	known := s.Revision()
@@ -225,14 +286,23 @@
 	now := time.Now()
 	graceEnd := s.updateGrace(now)
 	if known != 0 && rev.Era() > known.Era() {
-		list = s.filterKnown(list)
+		list = s.filterKnown(list, &m)
 		graceEnd = s.startGrace(now)
 	}
+	closesGap := s.recordGap(rev, now)
 	changed, missing := s.table.Replace(list, graceEnd, now)
+	h := srvtab.History{Gone: m.versions}
+	if m.complete {
+		h.Complete = closesGap
+	}
+	added := s.table.AddHistory(h, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wasKnown := s.rev != 0
 	if wasKnown {
+		if rev != s.rev && (!m.complete || added) {
+			s.unseen = rev
+		}
 		s.recordAll(rev, changed, missing, graceEnd, now)
 	} else {
 		s.base, s.recent = rev, nil
@@ -241,12 +311,32 @@
 	return wasKnown && len(changed)+len(missing) > 0
 }
 
-// filterKnown returns the entries of known servers. The first list of a new era may
-// contain servers that ended after the backup copy was made. Running servers write their
-// entries again and become known then.
-func (s *ServerFollower) filterKnown(list []srvtab.Entry) []srvtab.Entry {
+// recordGap records that servers may have come and gone unseen between the last time at which the
+// data were known to be current and now, at revision rev. It returns the time between the two, or
+// zero if there is no gap.
+func (s *ServerFollower) recordGap(rev Revision, now time.Time) time.Duration {
+	s.mu.Lock()
+	age, atRev := s.age(), s.confirmed == 0 || rev == cmp.Or(s.rev, s.lastRev)
+	s.mu.Unlock()
+	if atRev {
+		return 0
+	}
+	s.table.RecordGap(now.Add(-age), now)
+	return age
+}
+
+// filterKnown returns the entries of known servers, and adds the versions of others to m. The first
+// list of a new era may contain servers that ended after the backup copy was made. Running servers
+// write their entries again and become known then.
+func (s *ServerFollower) filterKnown(list []srvtab.Entry, m *missed) []srvtab.Entry {
 	view := s.table.View()
-	return slices.DeleteFunc(list, func(e srvtab.Entry) bool { return view.Server(e.ID) == nil })
+	return slices.DeleteFunc(list, func(e srvtab.Entry) bool {
+		if view.Server(e.ID) != nil {
+			return false
+		}
+		m.add(e)
+		return true
+	})
 }
 
 var (
@@ -280,7 +370,9 @@
 		return true
 	}
 	now := time.Now()
+	s.recordGap(u.Rev, now)
 	s.table.Replace(list, time.Time{}, now)
+	s.table.AddHistory(u.History, now)
 	for _, c := range u.Changes {
 		if c.Grace > 0 {
 			// No later update announces the end of the grace period.
--- a/internal/state/follow/updates.go
+++ b/internal/state/follow/updates.go
@@ -54,6 +54,10 @@
 	Age     time.Duration // since the store last confirmed that Rev is its latest revision
 	Changes []Change      // in the order of their revisions
 	More    bool          // the sender has later changes, left out for lack of space
+	// Unseen is a revision up to which servers may have come and gone between the changes; at most
+	// Base: there is none.
+	Unseen  Revision
+	History srvtab.History // of the versions of servers; only in complete lists
 }
 
 // timedChange is a change and the time at which this VM learned of it.
@@ -118,6 +122,9 @@
 // updateFrom returns an update with all changes from recent[from].
 func (s *ServerFollower) updateFrom(from int, now time.Time) Update {
 	u := Update{Base: s.revBefore(from), Rev: s.rev, Age: s.age()}
+	if s.unseen > u.Base {
+		u.Unseen = s.unseen
+	}
 	for _, c := range s.recent[from:] {
 		if c.Grace > 0 {
 			c.Grace = max(c.Grace-now.Sub(c.at), 1)
@@ -173,6 +180,9 @@
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	retired := false
+	if s.missesServers(u) {
+		s.recordGap(u.Rev, now)
+	}
 	changes := s.selectNew(u, now)
 	s.table.Batch(func() {
 		for i, c := range changes {
@@ -190,6 +200,18 @@
 	return retired
 }
 
+// missesServers reports whether servers may have come and gone between the known revision and that
+// of u, unseen by its sender. It then records this for the VMs to which the changes are forwarded.
+func (s *ServerFollower) missesServers(u Update) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rev == 0 || u.Rev < s.rev || u.Base > s.rev || u.Unseen <= s.rev {
+		return false
+	}
+	s.unseen = u.Unseen
+	return true
+}
+
 // selectNew returns the unknown changes of u and records them as known. They are also
 // forwarded, for VMs that do not receive updates from the sender of u.
 func (s *ServerFollower) selectNew(u Update, now time.Time) []Change {
@@ -199,7 +221,7 @@
 		return nil
 	}
 	if u.Base > s.rev {
-		s.recordGap(u.Base, now)
+		s.recordMissing(u.Base, now)
 		return nil
 	}
 	s.prune(now)
@@ -236,9 +258,9 @@
 	}
 }
 
-// recordGap records that another VM sends changes only from a later revision than this VM
+// recordMissing records that another VM sends changes only from a later revision than this VM
 // knows. VMs that have just copied the list can't send earlier changes, but others can.
-func (s *ServerFollower) recordGap(end Revision, now time.Time) {
+func (s *ServerFollower) recordMissing(end Revision, now time.Time) {
 	if s.rev >= s.gapEnd {
 		s.gapSince, s.gapEnd = now, end
 	}
@@ -250,7 +272,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rev < s.gapEnd && time.Since(s.gapSince) > gapTimeout {
-		s.rev, s.gapEnd = 0, 0
+		s.rev, s.lastRev, s.gapEnd = 0, s.rev, 0
 	}
 	return s.rev == 0
 }
@@ -267,8 +289,11 @@
 	// The table calls this follower while holding its own lock, so mu must not be held
 	// here. Changes later than rev may be included already and are sent again later.
 	u := Update{Rev: rev, Age: age}
-	grace := s.table.RemainingGrace(time.Now())
-	for _, e := range s.table.View().All() {
+	now := time.Now()
+	grace := s.table.RemainingGrace(now)
+	view := s.table.View()
+	u.History = view.History(now)
+	for _, e := range view.All() {
 		u.Changes = append(u.Changes, Change{Rev: rev, Entry: e, Grace: grace[e.ID]})
 	}
 	return u, true
--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -93,7 +93,7 @@
 type Deps struct {
 	VM        ident.VM
 	Servers   *srvtab.Table
-	DataAge   func() time.Duration                 // time since the data on servers were known to be current
+	DataAge   func() time.Duration                 // time since the servers' versions were known to be current
 	Holders   func(now time.Time) []hubs.Candidate // other VMs that hold records
 	Transport Transport
 	Log       *zap.Logger
@@ -131,12 +131,19 @@
 // Completed drops the record of a stream that its client does not take up any more.
 func (f *Finder) Completed(s Stream) { f.records.remove(s) }
 
-// needsRecords reports whether other VMs need the records of a service's streams: servers run, or
-// ran within a time, more than one version, or may do so or have done so without this VM's
-// knowledge.
+// versionsWithin returns the versions that servers of a service have run within a time, as far as
+// this VM knows them, and whether they are all.
+func (f *Finder) versionsWithin(s ident.Service, within time.Duration, now time.Time) (versions []ident.Version, known bool) {
+	versions, known = f.Servers.View().VersionsSince(s, now.Add(-within))
+	return versions, known && f.isCurrent()
+}
+
+// needsRecords reports whether other VMs need the records of a service's streams that began within
+// a time: servers run, or ran within it, more than one version, or may do so or have done so without
+// this VM's knowledge.
 func (f *Finder) needsRecords(s ident.Service, within time.Duration, now time.Time) bool {
-	versions, known := f.Servers.View().VersionsSince(s, now.Add(-within))
-	return len(versions) > 1 || !known || !f.isCurrent()
+	versions, known := f.versionsWithin(s, within, now)
+	return len(versions) > 1 || !known
 }
 
 func (f *Finder) isCurrent() bool { return f.DataAge() < maxDataAge }
@@ -159,7 +166,7 @@
 		if len(f.Holders(now)) == 0 {
 			continue
 		}
-		list := f.records.takeUnsent(func(s ident.Service) bool { return f.needsRecords(s, 0, now) }, now)
+		list := f.records.takeUnsent(func(s ident.Service, age time.Duration) bool { return f.needsRecords(s, age, now) }, now)
 		if len(list) > 0 {
 			f.Log.Info("origins of streams sent", zap.Int("streams", len(list)))
 			f.send(list, now)
@@ -222,8 +229,8 @@
 // onlyVersion returns the only version that servers of a service have run within the lifetime of
 // a stream, or whether there are several. It returns neither if that is not known.
 func (f *Finder) onlyVersion(q Query, now time.Time) (only ident.Version, several bool) {
-	versions, known := f.Servers.View().VersionsSince(q.Service, now.Add(-q.Lifetime))
-	if len(versions) == 1 && known && f.isCurrent() {
+	versions, known := f.versionsWithin(q.Service, q.Lifetime, now)
+	if len(versions) == 1 && known {
 		only = versions[0]
 	}
 	return only, len(versions) > 1
@@ -285,6 +292,16 @@
 	return f.conclude(q, answers, len(holders))
 }
 
+// contradicts reports whether this VM knows of another version than the given one that servers may
+// have run within the lifetime of a stream.
+func (f *Finder) contradicts(q Query, only ident.Version) bool {
+	if f.DataAge() > q.Lifetime {
+		return false
+	}
+	versions, _ := f.versionsWithin(q.Service, q.Lifetime, time.Now())
+	return slices.ContainsFunc(versions, func(v ident.Version) bool { return v != only && v != "" })
+}
+
 // collect adds the answers that arrive within retryInterval to answers, and returns the origin
 // once one of them has its record.
 func collect(ctx context.Context, ch <-chan Answer, answers map[ident.VM]Answer, want int) (Origin, bool) {
@@ -306,16 +323,19 @@
 	return Origin{}, false
 }
 
-// conclude returns the origin of a stream of which no other VM has a record.
+// conclude returns the origin of a stream of which no other VM has a record. All versions that any
+// VM knows must be the same.
 func (f *Finder) conclude(q Query, answers map[ident.VM]Answer, asked int) (Origin, error) {
 	o := Origin{Service: q.Service, Source: FromOnlyVersion}
-	_, several := f.onlyVersion(q, time.Now())
+	only, several := f.onlyVersion(q, time.Now())
+	o.Version = only
 	for _, a := range answers {
 		several = several || a.Several || a.Only != "" && o.Version != "" && a.Only != o.Version
 		if a.Only != "" {
 			o.Version, o.VM = a.Only, a.VM
 		}
 	}
+	several = several || o.Version != "" && f.contradicts(q, o.Version)
 	switch {
 	case o.Version != "" && !several:
 		return o, nil
--- a/internal/state/origin/finder_test.go
+++ b/internal/state/origin/finder_test.go
@@ -326,6 +326,82 @@
 	})
 }
 
+// miss has the VM miss the changes of the last second.
+func (v *vm) miss() { v.table.RecordGap(time.Now().Add(-time.Second), time.Now()) }
+
+// TestGap guards against a VM that takes the only version that it knows for the one that began a
+// stream after it has missed changes, and against one that refuses what other VMs know.
+func TestGap(t *testing.T) {
+	t.Run("others know a second version", func(t *testing.T) {
+		testFleet(t, 3, func(t *testing.T, f *fleet) {
+			for _, v := range f.vms[:2] {
+				v.setVersions("v1", "v2")
+				v.setVersions("v1")
+			}
+			f.vms[2].miss()
+			_, err := f.vms[2].find(1)
+			assert.ErrorIs(t, err, ErrUnknown)
+			_, err = f.vms[0].find(1)
+			assert.ErrorIs(t, err, ErrUnknown, "the answer of the VM with the gap must not mislead others")
+		})
+	})
+	t.Run("others know that there was one version only", func(t *testing.T) {
+		testFleet(t, 3, func(t *testing.T, f *fleet) {
+			f.vms[2].miss()
+			o, err := f.vms[2].find(1)
+			assert.NilError(t, err)
+			assert.Assert(t, o.Version == "v1" && o.VM != "", "%+v", o)
+		})
+	})
+	t.Run("nobody knows, but the VM that began the stream", func(t *testing.T) {
+		testFleet(t, 3, func(t *testing.T, f *fleet) {
+			f.vms[0].finder.Began(record(1, "v1"))
+			for _, v := range f.vms {
+				v.miss()
+			}
+			o, err := f.vms[2].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v1"))
+		})
+	})
+	t.Run("nobody knows, and the VM that began the stream is lost", func(t *testing.T) {
+		testFleet(t, 12, func(t *testing.T, f *fleet) {
+			f.vms[0].finder.Began(record(1, "v1"))
+			time.Sleep(time.Second)
+			for _, v := range f.vms {
+				v.miss()
+			}
+			time.Sleep(2 * checkInterval)
+			f.vms[0].down.Store(true)
+			o, err := f.vms[11].find(1)
+			assert.NilError(t, err, "its record was sent when the gap was found")
+			assert.Equal(t, o.Version, ident.Version("v1"))
+			_, err = f.vms[11].find(2)
+			assert.ErrorIs(t, err, ErrUnknown)
+		})
+	})
+	t.Run("a VM that has seen another version than others name", func(t *testing.T) {
+		testFleet(t, 3, func(t *testing.T, f *fleet) {
+			v := f.vms[2]
+			v.restart()
+			v.setVersions("v2")
+			_, err := v.find(1)
+			assert.ErrorIs(t, err, ErrUnknown, "others know only of v1, whose servers have left")
+		})
+	})
+	t.Run("a VM with old data does not contradict others", func(t *testing.T) {
+		testFleet(t, 3, func(t *testing.T, f *fleet) {
+			f.setVersions("v2")
+			f.vms[2].setVersions("v1")
+			time.Sleep(2 * lifetime)
+			f.vms[2].age.Store(int64(2*lifetime + time.Second))
+			o, err := f.vms[2].find(1)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Version, ident.Version("v2"))
+		})
+	})
+}
+
 // TestDifferingAnswers guards against a choice between VMs that each know of one version only, but
 // not of the same.
 func TestDifferingAnswers(t *testing.T) {
@@ -388,6 +464,6 @@
 	assert.Assert(t, !ok)
 	r.put(record(maxRecords+1, "v1"), false, now.Add(lifetime))
 	assert.Equal(t, r.len(), 1)
-	assert.Equal(t, len(r.takeUnsent(func(ident.Service) bool { return true }, now.Add(lifetime))), 1)
-	assert.Equal(t, len(r.takeUnsent(func(ident.Service) bool { return true }, now.Add(lifetime))), 0)
+	assert.Equal(t, len(r.takeUnsent(func(ident.Service, time.Duration) bool { return true }, now.Add(lifetime))), 1)
+	assert.Equal(t, len(r.takeUnsent(func(ident.Service, time.Duration) bool { return true }, now.Add(lifetime))), 0)
 }
--- a/internal/state/origin/records.go
+++ b/internal/state/origin/records.go
@@ -85,13 +85,14 @@
 }
 
 // takeUnsent returns the records for which chosen returns true and that no other VM has, and
-// marks them as sent. Their TTLs are what remains of them.
-func (r *records) takeUnsent(chosen func(ident.Service) bool, now time.Time) []Record {
+// marks them as sent. Their TTLs are what remains of them. chosen gets the service of a stream and
+// the time since it began or was last taken up.
+func (r *records) takeUnsent(chosen func(s ident.Service, age time.Duration) bool, now time.Time) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Record
 	for id, s := range r.list {
-		if s.sent || !now.Before(s.expires) || !chosen(s.Service) {
+		if s.sent || !now.Before(s.expires) || !chosen(s.Service, now.Sub(s.expires.Add(-s.TTL))) {
 			continue
 		}
 		s.sent = true
--- a/internal/state/srvtab/table.go
+++ b/internal/state/srvtab/table.go
@@ -112,9 +112,10 @@
 
 	versionCounts versionCounts
 	versions      map[ident.Service][]versionSpan // replaced, never modified
-	completeSince time.Time                       // when the first complete list was applied
+	coverage      coverage                        // when the versions of all servers were known
+	forgotten     map[ident.Service]time.Time     // versions that were gone before then are not remembered; replaced, never modified
 	diverged      chan struct{}
-	hasDiverged   bool // a service has got a further version since the last view
+	hasDiverged   bool // a service may have had a further version since the last view
 
 	evacuations    Evacuations
 	evacuatedSince map[ident.FailureDomain]time.Time // replaced, never modified
@@ -325,8 +326,8 @@
 		}
 		t.drop(id)
 	}
-	if t.completeSince.IsZero() {
-		t.completeSince = now
+	if t.coverage.since.IsZero() {
+		t.coverage.since = now
 	}
 	t.publish()
 	return changed, missing
@@ -404,7 +405,7 @@
 	if t.unpublished {
 		return
 	}
-	v := &View{evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt, versions: t.versions, completeSince: t.completeSince}
+	v := &View{evacuatedSince: t.evacuatedSince, returnedAt: t.returnedAt, versions: t.versions, completeSince: t.coverage.since, forgotten: t.forgotten}
 	v.servers = t.servers.Snapshot(func(d ident.FailureDomain) bool { return !v.IsEvacuated(d) })
 	t.view.Store(v)
 	t.announceVersions()
--- a/internal/state/srvtab/version.go
+++ b/internal/state/srvtab/version.go
@@ -8,7 +8,7 @@
 )
 
 // versionMemory is how long a version of the software that no server runs any more is
-// remembered. It is longer than the streams live that it may have begun.
+// remembered at least.
 const versionMemory = 5 * time.Minute
 
 // withdrawTime is how long after a server of a version has begun to drain others of that version
@@ -46,6 +46,18 @@
 	}
 }
 
+// forget records that a version of a service which was gone at the given time is not remembered.
+func (t *Table) forget(service ident.Service, goneAt time.Time) {
+	if !t.forgotten[service].Before(goneAt) {
+		return
+	}
+	t.forgotten = maps.Clone(t.forgotten)
+	if t.forgotten == nil {
+		t.forgotten = make(map[ident.Service]time.Time)
+	}
+	t.forgotten[service] = goneAt
+}
+
 // setSpan changes what is known of a version, and drops versions that are gone for long.
 func (t *Table) setSpan(service ident.Service, v ident.Version, change func(*versionSpan)) {
 	now := time.Now()
@@ -57,6 +69,8 @@
 			span = s
 		case s.goneAt.IsZero() || now.Sub(s.goneAt) <= versionMemory:
 			others = append(others, s)
+		default:
+			t.forget(service, s.goneAt)
 		}
 	}
 	wasGone := !span.goneAt.IsZero()
@@ -134,16 +148,18 @@
 }
 
 // Diverged returns a channel that receives a value when a service gets servers of a version of
-// the software besides those that it had.
+// the software besides those that it had, or may have had some that this VM did not see.
 func (t *Table) Diverged() <-chan struct{} { return t.diverged }
 
 // VersionsSince returns the versions of the software that servers of a service have run since
-// a time, and whether all of them are known: the list of servers has been complete since then.
+// a time, as far as they are known, and whether all of them are: no server can have come and gone
+// unseen since then.
 func (v *View) VersionsSince(service ident.Service, since time.Time) (versions []ident.Version, known bool) {
 	for _, s := range v.versions[service] {
 		if s.goneAt.IsZero() || s.goneAt.After(since) {
 			versions = append(versions, s.version)
 		}
 	}
-	return versions, !v.completeSince.IsZero() && !v.completeSince.After(since)
+	known = !v.completeSince.IsZero() && !v.completeSince.After(since) && !v.forgotten[service].After(since)
+	return versions, known
 }
--- a/internal/state/srvtab/view.go
+++ b/internal/state/srvtab/view.go
@@ -14,7 +14,8 @@
 	evacuatedSince map[ident.FailureDomain]time.Time // when this VM learned of each evacuation
 	returnedAt     map[ident.FailureDomain]time.Time // when this VM learned of the end of each evacuation
 	versions       map[ident.Service][]versionSpan
-	completeSince  time.Time // since when the list of servers has been complete; zero: it is not
+	completeSince  time.Time                   // since when the versions of all servers are known; zero: they are not
+	forgotten      map[ident.Service]time.Time // versions that were gone before then are not remembered
 }
 
 // Pool is the servers of a service that accept new work, in one failure domain and of one version.
