Judge the age of a stream by the settings under which it may have begun

Callers whose streams had broken off when all VMs were killed got an answer joined from two versions, if the settings had shortened their route's timeout while the streams were under way.

Cause: how long ago a stream may have begun was twice the timeout in force when it is taken up. A VM that knows the versions of the last 5 s concluded for streams that had begun under a timeout of 39 s. The same holds for a route that has got another name, and a route that led to another service was judged by the versions of the new service.

Change: the VM remembers, by the paths that a route serves, the longest timeout that streams under way may have begun with, and whether calls went to other services; then only a record tells the origin. A VM that has started since the change can't know the earlier timeout. It takes the client's own deadline, which is no longer than the time that the client had, and at least the pause after which clients abandon a stream: a version must have had a server when the last event was sent. Records are kept for the same time. Streams of routes that didn't change are refused no longer than before.

--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -398,7 +398,10 @@
 	}
 }
 
-func snapshot(version uint64) *routes.Snapshot {
+func snapshot(version uint64) *routes.Snapshot { return snapshotWith(version, func(*routes.Route) {}) }
+
+// snapshotWith returns a snapshot with a change of the route whose streams may be taken up.
+func snapshotWith(version uint64, change func(short *routes.Route)) *routes.Snapshot {
 	share := []routes.Share{{Service: "engines", Weight: 1}}
 	engine := &routes.Engine{Slots: 24, KVCapacityTokens: 34_000, TokensPerEvent: 4, CanMigrate: true, CanBackUp: true}
 	route := func(prefix string, kind call.Kind, attempts int) *routes.Route {
@@ -409,6 +412,7 @@
 	}
 	long, short := route("/long/", call.Stream, 1), route("/short/", call.Stream, 2)
 	short.Resumable = true
+	change(short)
 	return routes.New(routes.Parts{
 		Version:  version,
 		Routes:   []*routes.Route{long, short, route("/once/", call.AtMostOnce, 1), route("/get/", call.Idempotent, 2), route("/retry/", call.Idempotent, 4)},
--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -8,21 +8,41 @@
 
 	"go.uber.org/zap"
 
+	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/state/origin"
 	"umberladder/internal/state/routes"
 )
 
 const (
-	// attemptsPerStream is how many attempts of its client, each as long as the route allows,
-	// a stream may last.
-	attemptsPerStream = 2
 	// originRetryAfter is the retry delay of a call whose stream's origin another VM may know.
 	originRetryAfter = 200 * time.Millisecond
+	// Clients abandon a stream after a pause between two events of minPatience, or of
+	// targetsOfPatience times the latency target or gapsOfPatience times the gap target if one of
+	// these is longer.
+	minPatience       = 2 * time.Second
+	targetsOfPatience = 4
+	gapsOfPatience    = 8
 )
 
-// streamLifetime returns how long a stream may last over the attempts of its client.
-func (f *forwarder) streamLifetime() time.Duration { return attemptsPerStream * f.Route.Timeout }
+// streamLifetime returns how long a stream may last over the attempts of its client. It may have
+// begun under other settings, and this VM may have started after them: then the time that the
+// client waits is what is known of the time that it had. A version that began a stream had a server
+// when the last event was sent, so the lifetime is no less than the patience of clients.
+func (f *forwarder) streamLifetime() time.Duration {
+	timeout := max(f.Route.Timeout, f.Settings.Past(f.Route).Timeout, f.Call.ClientTimeout)
+	patience := max(minPatience, targetsOfPatience*f.Route.LatencyTarget, gapsOfPatience*f.Route.GapTarget)
+	return max(routes.AttemptsPerStream*timeout, patience)
+}
+
+// streamService returns the service of a stream that is taken up, or none if only a record can tell
+// it, because the route has sent calls to other services since the stream may have begun.
+func (f *forwarder) streamService() ident.Service {
+	if f.Settings.Past(f.Route).Moved {
+		return ""
+	}
+	return f.Service.Name
+}
 
 // takesUp reports whether the call takes up a stream that an earlier attempt of its client began.
 func (f *forwarder) takesUp() bool { return f.Call.Resumes != "" || f.Call.LastEventID != "" }
@@ -41,7 +61,7 @@
 		return nil
 	}
 	start := time.Now()
-	o, err := f.Origins.Find(ctx, f.streamID(), f.Service.Name, f.streamLifetime())
+	o, err := f.Origins.Find(ctx, f.streamID(), f.streamService(), f.streamLifetime())
 	switch {
 	case errors.Is(err, origin.ErrUnanswered):
 		return refuse.New(refuse.VersionUnknown, "which version began the stream of attempt %.40q is not known to this VM, and others did not respond", f.Call.Resumes).
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -97,8 +97,8 @@
 	Began(r origin.Record)
 	// Completed drops the record of a stream.
 	Completed(s origin.Stream)
-	// Find returns what began a stream, at most lifetime ago, whose route leads to a service. Its
-	// error is an origin.ErrUnknown.
+	// Find returns what began a stream, at most lifetime ago, whose route has led to one service
+	// since, or to several if service is empty. Its error is an origin.ErrUnknown.
 	Find(ctx context.Context, s origin.Stream, service ident.Service, lifetime time.Duration) (origin.Origin, error)
 }
 
--- a/internal/state/routes/current.go
+++ b/internal/state/routes/current.go
@@ -18,6 +18,7 @@
 	newer        []peerVersion // newer versions reported by other VMs, by rising version
 	behindSince  atomic.Int64  // Instant of the first of newer; zero if it is empty
 	knownVersion atomic.Uint64 // newest version in force here or reported by another VM
+	past         atomic.Pointer[map[pastKey]pastRoute]
 }
 
 // peerVersion is a version that another VM reported to have in force.
@@ -48,6 +49,9 @@
 	if old != nil && s.Version == old.Version {
 		return false
 	}
+	if old != nil {
+		c.recordPast(old, s)
+	}
 	c.active.Store(s)
 	return true
 }
--- /dev/null
+++ b/internal/state/routes/past.go
@@ -0,0 +1,129 @@
+package routes
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"umberladder/internal/core/ident"
+	"umberladder/internal/core/uptime"
+)
+
+// AttemptsPerStream is how many attempts of its client, each as long as a route allows, a stream
+// may last.
+const AttemptsPerStream = 2
+
+// Past is what earlier settings allowed for the streams of a route's paths that may still be under
+// way.
+type Past struct {
+	Timeout time.Duration // the longest timeout; zero: there was no other one
+	Moved   bool          // calls were sent to other services
+}
+
+// pastKey identifies a route by the paths that it serves, as its name may change.
+type pastKey struct{ host, prefix string }
+
+// pastRoute is a Past that ended at a time.
+type pastRoute struct {
+	Past
+	until uptime.Instant
+}
+
+// isOver reports whether no stream is under way any more that began before p ended.
+func (p pastRoute) isOver(now uptime.Instant) bool {
+	return now.Sub(p.until) >= AttemptsPerStream*p.Timeout
+}
+
+func keyOf(r *Route) pastKey { return pastKey{host: strings.ToLower(r.Host), prefix: r.Prefix} }
+
+// Past returns what earlier settings allowed for the streams of a route's paths.
+func (c *Current) Past(r *Route) Past {
+	list := c.past.Load()
+	if list == nil {
+		return Past{}
+	}
+	if p, ok := (*list)[keyOf(r)]; ok && !p.isOver(c.clock()) {
+		return p.Past
+	}
+	return Past{}
+}
+
+// recordPast records what the settings old, which s replaces, allowed for streams.
+func (c *Current) recordPast(old, s *Snapshot) {
+	m := pastMerger{now: c.clock(), next: make(map[pastKey]pastRoute)}
+	if list := c.past.Load(); list != nil {
+		m.known = *list
+	}
+	for key, p := range m.known {
+		if !p.isOver(m.now) {
+			m.next[key] = p
+		}
+	}
+	before, after := old.byPaths(), s.byPaths()
+	for key, r := range after {
+		b := before[key]
+		if b == nil {
+			b = old.Find(r.Host, r.Prefix)
+		}
+		m.add(b, r)
+	}
+	for key, r := range before {
+		if after[key] == nil {
+			m.add(r, s.Find(r.Host, r.Prefix))
+		}
+	}
+	c.past.Store(&m.next)
+}
+
+// pastMerger collects what earlier settings allowed for the routes of new ones.
+type pastMerger struct {
+	now         uptime.Instant
+	known, next map[pastKey]pastRoute
+}
+
+// add records that a route served paths before that r serves now. Either may be nil.
+func (m *pastMerger) add(before, r *Route) {
+	if before == nil || r == nil || !before.Resumable || !r.Resumable {
+		return
+	}
+	if earlier, ok := m.known[keyOf(before)]; ok && !earlier.isOver(m.now) {
+		m.merge(r, earlier)
+	}
+	moved := !slices.Equal(services(before), services(r))
+	if moved || before.Timeout > r.Timeout {
+		m.merge(r, pastRoute{Past: Past{Timeout: before.Timeout, Moved: moved}, until: m.now})
+	}
+}
+
+func (m *pastMerger) merge(r *Route, p pastRoute) {
+	o := m.next[keyOf(r)]
+	m.next[keyOf(r)] = pastRoute{
+		Past:  Past{Timeout: max(p.Timeout, o.Timeout), Moved: p.Moved || o.Moved},
+		until: max(p.until, o.until),
+	}
+}
+
+// byPaths returns the resumable routes.
+func (s *Snapshot) byPaths() map[pastKey]*Route {
+	out := make(map[pastKey]*Route)
+	for _, list := range s.hosts {
+		for _, r := range list {
+			if r.Resumable {
+				out[keyOf(r)] = r
+			}
+		}
+	}
+	return out
+}
+
+// services returns the names of the services of a route, in order.
+func services(r *Route) []ident.Service {
+	out := make([]ident.Service, 0, len(r.Shares))
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			out = append(out, s.Service)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
