Keep no record of streams whose client names no attempt

A client that takes a stream up with Last-Event-Id and no Resumes does not say which stream that is. All such streams shared one record, of the unknown stream, so that one that began at one version was taken for one of another as soon as two versions served.

Cause: StreamOf("") is a value like others to the records. Change: records of the unknown stream are neither kept nor sent, and those from other VMs are ignored. While servers run one version only, such streams go on as before.

The new case of origin.TestNoGuess fails on the commit before.

--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -118,8 +118,12 @@
 // Len returns the number of records that this VM keeps, of its own streams and of others'.
 func (f *Finder) Len() int { return f.records.len() }
 
-// Began records that the first event of a stream is about to be forwarded.
+// Began records that the first event of a stream is about to be forwarded. Nothing is recorded of an
+// unknown stream.
 func (f *Finder) Began(rec Record) {
+	if rec.Stream == 0 {
+		return
+	}
 	now := time.Now()
 	needed := f.needsRecords(rec.Service, rec.TTL, now)
 	f.records.put(rec, needed, now)
--- a/internal/state/origin/finder_test.go
+++ b/internal/state/origin/finder_test.go
@@ -324,6 +324,24 @@
 			assert.ErrorIs(t, err, ErrUnknown)
 		})
 	})
+	t.Run("clients that name no attempt, after streams of such clients", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			unnamed := Record{Stream: StreamOf(""), Service: service, Version: "v1", TTL: lifetime}
+			find := func(n int) error {
+				_, err := f.vms[n].finder.Find(t.Context(), unnamed.Stream, service, lifetime)
+				return err
+			}
+			assert.NilError(t, find(0), "there is one version only")
+			f.vms[0].finder.Began(unnamed)
+			f.setVersions("v1", "v2")
+			f.vms[1].finder.Began(unnamed)
+			f.vms[2].finder.HandleRecords([]Record{unnamed})
+			time.Sleep(2 * netDelay)
+			for n := range 4 {
+				assert.ErrorIs(t, find(n), ErrUnknown)
+			}
+		})
+	})
 }
 
 // miss has the VM miss the changes of the last second.
--- a/internal/state/origin/records.go
+++ b/internal/state/origin/records.go
@@ -53,8 +53,12 @@
 
 func newRecords() *records { return &records{list: make(map[Stream]stored)} }
 
-// put keeps a record, in place of an earlier one of the same stream.
+// put keeps a record, in place of an earlier one of the same stream. It ignores records of unknown
+// streams, which are not one stream.
 func (r *records) put(rec Record, sent bool, now time.Time) {
+	if rec.Stream == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.purge(now)
