--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -25,10 +25,11 @@
 	gapsOfPatience    = 8
 )
 
-// streamLifetime returns how long a stream may last over the attempts of its client. It may have
-// begun under other settings, and this VM may have started after them: then the time that the
-// client waits is what is known of the time that it had. A version that began a stream had a server
-// when the last event was sent, so the lifetime is no less than the patience of clients.
+// streamLifetime returns how long ago the stream that the call takes up may have begun, over the
+// attempts of its client. Earlier settings may have allowed it a longer timeout. If this VM has
+// started since, it doesn't know them, but the client's own timeout still shows that it had more
+// time. The version that began the stream had a server when the last event was sent, so that a
+// lifetime as long as the patience of clients includes this version in any case.
 func (f *forwarder) streamLifetime() time.Duration {
 	timeout := max(f.Route.Timeout, f.Settings.Past(f.Route).Timeout, f.Call.ClientTimeout)
 	patience := max(minPatience, targetsOfPatience*f.Route.LatencyTarget, gapsOfPatience*f.Route.GapTarget)
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -74,8 +74,8 @@
 	lastUpdate time.Time     // when another VM last sent a recent update
 	gapSince   time.Time     // when another VM first sent changes only from a later revision
 	gapEnd     Revision      // that revision; at most rev: there is no gap
-	// unseen is the revision up to which servers may have come and gone without a change that
-	// this VM knows and could send. Zero: there was no such time.
+	// unseen is the revision of the latest list that was applied without the changes before it:
+	// the changes in recent don't show servers that came and went before. Zero: there is none.
 	unseen Revision
 	// shared holds updates by their Base, since many VMs lack the same changes. It is valid
 	// for sharedRev until sharedTime after sharedAt.
@@ -239,8 +239,8 @@
 	return rev, nil
 }
 
-// missed is what the store's changes since the last known one show of versions of the servers'
-// software. A list of servers does not show servers that came and went before it.
+// missed is what the store's changes between the last known one and a list of servers show of
+// versions of the servers' software. The list does not show servers that came and went before it.
 type missed struct {
 	complete bool // no change is missing
 	versions []srvtab.GoneVersion
@@ -289,11 +289,11 @@
 		list = s.filterKnown(list, &m)
 		graceEnd = s.startGrace(now)
 	}
-	closesGap := s.recordGap(rev, now)
+	gap := s.recordGap(rev, now)
 	changed, missing := s.table.Replace(list, graceEnd, now)
 	h := srvtab.History{Gone: m.versions}
 	if m.complete {
-		h.Complete = closesGap
+		h.Complete = gap
 	}
 	added := s.table.AddHistory(h, now)
 	s.mu.Lock()
--- a/internal/state/follow/updates.go
+++ b/internal/state/follow/updates.go
@@ -54,8 +54,8 @@
 	Age     time.Duration // since the store last confirmed that Rev is its latest revision
 	Changes []Change      // in the order of their revisions
 	More    bool          // the sender has later changes, left out for lack of space
-	// Unseen is a revision up to which servers may have come and gone between the changes; at most
-	// Base: there is none.
+	// Unseen is a revision up to which servers may have come and gone without a change in the
+	// update, because its sender had read only the list at that revision. Zero: there is none.
 	Unseen  Revision
 	History srvtab.History // of the versions of servers; only in complete lists
 }
