--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -36,7 +36,7 @@
 	return max(routes.AttemptsPerStream*timeout, patience)
 }
 
-// streamService returns the service of a stream that is taken up, or none if only a record can tell
+// streamService returns the service of a stream that is taken up, or none if only a record can name
 // it, because the route has sent calls to other services since the stream may have begun.
 func (f *forwarder) streamService() ident.Service {
 	if f.Settings.Past(f.Route).Moved {
--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -253,7 +253,7 @@
 }
 
 // Find returns what began a stream, at most lifetime ago. service is the one to which its route
-// has led since; if it is empty, only a record tells the origin. The error is an ErrUnknown.
+// has led since; if it is empty, only a record shows the origin. The error is an ErrUnknown.
 func (f *Finder) Find(ctx context.Context, s Stream, service ident.Service, lifetime time.Duration) (Origin, error) {
 	now := time.Now()
 	if rec, ok := f.records.get(s, now); ok {
