--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -28,8 +28,9 @@
 // streamLifetime returns how long ago the stream that the call takes up may have begun, over the
 // attempts of its client. Earlier settings may have allowed it a longer timeout. If this VM has
 // started since, it doesn't know them, but the client's own timeout still shows that it had more
-// time. The version that began the stream had a server when the last event was sent, so that a
-// lifetime as long as the patience of clients includes this version in any case.
+// time. The lifetime is at least the patience of clients, since a server of the version that began
+// the stream sent the last event. It may be too short only for a server that serves on long after
+// its entry was removed, on a VM that does not know an earlier, longer timeout.
 func (f *forwarder) streamLifetime() time.Duration {
 	timeout := max(f.Route.Timeout, f.Settings.Past(f.Route).Timeout, f.Call.ClientTimeout)
 	patience := max(minPatience, targetsOfPatience*f.Route.LatencyTarget, gapsOfPatience*f.Route.GapTarget)
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -72,8 +72,8 @@
 	base       Revision      // recent is complete after this revision
 	recent     []timedChange // changes that are still sent to other VMs, in the order of their revisions
 	lastUpdate time.Time     // when another VM last sent a recent update
-	gapSince   time.Time     // when another VM first sent changes only from a later revision
-	gapEnd     Revision      // that revision; at most rev: there is no gap
+	gapSince   time.Time     // when another VM first sent changes only from a revision later than rev
+	gapEnd     Revision      // that revision, until which changes are missing; at most rev: none are
 	// unseen is the revision of the latest list that was applied without the changes before it:
 	// the changes in recent don't show servers that came and went before. Zero: there is none.
 	unseen Revision
@@ -311,9 +311,10 @@
 	return wasKnown && len(changed)+len(missing) > 0
 }
 
-// recordGap records that servers may have come and gone unseen between the last time at which the
-// data were known to be current and now, at revision rev. It returns the time between the two, or
-// zero if there is no gap.
+// recordGap records in the table that servers may have come and gone unseen between the last time
+// at which the data were known to be current and now, when a list at revision rev, or changes of a
+// VM that had read one, are applied. It returns the time between the two, or zero if the data are
+// at rev already.
 func (s *ServerFollower) recordGap(rev Revision, now time.Time) time.Duration {
 	s.mu.Lock()
 	age, atRev := s.age(), s.confirmed == 0 || rev == cmp.Or(s.rev, s.lastRev)
--- a/internal/state/routes/past.go
+++ b/internal/state/routes/past.go
@@ -9,8 +9,8 @@
 	"umberladder/internal/core/uptime"
 )
 
-// AttemptsPerStream is how many attempts of its client, each as long as a route allows, a stream
-// may last.
+// AttemptsPerStream is the number of attempts of its client, each as long as the route's timeout,
+// over which a stream may last.
 const AttemptsPerStream = 2
 
 // Past is what earlier settings allowed for the streams of a route's paths that may still be under
--- a/internal/state/srvtab/version.go
+++ b/internal/state/srvtab/version.go
@@ -7,8 +7,8 @@
 	"umberladder/internal/core/ident"
 )
 
-// versionMemory is how long a version of the software that no server runs any more is
-// remembered at least.
+// versionMemory is the minimum time for which a version of the software is remembered that no
+// server runs any more.
 const versionMemory = 5 * time.Minute
 
 // withdrawTime is how long after a server of a version has begun to drain others of that version
