Count a timeout before the last event in the lifetime of streams

Callers whose stream had broken off could get the rest from another version, or from another service, if their route's timeout is shorter than the pause after which clients abandon a stream.

Cause: the lifetime of a stream was the longer of twice the timeout and the pause. The last attempt of a stream can have been placed a timeout before its last event, and the client may take the stream up a pause after that event: 9.7 s with a timeout of 2.5 s and a latency target of 1.8 s, for which 7.2 s were taken. Earlier settings were dropped after twice their timeout, here 5 s.

Change: routes.Route.StreamLifetime is a timeout plus the longer of the timeout and the pause, and earlier settings are kept for as long. Nothing changes for timeouts of the pause or more.

Two new cases of relay.TestStreamLifetime, 9 s after a version or a service was replaced, fail on the commit before: the streams went on. Their twins, 10 s after, pass on both.

--- a/internal/route/relay/lifetime_test.go
+++ b/internal/route/relay/lifetime_test.go
@@ -47,6 +47,22 @@
 	h.useVersion("v2")
 }
 
+// replaceVersion replaces the servers of v1 by others of v2, long after the timeout was shortened to
+// less than clients pause between two events.
+func (h *harness) replaceVersion() {
+	h.setShort(2, shorten)
+	h.useVersion("v1")
+	time.Sleep(100 * time.Second)
+	h.useVersion("v2")
+}
+
+// moveRoute has the route lead from another service to its own, long after the timeout was shortened.
+func (h *harness) moveRoute() {
+	h.setShort(2, func(r *routes.Route) { shorten(r); r.Shares = []routes.Share{{Service: "others", Weight: 1}} })
+	time.Sleep(100 * time.Second)
+	h.setShort(3, shorten)
+}
+
 func shorten(r *routes.Route) { r.Timeout = 2500 * time.Millisecond }
 
 // TestStreamLifetime guards against streams that are taken up at the only version that servers have
@@ -79,6 +95,20 @@
 			},
 			wait: 30 * time.Second, goesOn: true,
 		},
+		"a server served its last stream until the timeout, and the client paused for as long as clients do": {
+			prepare: func(h *harness) {
+				h.replaceVersion()
+				time.Sleep(9 * time.Second)
+			},
+			wait: 2 * time.Second,
+		},
+		"a server served its last stream until the timeout, after longer than the timeout and the pause": {
+			prepare: func(h *harness) {
+				h.replaceVersion()
+				time.Sleep(10 * time.Second)
+			},
+			wait: 2 * time.Second, goesOn: true,
+		},
 		"a timeout was shortened while the stream was under way": {
 			prepare: func(h *harness) {
 				h.useVersion("v1")
@@ -137,6 +167,22 @@
 			},
 			wait: 2 * time.Second, goesOn: true,
 		},
+		"the route led to another service, with a timeout shorter than clients pause": {
+			prepare: func(h *harness) {
+				h.useVersion("v1")
+				h.moveRoute()
+				time.Sleep(9 * time.Second)
+			},
+			wait: 2 * time.Second,
+		},
+		"the route led to another service, after longer than the timeout and the pause": {
+			prepare: func(h *harness) {
+				h.useVersion("v1")
+				h.moveRoute()
+				time.Sleep(10 * time.Second)
+			},
+			wait: 2 * time.Second, goesOn: true,
+		},
 		"the route led to another service, and there is a record": {
 			prepare: func(h *harness) {
 				h.useVersion("v1")
--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -14,27 +14,16 @@
 	"umberladder/internal/state/routes"
 )
 
-const (
-	// originRetryAfter is the retry delay of a call whose stream's origin another VM may know.
-	originRetryAfter = 200 * time.Millisecond
-	// Clients abandon a stream after a pause between two events of minPatience, or of
-	// targetsOfPatience times the latency target or gapsOfPatience times the gap target if one of
-	// these is longer.
-	minPatience       = 2 * time.Second
-	targetsOfPatience = 4
-	gapsOfPatience    = 8
-)
+// originRetryAfter is the retry delay of a call whose stream's origin another VM may know.
+const originRetryAfter = 200 * time.Millisecond
 
 // streamLifetime returns how long ago the stream that the call takes up may have begun, over the
 // attempts of its client. Earlier settings may have allowed it a longer timeout. If this VM has
 // started since, it doesn't know them, but the client's own timeout still shows that it had more
-// time. The lifetime is at least the patience of clients, since a server of the version that began
-// the stream sent the last event. It may be too short only for a server that serves on long after
-// its entry was removed, on a VM that does not know an earlier, longer timeout.
+// time. The lifetime may be too short only on such a VM.
 func (f *forwarder) streamLifetime() time.Duration {
-	timeout := max(f.Route.Timeout, f.Settings.Past(f.Route).Timeout, f.Call.ClientTimeout)
-	patience := max(minPatience, targetsOfPatience*f.Route.LatencyTarget, gapsOfPatience*f.Route.GapTarget)
-	return max(routes.AttemptsPerStream*timeout, patience)
+	timeout := max(f.Route.Timeout, f.Call.ClientTimeout)
+	return max(f.Route.StreamLifetime(timeout), f.Settings.Past(f.Route).Lifetime)
 }
 
 // streamService returns the service of a stream that is taken up, or none if only a record can name
--- a/internal/state/routes/past.go
+++ b/internal/state/routes/past.go
@@ -9,15 +9,11 @@
 	"umberladder/internal/core/uptime"
 )
 
-// AttemptsPerStream is the number of attempts of its client, each as long as the route's timeout,
-// over which a stream may last.
-const AttemptsPerStream = 2
-
 // Past is what earlier settings allowed for the streams of a route's paths that may still be under
 // way.
 type Past struct {
-	Timeout time.Duration // the longest timeout; zero: there was no other one
-	Moved   bool          // calls were sent to other services
+	Lifetime time.Duration // the longest StreamLifetime; zero: there was no longer one
+	Moved    bool          // calls were sent to other services
 }
 
 // pastKey identifies a route by the paths that it serves, as its name may change.
@@ -31,7 +27,7 @@
 
 // isOver reports whether no stream is under way any more that began before p ended.
 func (p pastRoute) isOver(now uptime.Instant) bool {
-	return now.Sub(p.until) >= AttemptsPerStream*p.Timeout
+	return now.Sub(p.until) >= p.Lifetime
 }
 
 func keyOf(r *Route) pastKey { return pastKey{host: strings.ToLower(r.Host), prefix: r.Prefix} }
@@ -90,15 +86,16 @@
 		m.merge(r, earlier)
 	}
 	moved := !slices.Equal(services(before), services(r))
-	if moved || before.Timeout > r.Timeout {
-		m.merge(r, pastRoute{Past: Past{Timeout: before.Timeout, Moved: moved}, until: m.now})
+	lifetime := before.StreamLifetime(before.Timeout)
+	if moved || lifetime > r.StreamLifetime(r.Timeout) {
+		m.merge(r, pastRoute{Past: Past{Lifetime: lifetime, Moved: moved}, until: m.now})
 	}
 }
 
 func (m *pastMerger) merge(r *Route, p pastRoute) {
 	o := m.next[keyOf(r)]
 	m.next[keyOf(r)] = pastRoute{
-		Past:  Past{Timeout: max(p.Timeout, o.Timeout), Moved: p.Moved || o.Moved},
+		Past:  Past{Lifetime: max(p.Lifetime, o.Lifetime), Moved: p.Moved || o.Moved},
 		until: max(p.until, o.until),
 	}
 }
--- a/internal/state/routes/past_test.go
+++ b/internal/state/routes/past_test.go
@@ -36,16 +36,16 @@
 		"the first settings":     {versions: [][]*Route{{stream("a", "/a/", long, "s")}}},
 		"nothing changes":        {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", long, "s")}}},
 		"a longer timeout":       {versions: [][]*Route{{stream("a", "/a/", short, "s")}, {stream("a", "/a/", long, "s")}}},
-		"a shorter timeout":      {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", short, "s")}}, want: Past{Timeout: long}},
-		"a short one for 10 s":   {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", short, "s")}, {stream("a", "/a/", short+1, "s")}}, want: Past{Timeout: long}},
-		"another service":        {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", long, "t")}}, want: Past{Timeout: long, Moved: true}},
-		"there and back":         {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", long, "t")}, {stream("a", "/a/", long, "s")}}, want: Past{Timeout: long, Moved: true}},
-		"another name":           {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("b", "/a/", short, "s")}}, want: Past{Timeout: long}},
-		"a longer prefix":        {versions: [][]*Route{{stream("a", "/a/", long, "t")}, {stream("b", "/a/b/", short, "s"), stream("a", "/a/", long, "t")}}, want: Past{Timeout: long, Moved: true}},
-		"a longer prefix ends":   {versions: [][]*Route{{stream("a", "/a/", short, "s"), stream("b", "/a/b/", long, "s")}, {stream("a", "/a/", short, "s")}}, want: Past{Timeout: long}},
+		"a shorter timeout":      {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", short, "s")}}, want: Past{Lifetime: 2 * long}},
+		"a short one for 10 s":   {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", short, "s")}, {stream("a", "/a/", short+1, "s")}}, want: Past{Lifetime: 2 * long}},
+		"another service":        {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", long, "t")}}, want: Past{Lifetime: 2 * long, Moved: true}},
+		"there and back":         {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", long, "t")}, {stream("a", "/a/", long, "s")}}, want: Past{Lifetime: 2 * long, Moved: true}},
+		"another name":           {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("b", "/a/", short, "s")}}, want: Past{Lifetime: 2 * long}},
+		"a longer prefix":        {versions: [][]*Route{{stream("a", "/a/", long, "t")}, {stream("b", "/a/b/", short, "s"), stream("a", "/a/", long, "t")}}, want: Past{Lifetime: 2 * long, Moved: true}},
+		"a longer prefix ends":   {versions: [][]*Route{{stream("a", "/a/", short, "s"), stream("b", "/a/b/", long, "s")}, {stream("a", "/a/", short, "s")}}, want: Past{Lifetime: 2 * long}},
 		"new paths":              {versions: [][]*Route{{stream("b", "/b/", long, "t")}, {stream("a", "/a/", short, "s"), stream("b", "/b/", long, "t")}}},
 		"it becomes resumable":   {versions: [][]*Route{{once("a", "/a/")}, {stream("a", "/a/", short, "t")}}},
-		"renamed over two steps": {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", short, "s")}, {stream("b", "/a/b/", short, "s")}}, want: Past{Timeout: long}},
+		"renamed over two steps": {versions: [][]*Route{{stream("a", "/a/", long, "s")}, {stream("a", "/a/", short, "s")}, {stream("b", "/a/b/", short, "s")}}, want: Past{Lifetime: 2 * long}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := uptime.Instant(time.Hour)
@@ -56,7 +56,7 @@
 			}
 			r := tc.versions[len(tc.versions)-1][0]
 			assert.Equal(t, c.Past(r), tc.want)
-			now = now.Add(AttemptsPerStream * long)
+			now = now.Add(2 * long)
 			assert.Equal(t, c.Past(r), Past{}, "no stream of that time is under way")
 		})
 	}
@@ -64,10 +64,10 @@
 		now := uptime.Instant(time.Hour)
 		c := NewCurrent(func() uptime.Instant { return now })
 		c.Update(New(Parts{Version: 1, Routes: []*Route{stream("a", "/a/", long, "t")}}), now)
-		for n := range 2 + int(AttemptsPerStream*long/(10*time.Second)) {
+		for n := range 2 + int(2*long/(10*time.Second)) {
 			r := stream("a", "/a/", short, "s")
 			c.Update(New(Parts{Version: uint64(n + 2), Routes: []*Route{r}}), now)
-			assert.Equal(t, c.Past(r) != Past{}, n*10 < int((AttemptsPerStream*long).Seconds()), "after %d s", n*10)
+			assert.Equal(t, c.Past(r) != Past{}, n*10 < int((2*long).Seconds()), "after %d s", n*10)
 			now = now.Add(10 * time.Second)
 		}
 	})
@@ -78,6 +78,6 @@
 			c.Update(New(Parts{Version: uint64(n + 1), Routes: []*Route{stream("a", fmt.Sprintf("/%d/", n), long, "s"), stream("b", "/", short, "s")}}), now)
 			now = now.Add(10 * time.Second)
 		}
-		assert.Assert(t, len(*c.past.Load()) <= AttemptsPerStream*int(long/(10*time.Second))+2, "%d", len(*c.past.Load()))
+		assert.Assert(t, len(*c.past.Load()) <= int(2*long/(10*time.Second))+2, "%d", len(*c.past.Load()))
 	})
 }
