Take the versions for outdated until all missing changes are known

A VM that knew that it lacked changes of servers, and had requested the list, could take the versions it knew for all: a stream of a version that had come and gone in between would go on at another one.

Cause: once the list was requested, gapEnd was reset, and VersionsAge was the age of the data again, up to 0.4 s before that reached the second after which it counts as outdated. The same followed a copy from a VM that lacked the changes as well.

Change: the latest revision from which other VMs have sent changes is kept, and the versions count as outdated while the table's revision is lower. When the list is requested is unchanged.

--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -73,7 +73,8 @@
 	recent     []timedChange // changes that are still sent to other VMs, in the order of their revisions
 	lastUpdate time.Time     // when another VM last sent a recent update
 	gapSince   time.Time     // when another VM first sent changes only from a revision later than rev
-	gapEnd     Revision      // that revision, until which changes are missing; at most rev: none are
+	gapEnd     Revision      // that revision; at most rev: the changes are known or the list is requested
+	latest     Revision      // the latest such revision: while rev is lower, changes are missing
 	// unseen is the revision of the latest list that was applied without the changes before it:
 	// the changes in recent don't show servers that came and went before. Zero: there is none.
 	unseen Revision
@@ -219,7 +220,7 @@
 func (s *ServerFollower) VersionsAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rev < s.gapEnd {
+	if s.rev < s.latest {
 		return math.MaxInt64
 	}
 	return s.age()
--- a/internal/state/follow/updates.go
+++ b/internal/state/follow/updates.go
@@ -261,6 +261,7 @@
 // recordMissing records that another VM sends changes only from a later revision than this VM
 // knows. VMs that have just copied the list can't send earlier changes, but others can.
 func (s *ServerFollower) recordMissing(end Revision, now time.Time) {
+	s.latest = max(s.latest, end)
 	if s.rev >= s.gapEnd {
 		s.gapSince, s.gapEnd = now, end
 	}
--- a/internal/state/follow/version_test.go
+++ b/internal/state/follow/version_test.go
@@ -198,6 +198,22 @@
 		v.servers.ApplyUpdate(Update{Base: rev, Rev: rev + 2}, time.Now())
 		assert.Assert(t, v.servers.VersionsAge() < time.Minute)
 	})
+	run("changes are missing until the list is copied", func(t *testing.T, _ *store, v *vm) {
+		v.receivesUpdates.Store(true)
+		time.Sleep(time.Second)
+		rev := v.servers.Revision()
+		v.servers.ApplyUpdate(Update{Base: rev, Rev: rev}, time.Now())
+		v.servers.ApplyUpdate(Update{Base: rev + 1, Rev: rev + 2}, time.Now())
+		time.Sleep(gapTimeout + 150*time.Millisecond)
+		assert.Equal(t, v.servers.Revision(), Revision(0), "the list is requested")
+		assert.Assert(t, v.servers.VersionsAge() > time.Hour, "%s", v.servers.VersionsAge())
+		v.peerData.Store(&Update{Rev: rev, Changes: []Change{{Rev: rev, Entry: versioned("a", "v1")}}})
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, v.servers.Revision(), rev, "copied from a VM that lacks the changes, too")
+		assert.Assert(t, v.servers.VersionsAge() > time.Hour, "%s", v.servers.VersionsAge())
+		v.servers.ApplyUpdate(Update{Base: rev, Rev: rev + 2}, time.Now())
+		assert.Assert(t, v.servers.VersionsAge() < time.Minute)
+	})
 }
 
 // TestVersionsOfJoiningVM guards against a VM that joins just after a version came and went, and
