Read all missed changes when the store sends them in several responses

A VM that reads the list of servers again reads the changes before it as well, and takes the versions in them for all. It ignored up to which revision the response reaches. If the store sends the changes in several responses, as its protocol allows, a version that came and went in a later one was not seen.

Change: the VM reads on until the revision of the list.

--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -40,6 +40,7 @@
 	oldest    Revision      // oldest revision in the history
 	calls     atomic.Int64
 	listReads atomic.Int64 // complete lists of servers
+	maxEvents int          // changes in one response; zero: unlimited
 	changed   chan struct{}
 }
 
@@ -214,6 +215,10 @@
 			out = append(out, c)
 		}
 	}
+	if s.maxEvents > 0 && len(out) > s.maxEvents {
+		out = out[:s.maxEvents]
+		rev = out[len(out)-1].Rev
+	}
 	return out, rev, err
 }
 
--- a/internal/state/follow/servers.go
+++ b/internal/state/follow/servers.go
@@ -248,22 +248,26 @@
 }
 
 // readMissed reads the changes between the revision of the table's data and rev, at which the list
-// of servers was read. The store may not have all of them any more.
+// of servers was read. The store may not have all of them any more, and may send them in several
+// responses.
 func (s *ServerFollower) readMissed(ctx context.Context, rev Revision) missed {
 	known := s.tableRevision()
 	if known == 0 || known >= rev {
 		return missed{}
 	}
-	changes, _, err := s.src.AwaitServers(ctx, known, missedWait)
-	if err != nil {
-		s.log.Info("servers may have come and gone unseen", zap.Uint64("since", uint64(known)), zap.Error(err))
-		return missed{}
-	}
 	m := missed{complete: true}
-	for _, c := range changes {
-		if !c.Gone {
-			m.add(c.Entry)
+	for after := known; after < rev; {
+		changes, next, err := s.src.AwaitServers(ctx, after, missedWait)
+		if err != nil || next <= after {
+			s.log.Info("servers may have come and gone unseen", zap.Uint64("since", uint64(known)), zap.Error(err))
+			return missed{}
+		}
+		for _, c := range changes {
+			if !c.Gone {
+				m.add(c.Entry)
+			}
 		}
+		after = next
 	}
 	return m
 }
--- a/internal/state/follow/version_test.go
+++ b/internal/state/follow/version_test.go
@@ -141,6 +141,16 @@
 		time.Sleep(watch.MaxBackoff + 100*time.Millisecond)
 		v.assertVersions(t, true, "v1", "v2")
 	})
+	run("the store sends the changes in several responses after the watch failed", func(t *testing.T, s *store, v *vm) {
+		s.maxEvents = 1
+		s.setDown(true)
+		time.Sleep(time.Second)
+		s.put(versioned("b", "v1"))
+		s.visit()
+		s.setDown(false)
+		time.Sleep(watch.MaxBackoff + 100*time.Millisecond)
+		v.assertVersions(t, true, "v1", "v2")
+	})
 	run("nothing came and went while the watch failed", func(t *testing.T, s *store, v *vm) {
 		s.setDown(true)
 		time.Sleep(5 * time.Second)
