Send what earlier settings allowed for streams with the list of servers

At a VM that had started after a route was led to another service, streams that the earlier service had begun went on at the other one, if the VM that began them had stopped: the first part was from one service, the rest from the other.

Cause: what earlier settings allowed was known only to VMs that had seen them replaced. A VM that starts copies the list of servers with the versions of the time before, but judged that time by the present settings. The same held for a shortened timeout.

Change: the complete list of servers brings what its sender knows of earlier settings (field 10 of an update, which VMs without this change ignore), and a VM adds it before the list. A list that was encoded before other settings came into force is not reused.

--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -63,11 +63,12 @@
 
 // cachedList is the latest encoded and compressed server list.
 type cachedList struct {
-	mu   sync.Mutex
-	at   time.Time
-	ttl  time.Duration
-	age  time.Duration // of the list at that time
-	body []byte
+	mu      sync.Mutex
+	at      time.Time
+	ttl     time.Duration
+	age     time.Duration // of the list at that time
+	version uint64        // of the settings in force then, as the list says what they replaced
+	body    []byte
 }
 
 const (
@@ -79,13 +80,14 @@
 	graceCacheTime = 50 * time.Millisecond
 )
 
-// get returns the encoded list and its age. It creates the list if the last one is too old,
-// for one request at a time, since that takes memory several times the size of the list.
+// get returns the encoded list and its age. It creates the list if the last one is too old, or other
+// settings have come into force, for one request at a time, since that takes memory several times the size of the list.
 // It returns false if src has no complete list.
 func (c *cachedList) get(src Source, now time.Time) (body []byte, age time.Duration, ok bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.body != nil && now.Sub(c.at) < c.ttl {
+	settings, _ := src.Settings()
+	if c.body != nil && now.Sub(c.at) < c.ttl && c.version == settings.Version {
 		return c.body, c.age + max(now.Sub(c.at), 0), true, nil
 	}
 	update, ok := src.Servers()
@@ -96,7 +98,7 @@
 	if err != nil {
 		return nil, 0, true, err
 	}
-	c.at, c.ttl, c.age, c.body = now, cacheTime, update.Age, body
+	c.at, c.ttl, c.age, c.version, c.body = now, cacheTime, update.Age, settings.Version, body
 	if slices.ContainsFunc(update.Changes, func(ch follow.Change) bool { return ch.Grace > 0 }) {
 		c.ttl = graceCacheTime
 	}
--- a/internal/peer/wire/message_test.go
+++ b/internal/peer/wire/message_test.go
@@ -20,6 +20,7 @@
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/hubs"
 	"umberladder/internal/state/origin"
+	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 	_ "umberladder/internal/test/check" // fixes the seed
 )
@@ -54,6 +55,10 @@
 			m.ServerUpdate.History = srvtab.History{Complete: time.Duration(n.Draw(t, "complete")), Gone: []srvtab.GoneVersion{
 				{Service: "s", Version: ident.Version(name.Draw(t, "gone-version")), Ago: time.Duration(n.Draw(t, "gone-ago"))},
 			}}
+			m.ServerUpdate.Past = []routes.PathPast{{
+				Host: "h", Prefix: "/p/", Ago: time.Duration(n.Draw(t, "past-ago")),
+				Past: routes.Past{Lifetime: time.Duration(n.Draw(t, "lifetime")), Moved: rapid.Bool().Draw(t, "moved")},
+			}}
 		}
 	}
 	if rapid.Bool().Draw(t, "hub") {
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -10,6 +10,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/state/follow"
+	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -25,11 +26,18 @@
 
 	updateHistory = 8 // for how long all versions have been known
 	updateGone    = 9
+	updatePast    = 10
 
 	goneService = 1
 	goneVersion = 2
 	goneAgo     = 3
 
+	pastHost     = 1
+	pastPrefix   = 2
+	pastLifetime = 3
+	pastMoved    = 4
+	pastAgo      = 5
+
 	changeRev      = 1
 	changeServer   = 2
 	changeGone     = 3
@@ -58,7 +66,7 @@
 	if update.Unseen != 0 {
 		b = appendNumber(b, updateUnseen, uint64(update.Unseen))
 	}
-	return appendHistory(b, update.History)
+	return appendPasts(appendHistory(b, update.History), update.Past)
 }
 
 func appendHistory(b []byte, h srvtab.History) []byte {
@@ -73,6 +81,19 @@
 	return b
 }
 
+func appendPasts(b []byte, list []routes.PathPast) []byte {
+	for _, r := range list {
+		p := appendString(nil, pastHost, r.Host)
+		p = appendString(p, pastPrefix, r.Prefix)
+		p = appendNumber(p, pastLifetime, uint64(r.Lifetime))
+		if r.Moved {
+			p = appendNumber(p, pastMoved, 1)
+		}
+		b = appendBytes(b, updatePast, appendNumber(p, pastAgo, uint64(r.Ago)))
+	}
+	return b
+}
+
 func encodeChanges(changes []follow.Change) []byte {
 	var b []byte
 	for _, c := range changes {
@@ -131,6 +152,12 @@
 				return err
 			}
 			update.History.Gone = append(update.History.Gone, g)
+		case updatePast:
+			p, err := decodePast(data)
+			if err != nil {
+				return err
+			}
+			update.Past = append(update.Past, p)
 		case updateChange:
 			c, err := decodeChange(data)
 			if err != nil {
@@ -164,6 +191,26 @@
 	return g, err
 }
 
+func decodePast(b []byte) (routes.PathPast, error) {
+	var p routes.PathPast
+	err := forEachField(b, func(num protowire.Number, data []byte, v uint64) error {
+		switch num {
+		case pastHost:
+			p.Host = string(data)
+		case pastPrefix:
+			p.Prefix = string(data)
+		case pastLifetime:
+			p.Lifetime = time.Duration(min(v, math.MaxInt64))
+		case pastMoved:
+			p.Moved = v != 0
+		case pastAgo:
+			p.Ago = time.Duration(min(v, math.MaxInt64))
+		}
+		return nil
+	})
+	return p, err
+}
+
 func decodeChange(b []byte) (follow.Change, error) {
 	var c follow.Change
 	e := srvtab.Entry{}
--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -279,13 +279,17 @@
 	return err
 }
 
-// fetchServers fetches the complete list of servers from a hub.
+// fetchServers fetches the complete list of servers from a hub. What the hub knows of earlier
+// settings comes into force before the list does, whose history would else be judged by the present
+// settings alone.
 func (n *Node) fetchServers(ctx context.Context) (follow.Update, error) {
 	hubAddrs := n.Hubs.HubAddrs(time.Now())
 	if len(hubAddrs) == 0 {
 		return follow.Update{}, follow.ErrNoPeer
 	}
-	return share.Fetch(ctx, hubAddrs, n.share.Servers)
+	u, err := share.Fetch(ctx, hubAddrs, n.share.Servers)
+	n.Settings.AddPasts(u.Past)
+	return u, err
 }
 
 // Refresh implements port.Refresher. It asks the hubs to confirm that the settings are
--- a/internal/proc/peers/share.go
+++ b/internal/proc/peers/share.go
@@ -30,4 +30,8 @@
 func (s shareSource) HasServers() bool { return s.node.ServerFollower.Revision() != 0 }
 
 // Servers implements share.Source.
-func (s shareSource) Servers() (follow.Update, bool) { return s.node.ServerFollower.Snapshot() }
+func (s shareSource) Servers() (follow.Update, bool) {
+	u, ok := s.node.ServerFollower.Snapshot()
+	u.Past = s.node.Settings.Pasts()
+	return u, ok
+}
--- a/internal/state/follow/updates.go
+++ b/internal/state/follow/updates.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -56,8 +57,11 @@
 	More    bool          // the sender has later changes, left out for lack of space
 	// Unseen is a revision up to which servers may have come and gone without a change in the
 	// update, because its sender had read only the list at that revision. Zero: there is none.
-	Unseen  Revision
-	History srvtab.History // of the versions of servers; only in complete lists
+	Unseen Revision
+	// History and Past are what the sender knows of earlier versions of the servers' software and of
+	// earlier settings. Only complete lists have them.
+	History srvtab.History
+	Past    []routes.PathPast
 }
 
 // timedChange is a change and the time at which this VM learned of it.
--- a/internal/state/routes/past.go
+++ b/internal/state/routes/past.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -44,6 +45,47 @@
 	return Past{}
 }
 
+// PathPast is the Past of a route's paths, as sent to other VMs.
+type PathPast struct {
+	Host, Prefix string
+	Past
+	Ago time.Duration // since other settings replaced it
+}
+
+// Pasts returns what earlier settings allowed for streams that may still be under way. A VM that
+// has started since does not know it.
+func (c *Current) Pasts() []PathPast {
+	list := c.past.Load()
+	if list == nil {
+		return nil
+	}
+	now := c.clock()
+	var out []PathPast
+	for key, p := range *list {
+		if !p.isOver(now) {
+			out = append(out, PathPast{Host: key.host, Prefix: key.prefix, Past: p.Past, Ago: max(now.Sub(p.until), 0)})
+		}
+	}
+	return out
+}
+
+// AddPasts adds what another VM knows of earlier settings.
+func (c *Current) AddPasts(list []PathPast) {
+	if len(list) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := pastMerger{now: c.clock(), next: make(map[pastKey]pastRoute)}
+	if known := c.past.Load(); known != nil {
+		maps.Copy(m.next, *known)
+	}
+	for _, p := range list {
+		m.merge(pastKey{host: strings.ToLower(p.Host), prefix: p.Prefix}, pastRoute{Past: p.Past, until: m.now.Add(-p.Ago)})
+	}
+	c.past.Store(&m.next)
+}
+
 // recordPast records what the settings old, which s replaces, allowed for streams.
 func (c *Current) recordPast(old, s *Snapshot) {
 	m := pastMerger{now: c.clock(), next: make(map[pastKey]pastRoute)}
@@ -83,18 +125,18 @@
 		return
 	}
 	if earlier, ok := m.known[keyOf(before)]; ok && !earlier.isOver(m.now) {
-		m.merge(r, earlier)
+		m.merge(keyOf(r), earlier)
 	}
 	moved := !slices.Equal(services(before), services(r))
 	lifetime := before.StreamLifetime(before.Timeout)
 	if moved || lifetime > r.StreamLifetime(r.Timeout) {
-		m.merge(r, pastRoute{Past: Past{Lifetime: lifetime, Moved: moved}, until: m.now})
+		m.merge(keyOf(r), pastRoute{Past: Past{Lifetime: lifetime, Moved: moved}, until: m.now})
 	}
 }
 
-func (m *pastMerger) merge(r *Route, p pastRoute) {
-	o := m.next[keyOf(r)]
-	m.next[keyOf(r)] = pastRoute{
+func (m *pastMerger) merge(key pastKey, p pastRoute) {
+	o := m.next[key]
+	m.next[key] = pastRoute{
 		Past:  Past{Lifetime: max(p.Lifetime, o.Lifetime), Moved: p.Moved || o.Moved},
 		until: max(p.until, o.until),
 	}
--- a/internal/state/routes/past_test.go
+++ b/internal/state/routes/past_test.go
@@ -71,6 +71,25 @@
 			now = now.Add(10 * time.Second)
 		}
 	})
+	t.Run("a VM that has started since learns it from another one", func(t *testing.T) {
+		now := uptime.Instant(time.Hour)
+		clock := func() uptime.Instant { return now }
+		older, started := NewCurrent(clock), NewCurrent(clock)
+		r := stream("a", "/a/", short, "s")
+		older.Update(New(Parts{Version: 1, Routes: []*Route{stream("a", "/a/", long, "t")}}), now)
+		older.Update(New(Parts{Version: 2, Routes: []*Route{r}}), now)
+		now = now.Add(10 * time.Second)
+		started.Update(New(Parts{Version: 2, Routes: []*Route{r}}), now)
+		assert.Equal(t, started.Past(r), Past{})
+		started.AddPasts(older.Pasts())
+		assert.Equal(t, started.Past(r), Past{Lifetime: 2 * long, Moved: true})
+		renamed := stream("b", "/a/b/", short, "s")
+		started.Update(New(Parts{Version: 3, Routes: []*Route{renamed}}), now)
+		assert.Equal(t, started.Past(renamed), Past{Lifetime: 2 * long, Moved: true}, "after further changes")
+		now = now.Add(2*long - 10*time.Second)
+		assert.Equal(t, started.Past(renamed), Past{}, "no stream of that time is under way")
+		assert.Equal(t, len(older.Pasts()), 0)
+	})
 	t.Run("what is over is dropped", func(t *testing.T) {
 		now := uptime.Instant(time.Hour)
 		c := NewCurrent(func() uptime.Instant { return now })
