Send the records of streams whose route leads to other services

Streams were refused although their service and version were known to one VM and served, if their route had led to another service for a while and the VM that began them was lost.

Cause: after a route has led to other services only a record tells what began a stream, but records were sent to other VMs only if the versions of one service called for it.

Change: a VM sends the records of its streams when a route begins to lead to other services, and those of streams that begin within the lifetime of a stream after that.

--- a/internal/proc/peers/node.go
+++ b/internal/proc/peers/node.go
@@ -100,7 +100,7 @@
 	n.settingsFollower = follow.NewSettingsFollower(deps.Settings, n.Settings, n.Servers, uptime.Now, n.settingsFromPeers, n.probesStore, n.announce, log)
 	n.ServerFollower = follow.NewServerFollower(deps.Servers, n.Servers, cfg.ServerHeartbeat, uptime.Now, n.serversFromPeers, n.probesStore, n.leadsWatch, n.announce, n.fetchServers, log)
 	n.Origins = origin.New(uint64(start.UnixNano()), origin.Deps{
-		VM: cfg.Name, Servers: n.Servers, DataAge: n.ServerFollower.VersionsAge, Holders: n.Hubs.Responding, Transport: n, Log: log,
+		VM: cfg.Name, Servers: n.Servers, DataAge: n.ServerFollower.VersionsAge, Holders: n.Hubs.Responding, Moved: n.Settings.Moved(), Transport: n, Log: log,
 	})
 	n.updates, n.packer = delta.NewSender(n.ServerFollower), wire.NewPacker()
 	return n
--- a/internal/route/relay/lifetime_test.go
+++ b/internal/route/relay/lifetime_test.go
@@ -188,7 +188,7 @@
 				h.useVersion("v1")
 				h.setShort(2, func(r *routes.Route) { r.Shares = []routes.Share{{Service: "others", Weight: 1}} })
 				h.setShort(3, func(*routes.Route) {})
-				h.origins.Began(origin.Record{Stream: origin.StreamOf("first"), Service: "engines", Version: "v1", TTL: time.Minute})
+				h.origins.Began(origin.Record{Stream: origin.StreamOf("first"), Service: "engines", Version: "v1", TTL: time.Minute}, false)
 			},
 			wait: 2 * time.Second, goesOn: true,
 		},
--- a/internal/route/relay/version_test.go
+++ b/internal/route/relay/version_test.go
@@ -133,7 +133,7 @@
 				call := h.call("/short/x")
 				call.ID, call.Resumes, call.LastEventID = "second", "first", "40"
 				if tc.began != "" {
-					h.origins.Began(origin.Record{Stream: origin.StreamOf("first"), Service: "engines", Version: tc.began, TTL: time.Minute})
+					h.origins.Began(origin.Record{Stream: origin.StreamOf("first"), Service: "engines", Version: tc.began, TTL: time.Minute}, false)
 				}
 				start, c := time.Now(), &client{}
 				r := h.relay.Serve(t.Context(), call, c)
--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -83,6 +83,6 @@
 // recordOrigin records what began a stream that the client may take up, before it can do so.
 func (f *forwarder) recordOrigin() {
 	if f.Route.Resumable && f.version != "" {
-		f.Origins.Began(origin.Record{Stream: f.streamID(), Service: f.Service.Name, Version: f.version, TTL: f.streamLifetime()})
+		f.Origins.Began(origin.Record{Stream: f.streamID(), Service: f.Service.Name, Version: f.version, TTL: f.streamLifetime()}, f.Settings.Past(f.Route).Moved)
 	}
 }
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -93,8 +93,9 @@
 
 // Origins knows which version of the software began the streams that clients take up.
 type Origins interface {
-	// Began records that the first event of a stream is about to be forwarded.
-	Began(r origin.Record)
+	// Began records that the first event of a stream is about to be forwarded. only says that nothing
+	// but a record shows the origin of the stream.
+	Began(r origin.Record, only bool)
 	// Completed drops the record of a stream.
 	Completed(s origin.Stream)
 	// Find returns what began a stream, at most lifetime ago, whose route has led to one service
--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -95,6 +95,7 @@
 	Servers   *srvtab.Table
 	DataAge   func() time.Duration                 // time since the servers' versions were known to be current
 	Holders   func(now time.Time) []hubs.Candidate // other VMs that hold records
+	Moved     <-chan struct{}                      // receives a value when a route begins to lead to other services
 	Transport Transport
 	Log       *zap.Logger
 }
@@ -119,13 +120,14 @@
 func (f *Finder) Len() int { return f.records.len() }
 
 // Began records that the first event of a stream is about to be forwarded. Nothing is recorded of an
-// unknown stream.
-func (f *Finder) Began(rec Record) {
+// unknown stream. only says that nothing but a record shows the origin of the stream, whatever the
+// versions are.
+func (f *Finder) Began(rec Record, only bool) {
 	if rec.Stream == 0 {
 		return
 	}
 	now := time.Now()
-	needed := f.needsRecords(rec.Service, rec.TTL, now)
+	needed := only || f.needsRecords(rec.Service, rec.TTL, now)
 	f.records.put(rec, needed, now)
 	if needed {
 		f.send([]Record{rec}, now)
@@ -157,6 +159,7 @@
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 	for {
+		needed := f.needsRecords
 		select {
 		case <-ctx.Done():
 			return
@@ -165,12 +168,14 @@
 				continue
 			}
 		case <-f.Servers.Diverged():
+		case <-f.Moved:
+			needed = func(ident.Service, time.Duration, time.Time) bool { return true }
 		}
 		now := time.Now()
 		if len(f.Holders(now)) == 0 {
 			continue
 		}
-		list := f.records.takeUnsent(func(s ident.Service, age time.Duration) bool { return f.needsRecords(s, age, now) }, now)
+		list := f.records.takeUnsent(func(s ident.Service, age time.Duration) bool { return needed(s, age, now) }, now)
 		if len(list) > 0 {
 			f.Log.Info("origins of streams sent", zap.Int("streams", len(list)))
 			f.send(list, now)
--- a/internal/state/origin/finder_test.go
+++ b/internal/state/origin/finder_test.go
@@ -37,6 +37,7 @@
 	table  *srvtab.Table
 	finder *Finder
 	age    atomic.Int64 // of the data on servers, in nanoseconds
+	moved  chan struct{}
 	stop   context.CancelFunc
 	down   atomic.Bool // it neither sends nor receives
 	sent   atomic.Int64
@@ -89,10 +90,10 @@
 // start starts the VM, or starts it again after stop, without records and data on servers.
 func (v *vm) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	v.stop, v.table = cancel, srvtab.NewTable(func() {})
+	v.stop, v.table, v.moved = cancel, srvtab.NewTable(func() {}), make(chan struct{}, 1)
 	finder := New(0, Deps{
 		VM: v.name, Servers: v.table, DataAge: func() time.Duration { return time.Duration(v.age.Load()) },
-		Holders: v.holders, Transport: v, Log: zap.NewNop(),
+		Holders: v.holders, Moved: v.moved, Transport: v, Log: zap.NewNop(),
 	})
 	v.finder = finder
 	v.fleet.group.Go(func() error {
@@ -169,7 +170,7 @@
 func TestFind(t *testing.T) {
 	t.Run("one version: nothing is sent or asked", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			start := time.Now()
 			o, err := f.vms[6].find(1)
 			assert.NilError(t, err)
@@ -183,7 +184,7 @@
 	t.Run("the VM that began it", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			f.setVersions("v1", "v2")
-			f.vms[0].finder.Began(record(1, "v2"))
+			f.vms[0].finder.Began(record(1, "v2"), false)
 			o, err := f.vms[0].find(1)
 			assert.NilError(t, err)
 			assert.Equal(t, o, Origin{Service: service, Version: "v2", Source: FromOwnRecord})
@@ -192,7 +193,7 @@
 	t.Run("another VM, after that one was lost", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			f.setVersions("v1", "v2", "v3")
-			f.vms[0].finder.Began(record(1, "v2"))
+			f.vms[0].finder.Began(record(1, "v2"), false)
 			time.Sleep(2 * netDelay)
 			f.vms[0].down.Store(true)
 			start := time.Now()
@@ -206,7 +207,7 @@
 	})
 	t.Run("streams that were under way when the second version appeared", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			f.setVersions("v1", "v2")
 			f.vms[0].down.Store(true)
 			o, err := f.vms[5].find(1)
@@ -215,10 +216,24 @@
 			assert.Assert(t, o.Source != FromOnlyVersion)
 		})
 	})
+	t.Run("streams of one version, before and after their route led to another service", func(t *testing.T) {
+		testFleet(t, 7, func(t *testing.T, f *fleet) {
+			f.vms[0].finder.Began(record(1, "v1"), false)
+			f.vms[0].moved <- struct{}{}
+			f.vms[0].finder.Began(record(2, "v1"), true)
+			time.Sleep(10 * netDelay)
+			f.vms[0].down.Store(true)
+			for n := range 2 {
+				o, err := f.vms[5].finder.Find(t.Context(), record(1+n, "").Stream, "", lifetime)
+				assert.NilError(t, err)
+				assert.Equal(t, o.Version, ident.Version("v1"))
+			}
+		})
+	})
 	t.Run("a version that is gone is still remembered", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			f.setVersions("v1", "v2")
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			f.setVersions("v2")
 			f.vms[0].down.Store(true)
 			o, err := f.vms[5].find(1)
@@ -249,7 +264,7 @@
 				v.restart()
 			}
 			f.setVersions("v1")
-			f.vms[200].finder.Began(record(1, "v1"))
+			f.vms[200].finder.Began(record(1, "v1"), false)
 			time.Sleep(2 * netDelay)
 			f.vms[200].down.Store(true)
 			o, err := f.vms[299].find(1)
@@ -261,12 +276,12 @@
 	})
 	t.Run("streams before and after the store was lost", func(t *testing.T) {
 		testFleet(t, 12, func(t *testing.T, f *fleet) {
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			for _, v := range f.vms {
 				v.age.Store(int64(20 * time.Second))
 			}
 			time.Sleep(2 * checkInterval)
-			f.vms[10].finder.Began(record(2, "v1"))
+			f.vms[10].finder.Began(record(2, "v1"), false)
 			time.Sleep(2 * netDelay)
 			f.vms[0].down.Store(true)
 			f.vms[10].down.Store(true)
@@ -292,7 +307,7 @@
 				v.setVersions("v1", "v2")
 			}
 			time.Sleep(10 * netDelay)
-			f.vms[0].finder.Began(record(1, "v2"))
+			f.vms[0].finder.Began(record(1, "v2"), false)
 			cut.down.Store(true)
 			start := time.Now()
 			_, err := cut.find(1)
@@ -319,7 +334,7 @@
 	t.Run("a client that names no attempt", func(t *testing.T) {
 		testFleet(t, 7, func(t *testing.T, f *fleet) {
 			f.setVersions("v1", "v2")
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			_, err := f.vms[0].finder.Find(t.Context(), StreamOf(""), service, lifetime)
 			assert.ErrorIs(t, err, ErrUnknown)
 		})
@@ -332,9 +347,9 @@
 				return err
 			}
 			assert.NilError(t, find(0), "there is one version only")
-			f.vms[0].finder.Began(unnamed)
+			f.vms[0].finder.Began(unnamed, false)
 			f.setVersions("v1", "v2")
-			f.vms[1].finder.Began(unnamed)
+			f.vms[1].finder.Began(unnamed, false)
 			f.vms[2].finder.HandleRecords([]Record{unnamed})
 			time.Sleep(2 * netDelay)
 			for n := range 4 {
@@ -373,7 +388,7 @@
 	})
 	t.Run("nobody knows, but the VM that began the stream", func(t *testing.T) {
 		testFleet(t, 3, func(t *testing.T, f *fleet) {
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			for _, v := range f.vms {
 				v.miss()
 			}
@@ -384,7 +399,7 @@
 	})
 	t.Run("nobody knows, and the VM that began the stream is lost", func(t *testing.T) {
 		testFleet(t, 12, func(t *testing.T, f *fleet) {
-			f.vms[0].finder.Began(record(1, "v1"))
+			f.vms[0].finder.Began(record(1, "v1"), false)
 			time.Sleep(time.Second)
 			for _, v := range f.vms {
 				v.miss()
@@ -443,7 +458,7 @@
 				found := 0
 				for round := range rounds {
 					for n := range streams {
-						f.vms[(round+n)%vms].finder.Began(record(round*streams+n, "v2"))
+						f.vms[(round+n)%vms].finder.Began(record(round*streams+n, "v2"), false)
 					}
 					time.Sleep(2 * netDelay)
 					perm := kills.Perm(vms)
--- a/internal/state/routes/current.go
+++ b/internal/state/routes/current.go
@@ -19,6 +19,7 @@
 	behindSince  atomic.Int64  // Instant of the first of newer; zero if it is empty
 	knownVersion atomic.Uint64 // newest version in force here or reported by another VM
 	past         atomic.Pointer[map[pastKey]pastRoute]
+	moved        chan struct{}
 }
 
 // peerVersion is a version that another VM reported to have in force.
@@ -29,7 +30,7 @@
 
 // NewCurrent returns a Current without a snapshot.
 func NewCurrent(clock uptime.Clock) *Current {
-	return &Current{clock: clock}
+	return &Current{clock: clock, moved: make(chan struct{}, 1)}
 }
 
 // Load returns the snapshot in force, or nil.
@@ -49,10 +50,14 @@
 	if old != nil && s.Version == old.Version {
 		return false
 	}
+	moved := false
 	if old != nil {
-		c.recordPast(old, s)
+		moved = c.recordPast(old, s)
 	}
 	c.active.Store(s)
+	if moved {
+		c.announceMoved()
+	}
 	return true
 }
 
--- a/internal/state/routes/past.go
+++ b/internal/state/routes/past.go
@@ -86,8 +86,20 @@
 	c.past.Store(&m.next)
 }
 
-// recordPast records what the settings old, which s replaces, allowed for streams.
-func (c *Current) recordPast(old, s *Snapshot) {
+// Moved returns a channel that receives a value when settings come into force that send the calls of
+// a route's paths to other services than before.
+func (c *Current) Moved() <-chan struct{} { return c.moved }
+
+func (c *Current) announceMoved() {
+	select {
+	case c.moved <- struct{}{}:
+	default:
+	}
+}
+
+// recordPast records what the settings old, which s replaces, allowed for streams. It reports whether
+// a route has moved to other services.
+func (c *Current) recordPast(old, s *Snapshot) bool {
 	m := pastMerger{now: c.clock(), next: make(map[pastKey]pastRoute)}
 	if list := c.past.Load(); list != nil {
 		m.known = *list
@@ -111,12 +123,14 @@
 		}
 	}
 	c.past.Store(&m.next)
+	return m.moved
 }
 
 // pastMerger collects what earlier settings allowed for the routes of new ones.
 type pastMerger struct {
 	now         uptime.Instant
 	known, next map[pastKey]pastRoute
+	moved       bool
 }
 
 // add records that a route served paths before that r serves now. Either may be nil.
@@ -128,6 +142,7 @@
 		m.merge(keyOf(r), earlier)
 	}
 	moved := !slices.Equal(services(before), services(r))
+	m.moved = m.moved || moved
 	lifetime := before.StreamLifetime(before.Timeout)
 	if moved || lifetime > r.StreamLifetime(r.Timeout) {
 		m.merge(keyOf(r), pastRoute{Past: Past{Lifetime: lifetime, Moved: moved}, until: m.now})
--- a/internal/state/routes/past_test.go
+++ b/internal/state/routes/past_test.go
@@ -90,6 +90,19 @@
 		assert.Equal(t, started.Past(renamed), Past{}, "no stream of that time is under way")
 		assert.Equal(t, len(older.Pasts()), 0)
 	})
+	t.Run("it is announced that a route leads to other services", func(t *testing.T) {
+		c := NewCurrent(func() uptime.Instant { return uptime.Instant(time.Hour) })
+		for n, tc := range []struct {
+			service ident.Service
+			moved   bool
+		}{{"s", false}, {"s", false}, {"t", true}, {"t", false}} {
+			c.Update(New(Parts{Version: uint64(n + 1), Routes: []*Route{stream("a", "/a/", long, tc.service)}}), 0)
+			assert.Equal(t, len(c.Moved()) == 1, tc.moved, "version %d", n+1)
+			if tc.moved {
+				<-c.Moved()
+			}
+		}
+	})
 	t.Run("what is over is dropped", func(t *testing.T) {
 		now := uptime.Instant(time.Hour)
 		c := NewCurrent(func() uptime.Instant { return now })
