--- a/internal/proc/peers/delegate.go
+++ b/internal/proc/peers/delegate.go
@@ -279,9 +279,9 @@
 	return err
 }
 
-// fetchServers fetches the complete list of servers from a hub. What the hub knows of earlier
-// settings comes into force before the list does, whose history would else be judged by the present
-// settings alone.
+// fetchServers fetches the complete list of servers from a hub. What the hub knows of earlier settings
+// is added before the list is applied, since streams of the time that the list's history covers may
+// have begun under them.
 func (n *Node) fetchServers(ctx context.Context) (follow.Update, error) {
 	hubAddrs := n.Hubs.HubAddrs(time.Now())
 	if len(hubAddrs) == 0 {
--- a/internal/state/routes/lifetime.go
+++ b/internal/state/routes/lifetime.go
@@ -14,10 +14,10 @@
 	gapsOfPatience    = 8
 )
 
-// StreamLifetime returns for how long the versions of a service must be known to tell which one
-// began a stream of the route that is taken up, if each attempt may have lasted for a timeout. It
-// is no less than a timeout and the patience of clients, however often the stream was taken up: its
-// last attempt was placed, while servers of its version had entries, within a timeout before the last
+// StreamLifetime returns the time within which the version that began a stream of the route has had a
+// server when the stream is taken up, if each attempt may have lasted for a timeout. It is no less
+// than a timeout and the patience of clients, however often the stream was taken up: its last
+// attempt was placed, while servers of its version had entries, within a timeout before the last
 // event.
 func (r *Route) StreamLifetime(timeout time.Duration) time.Duration {
 	patience := max(minPatience, targetsOfPatience*r.LatencyTarget, gapsOfPatience*r.GapTarget)
