Guard a setting of the tests' store by its lock

The race detector reported the write in the new case of follow.TestUnseenVersions, beside reads of the store.

--- a/internal/state/follow/version_test.go
+++ b/internal/state/follow/version_test.go
@@ -142,7 +142,7 @@
 		v.assertVersions(t, true, "v1", "v2")
 	})
 	run("the store sends the changes in several responses after the watch failed", func(t *testing.T, s *store, v *vm) {
-		s.maxEvents = 1
+		s.change(func() { s.maxEvents = 1 })
 		s.setDown(true)
 		time.Sleep(time.Second)
 		s.put(versioned("b", "v1"))
