--- a/internal/route/stream/origin.go
+++ b/internal/route/stream/origin.go
@@ -18,9 +18,8 @@
 const originRetryAfter = 200 * time.Millisecond
 
 // streamLifetime returns how long ago the stream that the call takes up may have begun, over the
-// attempts of its client. Earlier settings may have allowed it a longer timeout. If this VM has
-// started since, it doesn't know them, but the client's own timeout still shows that it had more
-// time. The lifetime may be too short only on such a VM.
+// attempts of its client. Earlier settings may have allowed it a longer timeout. If this VM does not
+// know them, the client's own timeout still shows that it had more time.
 func (f *forwarder) streamLifetime() time.Duration {
 	timeout := max(f.Route.Timeout, f.Call.ClientTimeout)
 	return max(f.Route.StreamLifetime(timeout), f.Settings.Past(f.Route).Lifetime)
