--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -81,8 +81,8 @@
 )
 
 // get returns the encoded list and its age. It creates the list if the last one is too old, or other
-// settings have come into force, for one request at a time, since that takes memory several times the size of the list.
-// It returns false if src has no complete list.
+// settings have come into force since, for one request at a time, since that takes memory several
+// times the size of the list. It returns false if src has no complete list.
 func (c *cachedList) get(src Source, now time.Time) (body []byte, age time.Duration, ok bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -93,9 +93,9 @@
 
 // Origins knows which version of the software began the streams that clients take up.
 type Origins interface {
-	// Began records that the first event of a stream is about to be forwarded. only says that nothing
-	// but a record shows the origin of the stream.
-	Began(r origin.Record, only bool)
+	// Began records that the first event of a stream is about to be forwarded. recordOnly says
+	// that nothing but the record will show the origin.
+	Began(r origin.Record, recordOnly bool)
 	// Completed drops the record of a stream.
 	Completed(s origin.Stream)
 	// Find returns what began a stream, at most lifetime ago, whose route has led to one service
--- a/internal/state/origin/finder.go
+++ b/internal/state/origin/finder.go
@@ -120,14 +120,14 @@
 func (f *Finder) Len() int { return f.records.len() }
 
 // Began records that the first event of a stream is about to be forwarded. Nothing is recorded of an
-// unknown stream. only says that nothing but a record shows the origin of the stream, whatever the
+// unknown stream. recordOnly says that nothing but the record will show the origin, whatever the
 // versions are.
-func (f *Finder) Began(rec Record, only bool) {
+func (f *Finder) Began(rec Record, recordOnly bool) {
 	if rec.Stream == 0 {
 		return
 	}
 	now := time.Now()
-	needed := only || f.needsRecords(rec.Service, rec.TTL, now)
+	needed := recordOnly || f.needsRecords(rec.Service, rec.TTL, now)
 	f.records.put(rec, needed, now)
 	if needed {
 		f.send([]Record{rec}, now)
--- a/internal/state/routes/past.go
+++ b/internal/state/routes/past.go
@@ -26,7 +26,7 @@
 	until uptime.Instant
 }
 
-// isOver reports whether no stream is under way any more that began before p ended.
+// isOver reports whether no stream can be taken up any more that began before p ended.
 func (p pastRoute) isOver(now uptime.Instant) bool {
 	return now.Sub(p.until) >= p.Lifetime
 }
@@ -52,8 +52,8 @@
 	Ago time.Duration // since other settings replaced it
 }
 
-// Pasts returns what earlier settings allowed for streams that may still be under way. A VM that
-// has started since does not know it.
+// Pasts returns what earlier settings allowed for streams that may still be under way, for VMs that
+// have started since.
 func (c *Current) Pasts() []PathPast {
 	list := c.past.Load()
 	if list == nil {
