--- a/internal/state/routes/past_test.go
+++ b/internal/state/routes/past_test.go
@@ -90,6 +90,16 @@
 		assert.Equal(t, started.Past(renamed), Past{}, "no stream of that time is under way")
 		assert.Equal(t, len(older.Pasts()), 0)
 	})
+	t.Run("what is over does not count again once another VM adds to it", func(t *testing.T) {
+		now := uptime.Instant(time.Hour)
+		c := NewCurrent(func() uptime.Instant { return now })
+		r := stream("a", "/a/", long, "s")
+		c.Update(New(Parts{Version: 1, Routes: []*Route{stream("a", "/a/", long, "t")}}), now)
+		c.Update(New(Parts{Version: 2, Routes: []*Route{r}}), now)
+		now = now.Add(2 * long)
+		c.AddPasts([]PathPast{{Host: "h", Prefix: "/a/", Past: Past{Lifetime: 2 * long}}})
+		assert.Equal(t, c.Past(r), Past{Lifetime: 2 * long})
+	})
 	t.Run("it is announced that a route leads to other services", func(t *testing.T) {
 		c := NewCurrent(func() uptime.Instant { return uptime.Instant(time.Hour) })
 		for n, tc := range []struct {
