--- a/internal/test/inproc/fleet.go
+++ b/internal/test/inproc/fleet.go
@@ -54,6 +54,21 @@
 // each VM before the VM starts. When the test ends, New's cleanup stops the
 // fleet and fails the test if a VM logged a violated invariant.
 func New(t testing.TB, network, n int, adjust func(*conf.Node)) *Fleet {
+	t.Helper()
+	f := NewPlatform(t, network, n)
+	f.adjust = adjust
+	for i := range n {
+		f.Start(i)
+	}
+	for i := range n {
+		f.WaitReady(i)
+	}
+	return f
+}
+
+// NewPlatform is like New, but starts no VMs. Their settings files are in the directory of the
+// layout.
+func NewPlatform(t testing.TB, network, n int) *Fleet {
 	t.Helper()
 	profile := plan.Profile{Name: "test", FailureDomains: 2, Engines: 2, PlainServers: 2, EngineMemory: 4000, EngineBatch: 16, EngineStep: 2 * time.Millisecond}
 	layout, err := plan.New(t.TempDir(), profile, n, network)
@@ -61,7 +76,7 @@
 	assert.NilError(t, layout.Write())
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
-	f := &Fleet{Layout: layout, t: t, group: g, ctx: ctx, adjust: adjust, cancels: map[int]context.CancelFunc{}, done: map[int]chan struct{}{}}
+	f := &Fleet{Layout: layout, t: t, group: g, ctx: ctx, cancels: map[int]context.CancelFunc{}, done: map[int]chan struct{}{}}
 	core, logs := observer.New(zap.ErrorLevel)
 	f.errorLog = core
 	t.Cleanup(func() {
@@ -76,12 +91,6 @@
 	})
 	f.startPlatform()
 	f.startServers()
-	for i := range n {
-		f.Start(i)
-	}
-	for i := range n {
-		f.WaitReady(i)
-	}
 	return f
 }
 
