--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -37,6 +37,7 @@
 	VersionGone               // no backend server runs the version of the software that began the stream
 	VersionUnknown            // which version of the software began the stream can't be determined now
 	PartQuarantined           // backend servers crashed each time they ran a request with a part of this prompt
+	MemoryShort               // this VM has too little memory left for the request
 	numReasons
 )
 
@@ -78,6 +79,7 @@
 	VersionGone:        {"version-gone", 503, "No backend server runs the version that began the stream"},
 	VersionUnknown:     {"version-unknown", 503, "Which version began the stream can't be known now"},
 	PartQuarantined:    {"part-quarantined", 503, "Backend servers crashed when they ran requests with a part of this prompt"},
+	MemoryShort:        {"memory-short", 503, "This VM has too little memory left for the request"},
 	ClientDisconnected: {"caller-left", 499, "The caller closed the connection"},
 }
 
--- a/internal/load/crowd/serve_test.go
+++ b/internal/load/crowd/serve_test.go
@@ -64,8 +64,8 @@
 	n.check(descriptors)
 }
 
-func nodeHead(key, path string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n", path, key)
+func nodeHead(key string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n", completions, key)
 }
 
 // TestNodeBodies is TestBodies for entry VMs.
@@ -79,19 +79,19 @@
 		send func(i int, c net.Conn)
 	}{
 		{"all but the last byte, with a key that is not known", func(_ int, c net.Conn) {
-			_, _ = io.WriteString(c, nodeHead("other", completions)+length)
+			_, _ = io.WriteString(c, nodeHead("other")+length)
 			sendZeros(c, maxBody-1)
 		}},
 		{"chunks without the last one", func(_ int, c net.Conn) {
-			_, _ = io.WriteString(c, nodeHead(key, completions)+"Transfer-Encoding: chunked\r\n\r\n")
+			_, _ = io.WriteString(c, nodeHead(key)+"Transfer-Encoding: chunked\r\n\r\n")
 			sendChunks(c, maxBody)
 		}},
 		{"a length alone", func(_ int, c net.Conn) {
-			_, _ = io.WriteString(c, nodeHead(key, completions)+length)
+			_, _ = io.WriteString(c, nodeHead(key)+length)
 		}},
 		{"complete, to engines that are full", func(i int, c net.Conn) {
 			body := fmt.Sprintf(`%s%d"}`, prompt, i)
-			_, _ = io.WriteString(c, nodeHead(key, completions)+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body)
+			_, _ = io.WriteString(c, nodeHead(key)+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body)
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) { startNode(t, 180+i).checkCrowd(t, clients, allDescriptors, tc.send) })
@@ -107,11 +107,11 @@
 			key := plan.ClientKey(plan.Installers)
 			n.checkCrowd(t, limit+100, limit, func(i int, c net.Conn) {
 				if i%2 == 0 {
-					_, _ = io.WriteString(c, nodeHead(key, completions)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(small), small))
+					_, _ = io.WriteString(c, nodeHead(key)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(small), small))
 					_, _ = c.Read(make([]byte, 1<<10))
 					return
 				}
-				_, _ = io.WriteString(c, nodeHead(key, completions))
+				_, _ = io.WriteString(c, nodeHead(key))
 			})
 		})
 	}
@@ -125,7 +125,7 @@
 	code, text, _ := n.fleet.Call(0, http.MethodPost, completions, plan.Installers, body)
 	assert.Equal(t, code, http.StatusOK, text)
 	newCrowd(t, n.fleet.Layout.VMs[0].Address, others, func(_ int, c net.Conn) {
-		_, _ = io.WriteString(c, nodeHead(plan.ClientKey(plan.Installers), completions)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBody))
+		_, _ = io.WriteString(c, nodeHead(plan.ClientKey(plan.Installers))+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBody))
 		sendZeros(c, maxBody-1)
 	})
 	code, text, _ = n.fleet.Call(0, http.MethodPost, completions, plan.Installers, body)
--- /dev/null
+++ b/internal/peer/accept/doc.go
@@ -0,0 +1,2 @@
+// Package accept opens listeners whose connections hold a bounded part of the kernel's memory.
+package accept
--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -10,21 +12,49 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"umberladder/internal/policy/hold"
+)
+
+const (
+	// connBytes is what an open connection takes: its read buffer, its goroutine's stack and its
+	// state here and in the kernel.
+	connBytes = 12 << 10
+	// callBytes is what a request takes besides connBytes and its body: the write buffer, the
+	// header fields, the stacks of the goroutines that serve it, and what the client sends ahead.
+	callBytes = 48 << 10
+	// headerCopies is how many copies of a header section that is larger than the read buffer are
+	// held while it is parsed.
+	headerCopies = 3
+	// sendBuffer is the size of the kernel's send buffer of a connection whose client may not have
+	// received maxUnlimitedSend bytes. Fewer than maxUncountedSend are a part of connBytes.
+	sendBuffer       = 32 << 10
+	maxUnlimitedSend = 64 << 10
+	maxUncountedSend = 16 << 10
+	// writeSize is the size of the writes into which a response is split. Each has to make
+	// progress within writeTimeout.
+	writeSize = 64 << 10
 )
 
 // conn is a client connection with buffered reads and writes.
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
-	w         *bufio.Writer
+	w         *bufio.Writer // nil while the connection waits for a request
 	remote    netip.AddrPort
+	account   *hold.Account
 	closeOnce sync.Once
+
+	headerBytes int  // held for a header section that is larger than the read buffer
+	sent        int  // bytes of responses that the client may not have received
+	sentHeld    int  // of these, as counted on the account
+	sendLimited bool // the kernel's send buffer is bounded
 }
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
 	c.r = bufio.NewReaderSize(nc, initialBufferSize)
-	c.w = bufio.NewWriterSize(deadlineWriter{nc}, initialBufferSize)
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.remote = a.AddrPort()
 	}
@@ -52,21 +82,71 @@
 // header section allowed: fasthttp parses a header section only when all of it
 // fits in the buffer.
 func (c *conn) growReadBuffer(size int) {
-	if c.r.Size() < size {
-		c.r = bufio.NewReaderSize(c.r, size)
+	if c.r.Size() >= size {
+		return
 	}
+	b, _ := c.r.Peek(c.r.Buffered()) // never fails for what is buffered
+	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(b)), c.Conn), size)
+}
+
+// shrinkReadBuffer gives a grown read buffer back, unless it holds the start of the next request.
+func (c *conn) shrinkReadBuffer() {
+	if c.r.Size() > initialBufferSize && c.r.Buffered() == 0 {
+		c.r = bufio.NewReaderSize(c.Conn, initialBufferSize)
+	}
+}
+
+// writers holds the write buffers of connections that wait for requests.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, initialBufferSize) }}
+
+func (c *conn) acquireWriter() {
+	c.w = writers.Get().(*bufio.Writer)
+	c.w.Reset(clientWriter{c})
+}
+
+func (c *conn) releaseWriter() {
+	c.w.Reset(nil)
+	writers.Put(c.w)
+	c.w = nil
 }
 
 func (c *conn) close() { c.closeOnce.Do(func() { _ = c.Close() }) }
 
+// interrupt ends the wait for the client after the account was reclaimed in the given state. A
+// client that is sending a request still gets a response.
+func (c *conn) interrupt(s hold.State) {
+	switch s {
+	case hold.Receiving:
+		_ = c.SetReadDeadline(past)
+	case hold.Sending:
+		c.closeOnce.Do(func() { closeUnread(c.Conn) }) // drops what the client has not read
+	default:
+		c.close()
+	}
+}
+
+// past is a deadline that interrupts pending reads.
+var past = time.Unix(1, 0)
+
+// setReceiveDeadline sets the time until which the rest of a request has to arrive.
+func (c *conn) setReceiveDeadline(t time.Time) {
+	_ = c.SetReadDeadline(t)
+	if c.account.Reclaimed() {
+		_ = c.SetReadDeadline(past)
+	}
+}
+
 // watchDisconnect calls onDisconnect when the client closes the connection. The
 // returned function stops watching and reports whether the connection is still
-// open.
+// open. The end of a client that sends requests ahead is seen while they fit into the read buffer.
 func (c *conn) watchDisconnect(g *errgroup.Group, onDisconnect func()) func() bool {
 	_ = c.SetReadDeadline(time.Time{})
 	done := make(chan bool, 1)
 	g.Go(func() error {
-		_, err := c.r.Peek(1)
+		var err error
+		for err == nil && c.r.Buffered() < c.r.Size() {
+			_, err = c.r.Peek(c.r.Buffered() + 1)
+		}
 		alive := err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 		if !alive {
 			onDisconnect()
@@ -75,18 +155,80 @@
 		return nil
 	})
 	return func() bool {
-		// A deadline in the past interrupts the pending Peek.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(past)
 		return <-done
 	}
 }
 
-// deadlineWriter sets a new deadline of writeTimeout before each write.
-type deadlineWriter struct{ net.Conn }
+// countSent counts n bytes that are about to be sent, until the client is known to have received
+// them, and bounds what the kernel holds of a response once it is long.
+func (c *conn) countSent(n int) {
+	c.checkSent()
+	c.sent += n
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.sent > maxUnlimitedSend && !c.sendLimited {
+		c.sendLimited = true
+		_ = tcp.SetWriteBuffer(sendBuffer)
+	}
+	c.holdSent()
+}
+
+// checkSent finds out how many of the bytes that were sent the client has not received.
+func (c *conn) checkSent() {
+	if c.sent <= maxUncountedSend {
+		return
+	}
+	if n, ok := queuedBytes(c.Conn); ok {
+		c.sent = n
+	}
+	c.holdSent()
+}
+
+// holdSent counts what the kernel may hold of responses. A small amount is a part of connBytes.
+func (c *conn) holdSent() {
+	n := 0
+	if c.sent > maxUncountedSend {
+		n = min(c.sent, hold.SmallBytes)
+	}
+	if n != c.sentHeld {
+		_ = c.account.Hold(hold.Responses, n) // never fails for a small response
+		c.sentHeld = n
+	}
+}
+
+// queuedBytes returns how many bytes the kernel holds that the other end of a connection has not
+// received, or false if that is not known.
+func queuedBytes(nc net.Conn) (int, bool) {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	n, queryErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return n, err == nil && queryErr == nil
+}
+
+// clientWriter sets a new deadline of writeTimeout before each write.
+type clientWriter struct{ *conn }
 
-func (w deadlineWriter) Write(p []byte) (int, error) {
-	if err := w.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+func (w clientWriter) Write(p []byte) (int, error) {
+	w.countSent(len(p))
+	_ = w.account.SetState(hold.Sending, len(p)) // a reclaimed connection is closed
+	defer func() { _ = w.account.SetState(hold.Busy, 0) }()
+	written := 0
+	for len(p) > 0 {
+		if err := w.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.Conn.Write(p[:min(len(p), writeSize)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		p = p[n:]
 	}
-	return w.Conn.Write(p)
+	return written, nil
 }
--- a/internal/peer/front/front_test.go
+++ b/internal/peer/front/front_test.go
@@ -16,12 +16,13 @@
 	"gotest.tools/v3/assert"
 
 	"umberladder/internal/core/call"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/test/check"
 )
 
 var limits = Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
 
-var statuses = map[ErrorKind]int{Malformed: 400, HeaderTooLarge: 431, BodyTooLarge: 413, RequestTimeout: 408}
+var statuses = map[ErrorKind]int{Malformed: 400, HeaderTooLarge: 431, BodyTooLarge: 413, RequestTimeout: 408, Overloaded: 503}
 
 // startServer serves a handler on a loopback port and returns a function that
 // connects to it.
@@ -32,13 +33,24 @@
 
 // startServerWith is like startServer, with a gate.
 func startServerWith(t *testing.T, h Handler, gate Gate) (*Server, func() net.Conn) {
+	t.Helper()
+	return serve(t, h, gate, hold.NewPool(hold.Limits{Memory: 8 << 20}), limits)
+}
+
+// startBoundedServer is like startServer, with a pool and limits.
+func startBoundedServer(t *testing.T, h Handler, held *hold.Pool, l Limits) (*Server, func() net.Conn) {
+	t.Helper()
+	return serve(t, h, &testGate{}, held, l)
+}
+
+func serve(t *testing.T, h Handler, gate Gate, held *hold.Pool, l Limits) (*Server, func() net.Conn) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	reject := func(w *ResponseWriter, kind ErrorKind, detail string) {
-		_ = w.WriteResponse(statuses[kind], nil, []byte(detail))
+	reject := func(w *ResponseWriter, _ *Request, f Fault) {
+		_ = w.WriteResponse(statuses[f.Kind], nil, []byte(f.Detail))
 	}
-	s := New(h, reject, func() Limits { return limits }, gate, zap.NewNop())
+	s := New(h, reject, func() Limits { return l }, gate, held, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return s.Serve(ctx, ln) })
@@ -47,6 +59,9 @@
 		_ = ln.Close()
 		_ = g.Wait()
 		s.Wait()
+		for _, c := range []hold.Class{hold.Connections, hold.Requests, hold.Responses} {
+			assert.Equal(t, held.Held(c), 0, "bytes held once all connections are closed")
+		}
 	})
 	return s, func() net.Conn {
 		c, err := net.Dial("tcp", ln.Addr().String())
--- a/internal/peer/front/request.go
+++ b/internal/peer/front/request.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"umberladder/internal/core/call"
+	"umberladder/internal/policy/hold"
 )
 
 // Request is a request as the client sent it.
@@ -47,6 +48,7 @@
 	HeaderTooLarge
 	BodyTooLarge
 	RequestTimeout
+	Overloaded   // too little memory is left for the request
 	ClientClosed // the client closed the connection and can't receive a response
 )
 
@@ -55,6 +57,25 @@
 	err error
 }
 
+// Fault is why a request could not be read.
+type Fault struct {
+	Kind       ErrorKind
+	Detail     string
+	RetryAfter time.Duration // zero: a retry of the same request won't help
+}
+
+// overloadRetryAfter is the retry delay of a request for which too little memory was left. Other VMs
+// are likely to have more.
+const overloadRetryAfter = 500 * time.Millisecond
+
+func (e *readError) fault() Fault {
+	f := Fault{Kind: e.ErrorKind, Detail: e.Error()}
+	if e.ErrorKind == Overloaded {
+		f.RetryAfter = overloadRetryAfter
+	}
+	return f
+}
+
 func (e *readError) Error() string { return e.err.Error() }
 
 func (e *readError) canRespond() bool { return e.ErrorKind != ClientClosed }
@@ -106,13 +127,14 @@
 	closeAfter        bool
 }
 
+// readRequest reads a request. If that fails, the request has the header fields, or is nil.
 func readRequest(c *conn, limits Limits, w *ResponseWriter) (*Request, *readError) {
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.setReceiveDeadline(time.Now().Add(limits.HeaderTimeout))
 	var h fasthttp.RequestHeader
 	h.DisableSpecialHeader()
 	h.DisableNormalizing()
-	if err := h.Read(c.r); err != nil {
-		return nil, classifyReadError(err, "the header section")
+	if rerr := c.readHeader(&h, limits.MaxHeaderBytes); rerr != nil {
+		return nil, rerr
 	}
 	r := &Request{Method: string(h.Method()), Target: string(h.RequestURI()), Arrived: time.Now()}
 	f, rerr := r.parseFields(&h)
@@ -124,20 +146,70 @@
 		return nil, rerr
 	}
 	if f.length > limits.MaxBodyBytes {
-		return nil, newReadError(BodyTooLarge, "the body of %d bytes is over the limit of %d", f.length, limits.MaxBodyBytes)
+		return r, newReadError(BodyTooLarge, "the body of %d bytes is over the limit of %d", f.length, limits.MaxBodyBytes)
+	}
+	if rerr := c.holdRequest(0); rerr != nil {
+		return r, rerr
 	}
 	if f.expectContinue && (f.chunked || f.length > 0) {
 		if err := w.writeContinue(); err != nil {
-			return nil, newReadError(ClientClosed, "the client disconnected before sending the body: %w", err)
+			return r, newReadError(ClientClosed, "the client disconnected before sending the body: %w", err)
 		}
 	}
 	if rerr := r.readBody(c, f, limits); rerr != nil {
-		return nil, rerr
+		return r, rerr
 	}
 	r.Arrived = time.Now()
 	return r, nil
 }
 
+// readHeader reads the header section, which may have up to limit bytes.
+func (c *conn) readHeader(h *fasthttp.RequestHeader, limit int) *readError {
+	err := h.Read(c.r)
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) && c.r.Size() < limit {
+		c.headerBytes = headerCopies * limit
+		if err := c.account.Hold(hold.Requests, c.headerBytes); err != nil {
+			return overloaded(err)
+		}
+		c.growReadBuffer(limit)
+		err = h.Read(c.r)
+	}
+	if err != nil {
+		return c.readError(err, "the header section")
+	}
+	return nil
+}
+
+// readError converts an error from reading the named part of a request.
+func (c *conn) readError(err error, what string) *readError {
+	if c.account.Reclaimed() {
+		return errReclaimed()
+	}
+	return classifyReadError(err, what)
+}
+
+func errReclaimed() *readError { return overloaded(hold.ErrReclaimed) }
+
+func overloaded(err error) *readError {
+	return newReadError(Overloaded, "this VM has too little memory left for the request: %w", err)
+}
+
+// holdRequest states that the connection holds a request with a body of n bytes.
+func (c *conn) holdRequest(n int) *readError {
+	if err := c.account.Hold(hold.Requests, callBytes+c.headerBytes+n); err != nil {
+		return overloaded(err)
+	}
+	return nil
+}
+
+// releaseRequest states that the connection holds no request any more.
+func (c *conn) releaseRequest() {
+	c.headerBytes = 0
+	c.shrinkReadBuffer()
+	_ = c.account.Hold(hold.Requests, 0) // never fails for fewer bytes
+}
+
 // parseFields parses the header fields and refuses ambiguous framing.
 func (r *Request) parseFields(h *fasthttp.RequestHeader) (framing, *readError) {
 	f := framing{length: -1}
@@ -221,41 +293,78 @@
 }
 
 func (r *Request) readBody(c *conn, f framing, limits Limits) *readError {
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
-	switch {
-	case f.chunked:
-		return r.readChunks(c, limits.MaxBodyBytes)
-	case f.length > 0:
-		r.Body = make([]byte, f.length)
-		if _, err := io.ReadFull(c.r, r.Body); err != nil {
-			return classifyReadError(err, "the body")
-		}
+	if f.length <= 0 && !f.chunked {
+		return nil
 	}
-	return nil
+	c.setReceiveDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
+	if f.chunked {
+		return r.readChunks(c, limits)
+	}
+	var rerr *readError
+	r.Body, rerr = c.readAll(io.LimitReader(c.r, int64(f.length)), f.length, maxFirst)
+	if rerr == nil && len(r.Body) < f.length {
+		rerr = c.readError(io.ErrUnexpectedEOF, "the body")
+	}
+	return rerr
 }
 
-func (r *Request) readChunks(c *conn, limit int) *readError {
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(httputil.NewChunkedReader(c.r), int64(limit)+1))
-	if err != nil {
-		return classifyReadError(err, "the body")
+func (r *Request) readChunks(c *conn, limits Limits) *readError {
+	limit := limits.MaxBodyBytes
+	var rerr *readError
+	r.Body, rerr = c.readAll(io.LimitReader(httputil.NewChunkedReader(c.r), int64(limit)+1), limit+1, firstChunked)
+	if rerr != nil {
+		return rerr
 	}
-	if n > int64(limit) {
+	if len(r.Body) > limit {
 		return newReadError(BodyTooLarge, "the body is over the limit of %d bytes", limit)
 	}
-	r.Body = b.Bytes()
-	return skipTrailer(c)
+	return c.skipTrailer(limits.MaxHeaderBytes)
 }
 
-// skipTrailer discards the trailer fields after the last chunk.
-func skipTrailer(c *conn) *readError {
+// The sizes of the buffer with which reading a body begins, in bytes: of one of unknown size, and
+// the largest of one of known size.
+const (
+	firstChunked = 4 << 10
+	maxFirst     = 16 << 10
+)
+
+// readAll reads up to size bytes of a body into a buffer that has the size first at the beginning.
+// It grows with what has arrived, whatever the client has announced.
+func (c *conn) readAll(body io.Reader, size, first int) ([]byte, *readError) {
+	var buf []byte
+	for grown := min(first, size); ; grown = min(2*grown, size) {
+		if rerr := c.holdRequest(grown); rerr != nil {
+			return nil, rerr
+		}
+		buf = append(make([]byte, 0, grown), buf...)
+		for len(buf) < grown {
+			n, err := body.Read(buf[len(buf):grown])
+			buf = buf[:len(buf)+n]
+			if errors.Is(err, io.EOF) {
+				return buf, nil
+			}
+			if err != nil {
+				return nil, c.readError(err, "the body")
+			}
+		}
+		if grown == size {
+			return buf, nil
+		}
+	}
+}
+
+// skipTrailer discards the trailer fields after the last chunk, which may have up to limit bytes.
+func (c *conn) skipTrailer(limit int) *readError {
 	for {
 		line, err := c.r.ReadSlice('\n')
 		if err != nil {
-			return classifyReadError(err, "the trailer")
+			return c.readError(err, "the trailer")
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
+		if limit -= len(line); limit < 0 {
+			return newReadError(HeaderTooLarge, "the trailer is too large")
+		}
 	}
 }
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"umberladder/internal/peer/linger"
+	"umberladder/internal/policy/hold"
 )
 
 const (
@@ -27,8 +28,8 @@
 	// detect clients that vanished without closing the connection.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
-	// initialBufferSize is the initial size of a connection's read and write
-	// buffers. The read buffer grows to the header limit with the first request.
+	// initialBufferSize is the size of a connection's read and write buffers. The read buffer
+	// grows to the header limit for a header section that needs it.
 	initialBufferSize = 4 << 10
 )
 
@@ -44,9 +45,9 @@
 // disconnects.
 type Handler func(ctx context.Context, r *Request, w *ResponseWriter)
 
-// ErrorHandler responds to a request that can't be read. The connection is
-// closed afterwards.
-type ErrorHandler func(w *ResponseWriter, kind ErrorKind, detail string)
+// ErrorHandler responds to a request that can't be read, of which r has the header fields; nil: they
+// can't be read either. The connection is closed afterwards.
+type ErrorHandler func(w *ResponseWriter, r *Request, f Fault)
 
 // Gate decides which connections are served.
 type Gate interface {
@@ -63,6 +64,7 @@
 	handleError ErrorHandler
 	limits      func() Limits
 	gate        Gate
+	held        *hold.Pool
 	log         *zap.Logger
 	group       errgroup.Group
 	openConns   atomic.Int64
@@ -71,25 +73,31 @@
 	draining atomic.Bool
 }
 
-// New returns a server. It calls limits for each request.
-func New(handle Handler, handleError ErrorHandler, limits func() Limits, gate Gate, log *zap.Logger) *Server {
-	return &Server{handle: handle, handleError: handleError, limits: limits, gate: gate, log: log}
+// New returns a server. It calls limits for each request. The pool bounds what is held for clients.
+func New(handle Handler, handleError ErrorHandler, limits func() Limits, gate Gate, held *hold.Pool, log *zap.Logger) *Server {
+	return &Server{handle: handle, handleError: handleError, limits: limits, gate: gate, held: held, log: log}
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	for {
-		c, err := ln.Accept()
+		nc, err := ln.Accept()
 		if err != nil {
 			return s.acceptError(ctx, err)
 		}
 		if !s.gate.Admit(time.Now()) {
-			closeUnread(c)
+			closeUnread(nc)
+			continue
+		}
+		c := newConn(nc)
+		if c.account, err = s.held.Open(c.interrupt); err != nil {
+			closeUnread(nc)
 			continue
 		}
 		s.openConns.Add(1)
 		s.group.Go(func() error {
 			defer s.openConns.Add(-1)
+			defer c.account.Close()
 			s.serve(ctx, c)
 			return nil
 		})
@@ -118,10 +126,13 @@
 // Wait blocks until all connections are closed.
 func (s *Server) Wait() { _ = s.group.Wait() }
 
-func (s *Server) serve(ctx context.Context, nc net.Conn) {
-	setKeepAlive(nc)
-	c := newConn(nc)
+func (s *Server) serve(ctx context.Context, c *conn) {
+	if c.account.Hold(hold.Connections, connBytes) != nil {
+		c.closeOnce.Do(func() { closeUnread(c.Conn) })
+		return
+	}
 	defer c.close()
+	setKeepAlive(c.Conn)
 	for first := true; ; first = false {
 		if !s.serveRequest(ctx, c, first) {
 			return
@@ -136,16 +147,20 @@
 	if !s.waitForRequest(c, limits, first) {
 		return false
 	}
-	c.growReadBuffer(limits.MaxHeaderBytes)
+	if c.account.SetState(hold.Receiving, 0) != nil {
+		return false
+	}
+	c.acquireWriter()
+	defer c.releaseWriter()
+	defer c.releaseRequest()
+	c.checkSent()
 	w := newResponseWriter(c)
 	r, rerr := readRequest(c, limits, w)
+	if rerr == nil && c.account.SetState(hold.Busy, 0) != nil {
+		rerr = errReclaimed()
+	}
 	if rerr != nil {
-		s.log.Info("cannot read request", zap.Stringer("client", c.remote), zap.String("fault", rerr.Error()))
-		if rerr.canRespond() {
-			w.closeAfter = true
-			s.handleError(w, rerr.ErrorKind, rerr.Error())
-			linger.Drain(c.Conn)
-		}
+		s.reject(c, w, r, rerr)
 		return false
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -159,6 +174,22 @@
 	return alive && w.reusable()
 }
 
+// reject responds to a request that can't be read.
+func (s *Server) reject(c *conn, w *ResponseWriter, r *Request, rerr *readError) {
+	s.log.Info("cannot read request", zap.Stringer("client", c.remote), zap.String("fault", rerr.Error()))
+	if !rerr.canRespond() {
+		return
+	}
+	if r != nil {
+		r.Body = nil
+	}
+	c.releaseRequest()
+	w.closeAfter = true
+	s.handleError(w, r, rerr.fault())
+	_ = c.account.SetState(hold.Idle, 0) // a reclaimed connection is about to be closed
+	linger.Drain(c.Conn)
+}
+
 // waitForRequest blocks until the first byte of a request arrives and reports
 // whether one did.
 func (s *Server) waitForRequest(c *conn, limits Limits, first bool) bool {
@@ -172,6 +203,9 @@
 	s.idle.add(c)
 	defer s.idle.remove(c)
 	_ = c.SetReadDeadline(time.Now().Add(wait))
+	if c.account.SetState(hold.Idle, 0) != nil {
+		return false
+	}
 	_, err := c.r.Peek(1)
 	return err == nil
 }
--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -30,6 +30,13 @@
 	headerOthers  = "Umberladder-Others" // addresses of VMs to fetch from instead
 	// readTimeout limits the time to read a request.
 	readTimeout = time.Second
+	// writeTimeout limits the time to send a response. A long list over a slow link takes a few
+	// seconds.
+	writeTimeout = time.Minute
+	// maxConns is the maximum number of connections besides tunnels, and maxRequestBody that of the
+	// bytes of a request's body. Requests have none.
+	maxConns       = 1024
+	maxRequestBody = 1 << 10
 )
 
 // Settings is one version of the settings, as written by the operators.
@@ -123,8 +130,8 @@
 // Serve starts to serve requests on ln in group. It stops and closes ln when ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, group *errgroup.Group) {
 	srv := &fasthttp.Server{
-		Handler: s.handle, ReadTimeout: readTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
-		DisableKeepalive: true, Logger: debugLogger{s.log},
+		Handler: s.handle, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
+		DisableKeepalive: true, Logger: debugLogger{s.log}, Concurrency: maxConns, MaxRequestBodySize: maxRequestBody,
 	}
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
 	group.Go(func() error {
@@ -173,7 +180,7 @@
 	}
 	ctx.Response.Header.Set(headerVersion, strconv.FormatUint(settings.Version, 10))
 	ctx.Response.Header.Set(headerAge, strconv.FormatInt(int64(settings.Age), 10))
-	ctx.SetBody(settings.Compressed)
+	ctx.Response.SetBodyRaw(settings.Compressed)
 }
 
 func (s *Server) sendServers(ctx *fasthttp.RequestCtx) {
@@ -196,7 +203,7 @@
 		return
 	}
 	ctx.Response.Header.Set(headerAge, strconv.FormatInt(int64(age), 10))
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(body)
 }
 
 // admit reports whether the quota allows a body of the given size to be sent now, and
--- a/internal/peer/tunnel/server.go
+++ b/internal/peer/tunnel/server.go
@@ -18,15 +18,17 @@
 	"golang.org/x/sync/errgroup"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/state/srvtab"
 )
 
 const (
 	// bufferSize is the size of the buffer of each direction of a tunnel, in bytes.
 	bufferSize = 4096
-	// maxTunnels is the maximum number of tunnels that a VM carries. They take two
-	// descriptors and some 25 KB each, which the VM's own clients need as well.
-	maxTunnels = 500
+	// maxTunnels is the maximum number of tunnels that a VM carries. Each takes two descriptors
+	// and tunnelBytes, which the VM's own clients need as well.
+	maxTunnels  = 500
+	tunnelBytes = 25 << 10
 	// connectTimeout bounds a connection to a server. A handshake takes a few milliseconds.
 	connectTimeout = 200 * time.Millisecond
 	// stallTimeout is how long one end of a tunnel may accept no data. It is longer than
@@ -44,15 +46,16 @@
 type Server struct {
 	servers *srvtab.Table
 	direct  Connector
+	held    *hold.Pool
 	log     *zap.Logger
 	open    atomic.Int64
 	drained atomic.Bool
 	buffers sync.Pool
 }
 
-// NewServer returns a Server for the servers in a table.
-func NewServer(servers *srvtab.Table, direct Connector, log *zap.Logger) *Server {
-	return &Server{servers: servers, direct: direct, log: log, buffers: sync.Pool{New: func() any { return new([bufferSize]byte) }}}
+// NewServer returns a Server for the servers in a table. What tunnels take is part of the pool.
+func NewServer(servers *srvtab.Table, direct Connector, held *hold.Pool, log *zap.Logger) *Server {
+	return &Server{servers: servers, direct: direct, held: held, log: log, buffers: sync.Pool{New: func() any { return new([bufferSize]byte) }}}
 }
 
 // Open returns the number of tunnels that are open.
@@ -69,8 +72,14 @@
 		s.decline(ctx, ErrBusy)
 		return
 	}
+	release, err := s.hold()
+	if err != nil {
+		s.decline(ctx, ErrBusy)
+		return
+	}
 	nc, err := s.connect(id, newWork)
 	if err != nil {
+		release()
 		s.log.Debug("tunnel declined", zap.String("server", string(id)), zap.Stringer("from", ctx.RemoteAddr()), zap.Error(err))
 		s.decline(ctx, err)
 		return
@@ -79,10 +88,21 @@
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(net.Conn) {
 		defer s.open.Add(-1)
+		defer release()
 		s.carry(peer, nc)
 	})
 }
 
+// hold takes what a tunnel needs besides its connection to the server, and returns a function that
+// gives it back.
+func (s *Server) hold() (release func(), err error) {
+	a := s.held.Account()
+	if err := a.Hold(hold.Connections, tunnelBytes); err != nil {
+		return nil, err
+	}
+	return a.Close, nil
+}
+
 func (s *Server) decline(ctx *fasthttp.RequestCtx, err error) {
 	s.open.Add(-1)
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/tunnel"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/state/srvtab"
 )
 
@@ -71,7 +72,7 @@
 	if state != nil {
 		state(table)
 	}
-	server := tunnel.NewServer(table, direct, zap.NewNop())
+	server := tunnel.NewServer(table, direct, hold.NewPool(hold.Limits{Memory: 32 << 20}), zap.NewNop())
 	via := serve(t, func(ln net.Listener) {
 		srv := &fasthttp.Server{Handler: server.Handle, DisableKeepalive: true, ReadTimeout: time.Second}
 		_ = srv.Serve(ln)
--- a/internal/policy/memory/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package memory bounds the memory that the responses of servers take while a VM holds them.
-package memory
--- a/internal/proc/cmds/edge.go
+++ b/internal/proc/cmds/edge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -18,6 +19,7 @@
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/peer/httpc"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/edge"
 	"umberladder/internal/proc/logger"
@@ -78,6 +80,7 @@
 	if err != nil {
 		return withExitCode(ExitInvalid, err)
 	}
+	debug.SetMemoryLimit(int64(hold.RuntimeMemory(cfg.Memory)))
 	group := &errgroup.Group{}
 	logSink := logger.New(os.Stdout, cfg.LogLinesPerSecond, group)
 	defer logSink.Close()
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -43,6 +43,8 @@
 	WorkspaceWeights map[ident.Workspace]float64
 	// EnginePriorities says whether streams state the priorities of their workspaces to engines.
 	EnginePriorities bool
+	// Memory is the memory of the VM in bytes.
+	Memory int
 	// ServerHeartbeat is the interval at which servers write their entries in the store.
 	ServerHeartbeat time.Duration
 }
@@ -98,6 +100,7 @@
 	// Weights are the weights of workspaces by their names.
 	Weights          map[string]float64 `json:"workspace-weights,omitzero"`
 	EnginePriorities bool               `json:"engine-priorities,omitzero"`
+	MemoryMB         *float64           `json:"memory-mb,omitzero"`
 }
 
 type coldLimitWire struct {
@@ -132,6 +135,8 @@
 	DefaultColdSlack         = 0.0
 	DefaultServerHeartbeat   = 1200 * time.Millisecond
 	DefaultWorkspaceWeight   = 1.0
+	// DefaultMemoryMB is a little less than the memory of the smallest VMs.
+	DefaultMemoryMB = 128.0
 	// DefaultQuarantineCrashes and DefaultQuarantineTime are the defaults for the
 	// quarantine of requests.
 	DefaultQuarantineCrashes = 3
@@ -203,6 +208,7 @@
 		},
 		WorkspaceWeights: parseWeights(f, w.Weights),
 		EnginePriorities: w.EnginePriorities,
+		Memory:           parseMemory(f, w.MemoryMB),
 		ServerHeartbeat:  f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
 	}
 	return e, f.Err()
@@ -234,6 +240,19 @@
 	return out
 }
 
+// bytesPerMB converts MB to bytes.
+const bytesPerMB = 1e6
+
+// parseMemory parses the memory of a VM. Zero stands for the default, as for a VM whose memory is
+// not stated.
+func parseMemory(f *config.Validator, mb *float64) int {
+	n := f.Float("/memory-mb", mb, DefaultMemoryMB, 0, 1e8)
+	if n == 0 {
+		n = DefaultMemoryMB
+	}
+	return int(n * bytesPerMB)
+}
+
 // parseSeeds parses the addresses of the seed VMs.
 func parseSeeds(f *config.Validator, list []string) []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(list))
@@ -280,6 +299,7 @@
 		{"server-heartbeat", DefaultServerHeartbeat.String(), "interval at which servers write their entries in the store; an entry lapses after three"},
 		{"workspace-weights", "{}", "weights of workspaces that compete for too little capacity, by name; those of all others are 1"},
 		{"engine-priorities", "false", "state the priorities of workspaces to engines, which then preempt streams for more urgent calls"},
+		{"memory-mb", formatFloat(DefaultMemoryMB), "memory of the VM in MB; 0 stands for the default"},
 	}
 }
 
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -32,6 +32,7 @@
 		"/workspace-weights/w": {`{"name"`, `{"workspace-weights":{"v":2,"w":0},"name"`},
 		"/regions/b":           {`{"name"`, `{"regions":{"a":"north","b":""},"name"`},
 		"/retry-budget/x":      {`{"name"`, `{"retry-budget":{"x":1},"name"`},
+		"/memory-mb":           {`{"name"`, `{"memory-mb":-1,"name"`},
 	} {
 		_, err := conf.ParseEdge([]byte(strings.Replace(edge, change[0], change[1], 1)))
 		check.FieldError(t, err, path, "")
@@ -48,7 +49,7 @@
 		"ip": "10.0.0.1", "internalPorts.0": "7200", "listen.control|json": `"10.0.0.1:7215"`, "seeds|json": `["10.0.0.3:7215"]`, "platform.address|json": `"10.0.0.2:80"`,
 		"bounds.revokeMs": "5000", "bounds.configApplyMs": "3000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
 		"zones|json": `{"a":"north","b":"south"}`, "heartbeatMs": "1200", "#bounds.coldExcess": "", "/bounds.coldExcess": "", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5",
-		"limits.cpuShare": "0.4", "limits.linkMbps": "20.0",
+		"limits.cpuShare": "0.4", "limits.linkMbps": "20.0", "#limits.memoryMb": "", "/limits.memoryMb": "", "limits.memoryMb": "134",
 	}
 	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(data), func(s string) string {
 		v, ok := values[strings.Trim(s, "{}")]
@@ -63,6 +64,16 @@
 	assert.Equal(t, len(e.Seeds), 1)
 	assert.Equal(t, e.Regions["b"], ident.Region("south"))
 	assert.Equal(t, e.ColdLimit.Of(35), 57.5)
+	assert.Equal(t, e.Memory, 134_000_000)
+}
+
+// TestEdgeMemory guards against a VM without memory for its clients where the platform states none.
+func TestEdgeMemory(t *testing.T) {
+	for text, want := range map[string]int{`{"name"`: 128_000_000, `{"memory-mb":0,"name"`: 128_000_000, `{"memory-mb":284,"name"`: 284_000_000} {
+		e, err := conf.ParseEdge([]byte(strings.Replace(edge, `{"name"`, text, 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, e.Memory, want)
+	}
 }
 
 func TestWorkspaceWeights(t *testing.T) {
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -15,12 +15,13 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/uptime"
+	"umberladder/internal/peer/accept"
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/share"
 	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/shed"
 	"umberladder/internal/policy/stop"
@@ -50,11 +51,17 @@
 	// durationWindow is how long the longest call of a route bounds those to come: long enough
 	// to see rare calls, and longer than a client waits for most.
 	durationWindow = time.Minute
-	// largeResponseBytes is the memory that large responses of servers share. The smallest VMs
-	// have 134 MB, of which the garbage collector may use twice what is held.
-	largeResponseBytes = 16 << 20
 	// drainPollInterval is how often open connections are checked while stopping.
 	drainPollInterval = 50 * time.Millisecond
+	// receiveBuffer bounds, in bytes, what the kernel holds of each connection that was not read.
+	// Requests are read as they arrive; most have one packet.
+	receiveBuffer = 16 << 10
+	// The listeners for readiness checks and metrics serve few connections, whose requests are
+	// small.
+	operatorReadTimeout  = 5 * time.Second
+	operatorIdleTimeout  = 30 * time.Second
+	operatorWriteTimeout = 10 * time.Second
+	maxOperatorConns     = 128
 	// readyMargin is the time from the moment a VM stops being ready to the moment
 	// it must refuse calls, so that the balancer moves clients away first. A VM must
 	// refuse calls once its settings are too old, or once a newer version has been
@@ -71,7 +78,7 @@
 // responds to requests that cannot be read.
 type Ingress interface {
 	Handle(ctx context.Context, r *front.Request, w *front.ResponseWriter)
-	Refuse(w *front.ResponseWriter, kind front.ErrorKind, detail string)
+	Refuse(w *front.ResponseWriter, r *front.Request, f front.Fault)
 }
 
 // Backend sends requests to backend servers.
@@ -107,7 +114,7 @@
 	tunnels     *tunnel.Server
 	relay       *relay.Relay
 	gate        *shed.Gate
-	responses   *memory.Pool // that are large
+	held        *hold.Pool // for clients
 	front       *front.Server
 	stopping    atomic.Bool
 }
@@ -117,11 +124,11 @@
 	node := peers.New(cfg, peers.Deps{Settings: deps.Settings, Servers: deps.Servers, Registry: deps.Registry, Share: deps.Share}, group, log)
 	v := &VM{log: log, metricSet: metrics.NewSet(), logSink: deps.LogSink, node: node}
 	v.cfg.Store(cfg)
-	v.responses = memory.NewPool(largeResponseBytes)
+	v.held = hold.NewPool(hold.Limits{Memory: hold.ClientMemory(cfg.Memory)})
 	v.gate = shed.New(node.Budget.Excess, v.sheddingChanged)
 	conns := v.newConnector(deps.Dialer, group)
 	backend := deps.NewBackend(conns)
-	v.tunnels = tunnel.NewServer(node.Servers, conns, log)
+	v.tunnels = tunnel.NewServer(node.Servers, conns, v.held, log)
 	healthTracker := health.New()
 	chooser := pick.NewChooser(node.Servers, node.Alloc, healthTracker, node.Rates)
 	chooser.OnPaceChange(v.paceChanged)
@@ -150,7 +157,7 @@
 		Durations: expect.New[string](durationWindow),
 		Speeds:    chooser.Speeds,
 		Stop:      &stop.Shutdown{},
-		Memory:    v.responses,
+		Held:      v.held,
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
@@ -161,7 +168,7 @@
 		Recorder:  &recorder{log: log.Named(logger.CallsLogger), metricSet: v.metricSet},
 	})
 	ingress := deps.NewIngress(v.relay)
-	v.front = front.New(ingress.Handle, ingress.Refuse, v.limits, v.gate, log)
+	v.front = front.New(ingress.Handle, ingress.Refuse, v.limits, v.gate, v.held, log)
 	v.registerGauges(deps)
 	return v
 }
@@ -207,7 +214,8 @@
 }
 
 // Ready reports whether the balancer should send clients here. A VM that cannot
-// reach the store while other VMs can is not ready. It still serves its existing
+// reach the store while other VMs can is not ready, nor is one that has no room for
+// connections. It still serves its existing
 // connections with the updates it receives from its peers, but new connections
 // are better served by VMs that reach the store.
 func (v *VM) Ready() bool {
@@ -215,6 +223,9 @@
 		return false
 	}
 	now := time.Now()
+	if v.held.Refusing(now) {
+		return false
+	}
 	if !v.node.Hubs.StoreRespondedWithin(hubreg.ReachableTime, now) && v.node.Hubs.PeersReachStore(now) {
 		return false
 	}
@@ -227,7 +238,7 @@
 func (v *VM) Run(stop context.Context, group *errgroup.Group) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ln, err := net.Listen("tcp", v.cfg.Load().Clients.String())
+	ln, err := accept.Listen(ctx, v.cfg.Load().Clients, receiveBuffer)
 	if err != nil {
 		return trace.Wrap(err, "/callers-address")
 	}
@@ -237,7 +248,7 @@
 	if err := v.node.Run(ctx, v.coordinator, v.placer, v.tunnels); err != nil {
 		return trace.Wrap(err)
 	}
-	for _, loop := range []func(context.Context){v.coordinator.Run, v.prober.Run} {
+	for _, loop := range []func(context.Context){v.coordinator.Run, v.prober.Run, v.watchBounds} {
 		group.Go(func() error {
 			loop(ctx)
 			return nil
@@ -302,7 +313,10 @@
 		if err != nil {
 			return trace.Wrap(err, "%s", s.path)
 		}
-		srv := &fasthttp.Server{Handler: s.handler, NoDefaultDate: true, NoDefaultServerHeader: true, Logger: httpLog{v.log}}
+		srv := &fasthttp.Server{
+			Handler: s.handler, NoDefaultDate: true, NoDefaultServerHeader: true, Logger: httpLog{v.log}, ReduceMemoryUsage: true, GetOnly: true,
+			ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout, WriteTimeout: operatorWriteTimeout, Concurrency: maxOperatorConns,
+		}
 		context.AfterFunc(ctx, func() { _ = ln.Close() })
 		group.Go(func() error {
 			if err := srv.Serve(ln); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/route/events/conn.go
+++ b/internal/route/events/conn.go
@@ -8,13 +8,15 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 )
 
 const (
 	// bufferedReads is the number of reads of a stream that are buffered for a slow
 	// client.
 	bufferedReads = 16
+	// maxQueued is how many bytes are read ahead of a slow client. The engine then waits.
+	maxQueued = 64 << 10
 	// readSize is the size of one read of a stream, in bytes.
 	readSize = 4 << 10
 	// maxEvent is the maximum size of an event, in bytes. An event holds a few tokens; a faulty
@@ -32,19 +34,28 @@
 // Conn reads the part of a stream that arrives over one connection to an engine.
 type Conn struct {
 	body      io.ReadCloser
-	account   *memory.Account // for the incomplete event
-	delimited bool            // the end of the body is marked, so that a truncated body is detected
-	events    chan []byte     // complete events, one or more in each slice
-	err       error           // set before events is closed; io.EOF: the body ended regularly, after a complete event
-	rest      int             // length of the incomplete event at the end of the body
+	partial   *hold.Account // of the incomplete event
+	delimited bool          // the end of the body is marked, so that a truncated body is detected
+	events    chan []byte   // complete events, one or more in each slice
+	err       error         // set before events is closed; io.EOF: the body ended regularly, after a complete event
+	rest      int           // length of the incomplete event at the end of the body
 	quit      chan struct{}
 	done      chan struct{} // closed once the connection has ended
 	once      sync.Once
+
+	mu        sync.Mutex    // guards queueSize
+	queue     *hold.Account // of the events that were delivered and not forwarded
+	queueSize int           // of them, in bytes
+	shrunk    chan struct{} // receives after the queue has become smaller
 }
 
-// New starts to read events from body in a goroutine of g. Large events draw on the pool.
-func New(g *errgroup.Group, body io.ReadCloser, delimited bool, pool *memory.Pool) *Conn {
-	c := &Conn{body: body, account: pool.Account(), delimited: delimited, events: make(chan []byte, bufferedReads), quit: make(chan struct{}), done: make(chan struct{})}
+// New starts to read events from body in a goroutine of g. The pool counts the events until they
+// are forwarded.
+func New(g *errgroup.Group, body io.ReadCloser, delimited bool, pool *hold.Pool) *Conn {
+	c := &Conn{
+		body: body, partial: pool.Account(), queue: pool.Account(), delimited: delimited, events: make(chan []byte, bufferedReads),
+		shrunk: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}),
+	}
 	g.Go(func() error {
 		c.read()
 		return nil
@@ -57,6 +68,7 @@
 	c.once.Do(func() {
 		close(c.quit)
 		_ = c.body.Close()
+		c.queue.Close()
 	})
 }
 
@@ -68,14 +80,17 @@
 		close(c.done)
 		close(c.events)
 	}()
-	defer c.account.Release()
+	defer c.partial.Close()
 	var s scanner
 	buf := make([]byte, readSize)
 	for {
 		n, err := c.body.Read(buf)
 		s.add(buf[:n])
-		if p := s.takeEvents(); len(p) > 0 && !c.send(p) {
-			return
+		if p := s.takeEvents(); len(p) > 0 {
+			_ = c.partial.Hold(hold.Responses, s.size()) // never fails, as the events are no part of it
+			if !c.send(p) {
+				return
+			}
 		}
 		if limitErr := c.checkSize(&s); limitErr != nil {
 			c.end(s.rest(), limitErr)
@@ -93,7 +108,7 @@
 	if len(s.rest()) > maxEvent {
 		return ErrEventTooLong
 	}
-	return c.account.Hold(s.size())
+	return c.partial.Hold(hold.Responses, s.size())
 }
 
 // end sets the error with which the connection ended. An incomplete event is dropped.
@@ -105,8 +120,20 @@
 	c.err = err
 }
 
-// send delivers p, or returns false if the connection was closed meanwhile.
+// send delivers p once the queue has room for it. It returns false if the connection was closed
+// meanwhile, or if too little memory is left.
 func (c *Conn) send(p []byte) bool {
+	for !c.enqueue(p) {
+		select {
+		case <-c.shrunk:
+		case <-c.quit:
+			c.err = io.ErrClosedPipe
+			return false
+		}
+	}
+	if c.err != nil {
+		return false
+	}
 	select {
 	case c.events <- p:
 		return true
@@ -116,6 +143,34 @@
 	}
 }
 
+// enqueue counts p as delivered. It returns false if too many bytes were delivered and not
+// forwarded. A single event may be larger; err is set if too little memory is left for it.
+func (c *Conn) enqueue(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.queueSize > 0 && c.queueSize+len(p) > maxQueued {
+		return false
+	}
+	if err := c.queue.Hold(hold.Responses, c.queueSize+len(p)); err != nil {
+		c.err = err
+		return true
+	}
+	c.queueSize += len(p)
+	return true
+}
+
+// Forwarded states that events from the channel are no longer held.
+func (c *Conn) Forwarded(p []byte) {
+	c.mu.Lock()
+	c.queueSize -= len(p)
+	_ = c.queue.Hold(hold.Responses, c.queueSize) // never fails for fewer bytes
+	c.mu.Unlock()
+	select {
+	case c.shrunk <- struct{}{}:
+	default:
+	}
+}
+
 // nextLine returns the first line of p without its end, and its length with the end, which
 // is zero if p has no complete line. A line ends with LF, CR or CRLF. The LF of a CRLF that
 // is not in p yet counts as an empty line of its own, which changes no event.
--- a/internal/route/events/conn_test.go
+++ b/internal/route/events/conn_test.go
@@ -11,17 +11,18 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 )
 
 // readAll returns the events of a body and the error with which it ended.
 func readAll(t *testing.T, body io.Reader) (string, error) {
 	t.Helper()
 	var g errgroup.Group
-	c := New(&g, io.NopCloser(body), true, memory.NewPool(2*maxEvent))
+	c := New(&g, io.NopCloser(body), true, hold.NewPool(hold.Limits{Memory: 2 * maxEvent}))
 	got := ""
 	for p := range c.Events() {
 		got += string(p)
+		c.Forwarded(p)
 	}
 	select {
 	case <-c.Done():
@@ -133,7 +134,7 @@
 // each holds little enough.
 func TestSharedMemory(t *testing.T) {
 	const streams = 50
-	pool := memory.NewPool(4 << 20)
+	pool := hold.NewPool(hold.Limits{Memory: 4 << 20})
 	var g errgroup.Group
 	var conns []*Conn
 	for range streams {
@@ -141,8 +142,8 @@
 	}
 	for _, c := range conns {
 		<-c.Done()
-		assert.Assert(t, errors.Is(c.Err(), ErrEventTooLong) || errors.Is(c.Err(), memory.ErrExhausted), "%v", c.Err())
+		assert.Assert(t, errors.Is(c.Err(), ErrEventTooLong) || errors.Is(c.Err(), hold.ErrExhausted), "%v", c.Err())
 	}
 	assert.NilError(t, g.Wait())
-	assert.Equal(t, pool.Held(), 0)
+	assert.Equal(t, pool.Held(hold.Responses), 0)
 }
--- a/internal/route/relay/fake_test.go
+++ b/internal/route/relay/fake_test.go
@@ -23,7 +23,7 @@
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
@@ -384,7 +384,7 @@
 		Alloc: reservations, Budget: h.budget, Health: health, Rates: rates.New(nil, nil), Poison: h.quarantine, Backend: h.engines, Clock: h.clock,
 		Log: zap.NewNop(), Group: h.group, Recorder: h,
 		Reject:  reject.New(func(reject.Limit) {}),
-		Timings: timing.New(func(timing.Change) {}), Durations: expect.New[string](time.Minute), Speeds: h.enginePace, Stop: &stop.Shutdown{}, Memory: memory.NewPool(1 << 20),
+		Timings: timing.New(func(timing.Change) {}), Durations: expect.New[string](time.Minute), Speeds: h.enginePace, Stop: &stop.Shutdown{}, Held: hold.NewPool(hold.Limits{Memory: 1 << 20}),
 		Origins: h.origins,
 		Placer:  h.placer,
 	})
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -79,7 +79,7 @@
 // write to the client, or nil if a response was written, even in part.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, w port.ResponseWriter) *refuse.Refusal {
 	a := &admission{relay: r, Task: &task.Task{Deps: r.Deps, Call: c, Writer: w, Result: task.Result{Call: c}}}
-	defer a.ReleaseMemory()
+	defer a.ReleaseResponse()
 	r.awaitStartup(ctx)
 	refusal := a.admit(ctx)
 	if refusal == nil {
--- a/internal/route/stream/forward.go
+++ b/internal/route/stream/forward.go
@@ -106,6 +106,7 @@
 
 // forward writes complete events to the client.
 func (f *forwarder) forward(p []byte) *refuse.Refusal {
+	defer f.conn.Forwarded(p)
 	id, n := events.LastID(p)
 	if id != "" {
 		f.lastID = id
@@ -285,5 +286,5 @@
 	}
 	f.endUncertain, f.gotEvent = false, false
 	f.meter = pace.Meter{}
-	f.conn = events.New(f.Group, resp.Body, resp.Delimited, f.Memory)
+	f.conn = events.New(f.Group, resp.Body, resp.Delimited, f.Held)
 }
--- a/internal/route/task/deps.go
+++ b/internal/route/task/deps.go
@@ -13,7 +13,7 @@
 	"umberladder/internal/core/uptime"
 	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
@@ -63,7 +63,7 @@
 	Durations *expect.Longest[string] // of calls that were sent to a server, by the name of the route
 	Speeds    Speeds
 	Stop      *stop.Shutdown
-	Memory    *memory.Pool // of large responses
+	Held      *hold.Pool
 	Poison    *poison.Detector
 	Placer    Placer
 	Origins   Origins
--- a/internal/route/task/response.go
+++ b/internal/route/task/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/route/port"
 	"umberladder/internal/state/srvtab"
 )
@@ -36,10 +37,10 @@
 	}
 }
 
-// readAll reads a body, of which the call then holds the memory until ReleaseMemory.
+// readAll reads a body, which the call then holds until ReleaseResponse.
 func (t *Task) readAll(body port.Body) ([]byte, error) {
-	t.ReleaseMemory()
-	t.memory = t.Memory.Account()
+	t.ReleaseResponse()
+	t.response = t.Held.Account()
 	buf := make([]byte, 0, initialBody)
 	for {
 		n, err := body.Read(buf[len(buf):cap(buf)])
@@ -55,17 +56,17 @@
 			continue
 		}
 		more := min(len(buf), maxBody+1-len(buf))
-		if err := t.memory.Hold(len(buf) + more); err != nil {
+		if err := t.response.Hold(hold.Responses, min(len(buf)+more, maxBody)); err != nil {
 			return nil, err
 		}
 		buf = slices.Grow(buf, more)
 	}
 }
 
-// ReleaseMemory states that the call no longer holds the body of a response.
-func (t *Task) ReleaseMemory() {
-	if t.memory != nil {
-		t.memory.Release()
+// ReleaseResponse states that the call no longer holds the body of a response.
+func (t *Task) ReleaseResponse() {
+	if t.response != nil {
+		t.response.Close()
 	}
 }
 
--- a/internal/route/task/response_test.go
+++ b/internal/route/task/response_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 )
 
 // zeros is a body without an end.
@@ -25,7 +25,9 @@
 
 func (nopCloser) Close() error { return nil }
 
-func taskWithMemory(size int) *Task { return &Task{Deps: Deps{Memory: memory.NewPool(size)}} }
+func taskWithMemory(size int) *Task {
+	return &Task{Deps: Deps{Held: hold.NewPool(hold.Limits{Memory: size})}}
+}
 
 // TestEndlessBody guards against bodies without an end that take a VM's memory, each by itself or
 // several together.
@@ -38,12 +40,12 @@
 	})
 	t.Run("beside others", func(t *testing.T) {
 		first, body := taskWithMemory(1<<20), &zeros{}
-		assert.NilError(t, first.Memory.Account().Hold(1<<19))
+		assert.NilError(t, first.Held.Account().Hold(hold.Responses, 1<<19))
 		_, err := first.readAll(nopCloser{body})
-		assert.Assert(t, errors.Is(err, memory.ErrExhausted), "%v", err)
+		assert.Assert(t, errors.Is(err, hold.ErrExhausted), "%v", err)
 		assert.Assert(t, body.read < 1<<20, "%d bytes were read", body.read)
-		first.ReleaseMemory()
-		assert.Equal(t, first.Memory.Held(), 1<<19-memory.Free)
+		first.ReleaseResponse()
+		assert.Equal(t, first.Held.Held(hold.Responses), 1<<19)
 	})
 }
 
@@ -53,7 +55,7 @@
 	for name, tc := range map[string]struct{ pool, size int }{
 		"the largest":               {pool: maxBody, size: maxBody},
 		"empty":                     {},
-		"small, and no memory left": {size: memory.Free / 2},
+		"small, and no memory left": {size: hold.SmallBytes / 2},
 		"a power of two":            {size: initialBody},
 		"just over it":              {size: initialBody + 1},
 	} {
--- a/internal/route/task/task.go
+++ b/internal/route/task/task.go
@@ -13,7 +13,7 @@
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/route/port"
 	"umberladder/internal/state/routes"
 	"umberladder/internal/state/srvtab"
@@ -45,7 +45,7 @@
 	Result    Result
 
 	boundWorkspace *routes.Workspace // nil: the route is public
-	memory         *memory.Account   // for the body of a response; nil: none was read
+	response       *hold.Account     // of the body of a response; nil: none was read
 
 	mu       sync.Mutex // guards deferred: orders to engines are logged concurrently with the call
 	deferred []deferredLine
--- a/internal/route/unary/fleet_test.go
+++ b/internal/route/unary/fleet_test.go
@@ -18,7 +18,7 @@
 	"umberladder/internal/core/call"
 	"umberladder/internal/core/ident"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/policy/memory"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/poison"
 	"umberladder/internal/policy/rates"
 	"umberladder/internal/policy/reject"
@@ -167,7 +167,7 @@
 			defer f.mu.Unlock()
 			f.changes++
 		}),
-		Poison: poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {}), Backend: f, Log: zap.NewNop(), Stop: &stop.Shutdown{}, Memory: memory.NewPool(1 << 20),
+		Poison: poison.New(poison.Config{CrashLimit: 3, Duration: time.Minute}, func(poison.Change) {}), Backend: f, Log: zap.NewNop(), Stop: &stop.Shutdown{}, Held: hold.NewPool(hold.Limits{Memory: 1 << 20}),
 	}
 }
 
