Keep a VM whose descriptors are used up alive and serving

Cause: the first error of Accept ended the server and with it the process; the HTTP servers for readiness, metrics and other VMs stop accepting for good after one. Nothing bounds connections.

Change: peer/accept keeps listeners accepting while a resource is short, and logs when that begins and ends. Connections of clients leave an eighth of the descriptors to those to servers, other VMs, the store and listeners; servers leave a sixteenth. The limit is that of the system, which is read again as it may change, or the new setting descriptors (from the platform's limits.maxFds). Where none is left, idle connections are closed, the oldest first, then requests and responses whose clients have not gone on for a second, never calls under way; else new connections are closed unread, and the VM is not ready for a second. A connection to a server that fails for lack of descriptors, ports or memory says nothing about the server or the links: path no longer counts it as a cut, and a tunnel is declined as busy.

Why it works: accepting is the only place where clients take descriptors, and each takes one from a count that is given back when the connection's goroutine ends.

--- a/internal/peer/tunnel/server.go
+++ b/internal/peer/tunnel/server.go
@@ -96,11 +96,18 @@
 // hold takes what a tunnel needs besides its connection to the server, and returns a function that
 // gives it back.
 func (s *Server) hold() (release func(), err error) {
+	if err := s.held.OpenOther(); err != nil {
+		return nil, err
+	}
 	a := s.held.Account()
 	if err := a.Hold(hold.Connections, tunnelBytes); err != nil {
+		s.held.CloseOther()
 		return nil, err
 	}
-	return a.Close, nil
+	return func() {
+		a.Close()
+		s.held.CloseOther()
+	}, nil
 }
 
 func (s *Server) decline(ctx *fasthttp.RequestCtx, err error) {
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -43,8 +43,10 @@
 	WorkspaceWeights map[ident.Workspace]float64
 	// EnginePriorities says whether streams state the priorities of their workspaces to engines.
 	EnginePriorities bool
-	// Memory is the memory of the VM in bytes.
-	Memory int
+	// Memory is the memory of the VM in bytes, and Descriptors how many descriptors the process
+	// may have open; zero: as many as the system allows.
+	Memory      int
+	Descriptors int
 	// ServerHeartbeat is the interval at which servers write their entries in the store.
 	ServerHeartbeat time.Duration
 }
@@ -101,6 +103,7 @@
 	Weights          map[string]float64 `json:"workspace-weights,omitzero"`
 	EnginePriorities bool               `json:"engine-priorities,omitzero"`
 	MemoryMB         *float64           `json:"memory-mb,omitzero"`
+	Descriptors      *int               `json:"descriptors,omitzero"`
 }
 
 type coldLimitWire struct {
@@ -209,6 +212,7 @@
 		WorkspaceWeights: parseWeights(f, w.Weights),
 		EnginePriorities: w.EnginePriorities,
 		Memory:           parseMemory(f, w.MemoryMB),
+		Descriptors:      f.Int("/descriptors", w.Descriptors, 0, 0, 10_000_000),
 		ServerHeartbeat:  f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
 	}
 	return e, f.Err()
@@ -300,6 +304,7 @@
 		{"workspace-weights", "{}", "weights of workspaces that compete for too little capacity, by name; those of all others are 1"},
 		{"engine-priorities", "false", "state the priorities of workspaces to engines, which then preempt streams for more urgent calls"},
 		{"memory-mb", formatFloat(DefaultMemoryMB), "memory of the VM in MB; 0 stands for the default"},
+		{"descriptors", "0", "descriptors that the process may have open, sockets and files; 0, or more than the system allows: as many as it allows"},
 	}
 }
 
--- a/internal/proc/conf/edge_test.go
+++ b/internal/proc/conf/edge_test.go
@@ -33,6 +33,7 @@
 		"/regions/b":           {`{"name"`, `{"regions":{"a":"north","b":""},"name"`},
 		"/retry-budget/x":      {`{"name"`, `{"retry-budget":{"x":1},"name"`},
 		"/memory-mb":           {`{"name"`, `{"memory-mb":-1,"name"`},
+		"/descriptors":         {`{"name"`, `{"descriptors":1.5,"name"`},
 	} {
 		_, err := conf.ParseEdge([]byte(strings.Replace(edge, change[0], change[1], 1)))
 		check.FieldError(t, err, path, "")
@@ -50,6 +51,7 @@
 		"bounds.revokeMs": "5000", "bounds.configApplyMs": "3000", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "54", "bounds.budgetWindowS": "10",
 		"zones|json": `{"a":"north","b":"south"}`, "heartbeatMs": "1200", "#bounds.coldExcess": "", "/bounds.coldExcess": "", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5",
 		"limits.cpuShare": "0.4", "limits.linkMbps": "20.0", "#limits.memoryMb": "", "/limits.memoryMb": "", "limits.memoryMb": "134",
+		"#limits.maxFds": "", "/limits.maxFds": "", "limits.maxFds": "4100",
 	}
 	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(data), func(s string) string {
 		v, ok := values[strings.Trim(s, "{}")]
@@ -65,6 +67,7 @@
 	assert.Equal(t, e.Regions["b"], ident.Region("south"))
 	assert.Equal(t, e.ColdLimit.Of(35), 57.5)
 	assert.Equal(t, e.Memory, 134_000_000)
+	assert.Equal(t, e.Descriptors, 4100)
 }
 
 // TestEdgeMemory guards against a VM without memory for its clients where the platform states none.
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -54,6 +54,8 @@
 	metricLargeResponses  = "umberladder_large_response_bytes"
 	metricHeldBytes       = "umberladder_client_memory_bytes"
 	metricHeldLimit       = "umberladder_client_memory_limit_bytes"
+	metricDescriptors     = "umberladder_descriptors"
+	metricDescriptorLimit = "umberladder_descriptors_limit"
 	metricReclaimed       = "umberladder_client_connections_reclaimed_total"
 	metricHoldRefusals    = "umberladder_client_memory_refusals_total"
 	metricConnsShed       = "umberladder_client_connections_shed_total"
@@ -113,8 +115,10 @@
 		{metricLargeResponses, "gauge", "bytes that responses and events of servers hold until clients have read them; a part of the bytes held for clients"},
 		{metricHeldBytes, "gauge", "bytes held for clients, by what for: connections, requests, responses"},
 		{metricHeldLimit, "gauge", "most bytes that may be held for clients"},
+		{metricDescriptors, "gauge", "descriptors that connections of clients and to servers use"},
+		{metricDescriptorLimit, "gauge", "descriptors that the process may have open"},
 		{metricReclaimed, "counter", "connections of clients closed, or requests that were being read refused, because others needed what they held"},
-		{metricHoldRefusals, "counter", "refusals because clients hold too much, of: connections, requests, responses"},
+		{metricHoldRefusals, "counter", "refusals because clients hold too much, of: connections (also to servers), requests, responses"},
 		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
 		{metricQuarantined, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
@@ -170,6 +174,11 @@
 		v.metricSet.NewGauge(fmt.Sprintf("%s{for=%q}", metricHeldBytes, name), func() float64 { return float64(v.held.Held(c)) })
 	}
 	v.metricSet.NewGauge(metricHeldLimit, func() float64 { return float64(v.held.Size()) })
+	v.metricSet.NewGauge(metricDescriptors, func() float64 {
+		used, _ := v.held.Descriptors()
+		return float64(used)
+	})
+	v.metricSet.NewGauge(metricDescriptorLimit, func() float64 { return float64(v.descriptors.get()) })
 	v.metricSet.NewGauge(metricReclaimed, func() float64 { return float64(v.held.Stats().Reclaimed) })
 	for name, count := range map[string]func(hold.Stats) uint64{
 		"connections": func(s hold.Stats) uint64 { return s.RefusedConnections },
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -114,6 +114,7 @@
 	tunnels     *tunnel.Server
 	relay       *relay.Relay
 	gate        *shed.Gate
+	descriptors *descriptorLimit
 	held        *hold.Pool // for clients
 	front       *front.Server
 	stopping    atomic.Bool
@@ -124,9 +125,10 @@
 	node := peers.New(cfg, peers.Deps{Settings: deps.Settings, Servers: deps.Servers, Registry: deps.Registry, Share: deps.Share}, group, log)
 	v := &VM{log: log, metricSet: metrics.NewSet(), logSink: deps.LogSink, node: node}
 	v.cfg.Store(cfg)
-	v.held = hold.NewPool(hold.Limits{Memory: hold.ClientMemory(cfg.Memory)})
+	v.descriptors = newDescriptorLimit(cfg.Descriptors)
+	v.held = hold.NewPool(hold.Limits{Memory: hold.ClientMemory(cfg.Memory), Descriptors: v.descriptors.get})
 	v.gate = shed.New(node.Budget.Excess, v.sheddingChanged)
-	conns := v.newConnector(deps.Dialer, group)
+	conns := v.newConnector(boundedDialer{deps.Dialer, v.held}, group)
 	backend := deps.NewBackend(conns)
 	v.tunnels = tunnel.NewServer(node.Servers, conns, v.held, log)
 	healthTracker := health.New()
@@ -260,7 +262,7 @@
 	})
 	failed := make(chan error, 1)
 	group.Go(func() error {
-		failed <- v.front.Serve(ctx, ln)
+		failed <- v.front.Serve(ctx, accept.New(ln, v.held.ReclaimDescriptor, v.log))
 		return nil
 	})
 	v.log.Info("serving", zap.Stringer("callers", v.cfg.Load().Clients))
@@ -313,6 +315,7 @@
 		if err != nil {
 			return trace.Wrap(err, "%s", s.path)
 		}
+		ln = accept.New(ln, v.held.ReclaimDescriptor, v.log)
 		srv := &fasthttp.Server{
 			Handler: s.handler, NoDefaultDate: true, NoDefaultServerHeader: true, Logger: httpLog{v.log}, ReduceMemoryUsage: true, GetOnly: true,
 			ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout, WriteTimeout: operatorWriteTimeout, Concurrency: maxOperatorConns,
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -14,8 +14,10 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/accept"
 	"umberladder/internal/peer/httpc"
 	"umberladder/internal/peer/tunnel"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/reach"
 	"umberladder/internal/state/hubs"
 	"umberladder/internal/state/srvtab"
@@ -127,7 +129,7 @@
 		return nil, "", err
 	}
 	e := &Error{Server: s.ID, Ways: r.errs}
-	e.Confirmed = unreachable || slices.ContainsFunc(r.errs, tunnel.BlamesServer) || c.reach.Blames(s.ID, time.Now())
+	e.Confirmed = unreachable || slices.ContainsFunc(r.errs, tunnel.BlamesServer) || !slices.ContainsFunc(r.errs, isShortage) && c.reach.Blames(s.ID, time.Now())
 	return nil, "", e
 }
 
@@ -248,7 +250,11 @@
 }
 
 func (c *Connector) recordDirect(s *srvtab.Server, err error, now time.Time) {
-	if err != nil {
+	switch {
+	case isShortage(err):
+		c.Count("direct", "shortage")
+		return
+	case err != nil:
 		c.Count("direct", outcome(err))
 		c.reach.Failed(s.ID, now)
 		return
@@ -260,6 +266,10 @@
 	}
 }
 
+// isShortage reports whether a connection failed because this VM lacks descriptors, ports or memory,
+// which says nothing about the server or the links.
+func isShortage(err error) bool { return errors.Is(err, hold.ErrExhausted) || accept.IsShortage(err) }
+
 // outcome returns the name of the cause of a failed direct connection.
 func outcome(err error) string {
 	var n net.Error
@@ -284,8 +294,8 @@
 		return
 	}
 	now := time.Now()
-	if r.errs[direct] == nil && c.overloaded(now) {
-		return // the direct connection is slow, which is not the server's cut
+	if r.errs[direct] == nil && c.overloaded(now) || isShortage(r.errs[direct]) {
+		return // this VM is the cause, not a cut
 	}
 	if r.errs[direct] == nil {
 		c.reach.Failed(s.ID, now) // it is still pending and clears this if it succeeds
@@ -308,6 +318,8 @@
 		}
 	}
 	switch {
+	case isShortage(err):
+		return nil, tunnel.ErrBusy
 	case !c.reach.Blames(s.ID, time.Now()):
 		return nil, tunnel.ErrCutOff
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -17,6 +17,7 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/tunnel"
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/reach"
 	"umberladder/internal/route/path"
 	"umberladder/internal/state/hubs"
@@ -175,7 +176,10 @@
 		"all VMs are cut off":     {setup: setup{direct: refused, peers: map[ident.VM]outcome{"a": cutOff, "b": cutOff}}, after: 3 * roundTrip},
 		"no other VM":             {setup: setup{direct: refused}, after: roundTrip},
 		"no other VM, links work": {setup: setup{direct: refused}, reached: true, after: roundTrip, confirmed: true},
-		"silence":                 {setup: setup{direct: hang, peers: map[ident.VM]outcome{"a": cutOff}}, after: connectTimeout},
+		// Otherwise servers would count as cut off from a VM that has no descriptors left.
+		"no descriptors, links work": {setup: setup{direct: outcome{err: hold.ErrExhausted}}, reached: true},
+		"no ports, links work":       {setup: setup{direct: outcome{err: syscall.EADDRNOTAVAIL}}, reached: true},
+		"silence":                    {setup: setup{direct: hang, peers: map[ident.VM]outcome{"a": cutOff}}, after: connectTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
