Drop the read buffers of rejected requests

Cause: a connection whose request is refused lingers for up to two seconds until its client has read the response. Its read buffer, grown to the limit of header sections, was given back on the account, and yet held, as it was not empty.

Change: a connection lets go of its read buffer when it rejects a request; what the client still sends is discarded without it.

--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -40,7 +40,7 @@
 // conn is a client connection with buffered reads and writes.
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
+	r         *bufio.Reader // nil once a request was rejected
 	w         *bufio.Writer // nil while the connection waits for a request
 	remote    netip.AddrPort
 	account   *hold.Account
@@ -91,7 +91,7 @@
 
 // shrinkReadBuffer gives a grown read buffer back, unless it holds the start of the next request.
 func (c *conn) shrinkReadBuffer() {
-	if c.r.Size() > initialBufferSize && c.r.Buffered() == 0 {
+	if c.r != nil && c.r.Size() > initialBufferSize && c.r.Buffered() == 0 {
 		c.r = bufio.NewReaderSize(c.Conn, initialBufferSize)
 	}
 }
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -183,6 +183,7 @@
 	if r != nil {
 		r.Body = nil
 	}
+	c.r = nil // the rest of the request is discarded
 	c.releaseRequest()
 	w.closeAfter = true
 	s.handleError(w, r, rerr.fault())
