Limit what the kernel holds unsent rather than its send buffer

Cause: a small send buffer limits what is on the way, so that a client that reads waits for round trips and delayed confirmations. What has to be bounded is only what a client does not read.

Change: TCP_NOTSENT_LOWAT bounds the bytes that are not sent yet. For a body of over 64 KiB the receive buffer is widened. The Go runtime's limit is six tenths of the memory rather than seven, which leaves room for what the kernel has received. peer/accept is peer/socket now, with the parts that caller will share; proc/bounds has the limits, log lines and gauges of the edge VM for serve as well.

--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
+	"umberladder/internal/peer/socket"
 	"umberladder/internal/policy/hold"
 )
 
@@ -27,14 +27,14 @@
 	// headerCopies is how many copies of a header section that is larger than the read buffer are
 	// held while it is parsed.
 	headerCopies = 3
-	// sendBuffer is the size of the kernel's send buffer of a connection whose client may not have
+	// maxUnsent is how many bytes the kernel holds unsent of a connection whose client may not have
 	// received maxUnlimitedSend bytes. Fewer than maxUncountedSend are a part of connBytes.
-	sendBuffer       = 32 << 10
+	maxUnsent        = 32 << 10
 	maxUnlimitedSend = 64 << 10
 	maxUncountedSend = 16 << 10
-	// writeSize is the size of the writes into which a response is split. Each has to make
-	// progress within writeTimeout.
-	writeSize = 64 << 10
+	// bodyBuffer is the size of the kernel's receive buffer while a body of more than
+	// hold.SmallBytes is read.
+	bodyBuffer = 64 << 10
 )
 
 // conn is a client connection with buffered reads and writes.
@@ -49,7 +49,8 @@
 	headerBytes int  // held for a header section that is larger than the read buffer
 	sent        int  // bytes of responses that the client may not have received
 	sentHeld    int  // of these, as counted on the account
-	sendLimited bool // the kernel's send buffer is bounded
+	widened     bool // the kernel's receive buffer has the size for large bodies
+	sendLimited bool // what the kernel holds unsent is bounded
 }
 
 func newConn(nc net.Conn) *conn {
@@ -69,15 +70,6 @@
 	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 3})
 }
 
-// closeUnread closes a connection that is not served. A reset reaches the client at once and
-// leaves no state of the connection in the kernel.
-func closeUnread(nc net.Conn) {
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = nc.Close()
-}
-
 // growReadBuffer makes the read buffer hold at least size bytes, the largest
 // header section allowed: fasthttp parses a header section only when all of it
 // fits in the buffer.
@@ -119,7 +111,7 @@
 	case hold.Receiving:
 		_ = c.SetReadDeadline(past)
 	case hold.Sending:
-		c.closeOnce.Do(func() { closeUnread(c.Conn) }) // drops what the client has not read
+		c.closeOnce.Do(func() { socket.Reset(c.Conn) }) // drops what the client has not read
 	default:
 		c.close()
 	}
@@ -160,14 +152,22 @@
 	}
 }
 
+// widenReceive lets a large body arrive faster. What arrives is read at once and counted.
+func (c *conn) widenReceive() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !c.widened {
+		c.widened = true
+		_ = tcp.SetReadBuffer(bodyBuffer)
+	}
+}
+
 // countSent counts n bytes that are about to be sent, until the client is known to have received
-// them, and bounds what the kernel holds of a response once it is long.
+// them, and bounds what the kernel holds unsent of a response once it is long.
 func (c *conn) countSent(n int) {
 	c.checkSent()
 	c.sent += n
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.sent > maxUnlimitedSend && !c.sendLimited {
+	if c.sent > maxUnlimitedSend && !c.sendLimited {
 		c.sendLimited = true
-		_ = tcp.SetWriteBuffer(sendBuffer)
+		socket.LimitUnsent(c.Conn, maxUnsent)
 	}
 	c.holdSent()
 }
@@ -177,7 +177,7 @@
 	if c.sent <= maxUncountedSend {
 		return
 	}
-	if n, ok := queuedBytes(c.Conn); ok {
+	if n, ok := socket.Unconfirmed(c.Conn); ok {
 		c.sent = n
 	}
 	c.holdSent()
@@ -195,40 +195,12 @@
 	}
 }
 
-// queuedBytes returns how many bytes the kernel holds that the other end of a connection has not
-// received, or false if that is not known.
-func queuedBytes(nc net.Conn) (int, bool) {
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	n, queryErr := 0, error(nil)
-	err = raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return n, err == nil && queryErr == nil
-}
-
-// clientWriter sets a new deadline of writeTimeout before each write.
+// clientWriter writes responses. The client has to read within writeTimeout.
 type clientWriter struct{ *conn }
 
 func (w clientWriter) Write(p []byte) (int, error) {
 	w.countSent(len(p))
 	_ = w.account.SetState(hold.Sending, len(p)) // a reclaimed connection is closed
 	defer func() { _ = w.account.SetState(hold.Busy, 0) }()
-	written := 0
-	for len(p) > 0 {
-		if err := w.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return written, err
-		}
-		n, err := w.Conn.Write(p[:min(len(p), writeSize)])
-		written += n
-		if err != nil {
-			return written, err
-		}
-		p = p[n:]
-	}
-	return written, nil
+	return socket.Write(w.Conn, p, writeTimeout)
 }
--- a/internal/peer/front/request.go
+++ b/internal/peer/front/request.go
@@ -148,7 +148,7 @@
 	if f.length > limits.MaxBodyBytes {
 		return r, newReadError(BodyTooLarge, "the body of %d bytes is over the limit of %d", f.length, limits.MaxBodyBytes)
 	}
-	if rerr := c.holdRequest(0); rerr != nil {
+	if rerr := c.holdRequest(); rerr != nil {
 		return r, rerr
 	}
 	if f.expectContinue && (f.chunked || f.length > 0) {
@@ -195,9 +195,9 @@
 	return newReadError(Overloaded, "this VM has too little memory left for the request: %w", err)
 }
 
-// holdRequest states that the connection holds a request with a body of n bytes.
-func (c *conn) holdRequest(n int) *readError {
-	if err := c.account.Hold(hold.Requests, callBytes+c.headerBytes+n); err != nil {
+// holdRequest states that the connection holds a request, whose body is still to be read.
+func (c *conn) holdRequest() *readError {
+	if err := c.account.Hold(hold.Requests, callBytes+c.headerBytes); err != nil {
 		return overloaded(err)
 	}
 	return nil
@@ -297,11 +297,14 @@
 		return nil
 	}
 	c.setReceiveDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
+	if f.length > hold.SmallBytes {
+		c.widenReceive()
+	}
 	if f.chunked {
 		return r.readChunks(c, limits)
 	}
 	var rerr *readError
-	r.Body, rerr = c.readAll(io.LimitReader(c.r, int64(f.length)), f.length, maxFirst)
+	r.Body, rerr = c.readAll(io.LimitReader(c.r, int64(f.length)), f.length)
 	if rerr == nil && len(r.Body) < f.length {
 		rerr = c.readError(io.ErrUnexpectedEOF, "the body")
 	}
@@ -311,7 +314,7 @@
 func (r *Request) readChunks(c *conn, limits Limits) *readError {
 	limit := limits.MaxBodyBytes
 	var rerr *readError
-	r.Body, rerr = c.readAll(io.LimitReader(httputil.NewChunkedReader(c.r), int64(limit)+1), limit+1, firstChunked)
+	r.Body, rerr = c.readAll(io.LimitReader(httputil.NewChunkedReader(c.r), int64(limit)+1), limit+1)
 	if rerr != nil {
 		return rerr
 	}
@@ -321,35 +324,16 @@
 	return c.skipTrailer(limits.MaxHeaderBytes)
 }
 
-// The sizes of the buffer with which reading a body begins, in bytes: of one of unknown size, and
-// the largest of one of known size.
-const (
-	firstChunked = 4 << 10
-	maxFirst     = 16 << 10
-)
-
-// readAll reads up to size bytes of a body into a buffer that has the size first at the beginning.
-// It grows with what has arrived, whatever the client has announced.
-func (c *conn) readAll(body io.Reader, size, first int) ([]byte, *readError) {
-	var buf []byte
-	for grown := min(first, size); ; grown = min(2*grown, size) {
-		if rerr := c.holdRequest(grown); rerr != nil {
-			return nil, rerr
-		}
-		buf = append(make([]byte, 0, grown), buf...)
-		for len(buf) < grown {
-			n, err := body.Read(buf[len(buf):grown])
-			buf = buf[:len(buf)+n]
-			if errors.Is(err, io.EOF) {
-				return buf, nil
-			}
-			if err != nil {
-				return nil, c.readError(err, "the body")
-			}
-		}
-		if grown == size {
-			return buf, nil
-		}
+// readAll reads up to size bytes of a body.
+func (c *conn) readAll(body io.Reader, size int) ([]byte, *readError) {
+	b, err := c.account.ReadAll(body, size, callBytes+c.headerBytes)
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.Is(err, hold.ErrExhausted), errors.Is(err, hold.ErrReclaimed):
+		return nil, overloaded(err)
+	default:
+		return nil, c.readError(err, "the body")
 	}
 }
 
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"umberladder/internal/peer/linger"
+	"umberladder/internal/peer/socket"
 	"umberladder/internal/policy/hold"
 )
 
@@ -86,12 +87,12 @@
 			return s.acceptError(ctx, err)
 		}
 		if !s.gate.Admit(time.Now()) {
-			closeUnread(nc)
+			socket.Reset(nc)
 			continue
 		}
 		c := newConn(nc)
 		if c.account, err = s.held.Open(c.interrupt); err != nil {
-			closeUnread(nc)
+			socket.Reset(nc)
 			continue
 		}
 		s.openConns.Add(1)
@@ -128,7 +129,7 @@
 
 func (s *Server) serve(ctx context.Context, c *conn) {
 	if c.account.Hold(hold.Connections, connBytes) != nil {
-		c.closeOnce.Do(func() { closeUnread(c.Conn) })
+		c.closeOnce.Do(func() { socket.Reset(c.Conn) })
 		return
 	}
 	defer c.close()
--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -27,6 +27,7 @@
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
 	maxIdle        int
+	descriptors    Descriptors // nil: connections are not bounded
 
 	mu        sync.Mutex
 	idleConns map[netip.AddrPort][]*conn
@@ -41,6 +42,9 @@
 	return &Dialer{localAddr: localAddr, connectTimeout: connectTimeout, idleTimeout: idleTimeout, maxIdle: maxIdle, idleConns: make(map[netip.AddrPort][]*conn)}
 }
 
+// Bound makes the dialer take descriptors for the connections that it opens from now on.
+func (d *Dialer) Bound(l Descriptors) { d.descriptors = l }
+
 // Do sends req and reads the complete response into resp.
 func (d *Dialer) Do(ctx context.Context, addr netip.AddrPort, req *fasthttp.Request, resp *fasthttp.Response, o Options) error {
 	c, stop, err := d.send(ctx, addr, req, o)
@@ -161,7 +165,11 @@
 	if d.localAddr.IsValid() && !d.localAddr.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.localAddr, 0))
 	}
-	return dialer.DialContext(ctx, "tcp", addr.String())
+	dial := func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr.String()) }
+	if d.descriptors == nil {
+		return dial()
+	}
+	return DialBounded(d.descriptors, dial)
 }
 
 func (d *Dialer) takeIdle(addr netip.AddrPort) *conn {
--- a/internal/peer/share/server.go
+++ b/internal/peer/share/server.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"umberladder/internal/peer/accept"
+	"umberladder/internal/peer/socket"
 	"umberladder/internal/peer/wire"
 	"umberladder/internal/state/follow"
 	"umberladder/internal/state/routes"
@@ -134,7 +134,7 @@
 		Handler: s.handle, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
 		DisableKeepalive: true, Logger: debugLogger{s.log}, Concurrency: maxConns, MaxRequestBodySize: maxRequestBody,
 	}
-	ln = accept.New(ln, func() {}, s.log)
+	ln = socket.New(ln, func() {}, s.log)
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
 	group.Go(func() error {
 		if err := srv.Serve(ln); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/peer/accept/listen.go
+++ b/internal/peer/socket/listen.go
@@ -1,4 +1,4 @@
-package accept
+package socket
 
 import (
 	"context"
--- a/internal/policy/hold/split.go
+++ b/internal/policy/hold/split.go
@@ -5,7 +5,7 @@
 const (
 	tenths        = 10
 	clientTenths  = 3
-	runtimeTenths = 7
+	runtimeTenths = 6
 )
 
 // ClientMemory returns how much of a VM's memory, in bytes, may be held for clients. As much again is
--- a/internal/proc/edge/metrics.go
+++ b/internal/proc/edge/metrics.go
@@ -7,6 +7,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/peer/gossip"
 	"umberladder/internal/policy/hold"
+	"umberladder/internal/proc/bounds"
 )
 
 // Metric names.
@@ -52,12 +53,6 @@
 	metricServersCutOff   = "umberladder_servers_cut_off"
 	metricTunnels         = "umberladder_tunnels"
 	metricLargeResponses  = "umberladder_large_response_bytes"
-	metricHeldBytes       = "umberladder_client_memory_bytes"
-	metricHeldLimit       = "umberladder_client_memory_limit_bytes"
-	metricDescriptors     = "umberladder_descriptors"
-	metricDescriptorLimit = "umberladder_descriptors_limit"
-	metricReclaimed       = "umberladder_client_connections_reclaimed_total"
-	metricHoldRefusals    = "umberladder_client_memory_refusals_total"
 	metricConnsShed       = "umberladder_client_connections_shed_total"
 	metricEnginesSlow     = "umberladder_engines_slow"
 )
@@ -113,12 +108,12 @@
 		{metricConnections, "counter", "attempts to connect to servers, by path (direct, or through a peer VM) and outcome"},
 		{metricServersCutOff, "gauge", "servers that this VM reaches only through other VMs"},
 		{metricLargeResponses, "gauge", "bytes that responses and events of servers hold until clients have read them; a part of the bytes held for clients"},
-		{metricHeldBytes, "gauge", "bytes held for clients, by what for: connections, requests, responses"},
-		{metricHeldLimit, "gauge", "most bytes that may be held for clients"},
-		{metricDescriptors, "gauge", "descriptors that connections of clients and to servers use"},
-		{metricDescriptorLimit, "gauge", "descriptors that the process may have open"},
-		{metricReclaimed, "counter", "connections of clients closed, or requests that were being read refused, because others needed what they held"},
-		{metricHoldRefusals, "counter", "refusals because clients hold too much, of: connections (also to servers), requests, responses"},
+		{bounds.MetricHeld, "gauge", "bytes held for clients, by what for: connections, requests, responses"},
+		{bounds.MetricHeldLimit, "gauge", "most bytes that may be held for clients"},
+		{bounds.MetricDescriptors, "gauge", "descriptors that connections of clients and to servers use"},
+		{bounds.MetricDescriptorLimit, "gauge", "descriptors that the process may have open"},
+		{bounds.MetricReclaimed, "counter", "connections of clients closed, or requests that were being read refused, because others needed what they held"},
+		{bounds.MetricRefusals, "counter", "refusals because clients hold too much, of: connections (also to servers), requests, responses"},
 		{metricTunnels, "gauge", "connections of other VMs to servers that this VM carries"},
 		{metricQuarantined, "gauge", "requests that this VM refuses because servers crashed that ran them"},
 		{metricReady, "gauge", "1 if the balancer should send clients here"},
@@ -157,7 +152,7 @@
 		metricBrittle:        func() float64 { return float64(len(v.node.Reject.Services(time.Now()))) },
 		metricServersCutOff:  func() float64 { return float64(v.node.Reach.CutOffCount(time.Now())) },
 		metricTunnels:        func() float64 { return float64(v.tunnels.Open()) },
-		metricLargeResponses: func() float64 { return float64(v.held.Held(hold.Responses)) },
+		metricLargeResponses: func() float64 { return float64(v.bounds.Held.Held(hold.Responses)) },
 		metricOrigins:        func() float64 { return float64(v.node.Origins.Len()) },
 		metricEnginesSlow:    func() float64 { return float64(v.chooser.SlowEngines(time.Now())) },
 		metricQuarantined:    func() float64 { return float64(v.node.Poison.QuarantinedCount(time.Now())) },
@@ -165,28 +160,7 @@
 		v.metricSet.NewGauge(name, f)
 	}
 	v.registerMessageGauges(deps)
-	v.registerBoundGauges()
-}
-
-// registerBoundGauges exports what is held for clients.
-func (v *VM) registerBoundGauges() {
-	for c, name := range map[hold.Class]string{hold.Connections: "connections", hold.Requests: "requests", hold.Responses: "responses"} {
-		v.metricSet.NewGauge(fmt.Sprintf("%s{for=%q}", metricHeldBytes, name), func() float64 { return float64(v.held.Held(c)) })
-	}
-	v.metricSet.NewGauge(metricHeldLimit, func() float64 { return float64(v.held.Size()) })
-	v.metricSet.NewGauge(metricDescriptors, func() float64 {
-		used, _ := v.held.Descriptors()
-		return float64(used)
-	})
-	v.metricSet.NewGauge(metricDescriptorLimit, func() float64 { return float64(v.descriptors.get()) })
-	v.metricSet.NewGauge(metricReclaimed, func() float64 { return float64(v.held.Stats().Reclaimed) })
-	for name, count := range map[string]func(hold.Stats) uint64{
-		"connections": func(s hold.Stats) uint64 { return s.RefusedConnections },
-		"requests":    func(s hold.Stats) uint64 { return s.RefusedRequests },
-		"responses":   func(s hold.Stats) uint64 { return s.RefusedResponses },
-	} {
-		v.metricSet.NewGauge(fmt.Sprintf("%s{of=%q}", metricHoldRefusals, name), func() float64 { return float64(count(v.held.Stats())) })
-	}
+	v.bounds.Register(v.metricSet)
 }
 
 // registerMessageGauges exports the calls to the store and the messages to other
--- a/internal/proc/edge/vm.go
+++ b/internal/proc/edge/vm.go
@@ -15,16 +15,16 @@
 
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/uptime"
-	"umberladder/internal/peer/accept"
 	"umberladder/internal/peer/front"
 	"umberladder/internal/peer/share"
+	"umberladder/internal/peer/socket"
 	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/expect"
 	"umberladder/internal/policy/health"
-	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/pace"
 	"umberladder/internal/policy/shed"
 	"umberladder/internal/policy/stop"
+	"umberladder/internal/proc/bounds"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/logger"
 	"umberladder/internal/proc/peers"
@@ -114,8 +114,7 @@
 	tunnels     *tunnel.Server
 	relay       *relay.Relay
 	gate        *shed.Gate
-	descriptors *descriptorLimit
-	held        *hold.Pool // for clients
+	bounds      *bounds.Bounds
 	front       *front.Server
 	stopping    atomic.Bool
 }
@@ -125,12 +124,11 @@
 	node := peers.New(cfg, peers.Deps{Settings: deps.Settings, Servers: deps.Servers, Registry: deps.Registry, Share: deps.Share}, group, log)
 	v := &VM{log: log, metricSet: metrics.NewSet(), logSink: deps.LogSink, node: node}
 	v.cfg.Store(cfg)
-	v.descriptors = newDescriptorLimit(cfg.Descriptors)
-	v.held = hold.NewPool(hold.Limits{Memory: hold.ClientMemory(cfg.Memory), Descriptors: v.descriptors.get})
+	v.bounds = bounds.New(cfg.Memory, cfg.Descriptors, log)
 	v.gate = shed.New(node.Budget.Excess, v.sheddingChanged)
-	conns := v.newConnector(boundedDialer{deps.Dialer, v.held}, group)
+	conns := v.newConnector(boundedDialer{deps.Dialer, v.bounds.Held}, group)
 	backend := deps.NewBackend(conns)
-	v.tunnels = tunnel.NewServer(node.Servers, conns, v.held, log)
+	v.tunnels = tunnel.NewServer(node.Servers, conns, v.bounds.Held, log)
 	healthTracker := health.New()
 	chooser := pick.NewChooser(node.Servers, node.Alloc, healthTracker, node.Rates)
 	chooser.OnPaceChange(v.paceChanged)
@@ -159,7 +157,7 @@
 		Durations: expect.New[string](durationWindow),
 		Speeds:    chooser.Speeds,
 		Stop:      &stop.Shutdown{},
-		Held:      v.held,
+		Held:      v.bounds.Held,
 		Poison:    node.Poison,
 		Placer:    v.placer,
 		Origins:   node.Origins,
@@ -170,7 +168,7 @@
 		Recorder:  &recorder{log: log.Named(logger.CallsLogger), metricSet: v.metricSet},
 	})
 	ingress := deps.NewIngress(v.relay)
-	v.front = front.New(ingress.Handle, ingress.Refuse, v.limits, v.gate, v.held, log)
+	v.front = front.New(ingress.Handle, ingress.Refuse, v.limits, v.gate, v.bounds.Held, log)
 	v.registerGauges(deps)
 	return v
 }
@@ -225,7 +223,7 @@
 		return false
 	}
 	now := time.Now()
-	if v.held.Refusing(now) {
+	if v.bounds.Held.Refusing(now) {
 		return false
 	}
 	if !v.node.Hubs.StoreRespondedWithin(hubreg.ReachableTime, now) && v.node.Hubs.PeersReachStore(now) {
@@ -240,7 +238,7 @@
 func (v *VM) Run(stop context.Context, group *errgroup.Group) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ln, err := accept.Listen(ctx, v.cfg.Load().Clients, receiveBuffer)
+	ln, err := socket.Listen(ctx, v.cfg.Load().Clients, receiveBuffer)
 	if err != nil {
 		return trace.Wrap(err, "/callers-address")
 	}
@@ -250,7 +248,7 @@
 	if err := v.node.Run(ctx, v.coordinator, v.placer, v.tunnels); err != nil {
 		return trace.Wrap(err)
 	}
-	for _, loop := range []func(context.Context){v.coordinator.Run, v.prober.Run, v.watchBounds} {
+	for _, loop := range []func(context.Context){v.coordinator.Run, v.prober.Run, v.bounds.Run} {
 		group.Go(func() error {
 			loop(ctx)
 			return nil
@@ -262,7 +260,7 @@
 	})
 	failed := make(chan error, 1)
 	group.Go(func() error {
-		failed <- v.front.Serve(ctx, accept.New(ln, v.held.ReclaimDescriptor, v.log))
+		failed <- v.front.Serve(ctx, socket.New(ln, v.bounds.Held.ReclaimDescriptor, v.log))
 		return nil
 	})
 	v.log.Info("serving", zap.Stringer("callers", v.cfg.Load().Clients))
@@ -315,7 +313,7 @@
 		if err != nil {
 			return trace.Wrap(err, "%s", s.path)
 		}
-		ln = accept.New(ln, v.held.ReclaimDescriptor, v.log)
+		ln = socket.New(ln, v.bounds.Held.ReclaimDescriptor, v.log)
 		srv := &fasthttp.Server{
 			Handler: s.handler, NoDefaultDate: true, NoDefaultServerHeader: true, Logger: httpLog{v.log}, ReduceMemoryUsage: true, GetOnly: true,
 			ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout, WriteTimeout: operatorWriteTimeout, Concurrency: maxOperatorConns,
--- a/internal/route/path/path.go
+++ b/internal/route/path/path.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/core/ident"
-	"umberladder/internal/peer/accept"
 	"umberladder/internal/peer/httpc"
+	"umberladder/internal/peer/socket"
 	"umberladder/internal/peer/tunnel"
 	"umberladder/internal/policy/hold"
 	"umberladder/internal/policy/reach"
@@ -268,7 +268,7 @@
 
 // isShortage reports whether a connection failed because this VM lacks descriptors, ports or memory,
 // which says nothing about the server or the links.
-func isShortage(err error) bool { return errors.Is(err, hold.ErrExhausted) || accept.IsShortage(err) }
+func isShortage(err error) bool { return errors.Is(err, hold.ErrExhausted) || socket.IsShortage(err) }
 
 // outcome returns the name of the cause of a failed direct connection.
 func outcome(err error) string {
