Leave more descriptors to what is not counted

Cause: listeners, the runtime, the store and other VMs need some 35 descriptors that the pool does not count, and connections that are being closed may use a part of the reserve, which was 24 and a share.

Change: clients leave 64 and an eighth, servers 40 and a sixteenth; connections that are being closed count like those to servers. A state that is set after an account was closed is ignored.

--- a/internal/policy/hold/account.go
+++ b/internal/policy/hold/account.go
@@ -70,14 +70,18 @@
 }
 
 // SetState states what the connection waits for, and how many bytes the client has to read that
-// another account holds. It returns ErrReclaimed if the account was reclaimed.
+// another account holds. It returns ErrReclaimed if the account was reclaimed. An account that is
+// closed waits for nothing.
 func (a *Account) SetState(s State, pending int) error {
 	now := time.Now()
 	p := a.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if a.reclaimed {
+	switch {
+	case a.reclaimed:
 		return ErrReclaimed
+	case a.closed:
+		return nil
 	}
 	p.unlink(a)
 	a.state, a.since, a.pending = s, now, int64(pending)
--- a/internal/policy/hold/descriptors.go
+++ b/internal/policy/hold/descriptors.go
@@ -7,9 +7,9 @@
 	// servers, to other VMs and to the store, and to listeners. Connections to servers leave a
 	// smaller one to the others.
 	clientReserveShare = 8
-	clientReserve      = 24
+	clientReserve      = 64
 	serverReserveShare = 16
-	serverReserve      = 8
+	serverReserve      = 40
 )
 
 // Descriptors returns how many descriptors connections to clients and servers use, and how many
@@ -30,9 +30,8 @@
 		return nil, true
 	}
 	limit := p.descriptors()
-	limit -= limit/clientReserveShare + clientReserve
 	var victims []*Account
-	for p.clients-p.closing+p.others >= limit {
+	for p.clients-p.closing+p.others >= clientLimit(limit) {
 		v := p.oldest(now)
 		if v == nil {
 			return victims, false
@@ -41,9 +40,15 @@
 		victims = append(victims, v)
 	}
 	// Those that are being closed may use a part of the reserve.
-	return victims, p.closing <= clientReserve || p.clients+p.others < limit
+	return victims, p.clients+p.others < serverLimit(limit)
 }
 
+// clientLimit returns up to how many descriptors in use connections of clients may take another one.
+func clientLimit(limit int) int { return limit - limit/clientReserveShare - clientReserve }
+
+// serverLimit returns the same for connections to servers.
+func serverLimit(limit int) int { return limit - limit/serverReserveShare - serverReserve }
+
 // ReclaimDescriptor reclaims the connection of a client, if one waits for its client, because the
 // process got no descriptor.
 func (p *Pool) ReclaimDescriptor() {
@@ -80,13 +85,13 @@
 	p.mu.Lock()
 	limit := p.descriptors()
 	var victims []*Account
-	if p.clients-p.closing+p.others >= limit-limit/clientReserveShare-clientReserve {
+	if p.clients-p.closing+p.others >= clientLimit(limit) {
 		if v := p.oldest(now); v != nil {
 			p.reclaim(v)
 			victims = append(victims, v)
 		}
 	}
-	ok := p.clients+p.others < limit-limit/serverReserveShare-serverReserve
+	ok := p.clients+p.others < serverLimit(limit)
 	if ok {
 		p.others++
 	} else {
