Bound what an entry VM holds for its callers

What callers saw: 60 bodies of 4 MiB, unfinished, announced only or waiting for an engine, took 274 to 811 MB of umberladder serve, whatever key they came with; once descriptors were used up, the process ended ("context canceled"), and with it all that it served.

Cause: fasthttp reads bodies into a buffer of the announced length before anything checks them, and the limit holds for each request alone. An error of Accept ends a listener, and with it the process.

Change: the same pool as at an edge VM. Bodies are read by the handler, as they arrive, and count with the copies that are made of them until the response is written; idle connections give their buffers back. Connections take descriptors from the count, and listeners go on through shortages. Settings memory-mb and descriptors, gauges and log lines as at an edge VM. Requests that lose their memory are refused with 503 memory-short, which have not run. Operators' connections have a limit, as each may hold a body.

Why it works: a connection's account is closed with it, and each request gives back what it took when its response is written.

--- a/internal/peer/caller/request.go
+++ b/internal/peer/caller/request.go
@@ -33,9 +33,9 @@
 	return key
 }
 
-// parseGeneration parses a request for a completion or, with chat, for a chat
+// parseGeneration parses a request with the given body for a completion or, with chat, for a chat
 // completion.
-func parseGeneration(ctx *fasthttp.RequestCtx, chat bool) (GenerationRequest, *refuse.Refusal) {
+func parseGeneration(ctx *fasthttp.RequestCtx, body []byte, chat bool) (GenerationRequest, *refuse.Refusal) {
 	g := GenerationRequest{Key: bearerKey(ctx)}
 	class := string(ctx.Request.Header.Peek(headerClass))
 	if class != "" && ident.CheckName(class) != nil {
@@ -46,7 +46,7 @@
 	if g.IdempotencyKey, r = idempotencyKey(ctx); r != nil {
 		return g, r
 	}
-	g.Request, r = openai.Parse(ctx.PostBody(), chat)
+	g.Request, r = openai.Parse(body, chat)
 	return g, r
 }
 
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -16,6 +16,7 @@
 	"umberladder/internal/core/ident"
 	"umberladder/internal/core/refuse"
 	"umberladder/internal/peer/openai"
+	"umberladder/internal/policy/hold"
 )
 
 const (
@@ -38,6 +39,7 @@
 	IdleTimeout    time.Duration // longest time between two requests
 	WriteTimeout   time.Duration // longest time that one write may block
 	MaxConns       int           // largest number of open connections
+	Held           *hold.Pool    // what connections, requests and responses take is part of it
 	DrainDelay     time.Duration // time from reporting not ready to closing the listener
 	Log            fasthttp.Logger
 }
@@ -65,16 +67,21 @@
 		ReadBufferSize:     cfg.MaxHeaderBytes,
 		MaxRequestBodySize: cfg.MaxBodyBytes,
 		Concurrency:        cfg.MaxConns,
-		CloseOnShutdown:    true,
-		NoDefaultDate:      true,
-		Logger:             cfg.Log,
+		ConnState:          stateChanged,
+		ReduceMemoryUsage:  true,
+		// Bodies are read in the handler, into a buffer that the pool counts.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		NoDefaultDate:                true,
+		Logger:                       cfg.Log,
 	}
 	return s
 }
 
 // Serve serves connections from ln until Shutdown is called.
 func (s *Server) Serve(ln net.Listener) error {
-	return trace.Wrap(s.http.Serve(&listener{Listener: ln, writeTimeout: s.cfg.WriteTimeout}))
+	return trace.Wrap(s.http.Serve(&listener{Listener: ln, writeTimeout: s.cfg.WriteTimeout, held: s.cfg.Held}))
 }
 
 // Shutdown reports the VM as not ready, waits DrainDelay for the load balancer
@@ -93,16 +100,21 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	body, refusal := s.readBody(ctx)
+	if refusal != nil {
+		s.rejectBody(ctx, refusal)
+		return
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == pathChat:
-		s.generate(ctx, true)
+		s.generate(ctx, body, true)
 	case path == pathCompletions:
-		s.generate(ctx, false)
+		s.generate(ctx, body, false)
 	case path == pathModels:
 		s.models(ctx)
 	case strings.HasPrefix(path, pathServices):
-		s.plain(ctx, strings.TrimPrefix(path, pathServices))
+		s.plain(ctx, body, strings.TrimPrefix(path, pathServices))
 	case strings.HasPrefix(path, pathResume):
 		s.resume(ctx, strings.TrimPrefix(path, pathResume))
 	case strings.HasPrefix(path, pathRefusals):
@@ -118,18 +130,83 @@
 	}
 }
 
+// overloadRetryAfter is the retry delay of a request for which too little memory was left. Other VMs
+// are likely to have more.
+const overloadRetryAfter = 500 * time.Millisecond
+
+// readBody reads the body of a request, which the connection holds until its response is written.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx) ([]byte, *refuse.Refusal) {
+	c, ok := ctx.Conn().(*conn)
+	length := ctx.Request.Header.ContentLength()
+	body := ctx.RequestBodyStream()
+	if !ok || body == nil {
+		return nil, s.holdRequest(c, callBytes)
+	}
+	if length > s.cfg.MaxBodyBytes {
+		return nil, s.bodyTooLarge()
+	}
+	size := length
+	if length < 0 {
+		size = s.cfg.MaxBodyBytes + 1
+	}
+	b, err := c.account.ReadAll(body, size, callBytes)
+	switch {
+	case c.account.Reclaimed(), errors.Is(err, hold.ErrExhausted):
+		return nil, overloaded(err)
+	case err != nil, len(b) < length:
+		return nil, s.readRefusal(err)
+	case len(b) > s.cfg.MaxBodyBytes:
+		return nil, s.bodyTooLarge()
+	}
+	return b, s.holdRequest(c, callBytes+bodyCopies*len(b))
+}
+
+// holdRequest states that the connection holds a request of n bytes, and that nothing of it is
+// missing any more.
+func (s *Server) holdRequest(c *conn, n int) *refuse.Refusal {
+	if c == nil {
+		return nil
+	}
+	err := c.account.Hold(hold.Requests, n)
+	if err == nil {
+		err = c.account.SetState(hold.Busy, 0)
+	}
+	if err != nil {
+		return overloaded(err)
+	}
+	return nil
+}
+
+func overloaded(err error) *refuse.Refusal {
+	return refuse.New(refuse.MemoryShort, "this VM has too little memory left for the request: %v", err).WithRetryAfter(overloadRetryAfter)
+}
+
+func (s *Server) bodyTooLarge() *refuse.Refusal {
+	return refuse.New(refuse.TooLarge, "the body is over %d bytes", s.cfg.MaxBodyBytes)
+}
+
+// rejectBody responds to a request whose body was not read, and closes the connection.
+func (s *Server) rejectBody(ctx *fasthttp.RequestCtx, r *refuse.Refusal) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.release()
+		c.rejected.Store(true)
+	}
+	ctx.SetConnectionClose()
+	s.refuse(ctx, r)
+}
+
 // refuse responds with a refusal made before the request reached the handler.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *refuse.Refusal) {
 	s.writeRefusal(ctx, s.handler.RecordRefusal(r))
 }
 
-func (s *Server) generate(ctx *fasthttp.RequestCtx, chat bool) {
+func (s *Server) generate(ctx *fasthttp.RequestCtx, body []byte, chat bool) {
 	if !ctx.IsPost() {
 		ctx.Response.Header.Set(fasthttp.HeaderAllow, fasthttp.MethodPost)
 		s.refuse(ctx, badInput("%s takes POST, not %s", ctx.Path(), ctx.Method()))
 		return
 	}
-	g, refusal := parseGeneration(ctx, chat)
+	g, refusal := parseGeneration(ctx, body, chat)
 	if refusal != nil {
 		s.refuse(ctx, refusal)
 		return
@@ -175,7 +252,7 @@
 	s.stream(ctx, st)
 }
 
-func (s *Server) plain(ctx *fasthttp.RequestCtx, rest string) {
+func (s *Server) plain(ctx *fasthttp.RequestCtx, body []byte, rest string) {
 	name, _, _ := strings.Cut(rest, "/")
 	if err := ident.CheckName(name); err != nil {
 		s.refuse(ctx, badInput("service: %s", trace.UserMessage(err)))
@@ -196,7 +273,7 @@
 		Method:         string(ctx.Method()),
 		Path:           uri,
 		ContentType:    string(ctx.Request.Header.ContentType()),
-		Body:           append([]byte(nil), ctx.PostBody()...),
+		Body:           body,
 		IdempotencyKey: key,
 	})
 	if refusal != nil {
@@ -206,7 +283,17 @@
 	ctx.Response.Header.Set(headerRequest, string(resp.Request))
 	ctx.SetStatusCode(resp.Status)
 	ctx.SetContentType(resp.ContentType)
-	ctx.SetBody(resp.Body)
+	s.holdResponse(ctx, len(resp.Body))
+	ctx.Response.SetBodyRaw(resp.Body)
+}
+
+// holdResponse states how large the response is that the connection holds. A response that does not
+// fit is counted as far as it does.
+func (s *Server) holdResponse(ctx *fasthttp.RequestCtx, n int) {
+	c, ok := ctx.Conn().(*conn)
+	if ok && c.account.Hold(hold.Responses, n) != nil {
+		_ = c.account.Hold(hold.Responses, min(n, hold.SmallBytes)) // never fails for a small response
+	}
 }
 
 func (s *Server) models(ctx *fasthttp.RequestCtx) {
@@ -245,17 +332,26 @@
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.rejected.Store(true)
+		if c.account.Reclaimed() {
+			s.refuse(ctx, overloaded(hold.ErrReclaimed))
+			return
+		}
 	}
+	s.refuse(ctx, s.readRefusal(err))
+}
+
+// readRefusal returns the refusal of a request that could not be read.
+func (s *Server) readRefusal(err error) *refuse.Refusal {
 	var tooSmall *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &tooSmall):
-		s.refuse(ctx, refuse.New(refuse.HeaderTooLarge, "the header section is over %d bytes", s.cfg.MaxHeaderBytes))
+		return refuse.New(refuse.HeaderTooLarge, "the header section is over %d bytes", s.cfg.MaxHeaderBytes)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		s.refuse(ctx, refuse.New(refuse.TooLarge, "the body is over %d bytes", s.cfg.MaxBodyBytes))
+		return s.bodyTooLarge()
 	case errors.As(err, &timeout) && timeout.Timeout():
-		s.refuse(ctx, refuse.New(refuse.ClientStalled, "the request was not sent whole within %s", s.cfg.ReadTimeout))
+		return refuse.New(refuse.ClientStalled, "the request was not sent whole within %s", s.cfg.ReadTimeout)
 	default:
-		s.refuse(ctx, badInput("the request is not valid HTTP"))
+		return badInput("the request is not valid HTTP")
 	}
 }
--- a/internal/peer/oper/server.go
+++ b/internal/peer/oper/server.go
@@ -28,6 +28,8 @@
 	pathDrain    = "/v1/drain"
 	maxBody      = 1 << 20
 	readTimeout  = 30 * time.Second
+	idleTimeout  = 2 * time.Minute
+	maxConns     = 64 // each may hold a body of maxBody
 	callTimeout  = 10 * time.Second
 )
 
@@ -73,6 +75,9 @@
 		Name:               "umberladder",
 		ReadTimeout:        readTimeout,
 		MaxRequestBodySize: maxBody,
+		IdleTimeout:        idleTimeout,
+		WriteTimeout:       readTimeout,
+		Concurrency:        maxConns,
 		NoDefaultDate:      true,
 		Logger:             log,
 	}
--- a/internal/proc/cmds/serve.go
+++ b/internal/proc/cmds/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"umberladder/internal/policy/hold"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/serve"
 )
@@ -30,6 +32,7 @@
 				return withExitCode(ExitInvalid, err)
 			}
 			defer func() { _ = log.Sync() }()
+			debug.SetMemoryLimit(int64(hold.RuntimeMemory(cfg.Memory)))
 			vm, err := serve.New(cfg, log)
 			if err != nil {
 				return withExitCode(ExitFailure, err)
--- a/internal/proc/conf/conf_test.go
+++ b/internal/proc/conf/conf_test.go
@@ -74,6 +74,8 @@
 		"/generation/start-tries":        n.Generation.StartTries,
 		"/generation/first-token-pace":   n.Generation.FirstTokenPace,
 		"/generation/token-pace":         n.Generation.TokenPace,
+		"/memory-mb":                     n.Memory / 1_000_000,
+		"/descriptors":                   n.Descriptors,
 	}
 	page, err := os.ReadFile("../../../docs/SETTINGS.md")
 	assert.NilError(t, err)
--- a/internal/proc/conf/edge.go
+++ b/internal/proc/conf/edge.go
@@ -212,7 +212,7 @@
 		WorkspaceWeights: parseWeights(f, w.Weights),
 		EnginePriorities: w.EnginePriorities,
 		Memory:           parseMemory(f, w.MemoryMB),
-		Descriptors:      f.Int("/descriptors", w.Descriptors, 0, 0, 10_000_000),
+		Descriptors:      f.Int("/descriptors", w.Descriptors, 0, 0, maxDescriptors),
 		ServerHeartbeat:  f.Duration("/server-heartbeat", w.Heartbeat, DefaultServerHeartbeat, 10*time.Millisecond, time.Hour),
 	}
 	return e, f.Err()
@@ -244,6 +244,9 @@
 	return out
 }
 
+// maxDescriptors is the largest limit of descriptors.
+const maxDescriptors = 10_000_000
+
 // bytesPerMB converts MB to bytes.
 const bytesPerMB = 1e6
 
--- a/internal/proc/conf/node.go
+++ b/internal/proc/conf/node.go
@@ -30,6 +30,8 @@
 	Limits       Limits
 	Generation   infer.Config
 	StoreBudget  StoreBudget
+	Memory       int // of the VM, in bytes
+	Descriptors  int // that the process may have open; zero: as many as the system allows
 }
 
 // Limits holds limits on sizes and times.
--- a/internal/proc/conf/wire.go
+++ b/internal/proc/conf/wire.go
@@ -89,6 +89,8 @@
 	Limits       limitsWire      `json:"limits,omitzero"`
 	Generation   generationWire  `json:"generation,omitzero"`
 	StoreBudget  storeBudgetWire `json:"store-budget,omitzero"`
+	MemoryMB     *float64        `json:"memory-mb,omitzero"`
+	Descriptors  *int            `json:"descriptors,omitzero"`
 }
 
 func (w *nodeWire) node(f *config.Validator) *Node {
@@ -111,6 +113,8 @@
 			CallsPerSecond: f.Float("/store-budget/calls-per-second", w.StoreBudget.CallsPerSecond, DefaultStoreCallsPerSecond, 1, 10_000),
 			Burst:          f.Int("/store-budget/burst", w.StoreBudget.Burst, DefaultStoreCallBurst, 1, 100_000),
 		},
+		Memory:      parseMemory(f, w.MemoryMB),
+		Descriptors: f.Int("/descriptors", w.Descriptors, 0, 0, maxDescriptors),
 	}
 }
 
--- a/internal/proc/serve/run.go
+++ b/internal/proc/serve/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"umberladder/internal/peer/nodes"
+	"umberladder/internal/peer/socket"
 )
 
 const (
@@ -22,7 +23,9 @@
 	// becomes ready regardless, because an unavailable store must not keep it
 	// out of service indefinitely.
 	minJoinTime = 2 * time.Second
-	maxJoinTime = 8 * time.Second
+	// receiveBuffer bounds, in bytes, what the kernel holds of each connection that was not read.
+	receiveBuffer = 16 << 10
+	maxJoinTime   = 8 * time.Second
 )
 
 // listeners holds the TCP listeners of a VM.
@@ -41,11 +44,11 @@
 		{"/operators-address", v.cfg.Operators, &l.operators},
 		{"/peers-address", v.cfg.Peers, &l.peers},
 	} {
-		ln, err := net.Listen("tcp", p.addr.String())
+		ln, err := socket.Listen(v.ctx, p.addr, receiveBuffer)
 		if err != nil {
 			return nil, trace.Wrap(err, "%s", p.name)
 		}
-		*p.to = ln
+		*p.to = socket.New(ln, v.bounds.Held.ReclaimDescriptor, v.log)
 	}
 	return l, nil
 }
@@ -82,6 +85,10 @@
 		func() error { return v.follower.Run(v.ctx) },
 		func() error { return v.shards.Run(v.ctx) },
 		v.join,
+		func() error {
+			v.bounds.Run(v.ctx)
+			return nil
+		},
 		func() error { return v.poller.Run(v.ctx, v.group) },
 		func() error { return v.coordinator.Run(v.ctx) },
 		func() error { return v.placementClient.Run(v.ctx) },
--- a/internal/proc/serve/status.go
+++ b/internal/proc/serve/status.go
@@ -38,6 +38,7 @@
 	} {
 		v.metricSet.NewGauge(name, f)
 	}
+	v.bounds.Register(v.metricSet)
 }
 
 func (v *VM) writeMetrics(ctx *fasthttp.RequestCtx) {
--- a/internal/proc/serve/vm.go
+++ b/internal/proc/serve/vm.go
@@ -25,6 +25,7 @@
 	"umberladder/internal/peer/vmlist"
 	"umberladder/internal/policy/place"
 	"umberladder/internal/policy/retry"
+	"umberladder/internal/proc/bounds"
 	"umberladder/internal/proc/burn"
 	"umberladder/internal/proc/conf"
 	"umberladder/internal/proc/record"
@@ -59,6 +60,7 @@
 type VM struct {
 	cfg            *conf.Node
 	log            *zap.Logger
+	bounds         *bounds.Bounds
 	metricSet      *metrics.Set
 	invariants     *invar.Checker
 	keyRing        *seal.KeyRing
@@ -99,6 +101,7 @@
 	v := &VM{
 		cfg:            cfg,
 		log:            log,
+		bounds:         bounds.New(cfg.Memory, cfg.Descriptors, log),
 		metricSet:      metrics.NewSet(),
 		keyRing:        ring,
 		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -150,6 +153,7 @@
 func (v *VM) buildRoute() {
 	cfg := v.cfg
 	dialer := httpc.New(cfg.Peers.Addr(), cfg.Limits.ConnectTimeout, cfg.Limits.EngineIdleTimeout, maxIdleConns)
+	dialer.Bound(v.bounds.Held)
 	v.limiter = limits.New(v.fleet)
 	rec := record.New(v.log, v.metricSet, v.invariants, v.meter)
 	engines := engine.New(dialer)
@@ -177,6 +181,7 @@
 		IdleTimeout:    cfg.Limits.IdleTimeout,
 		WriteTimeout:   cfg.Limits.WriteTimeout,
 		MaxConns:       cfg.Limits.MaxConns,
+		Held:           v.bounds.Held,
 		DrainDelay:     cfg.Limits.DrainDelay,
 		Log:            httpLog{v.log},
 	}, v.handler, v.writeMetrics)
