Drop earlier settings that are over before another VM's are added

What callers saw: streams that were taken up could be refused without need (LOST): if another VM knew of later settings of the same paths that this VM had missed, what this VM knew of settings that were over counted again, for as long as the later ones.

Cause: AddPasts copied all that was known, and merging takes the longer lifetime and the later end; recordPast drops what is over first.

Change: both, and Pasts, start from what is not over yet.

--- a/internal/state/routes/past.go
+++ b/internal/state/routes/past.go
@@ -55,17 +55,21 @@
 // Pasts returns what earlier settings allowed for streams that may still be under way, for VMs that
 // have started since.
 func (c *Current) Pasts() []PathPast {
-	list := c.past.Load()
-	if list == nil {
-		return nil
-	}
 	now := c.clock()
 	var out []PathPast
-	for key, p := range *list {
-		if !p.isOver(now) {
-			out = append(out, PathPast{Host: key.host, Prefix: key.prefix, Past: p.Past, Ago: max(now.Sub(p.until), 0)})
-		}
+	for key, p := range c.pastsAt(now) {
+		out = append(out, PathPast{Host: key.host, Prefix: key.prefix, Past: p.Past, Ago: max(now.Sub(p.until), 0)})
+	}
+	return out
+}
+
+// pastsAt returns what earlier settings allowed that is not over at a time.
+func (c *Current) pastsAt(now uptime.Instant) map[pastKey]pastRoute {
+	out := make(map[pastKey]pastRoute)
+	if list := c.past.Load(); list != nil {
+		maps.Copy(out, *list)
 	}
+	maps.DeleteFunc(out, func(_ pastKey, p pastRoute) bool { return p.isOver(now) })
 	return out
 }
 
@@ -76,10 +80,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := pastMerger{now: c.clock(), next: make(map[pastKey]pastRoute)}
-	if known := c.past.Load(); known != nil {
-		maps.Copy(m.next, *known)
-	}
+	m := pastMerger{now: c.clock()}
+	m.next = c.pastsAt(m.now)
 	for _, p := range list {
 		m.merge(pastKey{host: strings.ToLower(p.Host), prefix: p.Prefix}, pastRoute{Past: p.Past, until: m.now.Add(-p.Ago)})
 	}
@@ -100,15 +102,8 @@
 // recordPast records what the settings old, which s replaces, allowed for streams. It reports whether
 // a route has moved to other services.
 func (c *Current) recordPast(old, s *Snapshot) bool {
-	m := pastMerger{now: c.clock(), next: make(map[pastKey]pastRoute)}
-	if list := c.past.Load(); list != nil {
-		m.known = *list
-	}
-	for key, p := range m.known {
-		if !p.isOver(m.now) {
-			m.next[key] = p
-		}
-	}
+	m := pastMerger{now: c.clock()}
+	m.known, m.next = c.pastsAt(m.now), c.pastsAt(m.now)
 	before, after := old.byPaths(), s.byPaths()
 	for key, r := range after {
 		b := before[key]
@@ -138,7 +133,7 @@
 	if before == nil || r == nil || !before.Resumable || !r.Resumable {
 		return
 	}
-	if earlier, ok := m.known[keyOf(before)]; ok && !earlier.isOver(m.now) {
+	if earlier, ok := m.known[keyOf(before)]; ok {
 		m.merge(keyOf(r), earlier)
 	}
 	moved := !slices.Equal(services(before), services(r))
