Refuse a request at once that the VM never has memory for

A body that needs more than the share of large requests waited half a second and was then refused with a time to come back, each time.

--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -145,6 +145,9 @@
 	if length > s.cfg.MaxBodyBytes {
 		return nil, s.bodyTooLarge()
 	}
+	if callBytes+bodyCopies*length > s.cfg.Held.LargestRequest() {
+		return nil, refuse.New(refuse.MemoryShort, "the body of %d bytes is over what this VM has memory for", length)
+	}
 	size := length
 	if length < 0 {
 		size = s.cfg.MaxBodyBytes + 1
--- a/internal/peer/front/bound_test.go
+++ b/internal/peer/front/bound_test.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// TestUnservableBody guards against a client that waits for memory that the VM can never have.
+func TestUnservableBody(t *testing.T) {
+	_, dial := startBoundedServer(t, echo, hold.NewPool(hold.Limits{Memory: 1 << 20}), boundLimits)
+	got := send(t, dial(), fmt.Sprintf(bodyHead, 1<<20))
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 507"), "%q", got)
+}
+
 // TestLargeHeaders checks that header sections of any size within the limit are read, also one after
 // the other on a connection, and that what they take is given back.
 func TestLargeHeaders(t *testing.T) {
--- a/internal/peer/front/conn.go
+++ b/internal/peer/front/conn.go
@@ -23,7 +23,7 @@
 	connBytes = 12 << 10
 	// callBytes is what a request takes besides connBytes and its body: the write buffer, the
 	// header fields, the stacks of the goroutines that serve it, and what the client sends ahead.
-	callBytes = 48 << 10
+	callBytes = 32 << 10
 	// headerCopies is how many copies of a header section that is larger than the read buffer are
 	// held while it is parsed.
 	headerCopies = 3
--- a/internal/peer/front/front_test.go
+++ b/internal/peer/front/front_test.go
@@ -22,7 +22,7 @@
 
 var limits = Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
 
-var statuses = map[ErrorKind]int{Malformed: 400, HeaderTooLarge: 431, BodyTooLarge: 413, RequestTimeout: 408, Overloaded: 503}
+var statuses = map[ErrorKind]int{Malformed: 400, HeaderTooLarge: 431, BodyTooLarge: 413, RequestTimeout: 408, Overloaded: 503, Unservable: 507}
 
 // startServer serves a handler on a loopback port and returns a function that
 // connects to it.
--- a/internal/peer/front/request.go
+++ b/internal/peer/front/request.go
@@ -49,6 +49,7 @@
 	BodyTooLarge
 	RequestTimeout
 	Overloaded   // too little memory is left for the request
+	Unservable   // the VM has too little memory for the request
 	ClientClosed // the client closed the connection and can't receive a response
 )
 
@@ -127,8 +128,9 @@
 	closeAfter        bool
 }
 
-// readRequest reads a request. If that fails, the request has the header fields, or is nil.
-func readRequest(c *conn, limits Limits, w *ResponseWriter) (*Request, *readError) {
+// readRequest reads a request, for which largest bytes may be held. If that fails, the request has the
+// header fields, or is nil.
+func readRequest(c *conn, limits Limits, largest int, w *ResponseWriter) (*Request, *readError) {
 	c.setReceiveDeadline(time.Now().Add(limits.HeaderTimeout))
 	var h fasthttp.RequestHeader
 	h.DisableSpecialHeader()
@@ -148,6 +150,9 @@
 	if f.length > limits.MaxBodyBytes {
 		return r, newReadError(BodyTooLarge, "the body of %d bytes is over the limit of %d", f.length, limits.MaxBodyBytes)
 	}
+	if callBytes+c.headerBytes+f.length > largest {
+		return r, newReadError(Unservable, "the body of %d bytes is over what this VM has memory for", f.length)
+	}
 	if rerr := c.holdRequest(); rerr != nil {
 		return r, rerr
 	}
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -156,7 +156,7 @@
 	defer c.releaseRequest()
 	c.checkSent()
 	w := newResponseWriter(c)
-	r, rerr := readRequest(c, limits, w)
+	r, rerr := readRequest(c, limits, s.held.LargestRequest(), w)
 	if rerr == nil && c.account.SetState(hold.Busy, 0) != nil {
 		rerr = errReclaimed()
 	}
--- a/internal/policy/hold/pool.go
+++ b/internal/policy/hold/pool.go
@@ -35,7 +35,7 @@
 const (
 	eighths           = 8
 	connectionEighths = 4
-	requestEighths    = 5 // small ones
+	requestEighths    = 6 // small ones
 	largeEighths      = 4 // requests over SmallBytes
 )
 
@@ -91,6 +91,9 @@
 // Size returns how many bytes may be held.
 func (p *Pool) Size() int { return int(p.size) }
 
+// LargestRequest returns how many bytes a single request may hold.
+func (p *Pool) LargestRequest() int { return int(p.size * largeEighths / eighths) }
+
 // Held returns how many bytes of a class are held.
 func (p *Pool) Held(c Class) int {
 	p.mu.Lock()
--- a/internal/policy/hold/pool_test.go
+++ b/internal/policy/hold/pool_test.go
@@ -164,6 +164,8 @@
 		"a small response is never refused": {func(t *testing.T, p *Pool) map[string]*Account {
 			return map[string]*Account{"call": waiting(t, p, Responses, 8<<20, Busy, time.Second)}
 		}, Responses, SmallBytes, nil, nil},
+		"the largest request": {func(*testing.T, *Pool) map[string]*Account { return nil }, Requests, pool / 2, nil, nil},
+		"a larger one":        {func(*testing.T, *Pool) map[string]*Account { return nil }, Requests, pool/2 + 1, ErrExhausted, nil},
 		"a connection does not take what calls hold": {func(t *testing.T, p *Pool) map[string]*Account {
 			return map[string]*Account{"call": waiting(t, p, Connections, 4<<20, Busy, time.Second)}
 		}, Connections, 1, ErrExhausted, nil},
