Close the connections of unfinished requests where connections are short

Cause: where the memory of connections was short, only idle ones were reclaimed; requests that stand still were so for descriptors only. They were refused with a response then, and lingered for 2 s.

Change: as for descriptors, connections whose clients have not gone on with a request or response for a second go after the idle ones, and they are closed without a response.

--- a/internal/policy/hold/account.go
+++ b/internal/policy/hold/account.go
@@ -27,8 +27,11 @@
 	since     time.Time // of the state
 	reclaimed bool
 	closed    bool
-	prev      *Account // in the list of the state
-	next      *Account
+
+	reclaimedAs State // does not change once the account is reclaimed
+
+	prev *Account // in the list of the state
+	next *Account
 }
 
 // Account returns an account that is never reclaimed, for what is held for several clients or has
@@ -36,8 +39,8 @@
 func (p *Pool) Account() *Account { return &Account{pool: p} }
 
 // Open returns the account of a new connection of a client, which takes a descriptor. If the
-// account is reclaimed, interrupt is called with the state in which that happened: it has to end the wait
-// for the client without blocking. The error is ErrExhausted if there is no descriptor.
+// account is reclaimed, interrupt is called with the state in which that happened, or with Idle if the
+// connection itself is needed: it has to end the wait for the client without blocking. The error is ErrExhausted if there is no descriptor.
 func (p *Pool) Open(interrupt func(State)) (*Account, error) {
 	now := time.Now()
 	p.mu.Lock()
@@ -58,7 +61,7 @@
 
 // givesBack reports whether the account, now that it is reclaimed, gives back its bytes of a class
 // soon. A client whose request is refused is still connected until it has read the response.
-func (a *Account) givesBack(c Class) bool { return a.state != Receiving || c != Connections }
+func (a *Account) givesBack(c Class) bool { return a.reclaimedAs != Receiving || c != Connections }
 
 // bytes returns what the pool gains if the account is reclaimed.
 func (a *Account) bytes() int64 {
@@ -185,7 +188,11 @@
 		if v == nil || v == a {
 			break
 		}
-		p.reclaim(v)
+		as := v.state
+		if c == Connections {
+			as = Idle
+		}
+		p.reclaim(v, as)
 		victims = append(victims, v)
 	}
 	switch {
@@ -235,7 +242,7 @@
 
 func interruptAll(list []*Account) {
 	for _, a := range list {
-		a.interrupt(a.state)
+		a.interrupt(a.reclaimedAs)
 	}
 }
 
--- a/internal/policy/hold/descriptors.go
+++ b/internal/policy/hold/descriptors.go
@@ -36,7 +36,7 @@
 		if v == nil {
 			return victims, false
 		}
-		p.reclaim(v)
+		p.reclaim(v, Idle)
 		victims = append(victims, v)
 	}
 	// Those that are being closed may use a part of the reserve.
@@ -55,14 +55,14 @@
 	p.mu.Lock()
 	var victims []*Account
 	if v := p.oldest(time.Now()); v != nil {
-		p.reclaim(v)
+		p.reclaim(v, Idle)
 		victims = append(victims, v)
 	}
 	p.mu.Unlock()
 	interruptAll(victims)
 }
 
-// oldest returns the account to reclaim next for its descriptor, or nil.
+// oldest returns the account to reclaim next for its connection, or nil.
 func (p *Pool) oldest(now time.Time) *Account {
 	if a := p.waiting[Idle].first(); a != nil {
 		return a
@@ -87,7 +87,7 @@
 	var victims []*Account
 	if p.clients-p.closing+p.others >= clientLimit(limit) {
 		if v := p.oldest(now); v != nil {
-			p.reclaim(v)
+			p.reclaim(v, Idle)
 			victims = append(victims, v)
 		}
 	}
--- a/internal/policy/hold/pool.go
+++ b/internal/policy/hold/pool.go
@@ -156,10 +156,11 @@
 
 // victim returns the account to reclaim next so that a class has room, or nil.
 func (p *Pool) victim(c Class, ofClass bool, now time.Time) *Account {
-	if c == Connections || !ofClass {
-		if a := p.waiting[Idle].first(); a != nil || c == Connections {
-			return a
-		}
+	if c == Connections {
+		return p.oldest(now)
+	}
+	if a := p.waiting[Idle].first(); a != nil && !ofClass {
+		return a
 	}
 	return p.heaviest(now)
 }
@@ -183,11 +184,11 @@
 	return out
 }
 
-// reclaim marks an account as reclaimed. Its interrupt function has to be called afterwards, without
-// the lock.
-func (p *Pool) reclaim(a *Account) {
+// reclaim marks an account as reclaimed, with the state that its interrupt function gets: Idle if the
+// connection itself is needed. That function has to be called afterwards, without the lock.
+func (p *Pool) reclaim(a *Account, as State) {
 	p.unlink(a)
-	a.reclaimed = true
+	a.reclaimed, a.reclaimedAs = true, as
 	for c, held := range a.held {
 		if a.givesBack(Class(c)) {
 			p.reclaiming[c] += held
--- a/internal/policy/hold/pool_test.go
+++ b/internal/policy/hold/pool_test.go
@@ -309,6 +309,31 @@
 	}
 }
 
+// TestUnfinishedConnections guards against clients that take the memory of all connections with requests
+// that they do not finish. Their connections are closed without a response, which would take time.
+func TestUnfinishedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(Limits{Memory: pool})
+		var states []State
+		for range pool / 2 / (64 << 10) {
+			var a *Account
+			a, err := p.Open(func(s State) {
+				states = append(states, s)
+				a.Close()
+			})
+			assert.NilError(t, err)
+			assert.NilError(t, a.Hold(Connections, 64<<10))
+			assert.NilError(t, a.SetState(Receiving, 0))
+		}
+		assert.Assert(t, errors.Is(open(t, p).Hold(Connections, 64<<10), ErrExhausted))
+		time.Sleep(stallTime)
+		start := time.Now()
+		assert.NilError(t, open(t, p).Hold(Connections, 64<<10))
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		assert.DeepEqual(t, states, []State{Idle})
+	})
+}
+
 // TestUnfinishedRequests guards against clients that use up the descriptors with requests that they
 // do not finish.
 func TestUnfinishedRequests(t *testing.T) {
--- a/internal/route/events/conn.go
+++ b/internal/route/events/conn.go
@@ -33,15 +33,17 @@
 
 // Conn reads the part of a stream that arrives over one connection to an engine.
 type Conn struct {
-	body      io.ReadCloser
-	partial   *hold.Account // of the incomplete event
-	delimited bool          // the end of the body is marked, so that a truncated body is detected
-	events    chan []byte   // complete events, one or more in each slice
-	err       error         // set before events is closed; io.EOF: the body ended regularly, after a complete event
-	rest      int           // length of the incomplete event at the end of the body
-	quit      chan struct{}
-	done      chan struct{} // closed once the connection has ended
-	once      sync.Once
+	body    io.ReadCloser
+	partial *hold.Account // of the incomplete event
+	// partialSize is what partial holds, in bytes.
+	partialSize int
+	delimited   bool        // the end of the body is marked, so that a truncated body is detected
+	events      chan []byte // complete events, one or more in each slice
+	err         error       // set before events is closed; io.EOF: the body ended regularly, after a complete event
+	rest        int         // length of the incomplete event at the end of the body
+	quit        chan struct{}
+	done        chan struct{} // closed once the connection has ended
+	once        sync.Once
 
 	mu        sync.Mutex    // guards queueSize
 	queue     *hold.Account // of the events that were delivered and not forwarded
@@ -87,7 +89,8 @@
 		n, err := c.body.Read(buf)
 		s.add(buf[:n])
 		if p := s.takeEvents(); len(p) > 0 {
-			_ = c.partial.Hold(hold.Responses, s.size()) // never fails, as the events are no part of it
+			c.partialSize = s.size()
+			_ = c.partial.Hold(hold.Responses, c.partialSize) // never fails, as the events are no part of it
 			if !c.send(p) {
 				return
 			}
@@ -105,10 +108,15 @@
 
 // checkSize returns an error if an incomplete event is too large to wait for its end.
 func (c *Conn) checkSize(s *scanner) error {
-	if len(s.rest()) > maxEvent {
+	switch n := s.size(); {
+	case len(s.rest()) > maxEvent:
 		return ErrEventTooLong
+	case n == c.partialSize:
+		return nil
+	default:
+		c.partialSize = n
+		return c.partial.Hold(hold.Responses, n)
 	}
-	return c.partial.Hold(hold.Responses, s.size())
 }
 
 // end sets the error with which the connection ended. An incomplete event is dropped.
