--- a/internal/policy/hold/account.go
+++ b/internal/policy/hold/account.go
@@ -40,7 +40,8 @@
 
 // Open returns the account of a new connection of a client, which takes a descriptor. If the
 // account is reclaimed, interrupt is called with the state in which that happened, or with Idle if the
-// connection itself is needed: it has to end the wait for the client without blocking. The error is ErrExhausted if there is no descriptor.
+// connection itself is needed: it has to end the wait for the client without blocking. The error is
+// ErrExhausted if there is no descriptor.
 func (p *Pool) Open(interrupt func(State)) (*Account, error) {
 	now := time.Now()
 	p.mu.Lock()
