--- a/internal/peer/front/bound_test.go
+++ b/internal/peer/front/bound_test.go
@@ -114,7 +114,7 @@
 }
 
 // TestIdleReclaimed checks that idle connections make room for new ones, the oldest first, and that
-// one with a call under way is left alone.
+// one with a call under way is not closed.
 func TestIdleReclaimed(t *testing.T) {
 	const descriptors = 120 // of which clients may use 41
 	release := make(chan struct{})
--- a/internal/policy/hold/pool_test.go
+++ b/internal/policy/hold/pool_test.go
@@ -155,7 +155,7 @@
 				"stalled": waiting(t, p, Responses, 4<<20, Sending, 2*time.Second), "reads": waiting(t, p, Responses, 3<<20, Sending, 10*time.Millisecond),
 			}
 		}, Responses, 3 << 20, nil, []string{"stalled"}},
-		"calls under way are left alone": {func(t *testing.T, p *Pool) map[string]*Account {
+		"calls under way are not reclaimed": {func(t *testing.T, p *Pool) map[string]*Account {
 			return map[string]*Account{"call": waiting(t, p, Requests, 4<<20, Busy, time.Second)}
 		}, Requests, 1 << 20, ErrExhausted, nil},
 		"a small request has room beside large ones": {func(t *testing.T, p *Pool) map[string]*Account {
