Reject responses that state several lengths

Callers saw: a response with two Content-Length fields that differ arrived as an answer whose body was as long as the last one says. A mark that the call did not run, with two lengths, was taken for a promise.

Cause: the codec keeps the last length, and the fields that it returns do not show the others, so that nothing after it can detect them.

Change: ReadHeader compares the lengths before the codec reads the header. Equal ones, also with leading zeros, remain one length (RFC 9110, section 8.6); others are no response (RFC 9112, section 6.3). That holds beside chunks too, of which RFC 9112 says that such a message ought to be handled as an error; one length beside chunks is still accepted, and the chunks count.

Why it works: the length that the codec keeps is the only one.

--- a/internal/peer/httpc/field.go
+++ b/internal/peer/httpc/field.go
@@ -8,16 +8,19 @@
 )
 
 // awaitFields waits until r has buffered the field lines that start at an offset and the empty
-// line that ends them, and leaves them there. It returns an error as soon as a line cannot become
-// one of a field section (RFC 9112, section 5).
-func awaitFields(r *bufio.Reader, offset int) error {
+// line that ends them, leaves them there, and returns the offset of their end. It returns an error
+// as soon as a line cannot become one of a field section (RFC 9112, section 5).
+func awaitFields(r *bufio.Reader, offset int) (int, error) {
 	check := checkFieldLine
 	for {
 		line, err := awaitLine(r, offset, check)
-		if err != nil || isEmptyLine(line) {
-			return err
+		if err != nil {
+			return 0, err
 		}
 		offset += len(line)
+		if isEmptyLine(line) {
+			return offset, nil
+		}
 		check = checkNextLine
 	}
 }
@@ -28,12 +31,14 @@
 // checkNextLine is checkFieldLine for lines after the first, which may continue the value of the
 // line before (RFC 9112, section 5.2).
 func checkNextLine(line []byte, whole bool) error {
-	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+	if isContinuation(line) {
 		return nil
 	}
 	return checkFieldLine(line, whole)
 }
 
+func isContinuation(line []byte) bool { return len(line) > 0 && (line[0] == ' ' || line[0] == '\t') }
+
 // checkFieldLine returns an error unless line is empty or begins with a field name and a colon.
 // If it is not whole, it may be the start of such a line. Recipients differ in what they take a
 // name with a blank for (RFC 9112, section 5.1), so that none is accepted.
--- a/internal/peer/httpc/header.go
+++ b/internal/peer/httpc/header.go
@@ -22,7 +22,8 @@
 
 // ReadHeader reads the header of the final response from r and skips interim responses. It
 // returns an error as soon as the bytes are no HTTP response. The codec alone does not detect
-// that: it takes any word and number for a status line, and blanks for a part of a field name.
+// that: it takes any word and number for a status line, blanks for a part of a field name, and the
+// last of several lengths.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxInterim + 1 {
 		if err := awaitHeader(r); err != nil {
@@ -47,7 +48,13 @@
 	if err != nil {
 		return err
 	}
-	return awaitFields(r, len(line))
+	start := len(line)
+	end, err := awaitFields(r, start)
+	if err != nil {
+		return err
+	}
+	b, _ := r.Peek(end) // cannot fail: the bytes are buffered
+	return checkFraming(b[start:end])
 }
 
 // awaitLine waits until r has buffered the line that starts at an offset, and returns it with its
