Reject responses in a transfer coding other than chunks

Callers saw: a response with "Transfer-Encoding: chunked, identity" arrived as an answer read as chunks, though chunks are not its last coding; with "gzip, chunked" the body was compressed bytes that nothing named as such. A mark that the call did not run, in such a response, was taken for a promise.

Cause: the codec takes every coding but "identity" for chunks, and states the field as "chunked" afterwards.

Change: ReadHeader accepts chunks once, as the last coding, in any letters, and, as the codec does, no coding and "identity". VMs do not forward the field TE, so that servers may use no other (RFC 9112, section 7.4). Chunks that are not last would have the body end with the connection (section 6.3), in a coding that is not decoded.

Why it works: what the codec reads as chunks is in chunks and in nothing else.

--- a/internal/peer/httpc/framing_test.go
+++ b/internal/peer/httpc/framing_test.go
@@ -33,6 +33,21 @@
 		"a length with a sign":            {lines: "Content-Length: +5\r\n"},
 		"a negative length":               {lines: "Content-Length: -1\r\n"},
 		"a length with a blank":           {lines: "Content-Length: 5 6\r\n"},
+		"chunks":                          {lines: "Transfer-Encoding: chunked\r\n", length: -1, sound: true},
+		"chunks in other letters":         {lines: "transfer-encoding:CHUNKED \r\n", length: -1, sound: true},
+		"chunks on the following line":    {lines: "Transfer-Encoding:\r\n\tchunked\r\nA: b\r\n", length: -1, sound: true},
+		"no coding":                       {lines: "Transfer-Encoding:\r\nContent-Length: 5\r\n", length: 5, sound: true},
+		"the identity coding":             {lines: "Transfer-Encoding: identity\r\nContent-Length: 5\r\n", length: 5, sound: true},
+		"no coding, then chunks":          {lines: "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n", length: -1, sound: true},
+		"chunks, then no coding":          {lines: "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"},
+		"chunks twice":                    {lines: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
+		"chunks that are not last":        {lines: "Transfer-Encoding: chunked, identity\r\n"},
+		"another coding":                  {lines: "Transfer-Encoding: gzip\r\n"},
+		"another coding before chunks":    {lines: "Transfer-Encoding: gzip, chunked\r\n"},
+		"another field before chunks":     {lines: "Transfer-Encoding: gzip\r\nA: b\r\nTransfer-Encoding: chunked\r\n"},
+		"another coding beside a length":  {lines: "Content-Length: 5\r\nTransfer-Encoding: deflate\r\n"},
+		"chunks with a parameter":         {lines: "Transfer-Encoding: chunked;q=1\r\n"},
+		"a coding on two lines":           {lines: "Transfer-Encoding: chun\r\n ked\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h, err := readHeader(t, "HTTP/1.1 200 OK\r\n"+tc.lines+"\r\n")
--- a/internal/peer/httpc/header.go
+++ b/internal/peer/httpc/header.go
@@ -22,8 +22,8 @@
 
 // ReadHeader reads the header of the final response from r and skips interim responses. It
 // returns an error as soon as the bytes are no HTTP response. The codec alone does not detect
-// that: it takes any word and number for a status line, blanks for a part of a field name, and the
-// last of several lengths.
+// that: it takes any word and number for a status line, blanks for a part of a field name, the
+// last of several lengths, and any transfer coding for chunks.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxInterim + 1 {
 		if err := awaitHeader(r); err != nil {
