Reject responses whose trailer holds a name that is no token

Cause: the trailer is read by the codec alone, which takes a blank for a part of a name there too, and rejects all other bytes that are not of a token. Bodies that are read as streams have it read inside the codec.

Change: a trailer that is read is examined by the same function as the fields of a header, before the codec reads it, and bodies in chunks that are read as streams use the chunks of the standard library, as forwarded ones do, with the same function behind them. A connection that ends after the last chunk still ends a whole body.

Handled already: edge VMs forward a body up to its last chunk and never read its trailer, so that no field of it has an effect or reaches a client; the body is complete with that chunk (RFC 9112, section 8).

--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http/httputil"
 	"net/netip"
 	"sync"
 	"time"
@@ -131,13 +132,14 @@
 		return nil
 	}
 	isChunked := IsChunked(&resp.Header)
-	if err := resp.ReadBody(c.r, maxBody); err != nil || !isChunked || resp.StreamBody {
-		return err
+	if isChunked && resp.StreamBody {
+		resp.SetBodyStream(&chunkedBody{chunks: httputil.NewChunkedReader(c.r), r: c.r, header: &resp.Header}, resp.Header.ContentLength())
+		return nil
 	}
-	if err := resp.Header.ReadTrailer(c.r); !errors.Is(err, io.EOF) {
+	if err := resp.ReadBody(c.r, maxBody); err != nil || !isChunked {
 		return err
 	}
-	return nil
+	return readTrailer(c.r, &resp.Header)
 }
 
 func (d *Dialer) get(ctx context.Context, addr netip.AddrPort, o Options) (*conn, error) {
--- a/internal/peer/httpc/field.go
+++ b/internal/peer/httpc/field.go
@@ -48,7 +48,7 @@
 	}
 	name, _, hasColon := bytes.Cut(line, []byte(":"))
 	if !isToken(name) || whole && !hasColon {
-		return trace.BadParameter("no HTTP response: %q is no header field", line[:min(len(line), maxQuotedBytes)])
+		return trace.BadParameter("no HTTP response: %q is no field", line[:min(len(line), maxQuotedBytes)])
 	}
 	return nil
 }
