Reject broken headers in responses between VMs of umberladder serve

Callers saw nothing yet: a VM took a response with a blank in a field name, or in one whose length was not recognised for that, for another VM's. An empty body is a valid message, so that a claim of an idempotency key would count as decided. A status of 000 or 600 came back as a response too, and twirp made an error of it.

Cause: these calls use the standard library's client, whose codec takes any three digits for a status and blanks for a part of a field name, and asked nothing of the response.

Change: their transport checks each response with httpc.CheckResponse, beside ReadHeader and with its functions for the status line and for names, and the names of interim responses with httpc.CheckFields. Ambiguous framing the library rejects by itself. Trailers it reads, but nothing here uses them.

Why it works: the library keeps names with a blank as they came, so that the check after it sees them.

--- /dev/null
+++ b/internal/peer/httpc/parsed.go
@@ -0,0 +1,28 @@
+package httpc
+
+import (
+	"net/http"
+
+	"github.com/gravitational/trace"
+)
+
+// CheckResponse returns an error unless the header of a response that the standard library has
+// read is one that ReadHeader accepts. The library takes any three digits for a status, and blanks
+// for a part of a field name. What it cannot tell the end of the body from it rejects itself.
+func CheckResponse(resp *http.Response) error {
+	if err := checkStatusLine([]byte(resp.Proto+" "+resp.Status), true); err != nil {
+		return err
+	}
+	return CheckFields(resp.Header)
+}
+
+// CheckFields returns an error unless the names of fields that the standard library has read are
+// tokens.
+func CheckFields(fields map[string][]string) error {
+	for name := range fields {
+		if !isToken([]byte(name)) {
+			return trace.BadParameter("no HTTP response: %q is no field name", name[:min(len(name), maxQuotedBytes)])
+		}
+	}
+	return nil
+}
--- a/internal/peer/nodes/rpc.go
+++ b/internal/peer/nodes/rpc.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"umberladder/internal/core/seal"
+	"umberladder/internal/peer/httpc"
 	"umberladder/internal/peer/proto"
 )
 
@@ -64,7 +67,13 @@
 	return n
 }
 
-// sealTransport is an http.RoundTripper that seals each call.
+// interimCheck rejects calls for which an interim response has a field name that is no token.
+var interimCheck = &httptrace.ClientTrace{
+	Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return httpc.CheckFields(fields) },
+}
+
+// sealTransport is an http.RoundTripper that seals each call, and rejects responses with a broken
+// header.
 type sealTransport struct {
 	ring *seal.KeyRing
 	next http.RoundTripper
@@ -76,13 +85,21 @@
 		return nil, trace.Wrap(err)
 	}
 	_ = r.Body.Close()
-	r = r.Clone(r.Context())
+	r = r.Clone(httptrace.WithClientTrace(r.Context(), interimCheck))
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	// With GetBody set, net/http could retry the call by itself.
 	r.GetBody = nil
 	sealed := s.ring.SealPacket(nil, sealedBytes(r.URL.Path, body))
 	r.Header.Set(sealHeader, base64.StdEncoding.EncodeToString(sealed[:seal.Overhead]))
-	return s.next.RoundTrip(r)
+	resp, err := s.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpc.CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, trace.Wrap(err)
+	}
+	return resp, nil
 }
 
 // Serve serves other VMs' calls on ln until ctx ends.
