Read the responses of the operators' API as all others

Operators saw: umberladder status, settings and report took a response of status 000, 099 or 600, of two digits, of another protocol, with a blank in a field name or trailer, with two lengths or in another coding for the VM's, and an interim response for the final one.

Cause: the command line used the codec's own client, which asks nothing of the status line, takes blanks for a part of a name, and ends with the first interim response that is not 100.

Change: it sends its requests with httpc.Dialer, over a new connection for each as before, and never again. The time limit stays.

Why it works: responses are read by httpc.ReadHeader.

--- a/internal/proc/opapi/client.go
+++ b/internal/proc/opapi/client.go
@@ -2,6 +2,7 @@
 package opapi
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"strconv"
@@ -10,6 +11,8 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
+
+	"umberladder/internal/peer/httpc"
 )
 
 const callTimeout = 15 * time.Second
@@ -59,7 +62,8 @@
 // Call sends one request. Headers are given as pairs of name and value. The request
 // is never retried.
 func (c *Client) Call(method, path string, body []byte, headers ...string) (*Response, error) {
-	if _, err := netip.ParseAddrPort(c.Address); err != nil {
+	addr, err := netip.ParseAddrPort(c.Address)
+	if err != nil {
 		return nil, trace.BadParameter("--server: want an IP address with a port, got %q", c.Address)
 	}
 	req := fasthttp.AcquireRequest()
@@ -73,11 +77,10 @@
 		req.Header.Set(headers[i], headers[i+1])
 	}
 	req.SetBody(body)
-	httpClient := &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
-	if err := httpClient.DoTimeout(req, resp, callTimeout); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	dialer := httpc.New(netip.Addr{}, callTimeout, callTimeout, 0)
+	if err := dialer.Do(ctx, addr, req, resp, httpc.Options{NewConn: true}); err != nil {
 		return nil, fmt.Errorf("%s does not answer: %w", c.Address, err)
 	}
 	return &Response{
