--- a/cmd/stress/soak.go
+++ b/cmd/stress/soak.go
@@ -47,6 +47,7 @@
 	f.BoolVar(&cfg.Evacuations, "evacuations", false, "also have operators evacuate a failure domain")
 	f.BoolVar(&cfg.Ends, "ends", false, "also have servers send close-delimited responses, break off inside events, and end in the middle of responses")
 	f.BoolVar(&cfg.Spoils, "spoils", false, "also have servers send bytes that are no response, or have no end")
+	f.BoolVar(&cfg.Heads, "heads", false, "also have servers send responses with a broken head")
 	f.BoolVar(&cfg.Versions, "versions", false, "also roll engines to other versions of their software and back, and have clients take streams up at other VMs")
 	f.BoolVar(&cfg.Cuts, "cuts", false, "also cut VMs off from all servers, and make plain servers brittle")
 	f.BoolVar(&cfg.Crashes, "crashes", false, "also have requests crash servers, and servers announce drains and pauses in responses")
--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -4,6 +4,8 @@
 	"context"
 	"syscall"
 	"time"
+
+	"umberladder/platform/fake"
 )
 
 // restartPause is the time from a process's exit to its next start.
@@ -50,7 +52,10 @@
 		kinds = append(kinds, faultKind{"close-delimited", r.useCloseDelimited, false}, faultKind{"stream-broken", r.breakStreams, false}, faultKind{"server-ended", r.endServer, false})
 	}
 	if r.cfg.Spoils {
-		kinds = append(kinds, faultKind{"responses-spoilt", r.spoilResponses, false})
+		kinds = append(kinds, faultKind{"responses-spoilt", r.spoilResponses(fake.Spoils), false})
+	}
+	if r.cfg.Heads {
+		kinds = append(kinds, faultKind{"heads-broken", r.spoilResponses(fake.BrokenHeads), false})
 	}
 	if r.cfg.Versions {
 		kinds = append(kinds, faultKind{"roll", r.roll, false})
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -52,6 +52,7 @@
 	Cuts          bool // also cut VMs off from all servers, and make servers brittle
 	Ends          bool // also have servers mark the ends of responses in other ways, or break off
 	Spoils        bool // also have servers send bytes that are no response, or have no end
+	Heads         bool // also have servers send responses with a broken head
 	Versions      bool // also roll engines to other versions of the software, and have clients take streams up
 	Parts         bool // also have parts of prompts crash servers
 	Floods        bool // also have a balancer hand most connections to one VM
