Move what decides on a response to peer/header

The new package header has what decides: Read (ReadHeader before), ReadTrailer, CheckResponse and CheckFields. Code and tests are unchanged but for names; the tests that need a connection stay in httpc.

--- a/internal/peer/httpc/framing_test.go
+++ b/internal/peer/header/framing_test.go
@@ -1,4 +1,4 @@
-package httpc
+package header
 
 import (
 	"testing"
--- a/internal/peer/httpc/parsed.go
+++ b/internal/peer/header/parsed.go
@@ -1,4 +1,4 @@
-package httpc
+package header
 
 import (
 	"net/http"
@@ -7,7 +7,7 @@
 )
 
 // CheckResponse returns an error unless the header of a response that the standard library has
-// read is one that ReadHeader accepts. The library takes any three digits for a status, and blanks
+// read is one that Read accepts. The library takes any three digits for a status, and blanks
 // for a part of a field name. What it cannot tell the end of the body from it rejects itself.
 func CheckResponse(resp *http.Response) error {
 	if err := checkStatusLine([]byte(resp.Proto+" "+resp.Status), true); err != nil {
--- a/internal/peer/httpc/dialer.go
+++ b/internal/peer/httpc/dialer.go
@@ -12,6 +12,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"umberladder/internal/peer/header"
 )
 
 // Options are the options of one request.
@@ -125,7 +127,7 @@
 // readResponse reads a response with its body or, if it has a body stream, up to the start of
 // that.
 func (c *conn) readResponse(resp *fasthttp.Response, maxBody int) error {
-	if err := ReadHeader(c.r, &resp.Header); err != nil {
+	if err := header.Read(c.r, &resp.Header); err != nil {
 		return err
 	}
 	if hasNoBody(resp.StatusCode()) {
@@ -139,7 +141,7 @@
 	if err := resp.ReadBody(c.r, maxBody); err != nil || !isChunked {
 		return err
 	}
-	return readTrailer(c.r, &resp.Header)
+	return header.ReadTrailer(c.r, &resp.Header)
 }
 
 func (d *Dialer) get(ctx context.Context, addr netip.AddrPort, o Options) (*conn, error) {
--- a/internal/peer/httpc/raw.go
+++ b/internal/peer/httpc/raw.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"umberladder/internal/peer/header"
 )
 
 const (
@@ -30,21 +32,21 @@
 
 // DoRaw sends a request with the given header and body unchanged, over a new
 // connection, and reads the header of the response.
-func (d *Dialer) DoRaw(ctx context.Context, addr netip.AddrPort, header *fasthttp.RequestHeader, body []byte, o Options) (*Response, error) {
+func (d *Dialer) DoRaw(ctx context.Context, addr netip.AddrPort, h *fasthttp.RequestHeader, body []byte, o Options) (*Response, error) {
 	nc, err := d.Dial(ctx, addr)
 	if err != nil {
 		return nil, &Error{Stage: Connect, Err: cause(ctx, err)}
 	}
-	return Exchange(ctx, nc, header, body, cmp.Or(o.IdleTimeout, d.idleTimeout))
+	return Exchange(ctx, nc, h, body, cmp.Or(o.IdleTimeout, d.idleTimeout))
 }
 
 // Exchange sends a request with the given header and body unchanged over a new connection,
 // and reads the header of the response. It closes the connection if that fails, and
 // otherwise with the body of the response. idleTimeout is the maximum time without data.
-func Exchange(ctx context.Context, nc net.Conn, header *fasthttp.RequestHeader, body []byte, idleTimeout time.Duration) (*Response, error) {
+func Exchange(ctx context.Context, nc net.Conn, h *fasthttp.RequestHeader, body []byte, idleTimeout time.Duration) (*Response, error) {
 	c := newConn(nc, idleTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp, exchangeErr := c.roundTrip(header, body)
+	resp, exchangeErr := c.roundTrip(h, body)
 	if exchangeErr != nil {
 		stop()
 		_ = c.Close()
@@ -55,8 +57,8 @@
 	return resp, nil
 }
 
-func (c *conn) roundTrip(header *fasthttp.RequestHeader, body []byte) (*Response, *Error) {
-	_, err := c.w.Write(header.Header())
+func (c *conn) roundTrip(h *fasthttp.RequestHeader, body []byte) (*Response, *Error) {
+	_, err := c.w.Write(h.Header())
 	if err == nil {
 		_, err = c.w.Write(body)
 	}
@@ -68,10 +70,10 @@
 	}
 	resp := &Response{}
 	resp.Header.DisableNormalizing()
-	if err := ReadHeader(c.r, &resp.Header); err != nil {
+	if err := header.Read(c.r, &resp.Header); err != nil {
 		return nil, &Error{Stage: Read, Written: c.written, Err: err}
 	}
-	resp.Body = io.NopCloser(c.body(&resp.Header, header.IsHead()))
+	resp.Body = io.NopCloser(c.body(&resp.Header, h.IsHead()))
 	return resp, nil
 }
 
--- a/internal/peer/httpc/trailer.go
+++ b/internal/peer/httpc/trailer.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"umberladder/internal/peer/header"
 )
 
 // chunkedBody reads a body in chunks and its trailer.
@@ -24,21 +26,8 @@
 	}
 	n, err := b.chunks.Read(p)
 	if errors.Is(err, io.EOF) {
-		err = cmp.Or(readTrailer(b.r, b.header), io.EOF)
+		err = cmp.Or(header.ReadTrailer(b.r, b.header), io.EOF)
 	}
 	b.err = err
 	return n, err
 }
-
-// readTrailer reads what follows the last chunk of a body. The body is complete if the connection
-// ends instead (RFC 9112, section 8).
-func readTrailer(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	_, err := awaitFields(r, 0)
-	if err == nil {
-		err = h.ReadTrailer(r)
-	}
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	return err
-}
--- a/internal/peer/nodes/rpc.go
+++ b/internal/peer/nodes/rpc.go
@@ -17,7 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"umberladder/internal/core/seal"
-	"umberladder/internal/peer/httpc"
+	"umberladder/internal/peer/header"
 	"umberladder/internal/peer/proto"
 )
 
@@ -69,7 +69,7 @@
 
 // interimCheck rejects calls for which an interim response has a field name that is no token.
 var interimCheck = &httptrace.ClientTrace{
-	Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return httpc.CheckFields(fields) },
+	Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return header.CheckFields(fields) },
 }
 
 // sealTransport is an http.RoundTripper that seals each call, and rejects responses with a broken
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := httpc.CheckResponse(resp); err != nil {
+	if err := header.CheckResponse(resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, trace.Wrap(err)
 	}
--- a/internal/peer/tunnel/client.go
+++ b/internal/peer/tunnel/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"umberladder/internal/core/ident"
+	"umberladder/internal/peer/header"
 	"umberladder/internal/peer/httpc"
 )
 
@@ -72,7 +73,7 @@
 	}
 	r := bufio.NewReaderSize(nc, bufferSize)
 	var resp fasthttp.ResponseHeader
-	if err := httpc.ReadHeader(r, &resp); err != nil {
+	if err := header.Read(r, &resp); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if resp.StatusCode() == fasthttp.StatusOK && httpc.IsChunked(&resp) {
