Trim only blanks and ends of lines from lengths and codings

A coding of "chunked" and a blank of Unicode was taken for chunks: bytes.TrimSpace, which the change of the codings used, removes those too.

--- a/internal/peer/header/framing.go
+++ b/internal/peer/header/framing.go
@@ -8,6 +8,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// blanks are the bytes around a value that are no part of it, with the ends of its lines.
+const blanks = " \t\r\n"
+
 // framing is how a header states the end of the body.
 type framing struct {
 	length    []byte // without leading zeros
@@ -24,9 +27,9 @@
 		var err error
 		switch {
 		case isName(name, fasthttp.HeaderContentLength):
-			err = f.addLength(bytes.TrimSpace(value))
+			err = f.addLength(bytes.Trim(value, blanks))
 		case isName(name, fasthttp.HeaderTransferEncoding):
-			err = f.addCoding(bytes.TrimSpace(value))
+			err = f.addCoding(bytes.Trim(value, blanks))
 		}
 		if err != nil {
 			return err
--- a/internal/peer/header/framing_test.go
+++ b/internal/peer/header/framing_test.go
@@ -47,6 +47,7 @@
 		"another field before chunks":     {lines: "Transfer-Encoding: gzip\r\nA: b\r\nTransfer-Encoding: chunked\r\n"},
 		"another coding beside a length":  {lines: "Content-Length: 5\r\nTransfer-Encoding: deflate\r\n"},
 		"chunks with a parameter":         {lines: "Transfer-Encoding: chunked;q=1\r\n"},
+		"chunks and a blank of Unicode":   {lines: "Transfer-Encoding: chunked\u00a0\r\n"},
 		"a coding on two lines":           {lines: "Transfer-Encoding: chun\r\n ked\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peer/header/header.go
+++ b/internal/peer/header/header.go
@@ -20,10 +20,10 @@
 // maxQuotedBytes is how much of what is no response an error quotes, in bytes.
 const maxQuotedBytes = 40
 
-// Read reads the header of the final response from r and skips interim responses. It
-// returns an error as soon as the bytes are no HTTP response. The codec alone does not detect
-// that: it takes any word and number for a status line, blanks for a part of a field name, the
-// last of several lengths, and any transfer coding for chunks.
+// Read reads the header of the final response from r and skips interim responses. It returns an
+// error as soon as the bytes are no HTTP response. The codec alone does not detect that: it takes
+// any word and number for a status line, blanks for a part of a field name, the last of several
+// lengths, and any transfer coding for chunks.
 func Read(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxInterim + 1 {
 		if err := awaitHeader(r); err != nil {
--- a/internal/peer/header/parsed.go
+++ b/internal/peer/header/parsed.go
@@ -6,9 +6,9 @@
 	"github.com/gravitational/trace"
 )
 
-// CheckResponse returns an error unless the header of a response that the standard library has
-// read is one that Read accepts. The library takes any three digits for a status, and blanks
-// for a part of a field name. What it cannot tell the end of the body from it rejects itself.
+// CheckResponse returns an error if the standard library has read a response whose status line or
+// field names Read rejects. The library takes any three digits for a status, and blanks for a part
+// of a field name. It rejects several lengths and other transfer codings than chunks.
 func CheckResponse(resp *http.Response) error {
 	if err := checkStatusLine([]byte(resp.Proto+" "+resp.Status), true); err != nil {
 		return err
