--- a/internal/peer/header/framing_test.go
+++ b/internal/peer/header/framing_test.go
@@ -59,3 +59,10 @@
 		})
 	}
 }
+
+// TestChunksInOldVersion guards against chunks that are read in a response of HTTP/1.0, whose framing
+// is faulty (RFC 9112, section 6.1): other recipients take what frames them for a part of the body.
+func TestChunksInOldVersion(t *testing.T) {
+	_, err := readHeader(t, "HTTP/1.0 200 \nTrAnsfer-EnCoding: Chunked\r\n\r\n")
+	assert.ErrorContains(t, err, "no HTTP response")
+}
--- a/internal/peer/header/fuzz_test.go
+++ b/internal/peer/header/fuzz_test.go
@@ -37,8 +37,8 @@
 			return // the library rejects some that are accepted here
 		}
 		defer func() { _ = other.Body.Close() }()
-		if h.StatusCode() == http.StatusNoContent || h.StatusCode() == http.StatusNotModified || other.ProtoMinor == 0 {
-			return // chunks are read here in HTTP/1.0 too, and not by the library
+		if h.StatusCode() == http.StatusNoContent || h.StatusCode() == http.StatusNotModified {
+			return // such a response has no body
 		}
 		want := other.ContentLength
 		if want == -1 && len(other.TransferEncoding) == 0 {
